--- /dev/null
+++ b/cell/code/code.go
@@ -0,0 +1,207 @@
+// Package code defines the numbered result codes of pollendock. The table in
+// docs/CODES.md lists the same numbers.
+package code
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+
+	"github.com/zeebo/errs"
+)
+
+type (
+	// Code is the number of a result. Codes below 2000 are no errors.
+	Code int
+
+	// Error is an error with a result code.
+	Error struct {
+		// Code is the result code.
+		Code Code
+		// Detail says what was wrong in this case.
+		Detail string
+	}
+
+	entry struct {
+		code   Code
+		name   string
+		status int
+		exit   int
+	}
+)
+
+const (
+	// OK is a whole answer.
+	OK Code = 1000
+	// Accepted is work that is durable and has not ended.
+	Accepted Code = 1001
+	// Pending is a configuration version that is logged but not yet confirmed
+	// by every entry VM.
+	Pending Code = 1002
+
+	// BadRequest is a request that cannot be decoded.
+	BadRequest Code = 2001
+	// UnknownField is a request with a field that is not defined.
+	UnknownField Code = 2002
+	// TooLarge is a body or a payload beyond its bound.
+	TooLarge Code = 2003
+	// BadSize is a task size or count outside its bounds.
+	BadSize Code = 2004
+	// BadKind is a kind of work that is not defined.
+	BadKind Code = 2005
+	// BadDeadline is a deadline or run time outside its bounds.
+	BadDeadline Code = 2006
+	// NeedsKey is a non-idempotent request without an idempotency key.
+	NeedsKey Code = 2007
+	// KeyTooOld is an idempotency key issued before the window in which
+	// outcomes are kept.
+	KeyTooOld Code = 2008
+	// KeyReused is an idempotency key that came with another request before.
+	KeyReused Code = 2009
+	// NotFound is a job or path that is not known.
+	NotFound Code = 2010
+
+	// Unauthenticated is a request with no key or an unknown key.
+	Unauthenticated Code = 3001
+	// Forbidden is a key that may not do what was asked.
+	Forbidden Code = 3002
+
+	// StaleBase is a patch against a version that is not the current one.
+	StaleBase Code = 4001
+	// BadPatch is a patch whose result is not a valid configuration.
+	BadPatch Code = 4002
+	// PatchUnknown is a patch of which it is not known whether it was logged.
+	PatchUnknown Code = 4003
+
+	// NeverFits is work that no worker of the cell can ever hold.
+	NeverFits Code = 5001
+	// OverLimit is work beyond the upper limit of its team.
+	OverLimit Code = 5002
+	// NoRoom is a lookup for which no room was found in time.
+	NoRoom Code = 5003
+	// QueueFull is work beyond the queue bounds of its team.
+	QueueFull Code = 5004
+	// Expired is work whose deadline passed before it was started.
+	Expired Code = 5005
+	// Canceled is work that its team canceled.
+	Canceled Code = 5006
+
+	// LogDown is work that needs the log while the log does not answer.
+	LogDown Code = 6001
+	// NotReady is an entry that has no configuration or is stopping.
+	NotReady Code = 6002
+	// Isolated is an entry that reaches neither the log nor enough peers.
+	Isolated Code = 6003
+	// MayHaveRun is a request whose attempt has no known outcome.
+	MayHaveRun Code = 6004
+	// TaskFailed is a task that ran and failed.
+	TaskFailed Code = 6005
+	// AcceptUnknown is a request of which it is not known whether it was
+	// accepted. A repeat with the same idempotency key tells.
+	AcceptUnknown Code = 6006
+	// Internal is a fault of pollendock itself.
+	Internal Code = 6099
+)
+
+const (
+	exitUsage    = 2
+	exitRefused  = 3
+	exitNoAccess = 4
+	exitConflict = 5
+	exitNotRun   = 6
+	exitUnknown  = 7
+)
+
+var (
+	// Class wraps every error that carries a code.
+	Class = errs.Class("pollendock")
+
+	table = []entry{
+		{OK, "ok", http.StatusOK, 0},
+		{Accepted, "accepted", http.StatusAccepted, 0},
+		{Pending, "pending", http.StatusAccepted, 0},
+		{BadRequest, "badRequest", http.StatusBadRequest, exitUsage},
+		{UnknownField, "unknownField", http.StatusBadRequest, exitUsage},
+		{TooLarge, "tooLarge", http.StatusRequestEntityTooLarge, exitUsage},
+		{BadSize, "badSize", http.StatusBadRequest, exitUsage},
+		{BadKind, "badKind", http.StatusBadRequest, exitUsage},
+		{BadDeadline, "badDeadline", http.StatusBadRequest, exitUsage},
+		{NeedsKey, "needsKey", http.StatusBadRequest, exitUsage},
+		{KeyTooOld, "keyTooOld", http.StatusConflict, exitConflict},
+		{KeyReused, "keyReused", http.StatusConflict, exitConflict},
+		{NotFound, "notFound", http.StatusNotFound, exitUsage},
+		{Unauthenticated, "unauthenticated", http.StatusUnauthorized, exitNoAccess},
+		{Forbidden, "forbidden", http.StatusForbidden, exitNoAccess},
+		{StaleBase, "staleBase", http.StatusConflict, exitConflict},
+		{BadPatch, "badPatch", http.StatusUnprocessableEntity, exitUsage},
+		{PatchUnknown, "patchUnknown", http.StatusServiceUnavailable, exitUnknown},
+		{NeverFits, "neverFits", http.StatusUnprocessableEntity, exitRefused},
+		{OverLimit, "overLimit", http.StatusTooManyRequests, exitRefused},
+		{NoRoom, "noRoom", http.StatusServiceUnavailable, exitNotRun},
+		{QueueFull, "queueFull", http.StatusTooManyRequests, exitNotRun},
+		{Expired, "expired", http.StatusGatewayTimeout, exitNotRun},
+		{Canceled, "canceled", http.StatusGone, exitNotRun},
+		{LogDown, "logDown", http.StatusServiceUnavailable, exitNotRun},
+		{NotReady, "notReady", http.StatusServiceUnavailable, exitNotRun},
+		{Isolated, "isolated", http.StatusServiceUnavailable, exitNotRun},
+		{MayHaveRun, "mayHaveRun", http.StatusBadGateway, exitUnknown},
+		{TaskFailed, "taskFailed", http.StatusInternalServerError, exitRefused},
+		{AcceptUnknown, "acceptUnknown", http.StatusServiceUnavailable, exitUnknown},
+		{Internal, "internal", http.StatusInternalServerError, exitUnknown},
+	}
+)
+
+// All returns every code in the order of the table.
+func All() []Code {
+	codes := make([]Code, 0, len(table))
+	for _, e := range table {
+		codes = append(codes, e.code)
+	}
+	return codes
+}
+
+func lookup(c Code) entry {
+	for _, e := range table {
+		if e.code == c {
+			return e
+		}
+	}
+	return lookup(Internal)
+}
+
+// String returns the camel-case name of the code.
+func (c Code) String() string {
+	return lookup(c).name
+}
+
+// HTTPStatus returns the HTTP status that goes with the code.
+func (c Code) HTTPStatus() int {
+	return lookup(c).status
+}
+
+// ExitStatus returns the exit status of the command line for the code.
+func (c Code) ExitStatus() int {
+	return lookup(c).exit
+}
+
+// Error returns the number, the name and the detail.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%d %s: %s", int(e.Code), e.Code, e.Detail)
+}
+
+// New returns an error with the code and a formatted detail.
+func New(c Code, format string, args ...any) error {
+	return Class.Wrap(&Error{Code: c, Detail: fmt.Sprintf(format, args...)})
+}
+
+// Of returns the code and the detail of err; Internal if it carries none.
+func Of(err error) (Code, string) {
+	if err == nil {
+		return OK, ""
+	}
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Code, e.Detail
+	}
+	return Internal, err.Error()
+}
--- /dev/null
+++ b/cell/ledger/members.go
@@ -0,0 +1,165 @@
+package ledger
+
+import (
+	"fmt"
+	"sort"
+
+	"pollendock.example/cell/code"
+	"pollendock.example/cell/resource"
+)
+
+func ok(job string) Effect {
+	return Effect{Code: code.OK, Job: job}
+}
+
+func refuse(c code.Code, format string, args ...any) Effect {
+	return Effect{Code: c, Detail: fmt.Sprintf(format, args...)}
+}
+
+// join adds an incarnation. An earlier incarnation of the same VM is retired,
+// because a VM runs one process.
+func (s *State) join(r *Record) Effect {
+	if _, known := s.Members[r.By]; known {
+		return Effect{Code: code.OK, Repeat: true}
+	}
+	s.advance(r.At)
+	for id, m := range s.Members {
+		if m.EntryID == r.Join.EntryID && !m.Retired {
+			s.retire(id)
+		}
+	}
+	s.dropOldMembers()
+	s.Members[r.By] = &Member{Join: *r.Join, Seq: r.Seq}
+	return ok("")
+}
+
+func (s *State) retire(id string) {
+	m := s.Members[id]
+	m.Retired = true
+	m.RetiredAt = s.Clock
+}
+
+// retireOther ends an incarnation that has appended nothing since the appender
+// looked, so a late retirement never ends one that works.
+func (s *State) retireOther(r *Retire) Effect {
+	m := s.Members[r.Incarnation]
+	if m == nil || m.Retired {
+		return ok("")
+	}
+	if m.Seq != r.LastSeq {
+		return refuse(code.StaleBase, "incarnation %s has appended since", r.Incarnation)
+	}
+	s.retire(r.Incarnation)
+	return ok("")
+}
+
+// dropOldMembers forgets retired members that are home to no worker.
+func (s *State) dropOldMembers() {
+	homes := map[string]bool{}
+	for _, w := range s.Workers {
+		homes[w.Home] = true
+	}
+	for id, m := range s.Members {
+		if m.Retired && !homes[id] && s.Clock.Sub(m.RetiredAt) > memberWindow {
+			delete(s.Members, id)
+		}
+	}
+}
+
+// Live reports whether the incarnation has joined and is not retired.
+func (s *State) Live(id string) bool {
+	m := s.Members[id]
+	return m != nil && !m.Retired
+}
+
+// LiveMembers returns the live incarnations in order.
+func (s *State) LiveMembers() []string {
+	ids := make([]string, 0, len(s.Members))
+	for id, m := range s.Members {
+		if !m.Retired {
+			ids = append(ids, id)
+		}
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+// Starters returns every incarnation that may still start a task: the live
+// ones, and the retired ones that are the recorded home of a worker.
+func (s *State) Starters() []string {
+	starters := map[string]bool{}
+	for _, id := range s.LiveMembers() {
+		starters[id] = true
+	}
+	for _, w := range s.Workers {
+		starters[w.Home] = true
+	}
+	ids := make([]string, 0, len(starters))
+	for id := range starters {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+// home records a claim. A record of an older claim of the same boot is void,
+// because the worker refuses that claim by now.
+func (s *State) home(offset int64, r *Record) Effect {
+	h := r.Home
+	w := s.Workers[h.Worker]
+	if w == nil {
+		w = &Worker{Ceilings: map[string]resource.Vector{}}
+		s.Workers[h.Worker] = w
+	}
+	if w.Boot == h.Boot && h.Epoch <= w.Epoch {
+		return refuse(code.StaleBase, "worker %s has a newer claim", h.Worker)
+	}
+	rebooted := w.Boot != "" && w.Boot != h.Boot
+	w.Home = r.By
+	w.HomeSince = offset
+	w.Boot = h.Boot
+	w.Epoch = h.Epoch
+	w.Capacity = h.Capacity
+	w.DataCentre = h.DataCentre
+	w.Rack = h.Rack
+	if rebooted {
+		s.vanishAll(h.Worker)
+	}
+	return ok("")
+}
+
+// ceiling moves a part of a team's limit to or from a worker's lookups.
+func (s *State) ceiling(r *Record) Effect {
+	c := r.Ceiling
+	w := s.Workers[c.Worker]
+	if w == nil || w.Home != r.By {
+		return refuse(code.StaleBase, "worker %s has another home", c.Worker)
+	}
+	held := w.Ceilings[c.Team]
+	delta := c.Delta.Scale(-1).Min(held).Scale(-1)
+	if !c.Fall {
+		delta = c.Delta.Min(s.Room(c.Team)).Max(resource.Vector{})
+	}
+	s.addUse(c.Team, delta)
+	w.Ceilings[c.Team] = held.Add(delta)
+	if w.Ceilings[c.Team].IsZero() {
+		delete(w.Ceilings, c.Team)
+	}
+	return Effect{Code: code.OK, Granted: delta}
+}
+
+// lost settles every attempt on a worker that is certainly without tasks. The
+// worker keeps a record without a home, so a claim of a later boot starts anew.
+func (s *State) lost(l *Lost) Effect {
+	w := s.Workers[l.Worker]
+	if w == nil || w.Boot != l.Boot || w.Home != l.Home {
+		return refuse(code.StaleBase, "worker %s was claimed since", l.Worker)
+	}
+	s.vanishAll(l.Worker)
+	for team, held := range w.Ceilings {
+		s.addUse(team, held.Scale(-1))
+	}
+	w.Ceilings = map[string]resource.Vector{}
+	w.Home = ""
+	return ok("")
+}
--- /dev/null
+++ b/cell/ledger/queue.go
@@ -0,0 +1,230 @@
+package ledger
+
+import (
+	"sort"
+
+	"pollendock.example/cell/config"
+)
+
+// compactMargin is the number of jobs that have left the queue at its head
+// before the list is rewritten.
+const compactMargin = 32
+
+// queueOf returns the waiting work of a team.
+func (s *State) queueOf(team string) *waiting {
+	q := s.waiting[team]
+	if q == nil {
+		q = &waiting{}
+		s.waiting[team] = q
+	}
+	return q
+}
+
+// enterQueue counts n tasks of j as waiting.
+func (s *State) enterQueue(j *Job, n int64) {
+	q := s.queueOf(j.Team)
+	if q.count == 0 {
+		q.jobs = nil
+	}
+	q.count += n
+	q.bytes += int64(len(j.Spec.Payload))
+	q.insert(s, j)
+}
+
+// leaveQueue counts n tasks of j as no longer waiting. The job itself leaves
+// the list in Waiting.
+func (s *State) leaveQueue(j *Job, n int64) {
+	q := s.queueOf(j.Team)
+	q.count -= n
+	q.bytes -= int64(len(j.Spec.Payload))
+}
+
+// insert puts j into the list in the order in which it is to start.
+func (q *waiting) insert(s *State, j *Job) {
+	at := sort.Search(len(q.jobs), func(i int) bool { return !s.before(q.jobs[i], j) })
+	if at < len(q.jobs) && q.jobs[at] == j {
+		return
+	}
+	q.jobs = append(q.jobs, nil)
+	copy(q.jobs[at+1:], q.jobs[at:])
+	q.jobs[at] = j
+}
+
+// sortQueues restores the order of the lists after ranks changed.
+func (s *State) sortQueues() {
+	for _, q := range s.waiting {
+		sort.SliceStable(q.jobs, func(a, b int) bool { return s.before(q.jobs[a], q.jobs[b]) })
+	}
+}
+
+// before orders the jobs of a team: urgent ones first, then by the rank of
+// their kind, then by age.
+func (s *State) before(a, b *Job) bool {
+	if a.Spec.Urgent != b.Spec.Urgent {
+		return a.Spec.Urgent
+	}
+	rankA := s.Document.Policy(a.Spec.Kind).Rank
+	rankB := s.Document.Policy(b.Spec.Kind).Rank
+	if rankA != rankB {
+		return rankA < rankB
+	}
+	return a.Order < b.Order
+}
+
+// Waiting returns up to limit jobs of the team with queued tasks, in the order
+// in which they are to start.
+func (s *State) Waiting(team string, limit int) []*Job {
+	q := s.waiting[team]
+	if q == nil {
+		return nil
+	}
+	var jobs []*Job
+	dead := 0
+	for _, j := range q.jobs {
+		if len(jobs) == limit {
+			break
+		}
+		if !j.waits() {
+			dead++
+			continue
+		}
+		jobs = append(jobs, j)
+	}
+	if dead > len(jobs)+compactMargin {
+		q.compact()
+	}
+	return jobs
+}
+
+// compact drops the jobs that no longer wait.
+func (q *waiting) compact() {
+	kept := q.jobs[:0]
+	for _, j := range q.jobs {
+		if j.waits() {
+			kept = append(kept, j)
+		}
+	}
+	clear(q.jobs[len(kept):])
+	q.jobs = kept
+}
+
+func (j *Job) waits() bool {
+	return j.Code == 0 && j.NextQueued(0) >= 0
+}
+
+// WaitingCount returns the number of queued tasks of the team.
+func (s *State) WaitingCount(team string) int64 {
+	return s.queueOf(team).count
+}
+
+// NextQueued returns the first queued task at or after from, or -1.
+func (j *Job) NextQueued(from int) int {
+	for i := from; i < len(j.Tasks); i++ {
+		if j.Tasks[i].Phase == Queued {
+			return i
+		}
+	}
+	return -1
+}
+
+// Startable reports whether the queued tasks of the job may be dispatched now.
+func (j *Job) Startable() bool {
+	if j.Code != 0 || j.CancelCode != 0 || j.Withdraw {
+		return false
+	}
+	return j.Spec.Kind != config.Gang || allQueued(j)
+}
+
+// hold counts a dispatched task on its worker and on its team.
+func (s *State) hold(j *Job, task int) {
+	worker := j.Tasks[task].Worker
+	if s.onWorker[worker] == nil {
+		s.onWorker[worker] = map[TaskRef]bool{}
+	}
+	s.onWorker[worker][TaskRef{j.ID, task}] = true
+	s.load[worker] = s.load[worker].Add(j.Spec.Size)
+	s.addUse(j.Team, j.Spec.Size)
+}
+
+// OnWorker returns the tasks bound to a worker, in order.
+func (s *State) OnWorker(worker string) []TaskRef {
+	refs := make([]TaskRef, 0, len(s.onWorker[worker]))
+	for ref := range s.onWorker[worker] {
+		refs = append(refs, ref)
+	}
+	sort.Slice(refs, func(a, b int) bool {
+		if refs[a].Job != refs[b].Job {
+			return refs[a].Job < refs[b].Job
+		}
+		return refs[a].Task < refs[b].Task
+	})
+	return refs
+}
+
+// EachOnWorker calls fn for the tasks bound to a worker, in no order.
+func (s *State) EachOnWorker(worker string, fn func(ref TaskRef)) {
+	for ref := range s.onWorker[worker] {
+		fn(ref)
+	}
+}
+
+// WorkerIDs returns the ids of the workers in order.
+func (s *State) WorkerIDs() []string {
+	ids := make([]string, 0, len(s.Workers))
+	for id := range s.Workers {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+// purgeJobs forgets ended jobs older than KeyWindow.
+func (s *State) purgeJobs() {
+	for len(s.ended) > 0 {
+		j := s.Jobs[s.ended[0]]
+		if j != nil && s.Clock.Sub(j.EndedAt) <= KeyWindow {
+			return
+		}
+		if j != nil {
+			delete(s.keys, repeatKey(j.Team, j.Spec.IdempotencyKey))
+			delete(s.Jobs, j.ID)
+		}
+		s.ended = s.ended[1:]
+	}
+}
+
+func (s *State) indexJobs() {
+	ids := make([]string, 0, len(s.Jobs))
+	for id := range s.Jobs {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	for _, id := range ids {
+		s.indexJob(s.Jobs[id])
+	}
+	sort.Slice(s.ended, func(a, b int) bool {
+		ja, jb := s.Jobs[s.ended[a]], s.Jobs[s.ended[b]]
+		if !ja.EndedAt.Equal(jb.EndedAt) {
+			return ja.EndedAt.Before(jb.EndedAt)
+		}
+		return ja.ID < jb.ID
+	})
+}
+
+func (s *State) indexJob(j *Job) {
+	if j.Spec.IdempotencyKey != "" {
+		s.keys[repeatKey(j.Team, j.Spec.IdempotencyKey)] = j.ID
+	}
+	if j.Code != 0 {
+		s.ended = append(s.ended, j.ID)
+		return
+	}
+	for i := range j.Tasks {
+		switch j.Tasks[i].Phase {
+		case Queued:
+			s.enterQueue(j, 1)
+		case Dispatched:
+			s.hold(j, i)
+		}
+	}
+}
--- /dev/null
+++ b/cell/ledger/snapshot.go
@@ -0,0 +1,73 @@
+package ledger
+
+import (
+	"encoding/json"
+	"fmt"
+)
+
+type (
+	// Assembler collects the parts of snapshots while a new entry VM reads the
+	// log from its oldest record.
+	Assembler struct {
+		through int64
+		by      string
+		parts   [][]byte
+	}
+)
+
+const (
+	// PartBytes is the most data of a snapshot part.
+	PartBytes = 128 << 10
+)
+
+// Marshal serializes the state.
+func (s *State) Marshal() ([]byte, error) {
+	return json.Marshal(s)
+}
+
+// Unmarshal restores a state that Marshal wrote.
+func Unmarshal(data []byte) (*State, error) {
+	s := New()
+	if err := json.Unmarshal(data, s); err != nil {
+		return nil, fmt.Errorf("snapshot: %w", err)
+	}
+	s.index()
+	return s, nil
+}
+
+// Split cuts a serialized state into the parts that go into the log.
+func Split(data []byte, through int64) []*SnapshotPart {
+	count := (len(data) + PartBytes - 1) / PartBytes
+	parts := make([]*SnapshotPart, 0, count)
+	for i := range count {
+		end := min((i+1)*PartBytes, len(data))
+		parts = append(parts, &SnapshotPart{
+			Through: through, Part: i, Parts: count, Data: data[i*PartBytes : end],
+		})
+	}
+	return parts
+}
+
+// Add takes a record and returns the state once a snapshot is complete.
+func (a *Assembler) Add(r *Record) (*State, error) {
+	p := r.Snapshot
+	if p == nil {
+		return nil, nil
+	}
+	if p.Part == 0 {
+		a.through, a.by, a.parts = p.Through, r.By, nil
+	}
+	if p.Through != a.through || r.By != a.by || p.Part != len(a.parts) {
+		return nil, nil
+	}
+	a.parts = append(a.parts, p.Data)
+	if len(a.parts) < p.Parts {
+		return nil, nil
+	}
+	var data []byte
+	for _, part := range a.parts {
+		data = append(data, part...)
+	}
+	a.parts = nil
+	return Unmarshal(data)
+}
--- /dev/null
+++ b/cell/ledger/state.go
@@ -0,0 +1,251 @@
+package ledger
+
+import (
+	"time"
+
+	"pollendock.example/cell/code"
+	"pollendock.example/cell/config"
+	"pollendock.example/cell/resource"
+)
+
+type (
+	// State is the fold of a prefix of the log.
+	State struct {
+		// Next is the offset of the first record not yet applied.
+		Next int64 `json:"next"`
+		// Clock is the greatest time stamp applied.
+		Clock time.Time `json:"clock"`
+		// SnapshotAt is the Through of the newest snapshot seen.
+		SnapshotAt int64 `json:"snapshotAt"`
+		// SnapshotClock is the Clock when that snapshot was complete.
+		SnapshotClock time.Time `json:"snapshotClock"`
+
+		// Document is the configuration in force.
+		Document *config.Document `json:"document"`
+		// History holds the newest versions, oldest first.
+		History []config.Version `json:"history"`
+		// Number is the version number of Document.
+		Number int64 `json:"number"`
+
+		Members map[string]*Member `json:"members"`
+		Workers map[string]*Worker `json:"workers"`
+		Jobs    map[string]*Job    `json:"jobs"`
+
+		keys     map[string]string
+		use      map[string]resource.Vector
+		waiting  map[string]*waiting
+		onWorker map[string]map[TaskRef]bool
+		load     map[string]resource.Vector
+		ended    []string
+	}
+
+	// Member is an incarnation of an entry VM.
+	Member struct {
+		Join
+		// Seq is the last Seq of its records.
+		Seq int64 `json:"seq"`
+		// Applied is the offset up to which it said to have applied the log.
+		Applied int64 `json:"applied"`
+		// Retired is set by Leave and by Retire.
+		Retired bool `json:"retired"`
+		// Left is set by Leave: the VM said so itself.
+		Left bool `json:"left,omitempty"`
+		// RetiredAt is the Clock at that time.
+		RetiredAt time.Time `json:"retiredAt,omitzero"`
+	}
+
+	// Worker is an upstream that an entry VM has claimed.
+	Worker struct {
+		// Home is the incarnation whose claim was recorded last.
+		Home string `json:"home"`
+		// HomeSince is the offset of that record.
+		HomeSince  int64           `json:"homeSince"`
+		Boot       string          `json:"boot"`
+		Epoch      int64           `json:"epoch"`
+		Capacity   resource.Vector `json:"capacity"`
+		DataCentre string          `json:"dataCentre"`
+		Rack       string          `json:"rack"`
+		// Ceilings holds the parts of the teams' limits for lookups here.
+		Ceilings map[string]resource.Vector `json:"ceilings"`
+	}
+
+	// Effect is the outcome of one record.
+	Effect struct {
+		// Code is OK if the record took effect.
+		Code code.Code
+		// Detail is for people.
+		Detail string
+		// Job is the id of the job that the record concerns.
+		Job string
+		// Number is the configuration version, for Publish.
+		Number int64
+		// Granted is what a Ceiling added.
+		Granted resource.Vector
+		// Repeat is set for a record that was applied before.
+		Repeat bool
+	}
+)
+
+const (
+	// KeyWindow is how long outcomes and idempotency keys are kept.
+	KeyWindow = 24 * time.Hour
+	// MaxHistory bounds the versions that State keeps.
+	MaxHistory = 2000
+	// memberWindow is how long a retired member is kept, to ignore its late
+	// records by name.
+	memberWindow = time.Hour
+)
+
+// New returns the state before the first record.
+func New() *State {
+	s := &State{
+		Document: config.Empty(),
+		Members:  map[string]*Member{},
+		Workers:  map[string]*Worker{},
+		Jobs:     map[string]*Job{},
+	}
+	s.index()
+	return s
+}
+
+// Apply folds the record at offset. Records must come in log order.
+func (s *State) Apply(offset int64, r *Record) Effect {
+	if offset < s.Next {
+		return Effect{Code: code.OK, Repeat: true}
+	}
+	s.Next = offset + 1
+	if r.Snapshot != nil {
+		s.noteSnapshot(r)
+		return ok("")
+	}
+	if r.Join != nil {
+		return s.join(r)
+	}
+	m := s.Members[r.By]
+	if m == nil || m.Retired {
+		return refuse(code.NotReady, "incarnation %s is retired", r.By)
+	}
+	if r.Seq <= m.Seq {
+		return Effect{Code: code.OK, Repeat: true}
+	}
+	m.Seq = r.Seq
+	s.advance(r.At)
+	return s.dispatchRecord(offset, r)
+}
+
+func (s *State) dispatchRecord(offset int64, r *Record) Effect {
+	switch {
+	case r.Beacon != nil:
+		s.Members[r.By].Applied = r.Beacon.Next
+		return ok("")
+	case r.Leave != nil:
+		s.retire(r.By)
+		s.Members[r.By].Left = true
+		return ok("")
+	case r.Retire != nil:
+		return s.retireOther(r.Retire)
+	case r.Publish != nil:
+		return s.publish(r)
+	case r.Home != nil:
+		return s.home(offset, r)
+	case r.Ceiling != nil:
+		return s.ceiling(r)
+	case r.Lost != nil:
+		return s.lost(r.Lost)
+	case r.Accept != nil:
+		return s.accept(offset, r)
+	case r.Dispatch != nil:
+		return s.dispatch(offset, r)
+	case r.Settle != nil:
+		return s.settle(r)
+	case r.Cancel != nil:
+		return s.cancel(r.Cancel)
+	}
+	return refuse(code.Internal, "empty record %s", r.ID)
+}
+
+// advance moves the clock and drops what is older than its window.
+func (s *State) advance(at time.Time) {
+	if at.After(s.Clock) {
+		s.Clock = at
+	}
+	s.purgeJobs()
+}
+
+func (s *State) noteSnapshot(r *Record) {
+	last := r.Snapshot.Part == r.Snapshot.Parts-1
+	if last && r.Snapshot.Through >= s.SnapshotAt {
+		s.SnapshotAt = r.Snapshot.Through
+		s.SnapshotClock = r.At
+	}
+}
+
+// publish makes the patch the next version if its base is the current one.
+func (s *State) publish(r *Record) Effect {
+	p := r.Publish
+	if p.Patch.Base != s.Number {
+		return refuse(code.StaleBase, "the patch is against version %d, the current one is %d", p.Patch.Base, s.Number)
+	}
+	if !s.mayPublish(p) {
+		return refuse(code.Forbidden, "operator key %q is not granted", p.KeyName)
+	}
+	next, err := p.Patch.Apply(s.Document)
+	if err != nil {
+		return refuse(code.BadPatch, "%v", err)
+	}
+	s.Document = next
+	s.Number++
+	s.History = append(s.History, config.Version{
+		Number: s.Number, KeyName: p.KeyName, At: r.At, RecordID: r.ID, Patch: p.Patch,
+	})
+	if len(s.History) > MaxHistory {
+		s.History = s.History[len(s.History)-MaxHistory:]
+	}
+	s.sortQueues()
+	s.stopExcess()
+	return Effect{Code: code.OK, Number: s.Number}
+}
+
+func (s *State) mayPublish(p *Publish) bool {
+	if p.Bootstrap {
+		return s.Number == 0
+	}
+	_, granted := s.Document.Operators[p.KeyName]
+	return granted
+}
+
+// Use returns what the team holds of its limit: dispatched durable tasks and
+// the ceilings of its lookups.
+func (s *State) Use(team string) resource.Vector {
+	return s.use[team]
+}
+
+// Room returns what is left of the team's limit.
+func (s *State) Room(team string) resource.Vector {
+	return s.Document.Teams[team].Limit.Sub(s.use[team])
+}
+
+// Load returns what durable tasks hold on a worker.
+func (s *State) Load(worker string) resource.Vector {
+	return s.load[worker]
+}
+
+func (s *State) addUse(team string, v resource.Vector) {
+	s.use[team] = s.use[team].Add(v)
+}
+
+// index rebuilds what can be derived from the exported fields.
+func (s *State) index() {
+	s.keys = map[string]string{}
+	s.use = map[string]resource.Vector{}
+	s.waiting = map[string]*waiting{}
+	s.onWorker = map[string]map[TaskRef]bool{}
+	s.load = map[string]resource.Vector{}
+	s.ended = nil
+	for _, w := range s.Workers {
+		for team, c := range w.Ceilings {
+			s.addUse(team, c)
+		}
+	}
+	s.indexJobs()
+}
--- /dev/null
+++ b/pollendockd/internal/entry/answer.go
@@ -0,0 +1,202 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"pollendock.example/cell/api"
+	"pollendock.example/cell/code"
+	"pollendock.example/cell/config"
+	"pollendock.example/cell/ledger"
+)
+
+type (
+	// jobWaiter is a caller who waits for the end of a job.
+	jobWaiter struct {
+		job   string
+		team  string
+		until time.Time
+		reply chan api.Answer
+	}
+
+	// jobAsked asks for the state of a job.
+	jobAsked struct {
+		waiter *jobWaiter
+	}
+
+	// cancelAsked asks for the end of a job.
+	cancelAsked struct {
+		team  string
+		job   string
+		reply chan api.Answer
+	}
+)
+
+// Status returns the state of a job. It waits up to wait for its end.
+func (e *Entry) Status(ctx context.Context, team, job string, wait time.Duration) api.Answer {
+	w := &jobWaiter{job: job, team: team, until: time.Now().Add(wait), reply: make(chan api.Answer, 1)}
+	e.post(jobAsked{w})
+	select {
+	case a := <-w.reply:
+		return a
+	case <-ctx.Done():
+		return w.underway()
+	case <-e.done:
+		return w.underway()
+	}
+}
+
+// Cancel ends a job.
+func (e *Entry) Cancel(ctx context.Context, team, job string) api.Answer {
+	m := cancelAsked{team, job, make(chan api.Answer, 1)}
+	e.post(m)
+	ctx, cancel := context.WithTimeout(ctx, acceptMargin)
+	defer cancel()
+	select {
+	case a := <-m.reply:
+		return a
+	case <-ctx.Done():
+		return api.NewAnswer(code.AcceptUnknown, "the log has not answered in time")
+	case <-e.done:
+		return api.NewAnswer(code.AcceptUnknown, errStopped.Error())
+	}
+}
+
+// underway is the answer while a job has not ended.
+func (w *jobWaiter) underway() api.Answer {
+	a := api.NewAnswer(code.Accepted, "")
+	a.Job = w.job
+	return a
+}
+
+func (m jobAsked) handle(c *control) {
+	j := c.state.Jobs[m.waiter.job]
+	if j == nil || j.Team != m.waiter.team {
+		m.waiter.reply <- c.unknownJob(m.waiter.job)
+		return
+	}
+	if j.Code != 0 || !time.Now().Before(m.waiter.until) || c.stopping {
+		m.waiter.reply <- JobAnswer(j)
+		return
+	}
+	c.followers[j.ID] = append(c.followers[j.ID], m.waiter)
+}
+
+// unknownJob says that a job is not known, but only as far as this VM has read
+// the log.
+func (c *control) unknownJob(job string) api.Answer {
+	if time.Since(c.fresh) > freshGap {
+		return retryLater(code.LogDown, "the job is not known here and the log does not answer", retryAfterLog)
+	}
+	return api.NewAnswer(code.NotFound, "no job "+job)
+}
+
+// answerFollowers answers the callers who wait for a job that has ended.
+func (c *control) answerFollowers() {
+	for id, list := range c.followers {
+		j := c.state.Jobs[id]
+		if j != nil && j.Code == 0 {
+			continue
+		}
+		for _, w := range list {
+			if j == nil {
+				w.reply <- w.underway()
+				continue
+			}
+			w.reply <- JobAnswer(j)
+		}
+		delete(c.followers, id)
+	}
+}
+
+// tickFollowers answers the callers whose wait is over.
+func (c *control) tickFollowers(now time.Time) {
+	for id, list := range c.followers {
+		kept := list[:0]
+		for _, w := range list {
+			if now.Before(w.until) && !c.stopping {
+				kept = append(kept, w)
+				continue
+			}
+			w.reply <- JobAnswer(c.state.Jobs[id])
+		}
+		c.followers[id] = kept
+		if len(kept) == 0 {
+			delete(c.followers, id)
+		}
+	}
+}
+
+// JobAnswer returns the answer for a job as it stands.
+func JobAnswer(j *ledger.Job) api.Answer {
+	a := api.NewAnswer(code.Accepted, "")
+	if j.Code != 0 {
+		a = api.NewAnswer(j.Code, "")
+	}
+	a.Job = j.ID
+	for i := range j.Tasks {
+		a.Tasks = append(a.Tasks, taskAnswer(&j.Tasks[i]))
+	}
+	if j.Code != 0 {
+		a.Truth = jobTruth(a.Tasks)
+	}
+	if len(a.Tasks) == 1 {
+		t := a.Tasks[0]
+		a.Data, a.Length, a.Digest = t.Data, t.Length, t.Digest
+	}
+	return a
+}
+
+func taskAnswer(t *ledger.Task) api.TaskAnswer {
+	a := api.TaskAnswer{Phase: string(t.Phase), Attempt: t.Attempt, Worker: t.Worker, Code: t.Code, Truth: api.Underway}
+	if t.Phase == ledger.Done {
+		a.Truth = api.TruthOf(t.Code)
+	}
+	if t.Result != nil && t.Phase == ledger.Done {
+		a.Data, a.Length, a.Digest = t.Result.Data, len(t.Result.Data), t.Result.Digest
+	}
+	return a
+}
+
+// jobTruth is the truth of all tasks if they agree; a job that ran in part may
+// have run.
+func jobTruth(tasks []api.TaskAnswer) api.Truth {
+	truth := tasks[0].Truth
+	for _, t := range tasks[1:] {
+		if t.Truth != truth {
+			return api.MayHaveRun
+		}
+	}
+	return truth
+}
+
+func (m cancelAsked) handle(c *control) {
+	j := c.state.Jobs[m.job]
+	switch {
+	case j == nil || j.Team != m.team:
+		m.reply <- c.unknownJob(m.job)
+	case !c.joined || c.e.appender.Down():
+		m.reply <- retryLater(code.LogDown, "the log takes no records", retryAfterLog)
+	default:
+		c.cancelJob(m)
+	}
+}
+
+func (c *control) cancelJob(m cancelAsked) {
+	r := c.newRecord()
+	r.Cancel = &ledger.Cancel{Job: m.job, Team: m.team, Code: code.Canceled}
+	c.submit(r, true, func(_ int64, effect ledger.Effect) {
+		j := c.state.Jobs[m.job]
+		if effect.Code != code.OK || j == nil {
+			m.reply <- acceptAnswer(effect)
+			return
+		}
+		m.reply <- JobAnswer(j)
+	})
+}
+
+// Document returns the configuration in force here and its number.
+func (e *Entry) Document() (*config.Document, int64) {
+	p := e.published.Load()
+	return p.document, p.number
+}
--- /dev/null
+++ b/pollendockd/internal/peer/client.go
@@ -0,0 +1,146 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
+)
+
+type (
+	// Handler serves calls of peers.
+	Handler interface {
+		Exchange(ctx context.Context, r *ExchangeRequest) (*ExchangeReply, error)
+		Lookup(ctx context.Context, r *LookupRequest) (*LookupReply, error)
+		Offer(ctx context.Context, r *OfferRequest) (*OfferReply, error)
+		State(ctx context.Context, r *StateRequest) (*StateReply, error)
+	}
+
+	// Client is a Handler at another entry VM. A call that gets no reply in
+	// time closes the connection, which may have gone silent; the next call
+	// opens a new one.
+	Client struct {
+		addr netip.AddrPort
+
+		mu   sync.Mutex
+		conn *rpc.Client
+	}
+)
+
+const (
+	dialTimeout = 500 * time.Millisecond
+	callTimeout = 2 * time.Second
+
+	traceHeader = "traceparent"
+	methodStem  = "Peer."
+)
+
+var (
+	// Class wraps the errors of this package.
+	Class = errs.Class("peer")
+)
+
+// NewClient returns a client for the entry VM at addr.
+func NewClient(addr netip.AddrPort) *Client {
+	return &Client{addr: addr}
+}
+
+// Exchange implements Handler.
+func (c *Client) Exchange(ctx context.Context, r *ExchangeRequest) (*ExchangeReply, error) {
+	reply := &ExchangeReply{}
+	return reply, c.call(ctx, "Exchange", r, reply)
+}
+
+// Lookup implements Handler.
+func (c *Client) Lookup(ctx context.Context, r *LookupRequest) (*LookupReply, error) {
+	r.Trace = traceOf(ctx)
+	reply := &LookupReply{}
+	return reply, c.call(ctx, "Lookup", r, reply)
+}
+
+// Offer implements Handler.
+func (c *Client) Offer(ctx context.Context, r *OfferRequest) (*OfferReply, error) {
+	r.Trace = traceOf(ctx)
+	reply := &OfferReply{}
+	return reply, c.call(ctx, "Offer", r, reply)
+}
+
+// State implements Handler.
+func (c *Client) State(ctx context.Context, r *StateRequest) (*StateReply, error) {
+	reply := &StateReply{}
+	return reply, c.call(ctx, "State", r, reply)
+}
+
+func (c *Client) call(ctx context.Context, method string, in, out any) error {
+	if _, bounded := ctx.Deadline(); !bounded {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+	}
+	conn, err := c.connect(ctx)
+	if err != nil {
+		return Class.Wrap(err)
+	}
+	call := conn.Go(methodStem+method, in, out, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		if call.Error == rpc.ErrShutdown {
+			c.discard(conn)
+		}
+		return Class.Wrap(call.Error)
+	case <-ctx.Done():
+		c.discard(conn)
+		return Class.Wrap(ctx.Err())
+	}
+}
+
+func (c *Client) connect(ctx context.Context) (*rpc.Client, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn != nil {
+		return c.conn, nil
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", c.addr.String())
+	if err != nil {
+		return nil, err
+	}
+	c.conn = rpc.NewClient(conn)
+	return c.conn, nil
+}
+
+func (c *Client) discard(conn *rpc.Client) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn == conn {
+		c.conn = nil
+	}
+	_ = conn.Close()
+}
+
+// Close ends the connection.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn != nil {
+		_ = c.conn.Close()
+		c.conn = nil
+	}
+}
+
+func traceOf(ctx context.Context) Trace {
+	carrier := propagation.MapCarrier{}
+	otel.GetTextMapPropagator().Inject(ctx, carrier)
+	return Trace{Parent: carrier[traceHeader]}
+}
+
+func (t Trace) context(ctx context.Context) context.Context {
+	carrier := propagation.MapCarrier{traceHeader: t.Parent}
+	return otel.GetTextMapPropagator().Extract(ctx, carrier)
+}
--- /dev/null
+++ b/pollendockd/internal/telemetry/telemetry.go
@@ -0,0 +1,85 @@
+// Package telemetry sets up logs, metrics and traces.
+package telemetry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/trace"
+)
+
+type (
+	// Metrics is a tally scope with the handler that serves it.
+	Metrics struct {
+		Scope   tally.Scope
+		Handler http.Handler
+		closer  io.Closer
+	}
+)
+
+const (
+	reportEvery   = time.Second
+	traceFileMode = 0o600
+)
+
+// NewLogger returns a logger of logfmt lines on w, from the named level up.
+func NewLogger(w io.Writer, name, entryID string) log.Logger {
+	allowed := map[string]level.Option{
+		"debug": level.AllowDebug(), "info": level.AllowInfo(), "warn": level.AllowWarn(), "error": level.AllowError(),
+	}
+	logger := log.NewLogfmtLogger(log.NewSyncWriter(w))
+	logger = level.NewFilter(logger, allowed[name])
+	return log.With(logger, "ts", log.DefaultTimestampUTC, "entry", entryID)
+}
+
+// NewMetrics returns a scope whose values are served for scraping.
+func NewMetrics() *Metrics {
+	reporter := prometheus.NewReporter(prometheus.Options{})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "pollendock", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
+		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
+	}, reportEvery)
+	return &Metrics{Scope: scope, Handler: reporter.HTTPHandler(), closer: closer}
+}
+
+// Close flushes the metrics.
+func (m *Metrics) Close() error {
+	return m.closer.Close()
+}
+
+// StartTraces writes a part of the traces to a file and returns the function
+// that flushes it. Trace contexts are passed on also without a file.
+func StartTraces(path string, ratio float64) (func(context.Context) error, error) {
+	otel.SetTextMapPropagator(propagation.TraceContext{})
+	if path == "" {
+		return func(context.Context) error { return nil }, nil
+	}
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_APPEND, traceFileMode)
+	if err != nil {
+		return nil, err
+	}
+	exporter, err := stdouttrace.New(stdouttrace.WithWriter(f))
+	if err != nil {
+		return nil, err
+	}
+	provider := trace.NewTracerProvider(
+		trace.WithBatcher(exporter),
+		trace.WithSampler(trace.ParentBased(trace.TraceIDRatioBased(ratio))),
+	)
+	otel.SetTracerProvider(provider)
+	return func(ctx context.Context) error {
+		err := provider.Shutdown(ctx)
+		_ = f.Close()
+		return err
+	}, nil
+}
--- /dev/null
+++ b/pollendockd/main.go
@@ -0,0 +1,209 @@
+// Command pollendockd is the process on each entry VM of a pollendock cell.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/oklog/run"
+
+	"pollendock.example/cell/platform"
+	"pollendock.example/pollendockd/internal/entry"
+	"pollendock.example/pollendockd/internal/front"
+	"pollendock.example/pollendockd/internal/peer"
+	"pollendock.example/pollendockd/internal/settings"
+	"pollendock.example/pollendockd/internal/telemetry"
+)
+
+type (
+	options struct {
+		Config string `arg:"--config,required" help:"settings file"`
+		Check  bool   `arg:"--check" help:"check the settings file and exit"`
+	}
+
+	// process holds what the parts of a running entry VM share.
+	process struct {
+		cfg     *settings.Settings
+		logger  log.Logger
+		metrics *telemetry.Metrics
+		entry   *entry.Entry
+	}
+)
+
+const (
+	platformConnections = 4
+	readHeaderTimeout   = 5 * time.Second
+	idleTimeout         = 2 * time.Minute
+	flushTimeout        = 2 * time.Second
+	maxHeaderBytes      = 16 << 10
+)
+
+var errSecondSignal = errors.New("a second signal came before the stop was complete; what was under way is given up")
+
+func main() {
+	var opt options
+	arg.MustParse(&opt)
+	cfg, err := settings.Load(opt.Config)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "pollendockd:", err)
+		os.Exit(1)
+	}
+	if opt.Check {
+		return
+	}
+	logger := telemetry.NewLogger(os.Stderr, cfg.Telemetry.LogLevel, cfg.EntryID)
+	if err := serve(cfg, logger); err != nil {
+		_ = level.Error(logger).Log("msg", "ended", "err", err)
+		os.Exit(1)
+	}
+}
+
+func serve(cfg *settings.Settings, logger log.Logger) error {
+	flush, err := telemetry.StartTraces(cfg.Telemetry.TraceFile, cfg.Telemetry.TraceRatio)
+	if err != nil {
+		return err
+	}
+	defer func() {
+		ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+		defer cancel()
+		_ = flush(ctx)
+	}()
+	p := &process{cfg: cfg, logger: logger, metrics: telemetry.NewMetrics()}
+	defer func() { _ = p.metrics.Close() }()
+	p.entry = entry.New(p.entryOptions(), p.entryDeps())
+	return p.run()
+}
+
+func (p *process) entryOptions() entry.Options {
+	return entry.Options{
+		EntryID:       p.cfg.EntryID,
+		DataCentre:    p.cfg.DataCentre,
+		PeerAddr:      p.cfg.PeerListen,
+		Seeds:         p.cfg.Peers,
+		BootstrapHash: p.cfg.BootstrapHash,
+		AppendGap:     p.cfg.Platform.AppendGap.Duration,
+		SnapshotEvery: p.cfg.Platform.SnapshotEvery.Duration,
+	}
+}
+
+func (p *process) entryDeps() entry.Deps {
+	return entry.Deps{
+		Log:     platform.LogClient{Client: platform.NewClient(p.cfg.Platform.Log, platformConnections)},
+		VMs:     platform.VMListClient{Client: platform.NewClient(p.cfg.Platform.VMList, platformConnections)},
+		Dialer:  dialer{connections: p.cfg.Bounds.WorkerConnections},
+		Logger:  p.logger,
+		Metrics: p.metrics.Scope,
+	}
+}
+
+// run serves until a signal, then stops gracefully.
+func (p *process) run() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var g run.Group
+	g.Add(func() error { return p.entry.Run(ctx) }, func(error) { cancel() })
+	if err := p.addPeers(ctx, &g); err != nil {
+		return err
+	}
+	server, err := p.addFront(&g)
+	if err != nil {
+		return err
+	}
+	stop := make(chan struct{})
+	g.Add(func() error { return p.awaitSignals(server, stop) }, func(error) { close(stop) })
+	err = g.Run()
+	if errors.Is(err, context.Canceled) || errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+func (p *process) addPeers(ctx context.Context, g *run.Group) error {
+	ln, err := net.Listen("tcp", p.cfg.PeerListen.String())
+	if err != nil {
+		return err
+	}
+	server, err := peer.NewServer(ctx, ln, p.entry.PeerHandler())
+	if err != nil {
+		return err
+	}
+	g.Add(server.Serve, func(error) { server.Close() })
+	return nil
+}
+
+func (p *process) addFront(g *run.Group) (*http.Server, error) {
+	f := front.New(p.entry, front.Options{
+		MaxBodyBytes: p.cfg.Bounds.MaxBodyBytes, MaxRequests: p.cfg.Bounds.MaxRequests,
+	}, p.logger, p.metrics.Scope)
+	ln, err := net.Listen("tcp", p.cfg.Listen.String())
+	if err != nil {
+		return nil, err
+	}
+	server := &http.Server{
+		Handler:           f.Handler(p.metrics.Handler),
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       p.cfg.Bounds.ReadTimeout.Duration,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	serving := make(chan struct{})
+	g.Add(func() error {
+		// Serve returns as soon as a shutdown begins; the shutdown itself is
+		// awaited where it was asked for.
+		if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		<-serving
+		return nil
+	}, func(error) {
+		close(serving)
+		_ = server.Close()
+	})
+	return server, nil
+}
+
+// awaitSignals stops gracefully after the first signal and at once after the
+// second.
+func (p *process) awaitSignals(server *http.Server, stop <-chan struct{}) error {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	defer signal.Stop(signals)
+	select {
+	case <-signals:
+	case <-stop:
+		return nil
+	}
+	done := make(chan error, 1)
+	go func() { done <- p.stopGracefully(server) }()
+	select {
+	case err := <-done:
+		return err
+	case <-signals:
+		return errSecondSignal
+	}
+}
+
+// stopGracefully hands over what the VM holds, then lets the answers under way
+// reach their callers.
+func (p *process) stopGracefully(server *http.Server) error {
+	ctx, cancel := context.WithTimeout(context.Background(), p.cfg.Bounds.StopTimeout.Duration)
+	defer cancel()
+	if err := p.entry.Stop(ctx); err != nil {
+		return fmt.Errorf("the stop was not complete in time: %w", err)
+	}
+	if err := server.Shutdown(ctx); err != nil {
+		return fmt.Errorf("some answers were cut: %w", err)
+	}
+	_ = level.Info(p.logger).Log("msg", "stopped")
+	return context.Canceled
+}
--- /dev/null
+++ b/standin/main.go
@@ -0,0 +1,127 @@
+// Command standin plays the platform for tests and the demo: the log, the list
+// of VMs and a number of workers, each worker on a port of its own.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/labstack/echo/v4"
+	"github.com/oklog/run"
+
+	"pollendock.example/cell/platform"
+	"pollendock.example/cell/resource"
+	"pollendock.example/standin/role"
+	"pollendock.example/standin/web"
+)
+
+type (
+	options struct {
+		Listen           netip.AddrPort `arg:"--listen" default:"127.0.0.1:7100" help:"address of the log, the list and the controls"`
+		FirstWorker      netip.AddrPort `arg:"--first-worker" default:"127.0.0.1:7200" help:"address of the first worker; the others follow"`
+		Workers          int            `arg:"--workers" default:"50"`
+		DataCentres      int            `arg:"--data-centres" default:"3"`
+		RackSize         int            `arg:"--rack-size" default:"8"`
+		Cores            int64          `arg:"--cores" default:"64"`
+		MemoryGB         int64          `arg:"--memory-gb" default:"256"`
+		Accelerators     int64          `arg:"--accelerators" default:"0"`
+		Slots            int64          `arg:"--slots" default:"8"`
+		Connections      int            `arg:"--connections" default:"60" help:"connections that a worker takes"`
+		AppendsPerSecond int            `arg:"--appends-per-second" default:"400"`
+		Retention        time.Duration  `arg:"--retention" default:"1h"`
+		Lag              time.Duration  `arg:"--lag" default:"1s" help:"lag of the list of VMs"`
+	}
+)
+
+const (
+	milli        = 1000
+	mbPerGB      = 1024
+	shutdownTime = 2 * time.Second
+)
+
+func main() {
+	var opt options
+	arg.MustParse(&opt)
+	if err := serve(&opt); err != nil {
+		var signal run.SignalError
+		if errors.As(err, &signal) {
+			return
+		}
+		fmt.Fprintln(os.Stderr, "standin:", err)
+		os.Exit(1)
+	}
+}
+
+func serve(opt *options) error {
+	stage := &web.Stage{
+		Log:     role.NewLog(role.LogOptions{AppendsPerSecond: opt.AppendsPerSecond, Retention: opt.Retention}),
+		VMs:     role.NewVMs(opt.Lag),
+		Workers: map[string]*role.Worker{},
+	}
+	var g run.Group
+	front := web.NewEcho()
+	web.LogRoutes(front, stage.Log)
+	web.VMRoutes(front, stage.VMs)
+	web.ControlRoutes(front, stage)
+	if err := addServer(&g, front, opt.Listen, 0); err != nil {
+		return err
+	}
+	for i := range opt.Workers {
+		if err := addWorker(&g, stage, opt, i); err != nil {
+			return err
+		}
+	}
+	g.Add(run.SignalHandler(context.Background(), os.Interrupt, syscall.SIGTERM))
+	return g.Run()
+}
+
+func addWorker(g *run.Group, stage *web.Stage, opt *options, i int) error {
+	capacity := resource.Vector{
+		MilliCPU:     opt.Cores * milli,
+		MemoryMB:     opt.MemoryGB * mbPerGB,
+		Accelerators: opt.Accelerators,
+		Slots:        opt.Slots,
+	}
+	vm := platform.VM{
+		ID:         fmt.Sprintf("worker-%03d", i),
+		Role:       platform.WorkerRole,
+		Addr:       netip.AddrPortFrom(opt.FirstWorker.Addr(), opt.FirstWorker.Port()+uint16(i)),
+		DataCentre: fmt.Sprintf("dc-%d", i%opt.DataCentres),
+		Rack:       fmt.Sprintf("rack-%d", i/opt.RackSize),
+	}
+	w := role.NewWorker(vm.ID, capacity)
+	stage.Workers[vm.ID] = w
+	stage.VMs.Put(vm)
+	e := web.NewEcho()
+	web.WorkerRoutes(e, w)
+	return addServer(g, e, vm.Addr, opt.Connections)
+}
+
+func addServer(g *run.Group, e *echo.Echo, addr netip.AddrPort, conns int) error {
+	ln, err := net.Listen("tcp", addr.String())
+	if err != nil {
+		return err
+	}
+	if conns > 0 {
+		ln = web.BoundListener(ln, conns)
+	}
+	server := &http.Server{Handler: e, ReadHeaderTimeout: shutdownTime}
+	g.Add(func() error {
+		return server.Serve(ln)
+	}, func(error) {
+		ctx, cancel := context.WithTimeout(context.Background(), shutdownTime)
+		defer cancel()
+		if server.Shutdown(ctx) != nil {
+			_ = server.Close()
+		}
+	})
+	return nil
+}
--- /dev/null
+++ b/standin/web/control.go
@@ -0,0 +1,111 @@
+package web
+
+import (
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+
+	"pollendock.example/cell/platform"
+	"pollendock.example/cell/resource"
+	"pollendock.example/standin/role"
+)
+
+type (
+	// Stage is everything that one stand-in process plays.
+	Stage struct {
+		Log     *role.Log
+		VMs     *role.VMs
+		Workers map[string]*role.Worker
+	}
+
+	// WorkerFaultRequest changes one worker.
+	WorkerFaultRequest struct {
+		Worker string            `json:"worker"`
+		Faults role.WorkerFaults `json:"faults"`
+		// Action is "", "reboot", "pause" or "resume".
+		Action string `json:"action"`
+	}
+
+	// VMRequest changes the list of VMs.
+	VMRequest struct {
+		VM   platform.VM `json:"vm"`
+		Gone bool        `json:"gone"`
+	}
+
+	// Report is the truth about the cell, for checks.
+	Report struct {
+		Runs     []role.Run      `json:"runs"`
+		Used     resource.Vector `json:"used"`
+		Capacity resource.Vector `json:"capacity"`
+		Appends  int64           `json:"appends"`
+		LogBytes int64           `json:"logBytes"`
+	}
+)
+
+// ControlRoutes lets a test or the demo bring about faults and read the truth.
+func ControlRoutes(e *echo.Echo, s *Stage) {
+	e.POST("/control/log", func(c echo.Context) error {
+		var f role.LogFaults
+		if err := c.Bind(&f); err != nil {
+			return reply(c, nil, badRequest(err))
+		}
+		s.Log.SetFaults(f)
+		return c.JSON(http.StatusOK, platform.Empty{})
+	})
+	e.POST("/control/worker", func(c echo.Context) error {
+		var r WorkerFaultRequest
+		if err := c.Bind(&r); err != nil {
+			return reply(c, nil, badRequest(err))
+		}
+		return reply(c, platform.Empty{}, s.changeWorker(&r))
+	})
+	e.POST("/control/vm", func(c echo.Context) error {
+		var r VMRequest
+		if err := c.Bind(&r); err != nil {
+			return reply(c, nil, badRequest(err))
+		}
+		if r.Gone {
+			s.VMs.Remove(r.VM.ID)
+		} else {
+			s.VMs.Put(r.VM)
+		}
+		return c.JSON(http.StatusOK, platform.Empty{})
+	})
+	e.GET("/control/report", func(c echo.Context) error {
+		return c.JSON(http.StatusOK, s.report(c.QueryParam("runs") != ""))
+	})
+}
+
+func (s *Stage) changeWorker(r *WorkerFaultRequest) error {
+	w := s.Workers[r.Worker]
+	if w == nil {
+		return platform.Refuse(platform.BadRequest, "no worker %q", r.Worker)
+	}
+	w.SetFaults(r.Faults)
+	switch r.Action {
+	case "":
+	case "reboot":
+		w.Reboot()
+	case "pause":
+		w.Pause()
+	case "resume":
+		w.Resume()
+	default:
+		return platform.Refuse(platform.BadRequest, "no action %q", r.Action)
+	}
+	return nil
+}
+
+func (s *Stage) report(withRuns bool) *Report {
+	report := &Report{}
+	report.Appends, report.LogBytes = s.Log.Appends()
+	for _, w := range s.Workers {
+		used, capacity := w.Used()
+		report.Used = report.Used.Add(used)
+		report.Capacity = report.Capacity.Add(capacity)
+		if withRuns {
+			report.Runs = append(report.Runs, w.Runs()...)
+		}
+	}
+	return report
+}
