--- /dev/null
+++ b/pollendock/config.go
@@ -0,0 +1,279 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"pollendock.example/cell/api"
+	"pollendock.example/cell/code"
+	"pollendock.example/cell/config"
+)
+
+type (
+	configCmd struct {
+		Show  *configShow  `arg:"subcommand:show" help:"print the configuration in force"`
+		Log   *configLog   `arg:"subcommand:log" help:"list versions with author and reason"`
+		Diff  *configDiff  `arg:"subcommand:diff" help:"show what a patch would change"`
+		Patch *configPatch `arg:"subcommand:patch" help:"publish a patch"`
+	}
+
+	configShow struct{}
+
+	configLog struct {
+		From int64 `arg:"--from" help:"first version number"`
+	}
+
+	configDiff struct {
+		File string `arg:"positional,required" help:"JSON merge patch"`
+		Base int64  `arg:"--base,required" help:"version that the patch was written against"`
+	}
+
+	configPatch struct {
+		File   string `arg:"positional,required" help:"JSON merge patch"`
+		Base   int64  `arg:"--base,required" help:"version that the patch was written against"`
+		Author string `arg:"--author,required"`
+		Reason string `arg:"--reason,required"`
+	}
+
+	teamCmd struct{}
+
+	keyCmd struct {
+		Grant    *keyGrant    `arg:"subcommand:grant" help:"grant a key to a team; its value is read from the environment"`
+		Withdraw *keyWithdraw `arg:"subcommand:withdraw" help:"withdraw a key from a team"`
+	}
+
+	keyChange struct {
+		Team   string `arg:"positional,required"`
+		Name   string `arg:"positional,required"`
+		Author string `arg:"--author,required"`
+		Reason string `arg:"--reason,required"`
+	}
+
+	keyGrant struct {
+		keyChange
+		Value string `arg:"env:POLLENDOCK_NEW_KEY,--value" help:"the key"`
+	}
+
+	keyWithdraw struct {
+		keyChange
+	}
+
+	checkCmd struct {
+		File string `arg:"positional,required" help:"JSON merge patch"`
+		On   string `arg:"--on" help:"document that the patch is applied to; empty for version 0"`
+	}
+)
+
+const (
+	minKeyBytes  = 16
+	checkAuthor  = "check"
+	confirmEvery = 200 * time.Millisecond
+	confirmTries = 25
+)
+
+func (c *configCmd) chosen() command {
+	switch {
+	case c.Show != nil:
+		return c.Show
+	case c.Log != nil:
+		return c.Log
+	case c.Diff != nil:
+		return c.Diff
+	case c.Patch != nil:
+		return c.Patch
+	}
+	return nil
+}
+
+func (c *keyCmd) chosen() command {
+	switch {
+	case c.Grant != nil:
+		return c.Grant
+	case c.Withdraw != nil:
+		return c.Withdraw
+	}
+	return nil
+}
+
+func (c *configShow) run(ctx context.Context, s *shell) error {
+	a, err := s.client.Config(ctx)
+	if err != nil {
+		return err
+	}
+	if a.Error() != nil {
+		return a.Error()
+	}
+	if s.json {
+		return s.out.asJSON(a)
+	}
+	s.out.line("version %d", a.Number)
+	for _, inc := range a.Unconfirmed {
+		s.out.line("not confirmed by %s", inc)
+	}
+	return s.out.asJSON(a.Document)
+}
+
+func (c *configLog) run(ctx context.Context, s *shell) error {
+	a := &api.HistoryAnswer{}
+	if err := s.client.Do(ctx, http.MethodGet, fmt.Sprintf("/v1/config/versions?from=%d", c.From), nil, a); err != nil {
+		return err
+	}
+	if a.Error() != nil {
+		return a.Error()
+	}
+	if s.json {
+		return s.out.asJSON(a)
+	}
+	rows := [][]any{{"VERSION", "TIME", "AUTHOR", "KEY", "REASON"}}
+	for _, v := range a.Versions {
+		rows = append(rows, []any{v.Number, v.At.UTC().Format(time.RFC3339), v.Author, v.KeyName, v.Reason})
+	}
+	s.out.table(rows)
+	return nil
+}
+
+func (c *configDiff) run(ctx context.Context, s *shell) error {
+	merge, err := os.ReadFile(c.File)
+	if err != nil {
+		return err
+	}
+	a, err := s.client.Patch(ctx, &api.PatchRequest{
+		Patch:  config.Patch{Base: c.Base, Author: checkAuthor, Reason: checkAuthor, Merge: merge},
+		DryRun: true,
+	})
+	if err != nil {
+		return err
+	}
+	if a.Error() != nil {
+		return a.Error()
+	}
+	if s.json {
+		return s.out.asJSON(a)
+	}
+	return s.out.asJSON(a.Difference)
+}
+
+func (c *configPatch) run(ctx context.Context, s *shell) error {
+	merge, err := os.ReadFile(c.File)
+	if err != nil {
+		return err
+	}
+	return s.publish(ctx, config.Patch{Base: c.Base, Author: c.Author, Reason: c.Reason, Merge: merge})
+}
+
+// publish sends a patch and waits until the version is in force everywhere.
+func (s *shell) publish(ctx context.Context, patch config.Patch) error {
+	a, err := s.client.Patch(ctx, &api.PatchRequest{Patch: patch})
+	if err != nil {
+		return err
+	}
+	for try := 0; a.Code == code.Pending && try < confirmTries; try++ {
+		time.Sleep(confirmEvery)
+		now, err := s.client.Config(ctx)
+		if err == nil && now.Number >= a.Number && len(now.Unconfirmed) == 0 {
+			a.Answer = api.NewAnswer(code.OK, "")
+			a.Unconfirmed = nil
+		}
+	}
+	if s.json {
+		if err := s.out.asJSON(a); err != nil {
+			return err
+		}
+		return a.Error()
+	}
+	switch a.Code {
+	case code.OK:
+		s.out.line("version %d is in force everywhere", a.Number)
+	case code.Pending:
+		s.out.line("version %d is published, but not yet confirmed by %v", a.Number, a.Unconfirmed)
+	}
+	return a.Error()
+}
+
+func (c *teamCmd) run(ctx context.Context, s *shell) error {
+	a := &api.CellAnswer{}
+	if err := s.client.Do(ctx, http.MethodGet, "/v1/cell", nil, a); err != nil {
+		return err
+	}
+	if a.Error() != nil {
+		return a.Error()
+	}
+	if s.json {
+		return s.out.asJSON(a.Teams)
+	}
+	s.out.table(teamRows(a.Teams))
+	return nil
+}
+
+func (c *keyGrant) run(ctx context.Context, s *shell) error {
+	if len(c.Value) < minKeyBytes {
+		return code.New(code.BadPatch, "the key has fewer than %d bytes", minKeyBytes)
+	}
+	return c.change(ctx, s, &config.Key{Hash: config.HashKey(c.Value)})
+}
+
+func (c *keyWithdraw) run(ctx context.Context, s *shell) error {
+	return c.change(ctx, s, nil)
+}
+
+// change patches one key of a team against the version in force. A nil key is
+// taken away.
+func (c *keyChange) change(ctx context.Context, s *shell, key *config.Key) error {
+	now, err := s.client.Config(ctx)
+	if err != nil {
+		return err
+	}
+	if now.Error() != nil {
+		return now.Error()
+	}
+	if _, known := now.Document.Teams[c.Team]; !known {
+		return code.New(code.BadPatch, "no team %q", c.Team)
+	}
+	merge, err := json.Marshal(keyPatch(c.Team, c.Name, key))
+	if err != nil {
+		return err
+	}
+	return s.publish(ctx, config.Patch{Base: now.Number, Author: c.Author, Reason: c.Reason, Merge: merge})
+}
+
+// keyPatch is a merge patch of one key.
+func keyPatch(team, name string, key *config.Key) any {
+	type keys struct {
+		Keys map[string]*config.Key `json:"keys"`
+	}
+	type teams struct {
+		Teams map[string]keys `json:"teams"`
+	}
+	return teams{Teams: map[string]keys{team: {Keys: map[string]*config.Key{name: key}}}}
+}
+
+func (c *checkCmd) run(_ context.Context, s *shell) error {
+	merge, err := os.ReadFile(c.File)
+	if err != nil {
+		return err
+	}
+	document := config.Empty()
+	if c.On != "" {
+		data, err := os.ReadFile(c.On)
+		if err != nil {
+			return err
+		}
+		if err := json.Unmarshal(data, document); err != nil {
+			return code.New(code.BadPatch, "%s: %v", c.On, err)
+		}
+	}
+	patch := config.Patch{Author: checkAuthor, Reason: checkAuthor, Merge: merge}
+	next, err := patch.Apply(document)
+	if err != nil {
+		return code.New(code.BadPatch, "%v", err)
+	}
+	difference, err := config.Diff(document, next)
+	if err != nil {
+		return err
+	}
+	return s.out.asJSON(json.RawMessage(difference))
+}
--- /dev/null
+++ b/pollendock/main.go
@@ -0,0 +1,102 @@
+// Command pollendock is the command line of operators and submitters.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"pollendock.example/cell/api"
+	"pollendock.example/cell/code"
+)
+
+type (
+	// command is one subcommand.
+	command interface {
+		run(ctx context.Context, s *shell) error
+	}
+
+	// shell is what subcommands work with.
+	shell struct {
+		client *api.Client
+		json   bool
+		out    *printer
+	}
+
+	options struct {
+		Server string     `arg:"--server,env:POLLENDOCK_SERVER" default:"http://127.0.0.1:8001" help:"base URL of an entry VM or balancer"`
+		Key    string     `arg:"--key,env:POLLENDOCK_KEY" help:"key to show"`
+		JSON   bool       `arg:"--json" help:"print answers as JSON"`
+		Config *configCmd `arg:"subcommand:config" help:"show, list, compare and patch the configuration"`
+		Team   *teamCmd   `arg:"subcommand:team" help:"list the teams"`
+		KeyCmd *keyCmd    `arg:"subcommand:key" help:"grant and withdraw keys"`
+		Submit *submitCmd `arg:"subcommand:submit" help:"ask for work"`
+		Status *statusCmd `arg:"subcommand:status" help:"show durable work"`
+		Cancel *cancelCmd `arg:"subcommand:cancel" help:"end durable work"`
+		Cell   *cellCmd   `arg:"subcommand:cell" help:"show workers, teams and entry VMs"`
+		Check  *checkCmd  `arg:"subcommand:check" help:"check a patch against a document, offline"`
+	}
+)
+
+const (
+	callTimeout    = 90 * time.Second
+	exitNoAnswer   = 1
+	exitWrongUsage = 2
+)
+
+func main() {
+	os.Exit(runMain())
+}
+
+func runMain() int {
+	var opt options
+	p := arg.MustParse(&opt)
+	cmd := opt.chosen()
+	if cmd == nil {
+		p.WriteHelp(os.Stderr)
+		return exitWrongUsage
+	}
+	s := &shell{
+		client: api.NewClient(opt.Server, opt.Key, &http.Client{Timeout: callTimeout}),
+		json:   opt.JSON,
+		out:    &printer{w: os.Stdout},
+	}
+	err := cmd.run(context.Background(), s)
+	if err == nil {
+		return 0
+	}
+	fmt.Fprintln(os.Stderr, "pollendock:", err)
+	var coded *code.Error
+	if errors.As(err, &coded) {
+		return coded.Code.ExitStatus()
+	}
+	return exitNoAnswer
+}
+
+// chosen returns the subcommand that was named, or nil.
+func (o *options) chosen() command {
+	switch {
+	case o.Config != nil:
+		return o.Config.chosen()
+	case o.Team != nil:
+		return o.Team
+	case o.KeyCmd != nil:
+		return o.KeyCmd.chosen()
+	case o.Submit != nil:
+		return o.Submit
+	case o.Status != nil:
+		return o.Status
+	case o.Cancel != nil:
+		return o.Cancel
+	case o.Cell != nil:
+		return o.Cell
+	case o.Check != nil:
+		return o.Check
+	}
+	return nil
+}
--- /dev/null
+++ b/pollendock/print.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"pollendock.example/cell/api"
+)
+
+type (
+	// printer writes answers for people or for scripts.
+	printer struct {
+		w io.Writer
+	}
+)
+
+const columnGap = 2
+
+// asJSON writes v as indented JSON.
+func (p *printer) asJSON(v any) error {
+	enc := json.NewEncoder(p.w)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
+
+// table writes rows of columns.
+func (p *printer) table(rows [][]any) {
+	tw := tabwriter.NewWriter(p.w, 0, 0, columnGap, ' ', 0)
+	for _, row := range rows {
+		for _, cell := range row {
+			_, _ = fmt.Fprintf(tw, "%v\t", cell)
+		}
+		_, _ = fmt.Fprintln(tw)
+	}
+	_ = tw.Flush()
+}
+
+func (p *printer) line(format string, args ...any) {
+	_, _ = fmt.Fprintf(p.w, format+"\n", args...)
+}
+
+// answer writes the answer to a request for work.
+func (s *shell) answer(a *api.Answer) error {
+	if s.json {
+		if err := s.out.asJSON(a); err != nil {
+			return err
+		}
+		return a.Error()
+	}
+	s.out.line("%d %s, %s", int(a.Code), a.Name, a.Truth)
+	if a.Job != "" {
+		s.out.line("job %s", a.Job)
+	}
+	if a.RetryAfterMs > 0 {
+		s.out.line("come back in %d ms", a.RetryAfterMs)
+	}
+	if a.Data != "" {
+		s.out.line("%s", a.Data)
+	}
+	if len(a.Tasks) > 1 {
+		s.out.table(taskRows(a.Tasks))
+	}
+	return a.Error()
+}
+
+func taskRows(tasks []api.TaskAnswer) [][]any {
+	rows := [][]any{{"TASK", "PHASE", "TRUTH", "ATTEMPT", "BYTES"}}
+	for i, t := range tasks {
+		rows = append(rows, []any{i, t.Phase, t.Truth, t.Attempt, t.Length})
+	}
+	return rows
+}
--- a/pollendockd/internal/entry/home.go
+++ b/pollendockd/internal/entry/home.go
@@ -205,7 +205,7 @@
 		case u.phase == claimed:
 			u.session.renew.Store(now.Sub(u.claimedAt) < unrecordedRenew)
 		case u.phase == home:
-			if handovers < handoversAtOnce && c.tryRelease(u, now) {
+			if (c.stopping || handovers < handoversAtOnce) && c.tryRelease(u, now) {
 				handovers++
 			}
 		case u.phase == releasing:
@@ -265,13 +265,26 @@
 		node := table.Lookup(id)
 		load[node]++
 		if load[node] == bound {
-			table.Remove(node)
+			// A new table, since removing from one breaks it for the node that
+			// takes the free place.
+			nodes = without(nodes, node)
+			table = rendezvous.New(nodes, xxhash.Sum64String)
 		}
 		wanted[id] = node
 	}
 	return wanted
 }
 
+func without(list []string, drop string) []string {
+	var kept []string
+	for _, s := range list {
+		if s != drop {
+			kept = append(kept, s)
+		}
+	}
+	return kept
+}
+
 func (c *control) tryClaim(u *upstream, now time.Time) {
 	if c.wanted[u.id] != c.inc || c.stopping || now.Sub(u.tried) < claimEvery {
 		return
--- /dev/null
+++ b/standin/ctl.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"pollendock.example/cell/platform"
+	"pollendock.example/standin/role"
+	"pollendock.example/standin/web"
+)
+
+type (
+	// ctl changes a running stand-in.
+	ctl struct {
+		Stage       string        `arg:"--stage" default:"http://127.0.0.1:7100"`
+		Leaving     string        `arg:"--leaving" help:"list this worker as leaving"`
+		Gone        string        `arg:"--gone" help:"take this VM off the list"`
+		Worker      string        `arg:"--worker" help:"worker for --action and --fail"`
+		Action      string        `arg:"--action" help:"reboot, pause or resume"`
+		FailStarts  bool          `arg:"--fail-starts"`
+		FailTasks   bool          `arg:"--fail-tasks"`
+		Log         string        `arg:"--log" help:"up or down"`
+		LogDelay    time.Duration `arg:"--log-delay"`
+		LoseAnswers int           `arg:"--lose-answers"`
+		Report      bool          `arg:"--report" help:"print the report"`
+	}
+)
+
+const ctlTimeout = 10 * time.Second
+
+func (c *ctl) run() error {
+	ctx, cancel := context.WithTimeout(context.Background(), ctlTimeout)
+	defer cancel()
+	if c.Leaving != "" {
+		return c.leave(ctx)
+	}
+	if c.Gone != "" {
+		return c.send(ctx, "/control/vm", web.VMRequest{VM: platform.VM{ID: c.Gone}, Gone: true})
+	}
+	if c.Worker != "" {
+		faults := role.WorkerFaults{FailStarts: c.FailStarts, FailTasks: c.FailTasks}
+		return c.send(ctx, "/control/worker", web.WorkerFaultRequest{Worker: c.Worker, Faults: faults, Action: c.Action})
+	}
+	if c.Log != "" {
+		faults := role.LogFaults{Down: c.Log == "down", Delay: c.LogDelay, LoseAnswers: c.LoseAnswers}
+		return c.send(ctx, "/control/log", faults)
+	}
+	if c.Report {
+		return c.call(ctx, http.MethodGet, "/control/report", nil, os.Stdout)
+	}
+	return fmt.Errorf("nothing to do")
+}
+
+// leave marks a listed VM as leaving.
+func (c *ctl) leave(ctx context.Context) error {
+	var list bytes.Buffer
+	if err := c.call(ctx, http.MethodPost, "/vms/list", platform.Empty{}, &list); err != nil {
+		return err
+	}
+	var vms []platform.VM
+	if err := json.Unmarshal(list.Bytes(), &vms); err != nil {
+		return err
+	}
+	for _, vm := range vms {
+		if vm.ID == c.Leaving {
+			vm.Leaving = true
+			return c.send(ctx, "/control/vm", web.VMRequest{VM: vm})
+		}
+	}
+	return fmt.Errorf("no VM %q", c.Leaving)
+}
+
+func (c *ctl) send(ctx context.Context, path string, body any) error {
+	return c.call(ctx, http.MethodPost, path, body, io.Discard)
+}
+
+func (c *ctl) call(ctx context.Context, method, path string, body any, out io.Writer) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.Stage+path, bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s: status %d", path, resp.StatusCode)
+	}
+	_, err = io.Copy(out, resp.Body)
+	return err
+}
--- a/standin/main.go
+++ b/standin/main.go
@@ -25,6 +25,7 @@
 
 type (
 	options struct {
+		Ctl              *ctl           `arg:"subcommand:ctl" help:"change a running stand-in"`
 		Listen           netip.AddrPort `arg:"--listen" default:"127.0.0.1:7100" help:"address of the log, the list and the controls"`
 		FirstWorker      netip.AddrPort `arg:"--first-worker" default:"127.0.0.1:7200" help:"address of the first worker; the others follow"`
 		Workers          int            `arg:"--workers" default:"50"`
@@ -50,7 +51,11 @@
 func main() {
 	var opt options
 	arg.MustParse(&opt)
-	if err := serve(&opt); err != nil {
+	work := func() error { return serve(&opt) }
+	if opt.Ctl != nil {
+		work = opt.Ctl.run
+	}
+	if err := work(); err != nil {
 		var signal run.SignalError
 		if errors.As(err, &signal) {
 			return
--- a/standin/role/worker.go
+++ b/standin/role/worker.go
@@ -23,11 +23,13 @@
 
 	// Run is one execution of an attempt, for checks on the history.
 	Run struct {
-		Worker  string          `json:"worker"`
-		Attempt string          `json:"attempt"`
-		Team    string          `json:"team"`
-		Size    resource.Vector `json:"size"`
-		Start   time.Time       `json:"start"`
+		Worker  string `json:"worker"`
+		Attempt string `json:"attempt"`
+		Team    string `json:"team"`
+		// Tag is the tag of the payload.
+		Tag   string          `json:"tag"`
+		Size  resource.Vector `json:"size"`
+		Start time.Time       `json:"start"`
 		// End is zero while the task runs.
 		End time.Time `json:"end,omitzero"`
 	}
@@ -243,6 +245,7 @@
 		fixed:  r.Fixed,
 		run:    &Run{Worker: w.id, Attempt: r.Attempt, Team: r.Team, Size: r.Size, Start: now},
 	}
+	t.run.Tag = t.job.Tag
 	t.endless = t.job.RunMs < 0
 	t.ends = now.Add(time.Duration(t.job.RunMs) * time.Millisecond)
 	if w.faults.FailTasks {
--- a/standin/web/control.go
+++ b/standin/web/control.go
@@ -34,11 +34,13 @@
 
 	// Report is the truth about the cell, for checks.
 	Report struct {
-		Runs     []role.Run      `json:"runs"`
-		Used     resource.Vector `json:"used"`
-		Capacity resource.Vector `json:"capacity"`
-		Appends  int64           `json:"appends"`
-		LogBytes int64           `json:"logBytes"`
+		Runs []role.Run `json:"runs"`
+		// Capacities holds the capacity of each worker.
+		Capacities map[string]resource.Vector `json:"capacities"`
+		Used       resource.Vector            `json:"used"`
+		Capacity   resource.Vector            `json:"capacity"`
+		Appends    int64                      `json:"appends"`
+		LogBytes   int64                      `json:"logBytes"`
 	}
 )
 
@@ -97,10 +99,11 @@
 }
 
 func (s *Stage) report(withRuns bool) *Report {
-	report := &Report{}
+	report := &Report{Capacities: map[string]resource.Vector{}}
 	report.Appends, report.LogBytes = s.Log.Appends()
-	for _, w := range s.Workers {
+	for id, w := range s.Workers {
 		used, capacity := w.Used()
+		report.Capacities[id] = capacity
 		report.Used = report.Used.Add(used)
 		report.Capacity = report.Capacity.Add(capacity)
 		if withRuns {
