--- a/Makefile
+++ b/Makefile
@@ -16,10 +16,14 @@
 	./demo/demo.sh
 
 test: ## run all tests
-	@for m in $(MODULES); do (cd $$m && $(GO) test ./...) || exit 1; done
+	@status=0; for m in $(MODULES); do (cd $$m && $(GO) test ./...) || status=1; done; exit $$status
 
-lint: ## go vet and staticcheck, no findings allowed
-	@for m in $(MODULES); do (cd $$m && $(GO) vet ./... && $(GO) tool -modfile=../tools/go.mod staticcheck ./...) || exit 1; done
+lint: bin/staticcheck ## go vet and staticcheck, no findings allowed
+	@for m in $(MODULES); do (cd $$m && $(GO) vet ./... && ../bin/staticcheck ./...) || exit 1; done
+
+bin/staticcheck: tools/go.mod
+	@mkdir -p bin
+	@cd tools && GOWORK=off $(GO) build -o ../bin/staticcheck honnef.co/go/tools/cmd/staticcheck
 
 format: ## fail if a file is not formatted
 	@out=$$(gofmt -l $(MODULES)); if [ -n "$$out" ]; then echo "not formatted: $$out"; exit 1; fi
--- a/loadgen/internal/verdict/measures.go
+++ b/loadgen/internal/verdict/measures.go
@@ -14,6 +14,7 @@
 	"pollendock.example/cell/resource"
 	"pollendock.example/loadgen/internal/caller"
 	"pollendock.example/loadgen/internal/rehearsal"
+	"pollendock.example/standin/history"
 	"pollendock.example/standin/role"
 	"pollendock.example/standin/web"
 )
@@ -180,7 +181,7 @@
 func held(runs []role.Run, from, to time.Time) map[string][]float64 {
 	sums := map[string][]float64{}
 	for _, r := range runs {
-		start, end := r.Start, endOf(r)
+		start, end := r.Start, history.EndOf(r)
 		if start.Before(from) {
 			start = from
 		}
--- a/pollendockd/internal/entry/admit.go
+++ b/pollendockd/internal/entry/admit.go
@@ -218,6 +218,8 @@
 	select {
 	case out := <-l.reply:
 		return lookupReply(r, out), nil
+	case <-ctx.Done():
+		return nil, Class.Wrap(ctx.Err())
 	case <-e.done:
 		return lookupReply(r, lastWord(l)), nil
 	}
--- /dev/null
+++ b/pollendockd/internal/entry/cell_test.go
@@ -0,0 +1,794 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/uber-go/tally/v4"
+
+	"pollendock.example/cell/api"
+	"pollendock.example/cell/code"
+	"pollendock.example/cell/config"
+	"pollendock.example/cell/ledger"
+	"pollendock.example/cell/platform"
+	"pollendock.example/cell/resource"
+	"pollendock.example/pollendockd/internal/peer"
+	"pollendock.example/standin/history"
+	"pollendock.example/standin/role"
+)
+
+type (
+	// testCell is a whole cell in one bubble of testing/synctest. Every call
+	// between its machines passes a wire, where faults are brought about.
+	testCell struct {
+		t       *testing.T
+		log     *role.Log
+		vms     *role.VMs
+		workers map[string]*role.Worker
+		entries map[string]*testEntry
+		wires   *wires
+		limits  map[string]resource.Vector
+		caps    map[string]resource.Vector
+		stories []*story
+	}
+
+	testEntry struct {
+		*Entry
+		id     string
+		addr   netip.AddrPort
+		cancel context.CancelFunc
+		ended  chan struct{}
+	}
+
+	// wires decides the fate of calls. Rules are asked in order.
+	wires struct {
+		mu     sync.Mutex
+		rules  []*rule
+		frozen map[string]chan struct{}
+		dead   map[string]bool
+		// spoil is the number of results that arrive cut.
+		spoil int
+	}
+
+	// call is one call between two machines.
+	call struct {
+		from, to, op string
+		// kinds names the records of an append.
+		kinds string
+	}
+
+	// rule applies to calls that match, count times, until a time.
+	rule struct {
+		match func(c call) bool
+		count int
+		until time.Time
+		// before and after run around the effect; an error from before keeps
+		// the effect away, one from after loses the answer.
+		before func(ctx context.Context) error
+		after  func(ctx context.Context) error
+		// late is how long after the caller has given up the effect comes.
+		late time.Duration
+		hits int
+	}
+
+	// story is one request with its answer.
+	story struct {
+		tag           string
+		kind          config.Kind
+		count         int
+		nonIdempotent bool
+		answer        api.Answer
+		answered      bool
+		sent          time.Time
+		took          time.Duration
+		budget        time.Duration
+		// patch is set for a configuration patch, number is its version.
+		patch  bool
+		number int64
+		// via is the entry VM that took the request.
+		via string
+	}
+)
+
+const (
+	testTeam  = "atlas"
+	testKey   = "atlas-key"
+	otherTeam = "borea"
+	otherKey  = "borea-key"
+	bootKey   = "operator-key"
+	// withdrawnTag marks lookups that were sent once a withdrawal was in force.
+	withdrawnTag = "withdrawn-"
+)
+
+var (
+	errWire   = errors.New("the connection was lost")
+	testSize  = resource.Vector{MilliCPU: 1000, MemoryMB: 1024, Slots: 1}
+	testLimit = resource.Vector{MilliCPU: 12000, MemoryMB: 64000, Accelerators: 4, Slots: 12}
+	workerCap = resource.Vector{MilliCPU: 8000, MemoryMB: 16384, Accelerators: 1, Slots: 4}
+)
+
+// runCell runs fn in a bubble with a cell of entries and workers, and judges
+// the history at the end.
+func runCell(t *testing.T, entries, workers int, fn func(c *testCell)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestCell(t, workers)
+		defer c.end()
+		for i := range entries {
+			c.startEntry(fmt.Sprintf("entry-%d", i+1), i)
+		}
+		c.publishFirst()
+		// The entry VMs come up one after the other and then share the workers.
+		c.settle(5 * time.Second)
+		fn(c)
+		c.judge()
+	})
+}
+
+// end stops all entry VMs and lets the timers of tasks and rules run out.
+func (c *testCell) end() {
+	for _, e := range c.entries {
+		e.cancel()
+	}
+	c.wires.thawAll()
+	for _, e := range c.entries {
+		<-e.ended
+	}
+	time.Sleep(time.Hour)
+}
+
+func newTestCell(t *testing.T, workers int) *testCell {
+	c := &testCell{
+		t:       t,
+		log:     role.NewLog(role.LogOptions{AppendsPerSecond: 400, Retention: time.Hour}),
+		vms:     role.NewVMs(time.Second),
+		workers: map[string]*role.Worker{},
+		entries: map[string]*testEntry{},
+		wires:   &wires{frozen: map[string]chan struct{}{}, dead: map[string]bool{}},
+		limits:  map[string]resource.Vector{testTeam: testLimit, otherTeam: testLimit},
+		caps:    map[string]resource.Vector{},
+	}
+	for i := range workers {
+		c.addWorker(fmt.Sprintf("worker-%d", i+1), i)
+	}
+	return c
+}
+
+func (c *testCell) addWorker(id string, i int) {
+	c.workers[id] = role.NewWorker(id, workerCap)
+	c.caps[id] = workerCap
+	c.vms.Put(platform.VM{
+		ID: id, Role: platform.WorkerRole, Addr: addrOf(9000 + i),
+		DataCentre: fmt.Sprintf("dc-%d", i%3), Rack: fmt.Sprintf("rack-%d", i/2),
+	})
+}
+
+func addrOf(port int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(port))
+}
+
+func (c *testCell) startEntry(id string, i int) *testEntry {
+	e := &testEntry{id: id, addr: addrOf(8000 + i), ended: make(chan struct{})}
+	seeds := []netip.AddrPort{addrOf(8000), addrOf(8001), addrOf(8002)}
+	deps := Deps{
+		Log: wiredLog{c, id}, VMs: wiredVMs{c, id}, Dialer: wiredDialer{c, id},
+		Logger: testLogger(), Metrics: tally.NoopScope,
+	}
+	e.Entry = New(Options{
+		EntryID: id, DataCentre: fmt.Sprintf("dc-%d", i%3), PeerAddr: e.addr, Seeds: seeds,
+		BootstrapHash: config.HashKey(bootKey), AppendGap: 20 * time.Millisecond, SnapshotEvery: 10 * time.Minute,
+	}, deps)
+	ctx, cancel := context.WithCancel(context.Background())
+	e.cancel = cancel
+	c.entries[id] = e
+	go func() {
+		defer close(e.ended)
+		_ = e.Run(ctx)
+	}()
+	return e
+}
+
+// firstDocument has two teams with one key each.
+func firstDocument() json.RawMessage {
+	team := func(key string) config.Team {
+		return config.Team{
+			Share: 1, Limit: testLimit, QueueCount: 10000, QueueBytes: 1 << 24,
+			Keys: map[string]config.Key{"k1": {Hash: config.HashKey(key)}},
+		}
+	}
+	data, err := json.Marshal(struct {
+		Operators map[string]config.Key  `json:"operators"`
+		Teams     map[string]config.Team `json:"teams"`
+	}{
+		Operators: map[string]config.Key{"board": {Hash: config.HashKey(bootKey)}},
+		Teams:     map[string]config.Team{testTeam: team(testKey), otherTeam: team(otherKey)},
+	})
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+func (c *testCell) publishFirst() {
+	c.settle(time.Second)
+	a := c.publish("entry-1", 0, string(firstDocument()))
+	if a.Code != code.OK {
+		c.t.Fatalf("first configuration: %+v", a)
+	}
+}
+
+func (c *testCell) publish(entry string, base int64, merge string) api.PatchAnswer {
+	e := c.entries[entry]
+	id, _, known := e.Identify(bootKey)
+	if !known {
+		return api.PatchAnswer{Answer: api.NewAnswer(code.Unauthenticated, "")}
+	}
+	return e.Publish(context.Background(), id, config.Patch{
+		Base: base, Author: "test", Reason: "test", Merge: json.RawMessage(merge),
+	})
+}
+
+// operate publishes a patch as an operator who repeats it against the newest
+// version until the answer is final, and records it as a story.
+func (c *testCell) operate(entry, tag, merge string) *story {
+	s := &story{tag: tag, sent: time.Now(), budget: 2 * time.Minute, via: entry, patch: true}
+	c.stories = append(c.stories, s)
+	go func() {
+		for time.Since(s.sent) < s.budget {
+			e := c.alive(entry)
+			_, number := e.Document()
+			a := c.publish(e.id, number, merge)
+			s.answer = a.Answer
+			s.number = a.Number
+			if a.Code == code.OK || a.Code == code.Pending {
+				break
+			}
+			entry = ""
+			time.Sleep(500 * time.Millisecond)
+		}
+		s.took = time.Since(s.sent)
+		s.answered = true
+	}()
+	return s
+}
+
+func (c *testCell) settle(d time.Duration) {
+	time.Sleep(d)
+}
+
+func payload(tag string, run time.Duration) string {
+	return fmt.Sprintf(`{"tag":%q,"runMs":%d,"answerBytes":20}`, tag, run.Milliseconds())
+}
+
+// lookup sends a lookup and returns its story, not yet answered.
+func (c *testCell) lookup(entry, tag string, run time.Duration) *story {
+	const deadline = 5 * time.Second
+	s := &story{tag: tag, kind: config.Lookup, count: 1, sent: time.Now(), budget: deadline + time.Second, via: entry}
+	c.stories = append(c.stories, s)
+	e := c.entries[entry]
+	go func() {
+		o := &LookupOrder{
+			RequestID: tag, Team: testTeam, Key: testKey, Size: testSize, ExpectedRun: run,
+			Deadline: time.Now().Add(deadline), Payload: payload(tag, run),
+		}
+		out := e.Lookup(context.Background(), o)
+		s.answer = api.NewAnswer(out.Code, out.Detail)
+		s.answer.Data, s.answer.Digest = out.Data, out.Digest
+		s.took = time.Since(s.sent)
+		s.answered = true
+	}()
+	return s
+}
+
+// order is durable work of a test.
+type order struct {
+	entry, tag    string
+	kind          config.Kind
+	count         int
+	run           time.Duration
+	nonIdempotent bool
+	urgent        bool
+	deadline      time.Duration
+	size          resource.Vector
+}
+
+// submit sends durable work as a caller who repeats it with the same key
+// through other entry VMs until the end is known.
+func (c *testCell) submit(o order) *story {
+	if o.count == 0 {
+		o.count = 1
+	}
+	if o.size == (resource.Vector{}) {
+		o.size = testSize
+	}
+	s := &story{
+		tag: o.tag, kind: o.kind, count: o.count, nonIdempotent: o.nonIdempotent,
+		sent: time.Now(), budget: 4 * time.Minute,
+	}
+	c.stories = append(c.stories, s)
+	spec := ledger.Spec{
+		Kind: o.kind, Size: o.size, Count: o.count, ExpectedRun: o.run, Idempotent: !o.nonIdempotent,
+		Urgent: o.urgent, IdempotencyKey: o.tag, IssuedAt: time.Now(), Payload: payload(o.tag, o.run), Digest: o.tag,
+	}
+	if o.deadline > 0 {
+		spec.Deadline = time.Now().Add(o.deadline)
+	}
+	go c.follow(s, o.entry, spec)
+	return s
+}
+
+func (c *testCell) follow(s *story, entry string, spec ledger.Spec) {
+	for time.Since(s.sent) < s.budget {
+		e := c.alive(entry)
+		a := e.Accept(context.Background(), &JobOrder{
+			Team: testTeam, KeyName: "k1", Spec: spec, Wait: 5 * time.Second,
+		})
+		s.answer = a
+		switch a.Code {
+		case code.Accepted, code.LogDown, code.NotReady, code.AcceptUnknown, code.Isolated, code.QueueFull:
+			time.Sleep(500 * time.Millisecond)
+			entry = ""
+			continue
+		}
+		s.took = time.Since(s.sent)
+		s.answered = true
+		return
+	}
+}
+
+// alive returns the entry VM of the name if it runs, and any other that runs
+// if not.
+func (c *testCell) alive(entry string) *testEntry {
+	c.wires.mu.Lock()
+	defer c.wires.mu.Unlock()
+	if e := c.entries[entry]; e != nil && !c.wires.dead[entry] {
+		return e
+	}
+	for _, id := range []string{"entry-1", "entry-2", "entry-3", "entry-4"} {
+		if e := c.entries[id]; e != nil && !c.wires.dead[id] && c.wires.frozen[id] == nil {
+			return e
+		}
+	}
+	return c.entries["entry-1"]
+}
+
+// kill ends an entry VM without a word.
+func (c *testCell) kill(entry string) {
+	c.wires.mu.Lock()
+	c.wires.dead[entry] = true
+	c.wires.mu.Unlock()
+	c.entries[entry].cancel()
+}
+
+// freeze stops an entry VM like SIGSTOP and thaws it after d.
+func (c *testCell) freeze(entry string, d time.Duration) {
+	c.wires.mu.Lock()
+	thawed := make(chan struct{})
+	c.wires.frozen[entry] = thawed
+	c.wires.mu.Unlock()
+	// A frozen VM answers nobody until it is thawed.
+	for _, s := range c.stories {
+		if s.via == entry && !s.answered {
+			s.budget += d
+		}
+	}
+	e := c.entries[entry]
+	go e.post(frozen{thawed})
+	time.AfterFunc(d, func() { c.wires.thaw(entry) })
+}
+
+// frozen holds the control goroutine.
+type frozen struct{ thawed chan struct{} }
+
+func (m frozen) handle(*control) { <-m.thawed }
+
+func (w *wires) thaw(entry string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if ch := w.frozen[entry]; ch != nil {
+		close(ch)
+		delete(w.frozen, entry)
+	}
+}
+
+func (w *wires) thawAll() {
+	for i := 1; i <= 9; i++ {
+		w.thaw(fmt.Sprintf("entry-%d", i))
+	}
+}
+
+func (w *wires) add(r *rule) *rule {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.rules = append(w.rules, r)
+	return r
+}
+
+// cut keeps calls between two machines away for d; an empty name matches all.
+func (w *wires) cut(from, to string, d time.Duration) {
+	w.add(&rule{
+		match:  func(c call) bool { return (from == "" || c.from == from) && (to == "" || c.to == to) },
+		until:  time.Now().Add(d),
+		before: hang,
+	})
+}
+
+// hang waits for the caller to give up.
+func hang(ctx context.Context) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// around runs the effect of a call between what the rules do.
+func (w *wires) around(ctx context.Context, c call, effect func(ctx context.Context) error) error {
+	if err := w.thawed(ctx, c.from); err != nil {
+		return err
+	}
+	r := w.rule(c)
+	if r != nil && r.before != nil {
+		if err := r.before(ctx); err != nil {
+			return err
+		}
+	}
+	if err := w.gone(c); err != nil {
+		return err
+	}
+	if err := w.thawed(ctx, c.to); err != nil {
+		return err
+	}
+	if r != nil && r.late > 0 {
+		time.AfterFunc(r.late, func() { _ = effect(context.WithoutCancel(ctx)) })
+		return hang(ctx)
+	}
+	err := effect(ctx)
+	if r != nil && r.after != nil {
+		if lost := r.after(ctx); lost != nil {
+			return lost
+		}
+	}
+	if w.gone(c) != nil {
+		return errWire
+	}
+	if frozenErr := w.thawed(ctx, c.from); frozenErr != nil {
+		return frozenErr
+	}
+	return err
+}
+
+// spoils reports whether a result is to arrive cut.
+func (w *wires) spoils() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.spoil == 0 {
+		return false
+	}
+	w.spoil--
+	return true
+}
+
+func (w *wires) gone(c call) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.dead[c.to] {
+		return platform.Refuse(platform.Unreachable, "%s is gone", c.to)
+	}
+	if w.dead[c.from] {
+		return errWire
+	}
+	return nil
+}
+
+// thawed waits while a machine is frozen.
+func (w *wires) thawed(ctx context.Context, id string) error {
+	for {
+		w.mu.Lock()
+		ch := w.frozen[id]
+		w.mu.Unlock()
+		if ch == nil {
+			return nil
+		}
+		select {
+		case <-ch:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (w *wires) rule(c call) *rule {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, r := range w.rules {
+		if r.count > 0 && r.hits >= r.count || !r.until.IsZero() && time.Now().After(r.until) || !r.match(c) {
+			continue
+		}
+		r.hits++
+		return r
+	}
+	return nil
+}
+
+type (
+	wiredLog struct {
+		c    *testCell
+		from string
+	}
+	wiredVMs struct {
+		c    *testCell
+		from string
+	}
+	wiredDialer struct {
+		c    *testCell
+		from string
+	}
+	wiredWorker struct {
+		c        *testCell
+		from, to string
+	}
+	wiredPeer struct {
+		c    *testCell
+		from string
+		addr netip.AddrPort
+	}
+)
+
+const wireMargin = time.Second
+
+// kindsOf names the records of an append, such as "accept,dispatch".
+func kindsOf(records []json.RawMessage) string {
+	var kinds []string
+	for _, data := range records {
+		for _, kind := range []string{"accept", "dispatch", "settle", "home", "publish", "ceiling", "cancel", "retire", "join", "leave", "lost", "snapshot"} {
+			if strings.Contains(string(data), `"`+kind+`":{`) {
+				kinds = append(kinds, kind)
+			}
+		}
+	}
+	return strings.Join(kinds, ",")
+}
+
+func (l wiredLog) Append(ctx context.Context, records []json.RawMessage) (int64, error) {
+	var first int64
+	err := l.c.wires.around(ctx, call{l.from, "log", "append", kindsOf(records)}, func(ctx context.Context) error {
+		var err error
+		first, err = l.c.log.Append(ctx, records)
+		return err
+	})
+	return first, err
+}
+
+func (l wiredLog) Read(ctx context.Context, from int64, wait time.Duration) (*platform.LogPage, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+wireMargin)
+	defer cancel()
+	var page *platform.LogPage
+	err := l.c.wires.around(ctx, call{l.from, "log", "read", ""}, func(ctx context.Context) error {
+		var err error
+		page, err = l.c.log.Read(ctx, from, wait)
+		return err
+	})
+	return page, err
+}
+
+func (v wiredVMs) List(ctx context.Context) ([]platform.VM, error) {
+	ctx, cancel := context.WithTimeout(ctx, wireMargin)
+	defer cancel()
+	var vms []platform.VM
+	err := v.c.wires.around(ctx, call{v.from, "vms", "list", ""}, func(ctx context.Context) error {
+		var err error
+		vms, err = v.c.vms.List(ctx)
+		return err
+	})
+	return vms, err
+}
+
+func (d wiredDialer) Worker(addr netip.AddrPort) platform.Worker {
+	return wiredWorker{d.c, d.from, fmt.Sprintf("worker-%d", int(addr.Port())-8999)}
+}
+
+func (d wiredDialer) Peer(addr netip.AddrPort) peer.Handler {
+	return wiredPeer{d.c, d.from, addr}
+}
+
+func (w wiredWorker) call(ctx context.Context, op string, wait time.Duration, effect func(ctx context.Context, real *role.Worker) error) error {
+	ctx, cancel := context.WithTimeout(ctx, wait+wireMargin)
+	defer cancel()
+	return w.c.wires.around(ctx, call{w.from, w.to, op, ""}, func(ctx context.Context) error {
+		return effect(ctx, w.c.workers[w.to])
+	})
+}
+
+func (w wiredWorker) Claim(ctx context.Context, r *platform.ClaimRequest) (out *platform.Claim, err error) {
+	err = w.call(ctx, "claim", 0, func(ctx context.Context, real *role.Worker) error {
+		out, err = real.Claim(ctx, r)
+		return err
+	})
+	return out, err
+}
+
+func (w wiredWorker) Release(ctx context.Context, r *platform.ReleaseRequest) error {
+	return w.call(ctx, "release", 0, func(ctx context.Context, real *role.Worker) error { return real.Release(ctx, r) })
+}
+
+func (w wiredWorker) Start(ctx context.Context, r *platform.StartRequest) (out *platform.TaskStatus, err error) {
+	op := "start"
+	if r.Fixed {
+		op = "startLookup"
+	}
+	err = w.call(ctx, op, r.Wait, func(ctx context.Context, real *role.Worker) error {
+		out, err = real.Start(ctx, r)
+		return err
+	})
+	if err == nil && out.State == platform.Ended && w.c.wires.spoils() {
+		out.Data = out.Data[:len(out.Data)/2]
+	}
+	return out, err
+}
+
+func (w wiredWorker) Stop(ctx context.Context, r *platform.StopRequest) (out *platform.TaskStatus, err error) {
+	err = w.call(ctx, "stop", 0, func(ctx context.Context, real *role.Worker) error {
+		out, err = real.Stop(ctx, r)
+		return err
+	})
+	return out, err
+}
+
+func (w wiredWorker) Watch(ctx context.Context, r *platform.WatchRequest) (out *platform.WatchReply, err error) {
+	err = w.call(ctx, "watch", r.Wait, func(ctx context.Context, real *role.Worker) error {
+		out, err = real.Watch(ctx, r)
+		return err
+	})
+	if err == nil && len(out.Ended) > 0 && w.c.wires.spoils() {
+		out.Ended[0].Data = "cut"
+	}
+	return out, err
+}
+
+func (w wiredWorker) Forget(ctx context.Context, r *platform.ForgetRequest) error {
+	return w.call(ctx, "forget", 0, func(ctx context.Context, real *role.Worker) error { return real.Forget(ctx, r) })
+}
+
+func (p wiredPeer) target() *testEntry {
+	for _, e := range p.c.entries {
+		if e.addr == p.addr {
+			return e
+		}
+	}
+	return nil
+}
+
+func (p wiredPeer) call(ctx context.Context, op string, effect func(ctx context.Context, h peer.Handler) error) error {
+	e := p.target()
+	if e == nil {
+		return errWire
+	}
+	return p.c.wires.around(ctx, call{p.from, e.id, op, ""}, func(ctx context.Context) error { return effect(ctx, e.PeerHandler()) })
+}
+
+func (p wiredPeer) Exchange(ctx context.Context, r *peer.ExchangeRequest) (out *peer.ExchangeReply, err error) {
+	err = p.call(ctx, "exchange", func(ctx context.Context, h peer.Handler) error {
+		out, err = h.Exchange(ctx, r)
+		return err
+	})
+	return out, err
+}
+
+func (p wiredPeer) Lookup(ctx context.Context, r *peer.LookupRequest) (out *peer.LookupReply, err error) {
+	err = p.call(ctx, "forward", func(ctx context.Context, h peer.Handler) error {
+		out, err = h.Lookup(ctx, r)
+		return err
+	})
+	return out, err
+}
+
+func (p wiredPeer) Offer(ctx context.Context, r *peer.OfferRequest) (out *peer.OfferReply, err error) {
+	err = p.call(ctx, "offer", func(ctx context.Context, h peer.Handler) error {
+		out, err = h.Offer(ctx, r)
+		return err
+	})
+	return out, err
+}
+
+func (p wiredPeer) State(ctx context.Context, r *peer.StateRequest) (out *peer.StateReply, err error) {
+	err = p.call(ctx, "state", func(ctx context.Context, h peer.Handler) error {
+		out, err = h.State(ctx, r)
+		return err
+	})
+	return out, err
+}
+
+// judge checks the whole history against the promises.
+func (c *testCell) judge() {
+	c.t.Helper()
+	var runs []role.Run
+	for _, w := range c.workers {
+		runs = append(runs, w.Runs()...)
+	}
+	for _, breach := range judgeRuns(runs, c.caps, c.limits, c.stories) {
+		c.t.Error(breach)
+	}
+}
+
+// judgeRuns returns every breach that the runs and the stories show.
+func judgeRuns(runs []role.Run, caps, limits map[string]resource.Vector, stories []*story) []string {
+	found := history.Overlaps(runs)
+	found = append(found, history.Overcommitted(runs, caps)...)
+	found = append(found, history.OverLimit(runs, limits)...)
+	byTag := map[string]int{}
+	for _, r := range runs {
+		byTag[r.Tag]++
+	}
+	for _, r := range runs {
+		if strings.HasPrefix(r.Tag, withdrawnTag) {
+			found = append(found, r.Tag+": ran under a withdrawn key on "+r.Worker)
+		}
+	}
+	for _, s := range stories {
+		found = append(found, judgeStory(s, byTag[s.tag])...)
+	}
+	return found
+}
+
+func judgeStory(s *story, ran int) []string {
+	var found []string
+	fail := func(format string, args ...any) { found = append(found, s.tag+": "+fmt.Sprintf(format, args...)) }
+	if s.nonIdempotent && ran > s.count {
+		fail("non-idempotent, %d tasks ran %d times", s.count, ran)
+	}
+	if !s.answered {
+		fail("not answered within %s; last answer %+v", s.budget, s.answer)
+		return found
+	}
+	if s.took > s.budget {
+		fail("answered after %s", s.took)
+	}
+	if s.patch {
+		if s.answer.Code != code.OK && s.answer.Code != code.Pending {
+			fail("final answer %+v", s.answer)
+		}
+		return found
+	}
+	switch s.answer.Truth {
+	case api.NotRun:
+		if ran > 0 {
+			fail("answered %s and ran %d times", s.answer.Name, ran)
+		}
+	case api.Ran:
+		if ran == 0 {
+			fail("answered as run and never ran")
+		}
+		results := []string{s.answer.Data}
+		if len(s.answer.Tasks) > 0 {
+			results = nil
+		}
+		for _, task := range s.answer.Tasks {
+			results = append(results, task.Data)
+		}
+		for _, data := range results {
+			if data != s.tag+strings.Repeat(".", 20) {
+				fail("got the answer %.40q", data)
+			}
+		}
+	case api.MayHaveRun:
+	default:
+		fail("final answer %+v", s.answer)
+	}
+	return found
+}
+
+// testLogger writes to standard error if POLLENDOCK_TEST_LOG is set.
+func testLogger() log.Logger {
+	if os.Getenv("POLLENDOCK_TEST_LOG") == "" {
+		return log.NewNopLogger()
+	}
+	return log.With(log.NewLogfmtLogger(os.Stderr), "ts", log.DefaultTimestampUTC)
+}
--- a/pollendockd/internal/entry/home.go
+++ b/pollendockd/internal/entry/home.go
@@ -285,8 +285,12 @@
 	return kept
 }
 
+// tryClaim asks a worker for its claim if this VM should be its home, or is so
+// by the log: only the recorded home can tell that the worker is lost.
 func (c *control) tryClaim(u *upstream, now time.Time) {
-	if c.wanted[u.id] != c.inc || c.stopping || now.Sub(u.tried) < claimEvery {
+	w := c.state.Workers[u.id]
+	mine := c.wanted[u.id] == c.inc || w != nil && w.Home == c.inc
+	if !mine || c.stopping || now.Sub(u.tried) < claimEvery {
 		return
 	}
 	u.tried = now
--- a/pollendockd/internal/entry/options.go
+++ b/pollendockd/internal/entry/options.go
@@ -118,7 +118,7 @@
 
 	// helpAfter is how long a job waits before entry VMs other than its owner
 	// place it.
-	helpAfter = 2 * time.Second
+	helpAfter = 300 * time.Millisecond
 	// displaceAfter is how long urgent work waits before idempotent batch work
 	// is stopped for it.
 	displaceAfter = 500 * time.Millisecond
--- a/pollendockd/internal/entry/place.go
+++ b/pollendockd/internal/entry/place.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/dgryski/go-rendezvous"
 	"github.com/google/uuid"
 
 	"pollendock.example/cell/code"
@@ -22,15 +21,16 @@
 		// level is the dominant part of the cell that the team holds, over its
 		// share. The lowest level goes first.
 		level float64
-		// jobs are those that this VM may still place.
-		jobs []*ledger.Job
+		// own are jobs of which this VM owns tasks, help those of which it may
+		// place other tasks, since they have waited.
+		own, help []*ledger.Job
 	}
 
 	// pass is one round over the waiting durable work.
 	pass struct {
-		now   time.Time
-		cell  resource.Vector
-		owner *rendezvous.Rendezvous
+		now     time.Time
+		cell    resource.Vector
+		members []string
 		// full holds sizes that no own worker has room for.
 		full []resource.Vector
 		// own holds the usable own workers.
@@ -92,7 +92,7 @@
 }
 
 func (c *control) newPass(now time.Time) *pass {
-	p := &pass{now: now, owner: c.owners()}
+	p := &pass{now: now, members: c.state.LiveMembers()}
 	for _, w := range c.state.Workers {
 		if w.Home != "" {
 			p.cell = p.cell.Add(w.Capacity)
@@ -107,12 +107,21 @@
 	return p
 }
 
-// owners maps jobs to the live incarnations.
-func (c *control) owners() *rendezvous.Rendezvous {
-	return rendezvous.New(c.state.LiveMembers(), xxhash.Sum64String)
+// owner returns the live incarnation that is first to place a task. Parts of a
+// wide job have different owners; a gang has one.
+func (p *pass) owner(j *ledger.Job, task int) string {
+	if len(p.members) == 0 {
+		return ""
+	}
+	part := uint64(0)
+	if j.Spec.Kind != config.Gang {
+		part = uint64(task / tasksPerRecord)
+	}
+	return p.members[(xxhash.Sum64String(j.ID)+part)%uint64(len(p.members))]
 }
 
 func (c *control) turns(p *pass) []*teamTurn {
+	now := p.now
 	var turns []*teamTurn
 	for _, team := range c.state.Document.TeamNames() {
 		if c.state.WaitingCount(team) == 0 {
@@ -120,10 +129,15 @@
 		}
 		t := &teamTurn{name: team, level: c.level(p, team)}
 		for _, j := range c.state.Waiting(team, jobScan) {
-			if j.Startable() && c.mayPlace(p, j) {
-				t.jobs = append(t.jobs, j)
+			if !j.Startable() {
+				continue
+			}
+			t.own = append(t.own, j)
+			if j.Spec.Kind != config.Gang && now.Sub(j.At) > helpAfter {
+				t.help = append(t.help, j)
 			}
 		}
+		rand.Shuffle(len(t.help), func(a, b int) { t.help[a], t.help[b] = t.help[b], t.help[a] })
 		turns = append(turns, t)
 	}
 	return turns
@@ -142,26 +156,29 @@
 	if compete {
 		limit = 1
 	}
-	for len(t.jobs) > 0 {
-		if n := c.placeJob(p, t.jobs[0], limit); n > 0 {
+	for len(t.own) > 0 {
+		if n := c.placeJob(p, t.own[0], limit, false); n > 0 {
 			return n
 		}
-		t.jobs = t.jobs[1:]
+		t.own = t.own[1:]
 	}
-	return 0
-}
-
-// mayPlace reports whether this VM is to place the job: its owner places it at
-// once, the others only after it has waited.
-func (c *control) mayPlace(p *pass, j *ledger.Job) bool {
-	if p.owner.Lookup(j.ID) == c.inc {
-		return true
+	// Helpers take jobs in no order, so that two of them rarely take the same.
+	for len(t.help) > 0 {
+		if n := c.placeJob(p, t.help[0], limit, true); n > 0 {
+			return n
+		}
+		t.help = t.help[1:]
 	}
-	return j.Spec.Kind != config.Gang && p.now.Sub(j.At) > helpAfter
+	return 0
 }
 
-func (c *control) placeJob(p *pass, j *ledger.Job, limit int) int {
+// placeJob dispatches up to limit tasks of j: those that this VM owns, or, as a
+// helper, any.
+func (c *control) placeJob(p *pass, j *ledger.Job, limit int, help bool) int {
 	if j.Spec.Kind == config.Gang {
+		if p.owner(j, 0) != c.inc {
+			return 0
+		}
 		return c.placeGang(p, j)
 	}
 	if p.heldBack(j) {
@@ -171,7 +188,7 @@
 	limit = int(j.Spec.Size.Count(spare, int64(limit)))
 	var placements []ledger.Placement
 	for i := j.NextQueued(0); i >= 0 && len(placements) < limit; i = j.NextQueued(i + 1) {
-		if c.pendingTasks[ledger.TaskRef{Job: j.ID, Task: i}] {
+		if c.pendingTasks[ledger.TaskRef{Job: j.ID, Task: i}] || !help && p.owner(j, i) != c.inc {
 			continue
 		}
 		u := c.chooseWorker(p, j)
@@ -273,10 +290,10 @@
 	if !c.joined || c.stopping || c.e.appender.Down() {
 		return
 	}
-	owner := c.owners()
+	p := &pass{now: now, members: c.state.LiveMembers()}
 	for _, team := range c.state.Document.TeamNames() {
 		for _, j := range c.state.Waiting(team, jobScan) {
-			if owner.Lookup(j.ID) == c.inc {
+			if p.owner(j, 0) == c.inc {
 				c.expireJob(j, now)
 			}
 		}
--- a/pollendockd/internal/journal/follow.go
+++ b/pollendockd/internal/journal/follow.go
@@ -50,10 +50,13 @@
 
 // Run reads until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
+	// The first read does not wait, so that an empty log is known at once.
+	wait := time.Duration(0)
 	for ctx.Err() == nil {
-		page, err := f.log.Read(ctx, f.from.Load(), readWait)
+		page, err := f.log.Read(ctx, f.from.Load(), wait)
 		switch {
 		case err == nil:
+			wait = readWait
 			f.sink.Page(ctx, page)
 			f.Skip(page.First + int64(len(page.Records)))
 		case isTrimmed(err):
