Promises under failure: fault pairs, broken rules, and what they found

Found and mended, each shown by a test that failed first: - A gang of which one offer was lost was never started: peers that held room for it reported no free slots and were not asked again. One round of offers at a time now, whatever the peers report. - A gang that fits nowhere kept all room held, so that nothing else started. Room is now held only once there is enough of it. - A claim made between a retirement and the next join was never recorded, so its worker stayed without a home. Claims now wait for the join. - Entry VMs that were started later did not know each other and split the workers differently, so a lost worker was given up by nobody. Peers are now learned from the joins in the log. - Two VMs under one name flooded the log with joins. A retired one now waits 2 s before it joins again. - Workers were handed over with the log down, and the next home could not use them. Handovers wait for the log; and a home now keeps its workers unless it has more than its part, so fewer move. - A lookup could be answered 1.4 s after its deadline, while its attempt was being settled. It is now answered at the deadline. - A retry went to the worker that had just failed, if no other had a ceiling. - A graceful stop did not wait for lookups that a peer had, and ended before peers had learned of it.

--- a/cell/ledger/record.go
+++ b/cell/ledger/record.go
@@ -7,6 +7,7 @@
 package ledger
 
 import (
+	"net/netip"
 	"time"
 
 	"pollendock.example/cell/code"
@@ -47,7 +48,7 @@
 		// EntryID is the name of the VM in its settings.
 		EntryID string `json:"entryId"`
 		// PeerAddr is the address for calls between entry VMs.
-		PeerAddr string `json:"peerAddr"`
+		PeerAddr netip.AddrPort `json:"peerAddr"`
 		// DataCentre is the data centre of the VM.
 		DataCentre string `json:"dataCentre"`
 	}
--- a/pollendockd/internal/entry/ceiling.go
+++ b/pollendockd/internal/entry/ceiling.go
@@ -46,7 +46,7 @@
 	if d.asking >= maxAsking || now.Sub(d.refusedAt) < refusedWait {
 		return
 	}
-	c.askRise(l.Team, l.Size, now)
+	c.askRise(l.Team, l.Size, l.avoid, now)
 }
 
 func (c *control) demandOf(team string) *demand {
@@ -58,11 +58,12 @@
 	return d
 }
 
-// askRise asks for room for riseTasks lookups on the worker with the most room.
-func (c *control) askRise(team string, size resource.Vector, now time.Time) {
+// askRise asks for room for riseTasks lookups on the worker with the most room,
+// other than the one to avoid.
+func (c *control) askRise(team string, size resource.Vector, avoid string, now time.Time) {
 	var best *upstream
 	for _, u := range c.upstreams {
-		if !u.usable(now) || !size.Fits(c.room(u)) {
+		if !u.usable(now) || u.id == avoid || !size.Fits(c.room(u)) {
 			continue
 		}
 		if best == nil || c.room(u).Slots > c.room(best).Slots {
@@ -204,7 +205,7 @@
 // lookupSeen handles a lookup that the worker reports. One that this VM runs is
 // settled by its own goroutine; one of an earlier home only holds room.
 func (c *control) lookupSeen(u *upstream, t platform.TaskStatus) {
-	if t.State == platform.Running || c.running[t.Attempt] {
+	if t.State == platform.Running || c.running[t.Attempt] != nil {
 		return
 	}
 	u.dropLookup(t.Attempt)
--- a/pollendockd/internal/entry/cell_test.go
+++ b/pollendockd/internal/entry/cell_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -40,6 +41,23 @@
 		limits  map[string]resource.Vector
 		caps    map[string]resource.Vector
 		stories []*story
+		tamper  tamper
+		// leftAt is when a worker was listed as leaving.
+		leftAt map[string]time.Time
+		// options are changed by tests before they start entry VMs.
+		snapshotEvery time.Duration
+		// replacing makes the platform replace dead entry VMs.
+		replacing atomic.Bool
+		replaceMu sync.Mutex
+	}
+
+	// tamper breaks a rule on purpose, to show that the judge finds it.
+	tamper struct {
+		claim func(*platform.Claim)
+		stop  func(*platform.TaskStatus)
+		start func(*platform.TaskStatus)
+		page  func(from string, page *platform.LogPage)
+		view  func(from string, v *peer.View)
 	}
 
 	testEntry struct {
@@ -120,6 +138,16 @@
 // runCell runs fn in a bubble with a cell of entries and workers, and judges
 // the history at the end.
 func runCell(t *testing.T, entries, workers int, fn func(c *testCell)) {
+	t.Helper()
+	inBubble(t, entries, workers, func(c *testCell) {
+		fn(c)
+		for _, breach := range c.breaches() {
+			t.Error(breach)
+		}
+	})
+}
+
+func inBubble(t *testing.T, entries, workers int, fn func(c *testCell)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		c := newTestCell(t, workers)
@@ -131,17 +159,18 @@
 		// The entry VMs come up one after the other and then share the workers.
 		c.settle(5 * time.Second)
 		fn(c)
-		c.judge()
 	})
 }
 
 // end stops all entry VMs and lets the timers of tasks and rules run out.
 func (c *testCell) end() {
-	for _, e := range c.entries {
+	c.replacing.Store(false)
+	time.Sleep(2 * replaceAfter)
+	for _, e := range c.all() {
 		e.cancel()
 	}
 	c.wires.thawAll()
-	for _, e := range c.entries {
+	for _, e := range c.all() {
 		<-e.ended
 	}
 	time.Sleep(time.Hour)
@@ -157,6 +186,9 @@
 		wires:   &wires{frozen: map[string]chan struct{}{}, dead: map[string]bool{}},
 		limits:  map[string]resource.Vector{testTeam: testLimit, otherTeam: testLimit},
 		caps:    map[string]resource.Vector{},
+		leftAt:  map[string]time.Time{},
+
+		snapshotEvery: 30 * time.Second,
 	}
 	for i := range workers {
 		c.addWorker(fmt.Sprintf("worker-%d", i+1), i)
@@ -165,8 +197,10 @@
 }
 
 func (c *testCell) addWorker(id string, i int) {
+	c.wires.mu.Lock()
 	c.workers[id] = role.NewWorker(id, workerCap)
 	c.caps[id] = workerCap
+	c.wires.mu.Unlock()
 	c.vms.Put(platform.VM{
 		ID: id, Role: platform.WorkerRole, Addr: addrOf(9000 + i),
 		DataCentre: fmt.Sprintf("dc-%d", i%3), Rack: fmt.Sprintf("rack-%d", i/2),
@@ -186,11 +220,13 @@
 	}
 	e.Entry = New(Options{
 		EntryID: id, DataCentre: fmt.Sprintf("dc-%d", i%3), PeerAddr: e.addr, Seeds: seeds,
-		BootstrapHash: config.HashKey(bootKey), AppendGap: 20 * time.Millisecond, SnapshotEvery: 10 * time.Minute,
+		BootstrapHash: config.HashKey(bootKey), AppendGap: 20 * time.Millisecond, SnapshotEvery: c.snapshotEvery,
 	}, deps)
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
+	c.wires.mu.Lock()
 	c.entries[id] = e
+	c.wires.mu.Unlock()
 	go func() {
 		defer close(e.ended)
 		_ = e.Run(ctx)
@@ -219,6 +255,64 @@
 	return data
 }
 
+// entry returns the entry VM of a name.
+func (c *testCell) entry(id string) *testEntry {
+	c.wires.mu.Lock()
+	defer c.wires.mu.Unlock()
+	return c.entries[id]
+}
+
+// worker returns the worker of a name.
+func (c *testCell) worker(id string) *role.Worker {
+	c.wires.mu.Lock()
+	defer c.wires.mu.Unlock()
+	return c.workers[id]
+}
+
+// killWorker ends a worker and its tasks for good.
+func (c *testCell) killWorker(id string) {
+	if !c.wires.die(id) {
+		return
+	}
+	c.worker(id).Reboot()
+	if c.replacing.Load() {
+		time.AfterFunc(replaceAfter, c.replaceWorker)
+	}
+}
+
+// replaceWorker adds a worker for a dead one.
+func (c *testCell) replaceWorker() {
+	c.replaceMu.Lock()
+	defer c.replaceMu.Unlock()
+	c.wires.mu.Lock()
+	n := len(c.workers)
+	c.wires.mu.Unlock()
+	c.addWorker(fmt.Sprintf("worker-%d", n+1), n)
+}
+
+// all returns the entry VMs, dead ones too.
+func (c *testCell) all() []*testEntry {
+	c.wires.mu.Lock()
+	defer c.wires.mu.Unlock()
+	var list []*testEntry
+	for i := 1; i <= maxEntries; i++ {
+		if e := c.entries[fmt.Sprintf("entry-%d", i)]; e != nil {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// replace starts a new entry VM for a dead one, as the platform does.
+func (c *testCell) replace() {
+	c.replaceMu.Lock()
+	defer c.replaceMu.Unlock()
+	n := len(c.all())
+	if n < maxEntries && c.replacing.Load() {
+		c.startEntry(fmt.Sprintf("entry-%d", n+1), n)
+	}
+}
+
 func (c *testCell) publishFirst() {
 	c.settle(time.Second)
 	a := c.publish("entry-1", 0, string(firstDocument()))
@@ -228,7 +322,7 @@
 }
 
 func (c *testCell) publish(entry string, base int64, merge string) api.PatchAnswer {
-	e := c.entries[entry]
+	e := c.entry(entry)
 	id, _, known := e.Identify(bootKey)
 	if !known {
 		return api.PatchAnswer{Answer: api.NewAnswer(code.Unauthenticated, "")}
@@ -275,7 +369,7 @@
 	const deadline = 5 * time.Second
 	s := &story{tag: tag, kind: config.Lookup, count: 1, sent: time.Now(), budget: deadline + time.Second, via: entry}
 	c.stories = append(c.stories, s)
-	e := c.entries[entry]
+	e := c.entry(entry)
 	go func() {
 		o := &LookupOrder{
 			RequestID: tag, Team: testTeam, Key: testKey, Size: testSize, ExpectedRun: run,
@@ -354,7 +448,8 @@
 	if e := c.entries[entry]; e != nil && !c.wires.dead[entry] {
 		return e
 	}
-	for _, id := range []string{"entry-1", "entry-2", "entry-3", "entry-4"} {
+	for i := 1; i <= maxEntries; i++ {
+		id := fmt.Sprintf("entry-%d", i)
 		if e := c.entries[id]; e != nil && !c.wires.dead[id] && c.wires.frozen[id] == nil {
 			return e
 		}
@@ -364,10 +459,13 @@
 
 // kill ends an entry VM without a word.
 func (c *testCell) kill(entry string) {
-	c.wires.mu.Lock()
-	c.wires.dead[entry] = true
-	c.wires.mu.Unlock()
-	c.entries[entry].cancel()
+	if !c.wires.die(entry) {
+		return
+	}
+	c.entry(entry).cancel()
+	if c.replacing.Load() {
+		time.AfterFunc(replaceAfter, c.replace)
+	}
 }
 
 // freeze stops an entry VM like SIGSTOP and thaws it after d.
@@ -382,7 +480,7 @@
 			s.budget += d
 		}
 	}
-	e := c.entries[entry]
+	e := c.entry(entry)
 	go e.post(frozen{thawed})
 	time.AfterFunc(d, func() { c.wires.thaw(entry) })
 }
@@ -402,7 +500,7 @@
 }
 
 func (w *wires) thawAll() {
-	for i := 1; i <= 9; i++ {
+	for i := 1; i <= maxEntries; i++ {
 		w.thaw(fmt.Sprintf("entry-%d", i))
 	}
 }
@@ -488,6 +586,23 @@
 	return nil
 }
 
+// die marks a machine as dead; false if it was.
+func (w *wires) die(id string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.dead[id] {
+		return false
+	}
+	w.dead[id] = true
+	return true
+}
+
+func (w *wires) isDead(id string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.dead[id]
+}
+
 // thawed waits while a machine is frozen.
 func (w *wires) thawed(ctx context.Context, id string) error {
 	for {
@@ -542,7 +657,13 @@
 	}
 )
 
-const wireMargin = time.Second
+const (
+	wireMargin = time.Second
+	// maxEntries bounds the entry VMs of a test.
+	maxEntries = 9
+	// replaceAfter is how long the platform takes to replace a dead VM.
+	replaceAfter = 30 * time.Second
+)
 
 // kindsOf names the records of an append, such as "accept,dispatch".
 func kindsOf(records []json.RawMessage) string {
@@ -576,6 +697,9 @@
 		page, err = l.c.log.Read(ctx, from, wait)
 		return err
 	})
+	if err == nil && l.c.tamper.page != nil {
+		l.c.tamper.page(l.from, page)
+	}
 	return page, err
 }
 
@@ -603,7 +727,7 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+wireMargin)
 	defer cancel()
 	return w.c.wires.around(ctx, call{w.from, w.to, op, ""}, func(ctx context.Context) error {
-		return effect(ctx, w.c.workers[w.to])
+		return effect(ctx, w.c.worker(w.to))
 	})
 }
 
@@ -612,6 +736,9 @@
 		out, err = real.Claim(ctx, r)
 		return err
 	})
+	if err == nil && w.c.tamper.claim != nil {
+		w.c.tamper.claim(out)
+	}
 	return out, err
 }
 
@@ -628,6 +755,9 @@
 		out, err = real.Start(ctx, r)
 		return err
 	})
+	if err == nil && w.c.tamper.start != nil {
+		w.c.tamper.start(out)
+	}
 	if err == nil && out.State == platform.Ended && w.c.wires.spoils() {
 		out.Data = out.Data[:len(out.Data)/2]
 	}
@@ -639,6 +769,9 @@
 		out, err = real.Stop(ctx, r)
 		return err
 	})
+	if err == nil && w.c.tamper.stop != nil {
+		w.c.tamper.stop(out)
+	}
 	return out, err
 }
 
@@ -658,7 +791,7 @@
 }
 
 func (p wiredPeer) target() *testEntry {
-	for _, e := range p.c.entries {
+	for _, e := range p.c.all() {
 		if e.addr == p.addr {
 			return e
 		}
@@ -671,7 +804,11 @@
 	if e == nil {
 		return errWire
 	}
-	return p.c.wires.around(ctx, call{p.from, e.id, op, ""}, func(ctx context.Context) error { return effect(ctx, e.PeerHandler()) })
+	err := p.c.wires.around(ctx, call{p.from, e.id, op, ""}, func(ctx context.Context) error { return effect(ctx, e.PeerHandler()) })
+	if platform.HasReason(err, platform.Unreachable) {
+		return peer.NotSent.Wrap(err)
+	}
+	return err
 }
 
 func (p wiredPeer) Exchange(ctx context.Context, r *peer.ExchangeRequest) (out *peer.ExchangeReply, err error) {
@@ -679,6 +816,9 @@
 		out, err = h.Exchange(ctx, r)
 		return err
 	})
+	if err == nil && p.c.tamper.view != nil {
+		p.c.tamper.view(p.target().id, &out.View)
+	}
 	return out, err
 }
 
@@ -706,15 +846,37 @@
 	return out, err
 }
 
-// judge checks the whole history against the promises.
-func (c *testCell) judge() {
-	c.t.Helper()
+// breaches checks the whole history against the promises.
+func (c *testCell) breaches() []string {
 	var runs []role.Run
 	for _, w := range c.workers {
 		runs = append(runs, w.Runs()...)
 	}
-	for _, breach := range judgeRuns(runs, c.caps, c.limits, c.stories) {
-		c.t.Error(breach)
+	found := judgeRuns(runs, c.caps, c.limits, c.stories)
+	for _, r := range runs {
+		left, leaving := c.leftAt[r.Worker]
+		if leaving && r.Start.Sub(left) > leavingBound {
+			found = append(found, fmt.Sprintf("%s started on %s %s after it was listed as leaving", r.Tag, r.Worker, r.Start.Sub(left)))
+		}
+	}
+	return found
+}
+
+// leavingBound is the promise for upstreams that leave, and the lag of the list.
+const leavingBound = 4 * time.Second
+
+// leave lists a worker as leaving.
+func (c *testCell) leave(id string) {
+	vms, err := c.vms.List(context.Background())
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	for _, vm := range vms {
+		if vm.ID == id {
+			vm.Leaving = true
+			c.vms.Put(vm)
+			c.leftAt[id] = time.Now()
+		}
 	}
 }
 
--- a/pollendockd/internal/entry/control.go
+++ b/pollendockd/internal/entry/control.go
@@ -35,8 +35,10 @@
 		caughtUp    bool
 		started     time.Time
 		beaconAt    time.Time
+		retiredAt   time.Time
 		snapAt      time.Time
 		stopping    bool
+		stopSince   time.Time
 		leaving     bool
 		stopWaiters []chan struct{}
 		displacedAt time.Time
@@ -47,16 +49,19 @@
 		lastHeard map[string]time.Time
 		seen      map[string]seenMember
 
-		upstreams map[string]*upstream
-		wanted    map[string]string
-		wantedKey string
-		wantedAt  time.Time
+		upstreams   map[string]*upstream
+		wanted      map[string]string
+		wantedKey   string
+		wantedNodes string
+		wantedAt    time.Time
 
 		lookups      map[string]*lookupQueue
 		demands      map[string]*demand
 		retryBudget  float64
 		attemptCount int64
-		running      map[string]bool
+		// forwarding counts the lookups that peers have.
+		forwarding   int
+		running      map[string]*attemptRun
 		pendingUse   map[string]resource.Vector
 		pendingTasks map[ledger.TaskRef]bool
 		settling     map[string]bool
@@ -64,7 +69,8 @@
 		followers    map[string][]*jobWaiter
 		publishing   []*publishWaiter
 		holds        []*hold
-		gathering    map[string]time.Time
+		gathering    bool
+		gatheredAt   time.Time
 		dirty        bool
 	}
 
@@ -132,14 +138,13 @@
 	c.joining = false
 	c.joined = false
 	c.waiters = map[int64]func(int64, ledger.Effect){}
-	c.running = map[string]bool{}
+	c.running = map[string]*attemptRun{}
 	c.demands = map[string]*demand{}
 	c.retryBudget = retryTokens
 	c.pendingUse = map[string]resource.Vector{}
 	c.pendingTasks = map[ledger.TaskRef]bool{}
 	c.settling = map[string]bool{}
 	c.stopAsked = map[string]bool{}
-	c.gathering = map[string]time.Time{}
 	c.holds = nil
 }
 
@@ -162,7 +167,7 @@
 	c.tickLookups(now)
 	c.tickJobs(now)
 	c.tickPublishing(now)
-	c.tickStop()
+	c.tickStop(now)
 	c.publish()
 	c.dirty = true
 }
@@ -297,6 +302,7 @@
 // workers' claims are left to run out; what runs there is adopted again.
 func (c *control) endIncarnation() {
 	level.Warn(c.e.deps.Logger).Log("msg", "this incarnation was retired", "incarnation", c.inc)
+	c.retiredAt = time.Now()
 	c.e.appender.Reset()
 	for _, waiter := range c.waiters {
 		waiter(0, ledger.Effect{Code: code.AcceptUnknown, Detail: "the entry VM was retired meanwhile"})
--- a/pollendockd/internal/entry/gang.go
+++ b/pollendockd/internal/entry/gang.go
@@ -47,8 +47,8 @@
 		c.dispatchGang(j, own)
 		return count
 	}
-	if j == c.oldestGang() && p.now.Sub(c.gathering[j.ID]) > offerEvery {
-		c.gathering[j.ID] = p.now
+	if j == c.oldestGang() && !c.gathering && p.now.Sub(c.gatheredAt) > offerEvery {
+		c.gathering = true
 		c.gatherOffers(j, count-len(own))
 	}
 	return 0
@@ -98,20 +98,28 @@
 	now := time.Now()
 	var handlers []peer.Handler
 	for _, p := range c.peers {
-		if p.alive(now) && p.view.Ready && p.view.FreeSlots > 0 {
+		// Free slots are not asked for: room held for this gang counts as used.
+		if p.alive(now) && p.view.Ready {
 			handlers = append(handlers, p.handler)
 		}
 	}
-	r := peer.OfferRequest{Job: j.ID, Size: j.Spec.Size, Count: int64(missing), Hold: offerHold}
+	r := peer.OfferRequest{Job: j.ID, Size: j.Spec.Size, Count: int64(missing)}
 	ctx := c.ctx
 	id := j.ID
 	c.e.spawn(func() {
-		c.e.post(offersGathered{id, askOffers(ctx, handlers, r)})
+		// Room is held only once there is enough of it, so that a gang that
+		// cannot start keeps nobody from starting.
+		workers := askOffers(ctx, handlers, r)
+		if len(workers) >= missing {
+			r.Hold = offerHold
+			workers = askOffers(ctx, handlers, r)
+		}
+		c.e.post(offersGathered{id, workers})
 	})
 }
 
 func askOffers(ctx context.Context, handlers []peer.Handler, r peer.OfferRequest) []string {
-	ctx, cancel := context.WithTimeout(ctx, offerHold/2)
+	ctx, cancel := context.WithTimeout(ctx, offerHold/3)
 	defer cancel()
 	replies := make(chan []string, len(handlers))
 	for _, h := range handlers {
@@ -133,6 +141,8 @@
 }
 
 func (m offersGathered) handle(c *control) {
+	c.gathering = false
+	c.gatheredAt = time.Now()
 	j := c.state.Jobs[m.job]
 	if j == nil || !j.Startable() || c.anyPending(j) || !c.joined || c.stopping {
 		return
@@ -157,7 +167,9 @@
 	reply := &peer.OfferReply{}
 	if c.joined && !c.stopping && c.serving() && m.request.Size.Validate() == nil {
 		reply.Workers = c.spots(c.newPass(now).own, m.request.Size, int(min(m.request.Count, maxOffer)))
-		c.addHolds(m.request, reply.Workers, now)
+		if m.request.Hold > 0 {
+			c.addHolds(m.request, reply.Workers, now)
+		}
 	}
 	m.reply <- reply
 }
--- a/pollendockd/internal/entry/home.go
+++ b/pollendockd/internal/entry/home.go
@@ -72,6 +72,11 @@
 		restUntil time.Time
 	}
 
+	// assignment is a worker with its recorded home.
+	assignment struct {
+		worker, home string
+	}
+
 	runningLookup struct {
 		team string
 		size resource.Vector
@@ -135,9 +140,6 @@
 	watchBackoff   = 50 * time.Millisecond
 	reserveRelease = 2 * time.Second
 	callTimeout    = 2 * time.Second
-	// spreadPercent bounds the workers of one entry VM, as a part of the mean.
-	spreadPercent = 125
-	percent       = 100
 	// handoversAtOnce bounds the workers handed over at a time.
 	handoversAtOnce = 4
 )
@@ -218,23 +220,34 @@
 	}
 }
 
-// computeWanted says which entry VM should be home to which worker: by
-// rendezvous hashing over the entry VMs that are alive and ready, none with
-// much more than its part.
+// computeWanted says which entry VM should be home to which worker. The recorded
+// home stays unless it has more than its part; the others are placed by
+// rendezvous hashing over the entry VMs that are alive and ready.
 func (c *control) computeWanted(now time.Time) {
 	nodes := c.candidates(now)
-	ids := make([]string, 0, len(c.upstreams))
+	workers := make([]assignment, 0, len(c.upstreams))
+	var key strings.Builder
+	key.WriteString(strings.Join(nodes, ","))
 	for id := range c.upstreams {
-		ids = append(ids, id)
+		a := assignment{worker: id}
+		if w := c.state.Workers[id]; w != nil {
+			a.home = w.Home
+		}
+		workers = append(workers, a)
+	}
+	sort.Slice(workers, func(a, b int) bool { return workers[a].worker < workers[b].worker })
+	for _, a := range workers {
+		key.WriteString("|" + a.worker + "=" + a.home)
 	}
-	sort.Strings(ids)
-	key := strings.Join(nodes, ",") + "|" + strings.Join(ids, ",")
-	if key == c.wantedKey {
+	if key.String() == c.wantedKey {
 		return
 	}
-	c.wantedKey = key
-	c.wantedAt = now
-	c.wanted = assign(ids, nodes)
+	c.wantedKey = key.String()
+	c.wanted = assign(workers, nodes)
+	if joined := strings.Join(nodes, ","); joined != c.wantedNodes {
+		c.wantedNodes = joined
+		c.wantedAt = now
+	}
 }
 
 // candidates returns the incarnations that can be home to workers.
@@ -252,27 +265,50 @@
 	return nodes
 }
 
-// assign maps workers to nodes.
-func assign(workers, nodes []string) map[string]string {
+// assign maps workers to nodes, none with more than its part rounded up.
+func assign(workers []assignment, nodes []string) map[string]string {
 	wanted := map[string]string{}
 	if len(nodes) == 0 {
 		return wanted
 	}
-	bound := (len(workers)*spreadPercent + percent*len(nodes) - 1) / (percent * len(nodes))
+	bound := (len(workers) + len(nodes) - 1) / len(nodes)
 	load := map[string]int{}
-	table := rendezvous.New(nodes, xxhash.Sum64String)
-	for _, id := range workers {
-		node := table.Lookup(id)
+	for _, node := range nodes {
+		load[node] = 0
+	}
+	for _, a := range workers {
+		if n, known := load[a.home]; known && n < bound {
+			load[a.home]++
+			wanted[a.worker] = a.home
+		}
+	}
+	open := nodes
+	for _, node := range nodes {
+		if load[node] >= bound {
+			open = without(open, node)
+		}
+	}
+	assignRest(workers, wanted, load, open, bound)
+	return wanted
+}
+
+// assignRest places the workers that are not in wanted yet.
+func assignRest(workers []assignment, wanted map[string]string, load map[string]int, open []string, bound int) {
+	table := rendezvous.New(open, xxhash.Sum64String)
+	for _, a := range workers {
+		if wanted[a.worker] != "" {
+			continue
+		}
+		node := table.Lookup(a.worker)
+		wanted[a.worker] = node
 		load[node]++
 		if load[node] == bound {
 			// A new table, since removing from one breaks it for the node that
 			// takes the free place.
-			nodes = without(nodes, node)
-			table = rendezvous.New(nodes, xxhash.Sum64String)
+			open = without(open, node)
+			table = rendezvous.New(open, xxhash.Sum64String)
 		}
-		wanted[id] = node
 	}
-	return wanted
 }
 
 func without(list []string, drop string) []string {
@@ -290,7 +326,8 @@
 func (c *control) tryClaim(u *upstream, now time.Time) {
 	w := c.state.Workers[u.id]
 	mine := c.wanted[u.id] == c.inc || w != nil && w.Home == c.inc
-	if !mine || c.stopping || now.Sub(u.tried) < claimEvery {
+	// Before the join is in the log a record of the claim would be void.
+	if !mine || !c.joined || c.stopping || now.Sub(u.tried) < claimEvery {
 		return
 	}
 	u.tried = now
@@ -556,7 +593,8 @@
 // lookup runs there under this VM's eyes.
 func (c *control) tryRelease(u *upstream, now time.Time) bool {
 	next := c.wanted[u.id]
-	settled := c.stopping || now.Sub(c.wantedAt) > settleHome
+	// A handover needs the log, or the next home can give no work out.
+	settled := c.stopping || now.Sub(c.wantedAt) > settleHome && !c.e.appender.Down()
 	if next == c.inc || next == "" && !c.stopping || !settled {
 		return false
 	}
--- a/pollendockd/internal/entry/lookup.go
+++ b/pollendockd/internal/entry/lookup.go
@@ -73,13 +73,10 @@
 	var best *upstream
 	bestSlots := int64(-1)
 	for _, u := range c.upstreams {
-		if !u.usable(now) || now.Sub(u.watchedAt) > watchedWithin || !l.Size.Fits(c.lookupRoom(u, l.Team)) {
+		if !u.usable(now) || now.Sub(u.watchedAt) > watchedWithin || u.id == l.avoid || !l.Size.Fits(c.lookupRoom(u, l.Team)) {
 			continue
 		}
 		slots := c.state.Workers[u.id].Capacity.Slots - c.state.Load(u.id).Slots - u.lookupLoad.Slots
-		if u.id == l.avoid {
-			slots = 0
-		}
 		if slots > bestSlots {
 			best, bestSlots = u, slots
 		}
@@ -105,9 +102,8 @@
 		Lease: lease, Fixed: true, AfterWatch: u.watchNumber, Within: startWithin, Wait: lease,
 	}
 	l.tries++
-	l.avoid = u.id
 	u.addLookup(a.id, l.Team, l.Size)
-	c.running[a.id] = true
+	c.running[a.id] = a
 	worker := u.worker
 	c.e.spawn(func() { c.e.carryLookup(a, worker) })
 }
@@ -188,6 +184,7 @@
 		c.lookupNotRun(u, l, m.reason)
 	default:
 		u.noteFailure(time.Now())
+		l.avoid = u.id
 		l.started = true
 		l.attempts++
 		l.lease = time.Until(l.Deadline)
@@ -195,6 +192,16 @@
 	}
 }
 
+// answerOverdue gives the final answer for attempts that are open at their
+// deadline. They are settled all the same.
+func (c *control) answerOverdue(now time.Time) {
+	for _, a := range c.running {
+		if !a.l.answered && now.Sub(a.l.Deadline) > settleMargin {
+			a.l.answer(Outcome{Code: code.MayHaveRun, Detail: "the worker has not answered by the deadline"})
+		}
+	}
+}
+
 // closeAttempt frees what the attempt held.
 func (c *control) closeAttempt(a *attemptRun) {
 	delete(c.running, a.id)
@@ -208,6 +215,7 @@
 func (c *control) lookupRan(u *upstream, l *lookup, t *platform.TaskStatus) {
 	if t.Failed {
 		u.noteFailure(time.Now())
+		l.avoid = u.id
 		l.started = true
 		l.attempts++
 		if l.attempts < c.maxLookupAttempts() {
@@ -229,6 +237,7 @@
 	switch reason {
 	case platform.StartFailed, platform.Unreachable:
 		u.noteFailure(time.Now())
+		l.avoid = u.id
 	case platform.StaleClaim:
 		// The watch finds out soon; until then nothing more goes there.
 		u.restUntil = time.Now().Add(watchWait)
--- a/pollendockd/internal/entry/matrix_test.go
+++ b/pollendockd/internal/entry/matrix_test.go
@@ -129,12 +129,12 @@
 		r.after = func(context.Context) error { c.killWorker(at.to); return errWire }
 	}, needsWorker},
 	{"worker rebooted", func(c *testCell, r *rule, at *call) {
-		r.after = func(context.Context) error { c.workers[at.to].Reboot(); return errWire }
+		r.after = func(context.Context) error { c.worker(at.to).Reboot(); return errWire }
 	}, needsWorker},
 	{"worker paused", func(c *testCell, r *rule, at *call) {
 		r.before = func(context.Context) error {
-			c.workers[at.to].Pause()
-			time.AfterFunc(faultTime, c.workers[at.to].Resume)
+			c.worker(at.to).Pause()
+			time.AfterFunc(faultTime, c.worker(at.to).Resume)
 			return nil
 		}
 	}, needsWorker},
@@ -222,21 +222,14 @@
 	return "the step has no worker"
 }
 
-func (c *testCell) killWorker(id string) {
-	c.wires.mu.Lock()
-	c.wires.dead[id] = true
-	c.wires.mu.Unlock()
-	c.workers[id].Reboot()
-}
-
 func (c *testCell) logFault(f role.LogFaults) {
 	c.log.SetFaults(f)
 	time.AfterFunc(faultTime, func() { c.log.SetFaults(role.LogFaults{}) })
 }
 
 func (c *testCell) workerFault(id string, f role.WorkerFaults) {
-	c.workers[id].SetFaults(f)
-	time.AfterFunc(faultTime, func() { c.workers[id].SetFaults(role.WorkerFaults{}) })
+	c.worker(id).SetFaults(f)
+	time.AfterFunc(faultTime, func() { c.worker(id).SetFaults(role.WorkerFaults{}) })
 }
 
 func (w *wires) spoilNext(n int) {
@@ -255,7 +248,7 @@
 
 // otherHome returns an entry VM other than the first that is home to a worker.
 func (c *testCell) otherHome() string {
-	for _, w := range c.entries["entry-1"].Cell().Workers {
+	for _, w := range c.entry("entry-1").Cell().Workers {
 		id, _, _ := strings.Cut(w.Home, "~")
 		if id != "entry-1" {
 			return id
@@ -265,6 +258,19 @@
 	return "entry-2"
 }
 
+// busyHome returns an entry VM other than the first that is home to a worker
+// with durable tasks.
+func (c *testCell) busyHome() string {
+	for _, w := range c.entry("entry-1").Cell().Workers {
+		id, _, _ := strings.Cut(w.Home, "~")
+		if id != "entry-1" && w.Durable.Slots > 0 {
+			return id
+		}
+	}
+	c.t.Error("no other entry VM is home to a busy worker")
+	return "entry-2"
+}
+
 // useWithdrawnKey sends lookups under a key through every entry VM from the
 // moment its withdrawal was answered as in force. The judge finds any that run.
 func (c *testCell) useWithdrawnKey(s *story) {
@@ -273,7 +279,7 @@
 		if !s.answered || s.answer.Code != code.OK {
 			continue
 		}
-		for _, e := range c.entries {
+		for _, e := range c.all() {
 			n++
 			go useKey(e, fmt.Sprintf("%s%d", withdrawnTag, n))
 		}
@@ -294,7 +300,7 @@
 func (c *testCell) stop(entry string) {
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
-	_ = c.entries[entry].Stop(ctx)
+	_ = c.entry(entry).Stop(ctx)
 	c.kill(entry)
 }
 
@@ -329,6 +335,7 @@
 // that matches the step.
 func runFault(t *testing.T, s step, list []fault) {
 	runCell(t, 3, 4, func(c *testCell) {
+		c.replacing.Store(true)
 		first := c.armFault(s, list[0])
 		for _, f := range list[1:] {
 			c.armFault(s, f)
@@ -338,11 +345,19 @@
 		if first.hits == 0 {
 			t.Errorf("the step was not reached")
 		}
-		c.settle(faultTime)
+		c.settle(faultTime + replaceAfter)
+		c.wires.disarm()
 		c.expectService()
 	})
 }
 
+// disarm drops the faults that have not come about.
+func (w *wires) disarm() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.rules = nil
+}
+
 func (c *testCell) armFault(s step, f fault) *rule {
 	r := &rule{count: 1}
 	at := &call{}
--- a/pollendockd/internal/entry/member.go
+++ b/pollendockd/internal/entry/member.go
@@ -61,6 +61,7 @@
 
 func (c *control) tickMembers(now time.Time) {
 	c.keepJoined()
+	c.learnPeers()
 	c.sendBeacon(now)
 	c.sendExchanges(now)
 	c.retireSilent(now)
@@ -68,13 +69,13 @@
 }
 
 func (c *control) keepJoined() {
-	if c.joined || c.joining || c.stopping || !c.caughtUp {
+	if c.joined || c.joining || c.stopping || !c.caughtUp || time.Since(c.retiredAt) < rejoinAfter {
 		return
 	}
 	c.joining = true
 	r := c.newRecord()
 	r.Join = &ledger.Join{
-		EntryID: c.opt.EntryID, PeerAddr: c.opt.PeerAddr.String(), DataCentre: c.opt.DataCentre,
+		EntryID: c.opt.EntryID, PeerAddr: c.opt.PeerAddr, DataCentre: c.opt.DataCentre,
 	}
 	c.submit(r, false, nil)
 }
@@ -89,6 +90,13 @@
 	c.submit(r, true, nil)
 }
 
+// learnPeers adds the entry VMs that have joined through the log.
+func (c *control) learnPeers() {
+	for _, inc := range c.state.LiveMembers() {
+		c.addPeer(c.state.Members[inc].PeerAddr)
+	}
+}
+
 func (c *control) addPeer(addr netip.AddrPort) *peerView {
 	if addr == c.opt.PeerAddr || !addr.IsValid() {
 		return nil
@@ -282,6 +290,9 @@
 	for _, vm := range vms {
 		keep[vm.Addr] = true
 	}
+	for _, inc := range c.state.LiveMembers() {
+		keep[c.state.Members[inc].PeerAddr] = true
+	}
 	for addr, p := range c.peers {
 		if !keep[addr] && !p.alive(now) && !p.busy {
 			delete(c.peers, addr)
--- a/pollendockd/internal/entry/options.go
+++ b/pollendockd/internal/entry/options.go
@@ -91,9 +91,15 @@
 	// retireAfter is the silence, in the log and between peers, after which an
 	// incarnation is retired.
 	retireAfter = 6 * time.Second
+	// rejoinAfter is the time between a retirement and the next join, so that two
+	// VMs that were given one name do not flood the log.
+	rejoinAfter = 2 * time.Second
 	// isolatedAfter is how long an entry VM serves without the log and without
 	// more than half of its peers.
 	isolatedAfter = 5 * time.Second
+	// stopLinger is the least time of a graceful stop, in which the balancer and
+	// the peers learn of it.
+	stopLinger = 2 * exchangeEvery
 	// listEvery is the time between reads of the list of VMs.
 	listEvery = time.Second
 	// claimEvery is the time between tries to claim a worker.
--- a/pollendockd/internal/entry/queue.go
+++ b/pollendockd/internal/entry/queue.go
@@ -29,7 +29,7 @@
 		lease time.Duration
 		// asked is set while a peer has the lookup.
 		asked bool
-		// avoid is the worker of the last attempt.
+		// avoid is the worker on which the last attempt failed.
 		avoid string
 		// answered is set once the final answer was given.
 		answered bool
@@ -45,6 +45,7 @@
 	// forwardDone ends a forwarded lookup.
 	forwardDone struct {
 		l     *lookup
+		peer  *peerView
 		reply *peer.LookupReply
 		err   error
 	}
@@ -175,6 +176,7 @@
 
 // tickLookups ends or passes on what has waited long.
 func (c *control) tickLookups(now time.Time) {
+	c.answerOverdue(now)
 	for _, q := range c.lookups {
 		kept := q.list[:0]
 		for _, l := range q.list {
@@ -209,6 +211,7 @@
 	// Until the next heartbeat the peer is assumed to have one slot less.
 	best.view.FreeSlots--
 	l.asked = true
+	c.forwarding++
 	r := &peer.LookupRequest{
 		Key: l.Key, RequestID: l.RequestID, Size: l.Size, ExpectedRun: l.ExpectedRun,
 		Left: time.Until(l.Deadline), Payload: l.Payload,
@@ -217,7 +220,7 @@
 		ctx, cancel := context.WithDeadline(l.ctx, l.Deadline.Add(forwardMargin))
 		defer cancel()
 		reply, err := best.handler.Lookup(ctx, r)
-		c.e.post(forwardDone{l, reply, err})
+		c.e.post(forwardDone{l, best, reply, err})
 	})
 	return true
 }
@@ -225,7 +228,14 @@
 // handle answers with what the peer said. A peer that gave no answer may have
 // run the lookup; one that had no room leaves it here to wait on.
 func (m forwardDone) handle(c *control) {
+	c.forwarding--
 	l := m.l
+	if peer.NotSent.Has(m.err) {
+		m.peer.heard = time.Time{}
+		l.asked = false
+		c.requeue(l)
+		return
+	}
 	if m.err != nil || m.reply.RequestID != l.RequestID {
 		l.started = true
 		l.refuse(code.MayHaveRun, "a peer entry VM gave no answer", retryAfterBusy)
--- a/pollendockd/internal/entry/stop.go
+++ b/pollendockd/internal/entry/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/go-kit/log/level"
 
@@ -34,6 +35,7 @@
 func (m stopAsked) handle(c *control) {
 	level.Info(c.e.deps.Logger).Log("msg", "stopping")
 	c.stopping = true
+	c.stopSince = time.Now()
 	c.stopWaiters = append(c.stopWaiters, m.done)
 	for _, q := range c.lookups {
 		kept := q.list[:0]
@@ -48,8 +50,8 @@
 }
 
 // tickStop leaves once nothing is left to do here.
-func (c *control) tickStop() {
-	if !c.stopping || c.leaving {
+func (c *control) tickStop(now time.Time) {
+	if !c.stopping || c.leaving || now.Sub(c.stopSince) < stopLinger {
 		return
 	}
 	for _, u := range c.upstreams {
@@ -57,12 +59,8 @@
 			return
 		}
 	}
-	for _, q := range c.lookups {
-		if len(q.list) > 0 {
-			return
-		}
-	}
-	if len(c.running) > 0 || len(c.publishing) > 0 {
+	c.failLookups(code.NotReady, "this entry VM is stopping")
+	if len(c.running) > 0 || c.forwarding > 0 || len(c.publishing) > 0 {
 		return
 	}
 	c.leaving = true
--- a/pollendockd/internal/entry/urgent.go
+++ b/pollendockd/internal/entry/urgent.go
@@ -92,7 +92,7 @@
 		return nil
 	}
 	need := oldest.Spec.Size.Scale(int64(len(oldest.Tasks)))
-	if !need.Fits(c.state.Room(oldest.Team)) {
+	if !need.Fits(c.state.Room(oldest.Team)) || !c.cellHolds(oldest) {
 		return nil
 	}
 	level := c.level(p, oldest.Team)
@@ -104,6 +104,18 @@
 	return oldest
 }
 
+// cellHolds reports whether the workers that are there could hold the gang if
+// they were empty.
+func (c *control) cellHolds(j *ledger.Job) bool {
+	spots := int64(0)
+	for _, w := range c.state.Workers {
+		if w.Home != "" {
+			spots += j.Spec.Size.Count(w.Capacity, int64(len(j.Tasks)))
+		}
+	}
+	return spots >= int64(len(j.Tasks))
+}
+
 // oldestGang returns the first waiting gang in log order. It is the same at
 // every entry VM that has applied the same records.
 func (c *control) oldestGang() *ledger.Job {
--- a/pollendockd/internal/peer/client.go
+++ b/pollendockd/internal/peer/client.go
@@ -44,6 +44,8 @@
 var (
 	// Class wraps the errors of this package.
 	Class = errs.Class("peer")
+	// NotSent wraps the errors of calls that certainly did not reach the peer.
+	NotSent = errs.Class("peer not reached")
 )
 
 // NewClient returns a client for the entry VM at addr.
@@ -85,7 +87,7 @@
 	}
 	conn, err := c.connect(ctx)
 	if err != nil {
-		return Class.Wrap(err)
+		return NotSent.Wrap(err)
 	}
 	call := conn.Go(methodStem+method, in, out, make(chan *rpc.Call, 1))
 	select {
--- a/standin/role/log.go
+++ b/standin/role/log.go
@@ -71,6 +71,13 @@
 	l.faults = f
 }
 
+// SetRetention changes how long records are kept.
+func (l *Log) SetRetention(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.opt.Retention = d
+}
+
 // Appends returns the number of appends and of bytes so far.
 func (l *Log) Appends() (int64, int64) {
 	l.mu.Lock()
