--- /dev/null
+++ b/cell/ledger/ledger_test.go
@@ -0,0 +1,302 @@
+package ledger
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"pollendock.example/cell/code"
+	"pollendock.example/cell/config"
+	"pollendock.example/cell/resource"
+)
+
+// fold applies records of one or more incarnations with offsets and Seqs.
+type fold struct {
+	t   *testing.T
+	s   *State
+	seq map[string]int64
+	at  time.Time
+}
+
+var (
+	size1 = resource.Vector{MilliCPU: 1000, MemoryMB: 100, Slots: 1}
+	limit = resource.Vector{MilliCPU: 4000, MemoryMB: 4000, Slots: 4}
+	room  = resource.Vector{MilliCPU: 8000, MemoryMB: 8000, Slots: 8}
+)
+
+func newFold(t *testing.T) *fold {
+	f := &fold{t: t, s: New(), seq: map[string]int64{}, at: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)}
+	f.add("a", Record{Join: &Join{EntryID: "a"}}, code.OK)
+	f.add("b", Record{Join: &Join{EntryID: "b"}}, code.OK)
+	merge, err := json.Marshal(config.Document{
+		Operators: map[string]config.Key{"board": {Hash: config.HashKey("op")}},
+		Teams: map[string]config.Team{"atlas": {
+			Share: 1, Limit: limit, QueueCount: 100, QueueBytes: 1000,
+			Keys: map[string]config.Key{"k": {Hash: config.HashKey("key")}},
+		}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.publish("a", 0, string(merge), code.OK)
+	f.add("a", Record{Home: &Home{Worker: "w", Boot: "1", Epoch: 1, Capacity: room}}, code.OK)
+	return f
+}
+
+// add applies a record and checks its effect.
+func (f *fold) add(by string, r Record, want code.Code) Effect {
+	f.t.Helper()
+	f.seq[by]++
+	r.By, r.Seq, r.At = by, f.seq[by], f.at
+	e := f.s.Apply(f.s.Next, &r)
+	if e.Code != want {
+		f.t.Errorf("record %d of %s: %s (%s), want %s", r.Seq, by, e.Code, e.Detail, want)
+	}
+	return e
+}
+
+func (f *fold) publish(by string, base int64, merge string, want code.Code) {
+	f.t.Helper()
+	patch := config.Patch{Base: base, Author: "a", Reason: "r", Merge: json.RawMessage(merge)}
+	f.add(by, Record{Publish: &Publish{KeyName: "board", Bootstrap: base == 0, Patch: patch}}, want)
+}
+
+func (f *fold) accept(job string, spec Spec, want code.Code) Effect {
+	f.t.Helper()
+	if spec.Count == 0 {
+		spec.Count = 1
+	}
+	if spec.Size.IsZero() {
+		spec.Size = size1
+	}
+	if spec.Kind == "" {
+		spec.Kind = config.Batch
+	}
+	return f.add("a", Record{Accept: &Accept{Job: job, Team: "atlas", KeyName: "k", Spec: spec}}, want)
+}
+
+func (f *fold) dispatch(by, job string, attempt int64, want code.Code, tasks ...int) {
+	f.t.Helper()
+	d := &Dispatch{Job: job}
+	for _, task := range tasks {
+		d.Placements = append(d.Placements, Placement{Task: task, Attempt: attempt, Worker: "w"})
+	}
+	f.add(by, Record{Dispatch: d}, want)
+}
+
+func (f *fold) settle(by, job string, attempt int64, how How, want code.Code) {
+	f.t.Helper()
+	e := &Settle{Job: job, Attempt: attempt, How: how}
+	if how == Finished {
+		e.Result = &Result{Code: code.OK}
+	}
+	f.add(by, Record{Settle: e}, want)
+}
+
+func expectTask(t *testing.T, f *fold, job string, phase Phase, c code.Code) {
+	t.Helper()
+	task := f.s.Jobs[job].Tasks[0]
+	if task.Phase != phase || task.Code != c {
+		t.Errorf("task of %s is %s with %s, want %s with %s", job, task.Phase, task.Code, phase, c)
+	}
+}
+
+func TestHowAttemptsEnd(t *testing.T) {
+	cases := []struct {
+		name       string
+		idempotent bool
+		how        How
+		phase      Phase
+		code       code.Code
+	}{
+		{"finished", false, Finished, Done, code.OK},
+		{"not run, non-idempotent", false, NotRun, Queued, 0},
+		{"stopped, non-idempotent", false, Stopped, Done, code.MayHaveRun},
+		{"vanished, non-idempotent", false, Vanished, Done, code.MayHaveRun},
+		{"stopped, idempotent", true, Stopped, Queued, 0},
+		{"vanished, idempotent", true, Vanished, Queued, 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFold(t)
+			f.accept("j", Spec{Idempotent: tc.idempotent}, code.OK)
+			f.dispatch("a", "j", 1, code.OK, 0)
+			f.settle("a", "j", 1, tc.how, code.OK)
+			expectTask(t, f, "j", tc.phase, tc.code)
+			if use := f.s.Use("atlas"); !use.IsZero() {
+				t.Errorf("use after the end: %s", use)
+			}
+		})
+	}
+}
+
+// TestStartedIsNeverNotRun: work that started is not said not to have run, also
+// when it is canceled later in the queue.
+func TestStartedIsNeverNotRun(t *testing.T) {
+	f := newFold(t)
+	f.accept("j", Spec{Idempotent: true}, code.OK)
+	f.dispatch("a", "j", 1, code.OK, 0)
+	f.settle("a", "j", 1, Stopped, code.OK)
+	f.add("a", Record{Cancel: &Cancel{Job: "j", Team: "atlas", Code: code.Canceled}}, code.OK)
+	expectTask(t, f, "j", Done, code.MayHaveRun)
+	f.accept("k", Spec{Idempotent: true}, code.OK)
+	f.add("a", Record{Cancel: &Cancel{Job: "k", Team: "atlas", Code: code.Canceled}}, code.OK)
+	expectTask(t, f, "k", Done, code.Canceled)
+}
+
+func TestDispatchRules(t *testing.T) {
+	f := newFold(t)
+	f.accept("j", Spec{Count: 6, Idempotent: true}, code.OK)
+	f.dispatch("b", "j", 1, code.StaleBase, 0)
+	f.dispatch("a", "j", 2, code.StaleBase, 0)
+	f.dispatch("a", "j", 1, code.OK, 0)
+	f.dispatch("a", "j", 1, code.StaleBase, 0)
+	f.dispatch("a", "j", 1, code.OverLimit, 1, 2, 3, 4)
+	f.dispatch("a", "j", 1, code.OK, 1, 2, 3)
+	f.dispatch("a", "j", 1, code.OverLimit, 4)
+	f.settle("b", "j", 1, NotRun, code.StaleBase)
+	f.settle("a", "j", 1, Finished, code.OK)
+	f.dispatch("a", "j", 1, code.OK, 4)
+}
+
+// TestCeilingsShareTheLimit: the lookups' parts and the durable tasks together
+// never exceed a team's limit, and a rise is cut to what is left.
+func TestCeilingsShareTheLimit(t *testing.T) {
+	f := newFold(t)
+	f.accept("j", Spec{Count: 2, Idempotent: true}, code.OK)
+	f.dispatch("a", "j", 1, code.OK, 0, 1)
+	rise := &Ceiling{Worker: "w", Team: "atlas", Delta: size1.Scale(3)}
+	e := f.add("a", Record{Ceiling: rise}, code.OK)
+	if e.Granted.Slots != 2 {
+		t.Errorf("granted %s", e.Granted)
+	}
+	f.add("b", Record{Ceiling: rise}, code.StaleBase)
+	f.add("a", Record{Ceiling: &Ceiling{Worker: "w", Team: "atlas", Delta: size1.Scale(-5), Fall: true}}, code.OK)
+	if got := f.s.Use("atlas"); got != size1.Scale(2) {
+		t.Errorf("use %s", got)
+	}
+}
+
+// TestRetiredIncarnation: records of a retired incarnation are void, and a
+// retirement is void if its incarnation has appended since.
+func TestRetiredIncarnation(t *testing.T) {
+	f := newFold(t)
+	f.add("b", Record{Retire: &Retire{Incarnation: "a", LastSeq: f.seq["a"] - 1}}, code.StaleBase)
+	f.add("b", Record{Retire: &Retire{Incarnation: "a", LastSeq: f.seq["a"]}}, code.OK)
+	f.accept("j", Spec{}, code.NotReady)
+	f.publish("a", 1, `{"teams":{"atlas":{"share":9}}}`, code.NotReady)
+	if got := f.s.Starters(); len(got) != 2 {
+		t.Errorf("starters %v: the retired home of a worker may still start work", got)
+	}
+	f.add("b", Record{Home: &Home{Worker: "w", Boot: "1", Epoch: 2, Capacity: room}}, code.OK)
+	if got := f.s.Starters(); len(got) != 1 {
+		t.Errorf("starters %v after the takeover", got)
+	}
+	f.seq["a"]--
+	f.add("b", Record{Home: &Home{Worker: "w", Boot: "1", Epoch: 1, Capacity: room}}, code.StaleBase)
+}
+
+func TestRepeatIsIgnored(t *testing.T) {
+	f := newFold(t)
+	f.accept("j", Spec{}, code.OK)
+	r := Record{By: "a", Seq: f.seq["a"], At: f.at, Accept: &Accept{Job: "j2", Team: "atlas", KeyName: "k", Spec: Spec{Count: 1, Size: size1}}}
+	if e := f.s.Apply(f.s.Next, &r); !e.Repeat || f.s.Jobs["j2"] != nil {
+		t.Errorf("effect %+v", e)
+	}
+}
+
+// TestWithdrawnKeyInLogOrder: an accept after the withdrawal in log order is
+// refused, whatever the entry VM that took it had applied.
+func TestWithdrawnKeyInLogOrder(t *testing.T) {
+	f := newFold(t)
+	f.publish("a", 1, `{"teams":{"atlas":{"keys":{"k":null}}}}`, code.OK)
+	f.accept("j", Spec{}, code.Unauthenticated)
+}
+
+// TestLoweredLimit: the youngest idempotent tasks are asked to stop.
+func TestLoweredLimit(t *testing.T) {
+	f := newFold(t)
+	f.accept("old", Spec{Count: 2, Idempotent: true}, code.OK)
+	f.accept("fixed", Spec{}, code.OK)
+	f.accept("young", Spec{Idempotent: true}, code.OK)
+	f.dispatch("a", "old", 1, code.OK, 0, 1)
+	f.dispatch("a", "fixed", 1, code.OK, 0)
+	f.dispatch("a", "young", 1, code.OK, 0)
+	f.publish("a", 1, `{"teams":{"atlas":{"limit":{"slots":2}}}}`, code.OK)
+	for job, want := range map[string]bool{"old": true, "fixed": false, "young": true} {
+		if got := f.s.Jobs[job].Tasks[0].Stop; got != want {
+			t.Errorf("%s: stop is %t", job, got)
+		}
+	}
+}
+
+// TestGangIsAllOrNone: a gang of which one task did not run is stopped as a
+// whole and queued again as a whole.
+func TestGangIsAllOrNone(t *testing.T) {
+	f := newFold(t)
+	f.accept("g", Spec{Kind: config.Gang, Count: 3, Idempotent: true}, code.OK)
+	f.dispatch("a", "g", 1, code.BadRequest, 0, 1)
+	f.dispatch("a", "g", 1, code.OK, 0, 1, 2)
+	f.settle("a", "g", 1, NotRun, code.OK)
+	j := f.s.Jobs["g"]
+	if !j.Tasks[1].Stop || !j.Tasks[2].Stop || j.Startable() {
+		t.Errorf("the rest is not being stopped: %+v", j.Tasks)
+	}
+	for task := 1; task < 3; task++ {
+		f.add("a", Record{Settle: &Settle{Job: "g", Task: task, Attempt: 1, How: Stopped}}, code.OK)
+	}
+	if !j.Startable() {
+		t.Errorf("not startable again: %+v", j.Tasks)
+	}
+}
+
+// TestSnapshotIsTheSameState: a state that went through a snapshot in the log
+// answers further records like the one that did not.
+func TestSnapshotIsTheSameState(t *testing.T) {
+	f := newFold(t)
+	for i := range 50 {
+		f.accept(fmt.Sprintf("j%d", i), Spec{Idempotent: true, IdempotencyKey: fmt.Sprint(i), IssuedAt: f.at, Digest: "d"}, code.OK)
+	}
+	f.dispatch("a", "j0", 1, code.OK, 0)
+	f.settle("a", "j0", 1, Finished, code.OK)
+	f.dispatch("a", "j1", 1, code.OK, 0)
+	data, err := f.s.Marshal()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var parts Assembler
+	var restored *State
+	for _, p := range Split(data, f.s.Next) {
+		if restored, err = parts.Add(&Record{By: "a", Snapshot: p}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if restored == nil || restored.Next != f.s.Next {
+		t.Fatal("no state from the parts")
+	}
+	if restored.Use("atlas") != f.s.Use("atlas") || restored.WaitingCount("atlas") != f.s.WaitingCount("atlas") || restored.Load("w") != f.s.Load("w") {
+		t.Error("the restored state counts otherwise")
+	}
+	f.s = restored
+	e := f.accept("again", Spec{IdempotencyKey: "0", IssuedAt: f.at, Digest: "d"}, code.OK)
+	if e.Job != "j0" {
+		t.Errorf("the key leads to %q", e.Job)
+	}
+}
+
+// TestKeyWindow: ended jobs are forgotten after the window, and a key that old
+// is refused.
+func TestKeyWindow(t *testing.T) {
+	f := newFold(t)
+	issued := f.at
+	f.accept("j", Spec{IdempotencyKey: "k", IssuedAt: issued, Digest: "d"}, code.OK)
+	f.dispatch("a", "j", 1, code.OK, 0)
+	f.settle("a", "j", 1, Finished, code.OK)
+	f.at = f.at.Add(KeyWindow + time.Minute)
+	f.add("a", Record{Beacon: &Beacon{}}, code.OK)
+	if f.s.Jobs["j"] != nil {
+		t.Error("the job is still there")
+	}
+	f.accept("j2", Spec{IdempotencyKey: "k", IssuedAt: issued, Digest: "d"}, code.KeyTooOld)
+}
--- a/pollendockd/internal/entry/admit.go
+++ b/pollendockd/internal/entry/admit.go
@@ -90,7 +90,7 @@
 func (e *Entry) Serving() error {
 	p := e.published.Load()
 	switch {
-	case p.bootstrap:
+	case p.bootstrap || !p.caughtUp:
 		return code.New(code.NotReady, "no configuration is in force here")
 	case !p.serving:
 		return code.New(code.Isolated, "this entry VM reaches neither the log nor enough of its peers")
--- a/pollendockd/internal/entry/ceiling.go
+++ b/pollendockd/internal/entry/ceiling.go
@@ -43,7 +43,9 @@
 	}
 	d := c.demandOf(l.Team)
 	d.size = d.size.Max(l.Size)
-	if d.asking >= maxAsking || now.Sub(d.refusedAt) < refusedWait {
+	// Rises on their way cover riseTasks waiting lookups each.
+	covered := d.asking*riseTasks >= len(c.lookups[l.Team].list)
+	if covered || d.asking >= maxAsking || now.Sub(d.refusedAt) < refusedWait {
 		return
 	}
 	c.askRise(l.Team, l.Size, l.avoid, now)
--- a/pollendockd/internal/entry/cell_test.go
+++ b/pollendockd/internal/entry/cell_test.go
@@ -597,12 +597,6 @@
 	return true
 }
 
-func (w *wires) isDead(id string) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.dead[id]
-}
-
 // thawed waits while a machine is frozen.
 func (w *wires) thawed(ctx context.Context, id string) error {
 	for {
--- a/pollendockd/internal/entry/control.go
+++ b/pollendockd/internal/entry/control.go
@@ -336,9 +336,10 @@
 		ready:     c.ready(),
 		serving:   c.serving(),
 		bootstrap: c.state.Number == 0,
+		caughtUp:  c.caughtUp,
 	}
 	old := c.e.published.Load()
-	if old.number != p.number || old.ready != p.ready || old.serving != p.serving || old.document != p.document {
+	if *old != *p {
 		c.e.published.Store(p)
 	}
 }
--- a/pollendockd/internal/entry/entry.go
+++ b/pollendockd/internal/entry/entry.go
@@ -38,6 +38,7 @@
 		ready     bool
 		serving   bool
 		bootstrap bool
+		caughtUp  bool
 	}
 
 	// message is a fact or a request for the control goroutine.
--- a/pollendockd/internal/entry/home.go
+++ b/pollendockd/internal/entry/home.go
@@ -686,13 +686,13 @@
 	u.rest = 0
 }
 
-// freeSlots is the number of tasks that the VM's workers have slots for.
+// freeSlots is the number of lookups that the VM's workers have slots for.
 func (c *control) freeSlots() int64 {
 	now := time.Now()
 	n := int64(0)
 	for _, u := range c.upstreams {
 		if u.usable(now) {
-			n += max(0, c.room(u).Slots)
+			n += max(0, c.physicalRoom(u).Slots)
 		}
 	}
 	return n
--- a/pollendockd/internal/entry/queue.go
+++ b/pollendockd/internal/entry/queue.go
@@ -271,13 +271,22 @@
 	}
 }
 
+// physicalRoom returns what nothing runs on at a worker, set aside or not.
+func (c *control) physicalRoom(u *upstream) resource.Vector {
+	w := c.state.Workers[u.id]
+	if w == nil {
+		return resource.Vector{}
+	}
+	return w.Capacity.Sub(c.state.Load(u.id)).Sub(u.lookupLoad).Sub(u.pending).Sub(u.held)
+}
+
 // lookupRoom returns what a team's lookups may still hold on a worker.
 func (c *control) lookupRoom(u *upstream, team string) resource.Vector {
 	w := c.state.Workers[u.id]
 	if w == nil {
 		return resource.Vector{}
 	}
-	physical := w.Capacity.Sub(c.state.Load(u.id)).Sub(u.lookupLoad).Sub(u.pending).Sub(u.held)
+	physical := c.physicalRoom(u)
 	allowed := w.Ceilings[team].Sub(u.falling[team]).Sub(u.lookupUse[team])
 	return physical.Min(allowed)
 }
--- a/pollendockd/internal/front/authenticate.go
+++ b/pollendockd/internal/front/authenticate.go
@@ -29,6 +29,10 @@
 	}
 	id, version, known := f.cell.Identify(key)
 	if !known {
+		// Before a configuration is in force here the key may well be good.
+		if err := f.cell.Serving(); err != nil {
+			return nil, err
+		}
 		return nil, code.New(code.Unauthenticated, "the key is not granted")
 	}
 	return &caller{id, key, version}, nil
