Lookups are passed on at once where no rise can help them

Cause: an entry VM that had just come up, or was handing its workers over, kept a lookup for 100 ms before it asked a peer. Ruled out: the log (a rise takes one append, 20 ms) and the workers (without failures p99 was 3.0 ms in the same mix). What is left are requests that were under way at the killed entry VM's workers. demo/measure.sh runs one mix against a fresh cell.

--- /dev/null
+++ b/demo/measure.sh
@@ -0,0 +1,50 @@
+#!/usr/bin/env bash
+# Runs one mix of work against a fresh cell: demo/measure.sh MIX [loadgen flags].
+# The settings of cell.sh apply; FAULT names a function below that runs beside
+# the load.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+. demo/cell.sh
+
+MIX="$1"
+shift
+
+none() { :; }
+
+# Kills an entry VM after 20 s.
+kill_entry() {
+    sleep 20
+    kill -KILL "${ENTRY_PID[2]}"
+}
+
+# Reboots a worker, so that its tasks end, after 20 s.
+kill_worker() {
+    sleep 20
+    "$BIN/standin" ctl --worker worker-005 --action reboot
+}
+
+# Takes the log away from 20 s to 35 s.
+log_down() {
+    sleep 20
+    "$BIN/standin" ctl --log down
+    sleep 15
+    "$BIN/standin" ctl --log up
+}
+
+# Freezes a worker, so that its connections are silent, from 20 s to 30 s.
+freeze_worker() {
+    sleep 20
+    "$BIN/standin" ctl --worker worker-005 --action pause
+    sleep 10
+    "$BIN/standin" ctl --worker worker-005 --action resume
+}
+
+start_cell
+publish_mix "$MIX" >/dev/null
+sleep 4
+"${FAULT:-none}" &
+FAULT_PID=$!
+STATUS=0
+"$BIN/loadgen" --mix "$MIX" --entries $(entry_urls $(seq 1 "$ENTRIES")) "$@" || STATUS=$?
+wait "$FAULT_PID" 2>/dev/null || true
+exit $STATUS
--- a/pollendock/session_test.go
+++ b/pollendock/session_test.go
@@ -22,7 +22,6 @@
 	// session is the cell of one script.
 	session struct {
 		dir       string
-		operator  string
 		ports     []int
 		processes map[string]*exec.Cmd
 	}
--- a/pollendockd/internal/entry/ceiling.go
+++ b/pollendockd/internal/entry/ceiling.go
@@ -36,19 +36,23 @@
 )
 
 // raiseCeiling asks for a part of the team's limit, so that lookups can run on
-// one of this VM's workers with physical room.
-func (c *control) raiseCeiling(l *lookup, now time.Time) {
+// one of this VM's workers with physical room. False means that no rise is on
+// its way that could help the lookup.
+func (c *control) raiseCeiling(l *lookup, now time.Time) bool {
 	if !c.joined || c.stopping || c.e.appender.Down() {
-		return
+		return false
 	}
 	d := c.demandOf(l.Team)
 	d.size = d.size.Max(l.Size)
 	// Rises on their way cover riseTasks waiting lookups each.
 	covered := d.asking*riseTasks >= len(c.lookups[l.Team].list)
-	if covered || d.asking >= maxAsking || now.Sub(d.refusedAt) < refusedWait {
-		return
+	if covered || d.asking >= maxAsking {
+		return true
 	}
-	c.askRise(l.Team, l.Size, l.avoid, now)
+	if now.Sub(d.refusedAt) < refusedWait {
+		return false
+	}
+	return c.askRise(l.Team, l.Size, l.avoid, now)
 }
 
 func (c *control) demandOf(team string) *demand {
@@ -61,8 +65,8 @@
 }
 
 // askRise asks for room for riseTasks lookups on the worker with the most room,
-// other than the one to avoid.
-func (c *control) askRise(team string, size resource.Vector, avoid string, now time.Time) {
+// other than the one to avoid. False means that no worker has room.
+func (c *control) askRise(team string, size resource.Vector, avoid string, now time.Time) bool {
 	var best *upstream
 	for _, u := range c.upstreams {
 		if !u.usable(now) || u.id == avoid || !size.Fits(c.room(u)) {
@@ -73,7 +77,7 @@
 		}
 	}
 	if best == nil {
-		return
+		return false
 	}
 	d := c.demandOf(team)
 	delta := size.Scale(min(riseTasks, size.Count(c.room(best), riseTasks)))
@@ -94,6 +98,7 @@
 			c.markLimited(team)
 		}
 	})
+	return true
 }
 
 // markLimited notes on the waiting lookups that the limit holds them back.
--- a/pollendockd/internal/entry/queue.go
+++ b/pollendockd/internal/entry/queue.go
@@ -159,8 +159,8 @@
 		c.runLookup(u, l, now)
 		return true
 	}
-	c.raiseCeiling(l, now)
-	return false
+	rising := c.raiseCeiling(l, now)
+	return !rising && !l.forwarded && c.forward(l)
 }
 
 func (c *control) expireLookup(l *lookup) {
