Turns count what other entry VMs have on its way

Cause: when the tasks of a wide job end at once, every entry VM sees its team's level fall at once and gives it the freed room, so the team with the widest jobs held more than its share on average.

--- a/loadgen/internal/caller/caller.go
+++ b/loadgen/internal/caller/caller.go
@@ -119,7 +119,7 @@
 		if s.attempt(ctx, f.client(s.Order.Team), s.Order.Tag, &r, defaultBudget) && !retryable(s.Final.Code) {
 			break
 		}
-		pause(ctx, retryPause)
+		pause(ctx, s.comeBack())
 	}
 	if s.Final == nil || s.Final.Code != code.Accepted || r.Kind == config.Service {
 		return
@@ -154,6 +154,14 @@
 	return false
 }
 
+// comeBack is when the caller asks again.
+func (s *Story) comeBack() time.Duration {
+	if s.Final == nil || s.Final.RetryAfterMs == 0 {
+		return retryPause
+	}
+	return time.Duration(s.Final.RetryAfterMs) * time.Millisecond
+}
+
 // attempt sends one request; true if a whole answer came.
 func (s *Story) attempt(ctx context.Context, client *api.Client, tag string, r *api.SubmitRequest, budget time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, budget)
--- a/loadgen/internal/rehearsal/sources.go
+++ b/loadgen/internal/rehearsal/sources.go
@@ -93,15 +93,16 @@
 	return teams
 }
 
-// fullSources fill the cell from every team, while one submits far more.
+// fullSources fill the cell from every team, while one submits 100 times the
+// tasks of the others.
 func fullSources() []source {
 	var list []source
 	for i, name := range agencies {
-		rate := 4.0
+		count := 10
 		if i == 0 {
-			rate = 400
+			count = 1000
 		}
-		list = append(list, source{team: name, label: "batch", kind: config.Batch, perSecond: rate, count: 40,
+		list = append(list, source{team: name, label: "batch", kind: config.Batch, perSecond: 10, count: count,
 			size: medium, run: 1500 * time.Millisecond, falsehood: 4})
 	}
 	return list
--- a/pollendockd/internal/entry/place.go
+++ b/pollendockd/internal/entry/place.go
@@ -143,9 +143,12 @@
 	return turns
 }
 
-// level is the dominant part of the cell that a team holds, over its share.
+// level is the dominant part of the cell that a team holds, over its share. The
+// other entry VMs are taken to have as much on its way to the log as this one:
+// when many tasks of a team end at once, all of them see its level fall at once.
 func (c *control) level(p *pass, team string) float64 {
-	use := c.state.Use(team).Add(c.pendingUse[team])
+	onTheWay := c.pendingUse[team].Scale(int64(len(p.members)))
+	use := c.state.Use(team).Add(onTheWay)
 	return use.Dominant(p.cell) / float64(c.state.Document.Teams[team].Share)
 }
 
