Shares are brought near over a window of 20 s

Tried and kept: a correction of a team's level by what it held over the window, gain 4, at most a quarter of the mean level.

--- a/loadgen/internal/rehearsal/mix.go
+++ b/loadgen/internal/rehearsal/mix.go
@@ -88,7 +88,7 @@
 
 // Names returns the names of the mixes.
 func Names() []string {
-	return []string{"rehearsal", "lookups", "full", "urgent"}
+	return []string{"rehearsal", "lookups", "deep", "full", "urgent"}
 }
 
 // New returns the mix of the name.
@@ -98,6 +98,8 @@
 		return build(name, rehearsalTeams(), rehearsalSources(), opt), nil
 	case "lookups":
 		return build(name, rehearsalTeams(), lookupSources(), opt), nil
+	case "deep":
+		return build(name, rehearsalTeams(), deepSources(), opt), nil
 	case "full":
 		return build(name, fullTeams(), fullSources(), opt), nil
 	case "urgent":
--- a/loadgen/internal/rehearsal/sources.go
+++ b/loadgen/internal/rehearsal/sources.go
@@ -84,6 +84,20 @@
 	return list
 }
 
+// deepSources are the same lookups while a batch queue of 100 times the cell's
+// slots builds up in the first seconds and stays.
+func deepSources() []source {
+	var list []source
+	for _, name := range depots {
+		list = append(list, lotLookups(name, 50))
+	}
+	for _, name := range agencies {
+		list = append(list, source{team: name, label: "batch", kind: config.Batch, perSecond: 1, count: 700,
+			size: medium, run: 2 * time.Second, falsehood: 4})
+	}
+	return list
+}
+
 // fullTeams have shares 1 to 4 and limits that do not bind.
 func fullTeams() map[string]config.Team {
 	teams := map[string]config.Team{}
--- a/loadgen/main.go
+++ b/loadgen/main.go
@@ -24,7 +24,7 @@
 	options struct {
 		Entries     []string      `arg:"--entries" help:"base URLs of the entry VMs"`
 		Stage       string        `arg:"--stage" default:"http://127.0.0.1:7100" help:"base URL of the stand-in's controls"`
-		Mix         string        `arg:"--mix" default:"rehearsal" help:"rehearsal, lookups, full or urgent"`
+		Mix         string        `arg:"--mix" default:"rehearsal" help:"rehearsal, lookups, deep, full or urgent"`
 		Length      time.Duration `arg:"--length" default:"30s"`
 		Settle      time.Duration `arg:"--settle" help:"time at the start that the measures leave out"`
 		Grace       time.Duration `arg:"--grace" default:"30s" help:"time for durable work to end after the last request"`
--- a/pollendockd/internal/entry/control.go
+++ b/pollendockd/internal/entry/control.go
@@ -63,6 +63,7 @@
 		forwarding   int
 		running      map[string]*attemptRun
 		pendingUse   map[string]resource.Vector
+		meanLevel    map[string]float64
 		pendingTasks map[ledger.TaskRef]bool
 		settling     map[string]bool
 		stopAsked    map[string]bool
@@ -142,6 +143,7 @@
 	c.demands = map[string]*demand{}
 	c.retryBudget = retryTokens
 	c.pendingUse = map[string]resource.Vector{}
+	c.meanLevel = map[string]float64{}
 	c.pendingTasks = map[ledger.TaskRef]bool{}
 	c.settling = map[string]bool{}
 	c.stopAsked = map[string]bool{}
@@ -165,6 +167,7 @@
 	c.tickMembers(now)
 	c.tickHomes(now)
 	c.tickLookups(now)
+	c.tickShares()
 	c.tickJobs(now)
 	c.tickPublishing(now)
 	c.tickStop(now)
--- a/pollendockd/internal/entry/place.go
+++ b/pollendockd/internal/entry/place.go
@@ -21,6 +21,8 @@
 		// level is the dominant part of the cell that the team holds, over its
 		// share. The lowest level goes first.
 		level float64
+		// correction is added for what the team held before.
+		correction float64
 		// own are jobs of which this VM owns tasks, help those of which it may
 		// place other tasks, since they have waited.
 		own, help []*ledger.Job
@@ -84,7 +86,7 @@
 			continue
 		}
 		placed += n
-		t.level = c.level(p, t.name)
+		t.level = c.level(p, t.name) + t.correction
 	}
 	if placed > 0 {
 		c.dirty = true
@@ -92,12 +94,7 @@
 }
 
 func (c *control) newPass(now time.Time) *pass {
-	p := &pass{now: now, members: c.state.LiveMembers()}
-	for _, w := range c.state.Workers {
-		if w.Home != "" {
-			p.cell = p.cell.Add(w.Capacity)
-		}
-	}
+	p := &pass{now: now, members: c.state.LiveMembers(), cell: c.cellCapacity()}
 	for _, u := range c.upstreams {
 		if u.usable(now) {
 			p.own = append(p.own, u)
@@ -127,7 +124,7 @@
 		if c.state.WaitingCount(team) == 0 {
 			continue
 		}
-		t := &teamTurn{name: team, level: c.level(p, team)}
+		t := &teamTurn{name: team}
 		for _, j := range c.state.Waiting(team, jobScan) {
 			if !j.Startable() {
 				continue
@@ -140,18 +137,10 @@
 		rand.Shuffle(len(t.help), func(a, b int) { t.help[a], t.help[b] = t.help[b], t.help[a] })
 		turns = append(turns, t)
 	}
+	c.correct(p, turns)
 	return turns
 }
 
-// level is the dominant part of the cell that a team holds, over its share. The
-// other entry VMs are taken to have as much on its way to the log as this one:
-// when many tasks of a team end at once, all of them see its level fall at once.
-func (c *control) level(p *pass, team string) float64 {
-	onTheWay := c.pendingUse[team].Scale(int64(len(p.members)))
-	use := c.state.Use(team).Add(onTheWay)
-	return use.Dominant(p.cell) / float64(c.state.Document.Teams[team].Share)
-}
-
 // placeForTeam dispatches tasks of one job of the team, and returns how many.
 // One task at a time keeps the turns fair where teams compete.
 func (c *control) placeForTeam(p *pass, t *teamTurn, compete bool) int {
