--- a/pollendockd/internal/entry/bench_test.go
+++ b/pollendockd/internal/entry/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"runtime"
 	"sort"
@@ -48,7 +49,7 @@
 	for i := range workers {
 		id := fmt.Sprintf("worker-%d", i)
 		c.noteWorker(platform.VM{ID: id, Addr: addrOf(9000 + i)}, time.Now())
-		c.applyBench(b, &ledger.Record{Home: &ledger.Home{Worker: id, Boot: "b", Epoch: 1, Capacity: resource.Vector{MilliCPU: 64000, MemoryMB: 131072, Slots: 8}}})
+		c.applyBench(b, &ledger.Record{Home: &ledger.Home{Worker: id, Boot: "b", Epoch: 1, Capacity: benchWorker}})
 		u := c.upstreams[id]
 		u.phase = home
 		u.session = &session{cancel: func() {}}
@@ -216,3 +217,62 @@
 		})
 	}
 }
+
+// BenchmarkPacking fills 50 workers with jobs of mixed sizes, offered in the
+// order in which they came, and compares the work placed with what one pass of
+// first-fit-decreasing places that knows all jobs.
+func BenchmarkPacking(b *testing.B) {
+	for _, seed := range []uint64{1, 2, 3} {
+		b.Run(fmt.Sprintf("seed=%d", seed), func(b *testing.B) {
+			for b.Loop() {
+				rng := rand.New(rand.NewPCG(seed, seed))
+				c := benchControl(b, 50, 0, 0)
+				var sizes []resource.Vector
+				for range 600 {
+					size := resource.Vector{MilliCPU: 1000 * (1 + rng.Int64N(24)), MemoryMB: 1024 * (1 + rng.Int64N(48)), Slots: 1}
+					sizes = append(sizes, size)
+					c.applyBench(b, &ledger.Record{Accept: &ledger.Accept{Job: newJobID(), Team: "team-1", KeyName: "k", Spec: ledger.Spec{
+						Kind: config.Batch, Count: 1, Size: size, Idempotent: true,
+					}}})
+				}
+				ours := c.fillBench(len(sizes))
+				b.ReportMetric(ours/firstFitDecreasing(sizes, 50), "of-ffd")
+			}
+		})
+	}
+}
+
+// fillBench places every waiting job that fits, in order, and returns the work
+// placed, as the sum of the dominant parts of a worker.
+func (c *control) fillBench(jobs int) float64 {
+	p := c.newPass(time.Now())
+	total := 0.0
+	for _, j := range c.state.Waiting("team-1", jobs) {
+		if c.placeJob(p, j, 1, true) > 0 {
+			total += j.Spec.Size.Dominant(benchWorker)
+		}
+	}
+	return total
+}
+
+var benchWorker = resource.Vector{MilliCPU: 64000, MemoryMB: 131072, Slots: 8}
+
+func firstFitDecreasing(sizes []resource.Vector, workers int) float64 {
+	sorted := append([]resource.Vector(nil), sizes...)
+	sort.Slice(sorted, func(i, j int) bool { return sorted[i].Dominant(benchWorker) > sorted[j].Dominant(benchWorker) })
+	left := make([]resource.Vector, workers)
+	for i := range left {
+		left[i] = benchWorker
+	}
+	total := 0.0
+	for _, size := range sorted {
+		for i := range left {
+			if size.Fits(left[i]) {
+				left[i] = left[i].Sub(size)
+				total += size.Dominant(benchWorker)
+				break
+			}
+		}
+	}
+	return total
+}
