--- a/demo/measure.sh
+++ b/demo/measure.sh
@@ -23,6 +23,25 @@
     "$BIN/standin" ctl --worker worker-005 --action reboot
 }
 
+# Stops an entry VM gracefully after 20 s.
+stop_entry() {
+    sleep 20
+    kill -TERM "${ENTRY_PID[3]}"
+}
+
+# Starts one more entry VM after 20 s.
+add_entry() {
+    sleep 20
+    start_entry 7 entry-7
+    sleep 20
+}
+
+# Lists a worker as leaving after 20 s.
+leave_worker() {
+    sleep 20
+    "$BIN/standin" ctl --leaving worker-010
+}
+
 # Takes the log away from 20 s to 35 s.
 log_down() {
     sleep 20
@@ -45,6 +64,6 @@
 "${FAULT:-none}" &
 FAULT_PID=$!
 STATUS=0
-"$BIN/loadgen" --mix "$MIX" --entries $(entry_urls $(seq 1 "$ENTRIES")) "$@" || STATUS=$?
+"$BIN/loadgen" --mix "$MIX" --entries $(entry_urls $(seq 1 $((ENTRIES + 1)))) "$@" || STATUS=$?
 wait "$FAULT_PID" 2>/dev/null || true
 exit $STATUS
