measure.sh stops the entry VM that it adds

Cause: the added entry VM was started in a subshell and outlived its run. The next cell on the same ports took it for a peer, with the records of another log: in that run all 4347 lookups were refused and 50 breaches were printed (work not ended).

--- a/demo/measure.sh
+++ b/demo/measure.sh
@@ -29,11 +29,14 @@
     kill -TERM "${ENTRY_PID[3]}"
 }
 
-# Starts one more entry VM after 20 s.
+# Starts one more entry VM after 20 s, for 20 s.
 add_entry() {
     sleep 20
     start_entry 7 entry-7
     sleep 20
+    # Started in this subshell, so stopped here too.
+    kill -TERM "${ENTRY_PID[7]}"
+    wait "${ENTRY_PID[7]}" || true
 }
 
 # Lists a worker as leaving after 20 s.
