--- a/pollendockd/internal/entry/control.go
+++ b/pollendockd/internal/entry/control.go
@@ -33,7 +33,6 @@
 		fresh       time.Time
 		freshSince  time.Time
 		caughtUp    bool
-		started     time.Time
 		beaconAt    time.Time
 		retiredAt   time.Time
 		snapAt      time.Time
@@ -155,7 +154,6 @@
 
 func (c *control) start() {
 	now := time.Now()
-	c.started = now
 	c.fresh = now
 	c.freshSince = now
 	c.snapAt = now
@@ -288,7 +286,7 @@
 	case r.Dispatch != nil:
 		c.dispatched(r.Dispatch)
 	case r.Home != nil:
-		c.homeRecorded(offset, r)
+		c.homeRecorded(r)
 	case r.Publish != nil:
 		c.publishedAt = offset
 		level.Info(c.e.deps.Logger).Log("msg", "configuration in force", "version", effect.Number, "offset", offset)
--- a/pollendockd/internal/entry/home.go
+++ b/pollendockd/internal/entry/home.go
@@ -21,7 +21,6 @@
 	upstream struct {
 		id      string
 		vm      platform.VM
-		listed  bool
 		leaving bool
 		worker  platform.Worker
 
@@ -42,7 +41,6 @@
 		// watchNumber and watchedAt are of the last watch that was answered.
 		watchNumber int64
 		watchedAt   time.Time
-		used        resource.Vector
 
 		// lookups holds the running lookups by attempt.
 		lookups map[string]runningLookup
@@ -123,7 +121,6 @@
 		level.Info(c.e.deps.Logger).Log("msg", "worker is leaving", "worker", vm.ID)
 	}
 	u.vm = vm
-	u.listed = true
 	u.leaving = vm.Leaving
 }
 
@@ -309,7 +306,7 @@
 }
 
 // homeRecorded notes that another VM is home to a worker now.
-func (c *control) homeRecorded(_ int64, r *ledger.Record) {
+func (c *control) homeRecorded(r *ledger.Record) {
 	u := c.upstreams[r.Home.Worker]
 	if u == nil || r.By == c.inc || u.session == nil {
 		return
--- a/pollendockd/internal/entry/member.go
+++ b/pollendockd/internal/entry/member.go
@@ -270,19 +270,14 @@
 
 func (m vmsListed) handle(c *control) {
 	now := time.Now()
-	listed := map[string]bool{}
 	for _, vm := range m.vms {
 		switch vm.Role {
 		case platform.EntryRole:
 			c.addPeer(vm.Addr)
 		case platform.WorkerRole:
-			listed[vm.ID] = true
 			c.noteWorker(vm, now)
 		}
 	}
-	for id, u := range c.upstreams {
-		u.listed = listed[id]
-	}
 	c.dropOldPeers(m.vms, now)
 }
 
--- a/pollendockd/internal/entry/watch.go
+++ b/pollendockd/internal/entry/watch.go
@@ -64,7 +64,6 @@
 	}
 	u.watchNumber = m.reply.Number
 	u.watchedAt = m.at
-	u.used = m.reply.Used
 	if u.phase == claimed {
 		// The inventory is settled once the claim is in the log; until then
 		// only what ended since is kept for that time.
--- a/pollendockd/internal/journal/append.go
+++ b/pollendockd/internal/journal/append.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"sync"
 	"time"
 
@@ -203,9 +202,3 @@
 	case <-ctx.Done():
 	}
 }
-
-// isTrimmed reports whether the log no longer keeps the offset asked for.
-func isTrimmed(err error) bool {
-	var r *platform.Refusal
-	return errors.As(err, &r) && r.Reason == platform.Trimmed
-}
--- a/pollendockd/internal/journal/follow.go
+++ b/pollendockd/internal/journal/follow.go
@@ -59,7 +59,7 @@
 			wait = readWait
 			f.sink.Page(ctx, page)
 			f.Skip(page.First + int64(len(page.Records)))
-		case isTrimmed(err):
+		case platform.HasReason(err, platform.Trimmed):
 			f.restore(ctx)
 		default:
 			pause(ctx, readBackoff)
--- a/pollendockd/internal/peer/types.go
+++ b/pollendockd/internal/peer/types.go
@@ -42,8 +42,8 @@
 		Ready bool
 		// FreeSlots is the number of tasks for which its workers have slots.
 		FreeSlots int64
-		// Bound is Next when the last log answer was read, so a peer without
-		// the log knows how fresh it is.
+		// LogAge is the time since the log, or a peer that reads it, last
+		// answered.
 		LogAge time.Duration
 	}
 
