Tell from the limit itself whether it held a lookup back

Cause: whether a lookup ended as overLimit or noRoom hung on a flag that was set only on lookups waiting at the moment a rise was refused; one passed on to a peer missed it. The answer now follows from what the fold leaves of the team's limit, and the flag is gone.

--- a/pollendockd/internal/entry/ceiling.go
+++ b/pollendockd/internal/entry/ceiling.go
@@ -97,21 +97,11 @@
 		}
 		if effect.Code == code.OK && !size.Fits(effect.Granted) {
 			d.refusedAt = time.Now()
-			c.markLimited(team)
 		}
 	})
 	return true
 }
 
-// markLimited notes on the waiting lookups that the limit holds them back.
-func (c *control) markLimited(team string) {
-	if q := c.lookups[team]; q != nil {
-		for _, l := range q.list {
-			l.limited = true
-		}
-	}
-}
-
 // sumCeilings renews the sum of the ceilings on a worker.
 func (c *control) sumCeilings(u *upstream) {
 	u.ceilings = sumCeilingsOf(c.state.Workers[u.id])
--- a/pollendockd/internal/entry/queue.go
+++ b/pollendockd/internal/entry/queue.go
@@ -33,8 +33,6 @@
 		avoid string
 		// answered is set once the final answer was given.
 		answered bool
-		// limited is set if the team's limit kept it from starting.
-		limited bool
 	}
 
 	// lookupQueue holds the waiting lookups of a team.
@@ -167,7 +165,7 @@
 	switch {
 	case l.ctx.Err() != nil:
 		l.refuse(code.Expired, "the caller has gone", 0)
-	case l.limited:
+	case !l.Size.Fits(c.state.Room(l.Team)):
 		l.refuse(code.OverLimit, "the team is at its upper limit", retryAfterBusy)
 	default:
 		l.refuse(code.NoRoom, "no worker had room before the deadline", retryAfterBusy)
