--- a/cell/api/client.go
+++ b/cell/api/client.go
@@ -81,7 +81,7 @@
 // Status returns the state of durable work. It waits up to wait for its end.
 func (c *Client) Status(ctx context.Context, job string, wait time.Duration) (*Answer, error) {
 	a := &Answer{}
-	path := fmt.Sprintf("/v1/work/%s?waitMs=%d", job, wait.Milliseconds())
+	path := fmt.Sprintf("/v1/jobs/%s?waitMs=%d", job, wait.Milliseconds())
 	if err := c.Do(ctx, http.MethodGet, path, nil, a); err != nil {
 		return nil, err
 	}
@@ -91,7 +91,7 @@
 // Cancel ends durable work.
 func (c *Client) Cancel(ctx context.Context, job string) (*Answer, error) {
 	a := &Answer{}
-	err := c.Do(ctx, http.MethodDelete, "/v1/work/"+job, nil, a)
+	err := c.Do(ctx, http.MethodDelete, "/v1/jobs/"+job, nil, a)
 	return a, err
 }
 
--- a/loadgen/costs.go
+++ b/loadgen/costs.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/prometheus/common/expfmt"
@@ -67,11 +66,7 @@
 func scrape(ctx context.Context, base string) (*spent, error) {
 	ctx, cancel := context.WithTimeout(ctx, scrapeTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, base+"/metrics", nil)
-	if err != nil {
-		return nil, err
-	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := get(ctx, base+"/metrics")
 	if err != nil {
 		return nil, err
 	}
--- a/loadgen/main.go
+++ b/loadgen/main.go
@@ -144,11 +144,7 @@
 	if withRuns {
 		url += "?runs=all"
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return nil, err
-	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := get(ctx, url)
 	if err != nil {
 		return nil, err
 	}
@@ -156,3 +152,11 @@
 	r := &web.Report{}
 	return r, json.NewDecoder(resp.Body).Decode(r)
 }
+
+func get(ctx context.Context, url string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	return http.DefaultClient.Do(req)
+}
--- a/pollendock/config.go
+++ b/pollendock/config.go
@@ -195,13 +195,10 @@
 }
 
 func (c *teamCmd) run(ctx context.Context, s *shell) error {
-	a := &api.CellAnswer{}
-	if err := s.client.Do(ctx, http.MethodGet, "/v1/cell", nil, a); err != nil {
+	a, err := s.cell(ctx)
+	if err != nil {
 		return err
 	}
-	if a.Error() != nil {
-		return a.Error()
-	}
 	if s.json {
 		return s.out.asJSON(a.Teams)
 	}
--- a/pollendock/work.go
+++ b/pollendock/work.go
@@ -72,13 +72,10 @@
 }
 
 func (c *cellCmd) run(ctx context.Context, s *shell) error {
-	a := &api.CellAnswer{}
-	if err := s.client.Do(ctx, http.MethodGet, "/v1/cell", nil, a); err != nil {
+	a, err := s.cell(ctx)
+	if err != nil {
 		return err
 	}
-	if a.Error() != nil {
-		return a.Error()
-	}
 	if s.json {
 		return s.out.asJSON(a)
 	}
@@ -95,6 +92,15 @@
 	return nil
 }
 
+// cell returns what the entry VM knows of the cell.
+func (s *shell) cell(ctx context.Context) (*api.CellAnswer, error) {
+	a := &api.CellAnswer{}
+	if err := s.client.Do(ctx, http.MethodGet, "/v1/cell", nil, a); err != nil {
+		return nil, err
+	}
+	return a, a.Error()
+}
+
 func workerRows(workers []api.WorkerAnswer) [][]any {
 	rows := [][]any{{"WORKER", "HOME", "CAPACITY", "DURABLE", "LOOKUPS", "FREE"}}
 	for _, w := range workers {
--- a/pollendockd/internal/front/front.go
+++ b/pollendockd/internal/front/front.go
@@ -69,8 +69,8 @@
 	}
 	v1 := e.Group("/v1", f.receive)
 	v1.POST("/work", f.submit)
-	v1.GET("/work/:job", f.status)
-	v1.DELETE("/work/:job", f.cancel)
+	v1.GET("/jobs/:job", f.status)
+	v1.DELETE("/jobs/:job", f.cancel)
 	v1.GET("/config", f.getConfig)
 	v1.POST("/config", f.patch)
 	v1.GET("/config/versions", f.versions)
