--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # The developer's menu.
 
-MODULES := cell standin pollendockd pollendock loadgen
+MODULES := cell platform standin pollendockd pollendock loadgen
 GO      ?= go
 SEEDS   ?= 2 3 4 5
 CHECKS  ?= 100
--- a/cell/code/code.go
+++ b/cell/code/code.go
@@ -60,6 +60,11 @@
 	KeyReused Code = 2009
 	// NotFound is a job or path that is not known.
 	NotFound Code = 2010
+	// NoSuchJob is a job that no team of that key has handed in, or that ended
+	// long ago.
+	NoSuchJob Code = 2011
+	// NotSupported is work of a form that this version cannot run.
+	NotSupported Code = 2012
 
 	// Unauthenticated is a request with no key or an unknown key.
 	Unauthenticated Code = 3001
@@ -130,6 +135,8 @@
 		{KeyTooOld, "keyTooOld", http.StatusConflict, exitConflict},
 		{KeyReused, "keyReused", http.StatusConflict, exitConflict},
 		{NotFound, "notFound", http.StatusNotFound, exitUsage},
+		{NoSuchJob, "noSuchJob", http.StatusGone, exitUsage},
+		{NotSupported, "notSupported", http.StatusNotImplemented, exitUsage},
 		{Unauthenticated, "unauthenticated", http.StatusUnauthorized, exitNoAccess},
 		{Forbidden, "forbidden", http.StatusForbidden, exitNoAccess},
 		{StaleBase, "staleBase", http.StatusConflict, exitConflict},
--- /dev/null
+++ b/cell/job/book.go
@@ -0,0 +1,261 @@
+package job
+
+import (
+	"strings"
+	"sync"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"pollendock.example/cell/site"
+)
+
+type (
+	// Book is what the durable records say. One goroutine applies entries; any
+	// may read.
+	Book struct {
+		mu      sync.RWMutex
+		next    int64
+		jobs    map[string]*Job
+		members map[string]Member
+		leader  Leader
+		// leaderAt is the offset of the entry that set leader.
+		leaderAt int64
+		// offsets holds the newest offset seen of each key, so that a page
+		// that is read twice changes nothing.
+		offsets map[string]int64
+		// waiting counts, for each queue, the jobs that have not begun.
+		waiting map[string]int
+	}
+
+	// Job is a job in the book. Its submission and state are never changed in
+	// place; a new state replaces the old one.
+	Job struct {
+		Submission *Submission
+		State      *State
+		// Order is the offset at which the job was accepted.
+		Order int64
+		// Canceled is set once a cancel came. It has no effect on a job that
+		// has ended before the leader read it.
+		Canceled bool
+
+		counted bool
+	}
+)
+
+// NewBook returns an empty book.
+func NewBook() *Book {
+	return &Book{
+		jobs:    map[string]*Job{},
+		members: map[string]Member{},
+		offsets: map[string]int64{},
+		waiting: map[string]int{},
+	}
+}
+
+// Apply folds entries and returns the ids of the jobs that changed.
+func (b *Book) Apply(p *site.Page) ([]string, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var changed []string
+	var firstErr error
+	for i := range p.Entries {
+		e := &p.Entries[i]
+		if last, seen := b.offsets[e.Key]; seen && e.Offset <= last {
+			continue
+		}
+		id, err := b.applyOne(e)
+		if err != nil && firstErr == nil {
+			firstErr = Class.New("entry %q at %d: %v", e.Key, e.Offset, err)
+		}
+		if id != "" {
+			changed = append(changed, id)
+		}
+	}
+	b.next = max(b.next, p.Next)
+	return changed, firstErr
+}
+
+func (b *Book) applyOne(e *site.Entry) (string, error) {
+	b.offsets[e.Key] = e.Offset
+	kind, name, _ := strings.Cut(e.Key, "/")
+	switch kind + "/" {
+	case submissionKey:
+		return name, b.applySubmission(name, e)
+	case stateKey:
+		return name, b.applyState(name, e)
+	case cancelKey:
+		b.applyCancel(name, e)
+		return name, nil
+	case memberKey:
+		return "", b.applyMember(name, e)
+	}
+	if e.Key == leaderKey {
+		b.leaderAt = e.Offset
+		return "", cbor.Unmarshal(e.Value, &b.leader)
+	}
+	return "", Class.New("unknown kind")
+}
+
+// job returns the job of that id, which may be known by its state or cancel
+// alone while pages are read out of order.
+func (b *Book) job(id string) *Job {
+	j := b.jobs[id]
+	if j == nil {
+		j = &Job{}
+		b.jobs[id] = j
+	}
+	return j
+}
+
+func (b *Book) applySubmission(id string, e *site.Entry) error {
+	if len(e.Value) == 0 {
+		b.forget(id)
+		return nil
+	}
+	j := b.job(id)
+	if j.Submission != nil {
+		// A caller sent the job again before this VM knew it.
+		return nil
+	}
+	s := &Submission{}
+	if err := cbor.Unmarshal(e.Value, s); err != nil {
+		return err
+	}
+	j.Submission = s
+	j.Order = e.Offset
+	if j.State == nil {
+		j.State = NewState(s)
+	}
+	b.count(j)
+	return nil
+}
+
+func (b *Book) applyState(id string, e *site.Entry) error {
+	if len(e.Value) == 0 {
+		return nil
+	}
+	s := &State{}
+	if err := cbor.Unmarshal(e.Value, s); err != nil {
+		return err
+	}
+	j := b.job(id)
+	j.State = s
+	b.count(j)
+	return nil
+}
+
+func (b *Book) applyCancel(id string, e *site.Entry) {
+	if len(e.Value) == 0 {
+		return
+	}
+	j := b.job(id)
+	j.Canceled = true
+	b.count(j)
+}
+
+func (b *Book) applyMember(name string, e *site.Entry) error {
+	if len(e.Value) == 0 {
+		delete(b.members, name)
+		return nil
+	}
+	var m Member
+	if err := cbor.Unmarshal(e.Value, &m); err != nil {
+		return err
+	}
+	b.members[name] = m
+	return nil
+}
+
+// count keeps the number of waiting jobs of the job's queue.
+func (b *Book) count(j *Job) {
+	if j.Submission == nil || j.State == nil {
+		return
+	}
+	waits := j.State.Phase == Queued && !j.State.Begun && !j.Canceled
+	if waits == j.counted {
+		return
+	}
+	j.counted = waits
+	if waits {
+		b.waiting[j.Submission.Queue]++
+		return
+	}
+	b.waiting[j.Submission.Queue]--
+}
+
+func (b *Book) forget(id string) {
+	j := b.jobs[id]
+	if j == nil {
+		return
+	}
+	if j.counted {
+		b.waiting[j.Submission.Queue]--
+	}
+	delete(b.jobs, id)
+	for _, e := range ForgetEntries(id) {
+		delete(b.offsets, e.Key)
+	}
+}
+
+// Next returns the offset up to which the book is read.
+func (b *Book) Next() int64 {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	return b.next
+}
+
+// Job returns a copy of what is known of a job; nil if it was never accepted.
+func (b *Book) Job(id string) *Job {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	j := b.jobs[id]
+	if j == nil || j.Submission == nil {
+		return nil
+	}
+	c := *j
+	return &c
+}
+
+// Phase returns the state of a job that callers see.
+func (j *Job) Phase() Phase {
+	if j.Canceled && !j.State.Phase.Final() {
+		return Canceled
+	}
+	return j.State.Phase
+}
+
+// IDs returns the ids of all jobs.
+func (b *Book) IDs() []string {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	ids := make([]string, 0, len(b.jobs))
+	for id := range b.jobs {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// Waiting returns the number of accepted jobs of a queue that have not begun.
+func (b *Book) Waiting(queue string) int {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	return b.waiting[queue]
+}
+
+// Members returns the entry VMs by name.
+func (b *Book) Members() map[string]Member {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	c := make(map[string]Member, len(b.members))
+	for name, m := range b.members {
+		c[name] = m
+	}
+	return c
+}
+
+// Leader returns who decides, and the offset of the record that says so.
+func (b *Book) Leader() (Leader, int64) {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	return b.leader, b.leaderAt
+}
--- /dev/null
+++ b/cell/site/local.go
@@ -0,0 +1,37 @@
+package site
+
+import (
+	"net/netip"
+	"time"
+)
+
+type (
+	// Local is what a process is told about its place in the deployment.
+	Local struct {
+		// Name is the VM's name.
+		Name       string
+		DataCentre string
+		// Listen takes callers, Ready the balancer's checks, Peer other entry
+		// VMs.
+		Listen netip.AddrPort
+		Ready  netip.AddrPort
+		Peer   netip.AddrPort
+		Bounds Bounds
+	}
+
+	// Bounds are the deployment's limits in time.
+	Bounds struct {
+		// MaxLease is the longest lease that a worker grants.
+		MaxLease time.Duration
+		// StopTime is the most that a worker takes to stop a run.
+		StopTime time.Duration
+		// GangWait is how long a worker lets a gang task wait for the others.
+		GangWait time.Duration
+		// Grace is the time between the signal to stop and the kill.
+		Grace time.Duration
+		// KeepStatus is how long the state of a job that has ended is served.
+		KeepStatus time.Duration
+		// RackPenalty is how many times as long a task takes far from its data.
+		RackPenalty float64
+	}
+)
--- /dev/null
+++ b/pollendockd/internal/book/follower.go
@@ -0,0 +1,192 @@
+// Package book keeps a VM's copy of the durable records up to date.
+package book
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"pollendock.example/cell/job"
+	"pollendock.example/cell/site"
+)
+
+type (
+	// Stream is where the records lie.
+	Stream interface {
+		Read(ctx context.Context, from int64, wait time.Duration) (*site.Page, error)
+		Newest(ctx context.Context) (*site.Page, error)
+	}
+
+	// Follower reads the stream into the book.
+	Follower struct {
+		stream  Stream
+		book    *job.Book
+		logger  log.Logger
+		changed func(ids []string)
+		start   time.Time
+
+		loaded atomic.Bool
+		// eager is set while this VM decides, and so reads without a pause.
+		eager atomic.Bool
+		// readAt and leaderAt are times since start: of the last answer of the
+		// stream, and of the last records that a leader appended.
+		readAt   atomic.Int64
+		leaderAt atomic.Int64
+		// freshSince is when the reads of the present series began to succeed.
+		freshSince atomic.Int64
+	}
+)
+
+const (
+	readWait    = 500 * time.Millisecond
+	readTimeout = 1200 * time.Millisecond
+	loadTimeout = 3 * time.Second
+	retryGap    = 100 * time.Millisecond
+	// eagerGap and idleGap part the reads, so that several appends are read in
+	// one call. A state may be shown that much late at VMs that do not decide.
+	eagerGap = 5 * time.Millisecond
+	idleGap  = 100 * time.Millisecond
+)
+
+// NewFollower returns a follower that calls changed with the ids of jobs whose
+// records are new.
+func NewFollower(stream Stream, b *job.Book, logger log.Logger, changed func(ids []string)) *Follower {
+	return &Follower{stream: stream, book: b, logger: logger, changed: changed, start: time.Now()}
+}
+
+// Run reads until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	failing := false
+	for ctx.Err() == nil {
+		err := f.readOnce(ctx)
+		switch {
+		case ctx.Err() != nil:
+			return ctx.Err()
+		case err != nil:
+			if !failing {
+				_ = level.Warn(f.logger).Log("msg", "stream lost", "next", f.book.Next(), "err", err)
+			}
+			failing = true
+			pause(ctx, retryGap)
+		case failing:
+			failing = false
+			f.freshSince.Store(int64(time.Since(f.start)))
+			_ = level.Info(f.logger).Log("msg", "stream regained", "next", f.book.Next())
+		}
+		if f.eager.Load() {
+			pause(ctx, eagerGap)
+			continue
+		}
+		pause(ctx, idleGap)
+	}
+	return ctx.Err()
+}
+
+func (f *Follower) readOnce(ctx context.Context) error {
+	if !f.loaded.Load() {
+		return f.load(ctx)
+	}
+	err := f.read(ctx, readWait)
+	if site.ErrTrimmed.Has(err) {
+		_ = level.Warn(f.logger).Log("msg", "records are no longer kept, reading all keys", "next", f.book.Next())
+		return f.load(ctx)
+	}
+	return err
+}
+
+// load reads the newest record of every key.
+func (f *Follower) load(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	p, err := f.stream.Newest(ctx)
+	if err != nil {
+		return err
+	}
+	f.apply(p)
+	f.loaded.Store(true)
+	_ = level.Info(f.logger).Log("msg", "book loaded", "records", len(p.Entries), "next", p.Next)
+	return nil
+}
+
+func (f *Follower) read(ctx context.Context, wait time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
+	defer cancel()
+	p, err := f.stream.Read(ctx, f.book.Next(), wait)
+	if err != nil {
+		return err
+	}
+	f.apply(p)
+	return nil
+}
+
+func (f *Follower) apply(p *site.Page) {
+	now := int64(time.Since(f.start))
+	for i := range p.Entries {
+		if job.ByLeader(p.Entries[i].Key) {
+			f.leaderAt.Store(now)
+		}
+	}
+	ids, err := f.book.Apply(p)
+	if err != nil {
+		_ = level.Error(f.logger).Log("msg", "record cannot be read", "err", err)
+	}
+	f.readAt.Store(now)
+	if len(ids) > 0 {
+		f.changed(ids)
+	}
+}
+
+// Sync reads up to the end that the stream has now. Without an error the book
+// holds all that was acknowledged before the call.
+func (f *Follower) Sync(ctx context.Context) error {
+	if !f.loaded.Load() {
+		return f.load(ctx)
+	}
+	p, err := f.stream.Read(ctx, f.book.Next(), 0)
+	if err != nil {
+		return err
+	}
+	f.apply(p)
+	for p.Next < p.End {
+		if p, err = f.stream.Read(ctx, p.Next, 0); err != nil {
+			return err
+		}
+		f.apply(p)
+	}
+	return nil
+}
+
+// Loaded reports whether the book holds the records of all keys.
+func (f *Follower) Loaded() bool {
+	return f.loaded.Load()
+}
+
+// SetEager says whether this VM decides.
+func (f *Follower) SetEager(eager bool) {
+	f.eager.Store(eager)
+}
+
+// Fresh reports whether the stream answered within the given time.
+func (f *Follower) Fresh(within time.Duration) bool {
+	return f.loaded.Load() && time.Since(f.start)-time.Duration(f.readAt.Load()) <= within
+}
+
+// LeaderSilence returns for how long the stream could be read without a record
+// of a leader.
+func (f *Follower) LeaderSilence() time.Duration {
+	last := max(f.leaderAt.Load(), f.freshSince.Load())
+	return time.Since(f.start) - time.Duration(last)
+}
+
+// pause waits for d or the end of ctx.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/pollendockd/internal/desk/catalog.go
@@ -0,0 +1,99 @@
+package desk
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"pollendock.example/cell/site"
+)
+
+type (
+	// CatalogSource follows the configuration that operators publish.
+	CatalogSource interface {
+		// Next waits up to wait and returns the newest catalog, or nil if
+		// nothing has changed.
+		Next(ctx context.Context, wait time.Duration) (*site.Catalog, error)
+	}
+
+	// CatalogWatch keeps the newest catalog. It never goes back to an older
+	// one.
+	CatalogWatch struct {
+		source CatalogSource
+		logger log.Logger
+		start  time.Time
+		// current is nil before the first catalog.
+		current atomic.Pointer[site.Catalog]
+		readAt  atomic.Int64
+	}
+)
+
+const (
+	catalogWait    = 500 * time.Millisecond
+	catalogTimeout = 800 * time.Millisecond
+	catalogRetry   = 100 * time.Millisecond
+)
+
+// NewCatalogWatch returns a watch without a catalog yet.
+func NewCatalogWatch(source CatalogSource, logger log.Logger) *CatalogWatch {
+	return &CatalogWatch{source: source, logger: logger, start: time.Now()}
+}
+
+// Run follows the source until ctx ends.
+func (w *CatalogWatch) Run(ctx context.Context) error {
+	failing := false
+	for ctx.Err() == nil {
+		err := w.next(ctx)
+		switch {
+		case err == nil && failing:
+			_ = level.Info(w.logger).Log("msg", "catalog source regained")
+		case err != nil && !failing && ctx.Err() == nil:
+			_ = level.Warn(w.logger).Log("msg", "catalog source lost", "err", err)
+		}
+		failing = err != nil
+		if failing {
+			pause(ctx, catalogRetry)
+		}
+	}
+	return ctx.Err()
+}
+
+func (w *CatalogWatch) next(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, catalogWait+catalogTimeout)
+	defer cancel()
+	c, err := w.source.Next(ctx, catalogWait)
+	if err != nil {
+		return err
+	}
+	w.readAt.Store(int64(time.Since(w.start)))
+	old := w.current.Load()
+	if c == nil || old != nil && c.Version <= old.Version {
+		return nil
+	}
+	w.current.Store(c)
+	_ = level.Info(w.logger).Log("msg", "catalog in force", "version", c.Version, "queues", len(c.Queues), "teams", len(c.Teams))
+	return nil
+}
+
+// Current returns the newest catalog, or nil before the first.
+func (w *CatalogWatch) Current() *site.Catalog {
+	return w.current.Load()
+}
+
+// Fresh reports whether the source answered within the given time.
+func (w *CatalogWatch) Fresh(within time.Duration) bool {
+	return w.current.Load() != nil && time.Since(w.start)-time.Duration(w.readAt.Load()) <= within
+}
+
+// pause waits for d or the end of ctx.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/pollendockd/internal/helper/helper.go
@@ -0,0 +1,217 @@
+// Package helper carries calls between entry VMs: queries to the advisor, which
+// serves the calls of each VM in turn, and callers' requests at a VM that has
+// lost the records.
+package helper
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"pollendock.example/cell/code"
+	"pollendock.example/cell/job"
+	"pollendock.example/cell/site"
+	"pollendock.example/pollendockd/internal/peer"
+	"pollendock.example/pollendockd/internal/scheduler"
+)
+
+type (
+	// Advisor is the advisor as this VM reaches it.
+	Advisor interface {
+		Advise(ctx context.Context, jobID string, step int, workers []string) ([]site.Ticket, error)
+	}
+
+	// Desk serves requests without passing them on.
+	Desk interface {
+		SubmitHere(ctx context.Context, at site.Address, draft *job.Submission) error
+		StatusHere(ctx context.Context, at site.Address) (*site.Status, error)
+		CancelHere(ctx context.Context, at site.Address) error
+	}
+
+	// Server serves the calls of other entry VMs over net/rpc.
+	Server struct {
+		ctx     context.Context
+		advisor Advisor
+		desk    Desk
+	}
+
+	// Peers calls the other entry VMs.
+	Peers struct {
+		name    string
+		book    *job.Book
+		advisor Advisor
+
+		mu    sync.Mutex
+		conns map[string]*conn
+	}
+
+	conn struct {
+		incarnation string
+		client      *peer.Client
+	}
+
+	// AdviceReply answers a query.
+	AdviceReply struct {
+		Tickets []site.Ticket
+	}
+
+	// Request is a caller's request that is passed on.
+	Request struct {
+		At site.Address
+		// Draft is set for Submit.
+		Draft *job.Submission
+	}
+
+	// Outcome is what became of it.
+	Outcome struct {
+		Code   code.Code
+		Detail string
+		Status site.Status
+	}
+)
+
+const (
+	serveTimeout = 2 * time.Second
+	passTimeout  = 1200 * time.Millisecond
+	// passTries bounds the VMs that are tried for a request.
+	passTries = 3
+)
+
+// NewServer returns a server whose calls run under ctx. The advisor is nil where
+// there is none.
+func NewServer(ctx context.Context, advisor Advisor, desk Desk) *Server {
+	return &Server{ctx: ctx, advisor: advisor, desk: desk}
+}
+
+// Advise serves the call of that name.
+func (s *Server) Advise(q *scheduler.AdviceQuery, reply *AdviceReply) error {
+	var err error
+	reply.Tickets, err = s.advisor.Advise(s.ctx, q.Job, q.Step, q.Workers)
+	return err
+}
+
+// Submit serves the call of that name.
+func (s *Server) Submit(r *Request, reply *Outcome) error {
+	ctx, cancel := context.WithTimeout(s.ctx, serveTimeout)
+	defer cancel()
+	reply.Code, reply.Detail = code.Of(s.desk.SubmitHere(ctx, r.At, r.Draft))
+	return nil
+}
+
+// Status serves the call of that name.
+func (s *Server) Status(r *Request, reply *Outcome) error {
+	ctx, cancel := context.WithTimeout(s.ctx, serveTimeout)
+	defer cancel()
+	status, err := s.desk.StatusHere(ctx, r.At)
+	reply.Code, reply.Detail = code.Of(err)
+	if err == nil {
+		reply.Status = *status
+	}
+	return nil
+}
+
+// Cancel serves the call of that name.
+func (s *Server) Cancel(r *Request, reply *Outcome) error {
+	ctx, cancel := context.WithTimeout(s.ctx, serveTimeout)
+	defer cancel()
+	reply.Code, reply.Detail = code.Of(s.desk.CancelHere(ctx, r.At))
+	return nil
+}
+
+// NewPeers returns the peers of the VM of that name, as the book lists them.
+func NewPeers(name string, book *job.Book, advisor Advisor) *Peers {
+	return &Peers{name: name, book: book, advisor: advisor, conns: map[string]*conn{}}
+}
+
+// client returns a client for a member.
+func (p *Peers) client(m *job.Member) *peer.Client {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.conns[m.Name]
+	if c != nil && c.incarnation == m.Incarnation {
+		return c.client
+	}
+	if c != nil {
+		c.client.Close()
+	}
+	c = &conn{m.Incarnation, peer.NewClient(m.PeerAddr)}
+	p.conns[m.Name] = c
+	return c.client
+}
+
+// Advise asks the advisor by way of the VM of that name.
+func (p *Peers) Advise(ctx context.Context, through string, q *scheduler.AdviceQuery) ([]site.Ticket, error) {
+	if through == p.name {
+		return p.advisor.Advise(ctx, q.Job, q.Step, q.Workers)
+	}
+	m, listed := p.book.Members()[through]
+	if !listed {
+		return nil, peer.NotSent.New("%s is not listed any more", through)
+	}
+	var reply AdviceReply
+	if err := p.client(&m).Call(ctx, "Advise", q, &reply); err != nil {
+		return nil, err
+	}
+	return reply.Tickets, nil
+}
+
+// Submit passes a job on.
+func (p *Peers) Submit(ctx context.Context, at site.Address, draft *job.Submission) error {
+	_, err := p.pass(ctx, "Submit", &Request{At: at, Draft: draft})
+	return err
+}
+
+// Status passes a question on.
+func (p *Peers) Status(ctx context.Context, at site.Address) (*site.Status, error) {
+	out, err := p.pass(ctx, "Status", &Request{At: at})
+	if err != nil {
+		return nil, err
+	}
+	return &out.Status, nil
+}
+
+// Cancel passes a cancel on.
+func (p *Peers) Cancel(ctx context.Context, at site.Address) error {
+	_, err := p.pass(ctx, "Cancel", &Request{At: at})
+	return err
+}
+
+// pass tries other VMs until one has served the request. Requests on jobs are
+// idempotent, so one may be passed on again after a call without an answer.
+func (p *Peers) pass(ctx context.Context, method string, r *Request) (*Outcome, error) {
+	failure := site.ErrRefused.New("no other VM is known")
+	for _, m := range p.others() {
+		var out Outcome
+		err := p.call(ctx, &m, method, r, &out)
+		switch {
+		case err == nil && out.Code == code.OK:
+			return &out, nil
+		case err == nil && out.Code != code.LogDown && out.Code != code.NotReady && out.Code != code.AcceptUnknown:
+			return nil, code.New(out.Code, "%s", out.Detail)
+		case err == nil && out.Code == code.AcceptUnknown, err != nil && !peer.NotSent.Has(err):
+			failure = site.ErrUnknown.New("%s: %v %s", m.Name, err, out.Detail)
+		case !site.ErrUnknown.Has(failure):
+			failure = site.ErrRefused.New("%s: %v %s", m.Name, err, out.Detail)
+		}
+	}
+	return nil, failure
+}
+
+func (p *Peers) call(ctx context.Context, m *job.Member, method string, r *Request, out *Outcome) error {
+	ctx, cancel := context.WithTimeout(ctx, passTimeout)
+	defer cancel()
+	return p.client(m).Call(ctx, method, r, out)
+}
+
+// others returns some other VMs in no order.
+func (p *Peers) others() []job.Member {
+	var list []job.Member
+	for name, m := range p.book.Members() {
+		if name != p.name {
+			list = append(list, m)
+		}
+	}
+	rand.Shuffle(len(list), func(a, b int) { list[a], list[b] = list[b], list[a] })
+	return list[:min(passTries, len(list))]
+}
--- a/pollendockd/internal/peer/client.go
+++ b/pollendockd/internal/peer/client.go
@@ -56,30 +56,32 @@
 // Exchange implements Handler.
 func (c *Client) Exchange(ctx context.Context, r *ExchangeRequest) (*ExchangeReply, error) {
 	reply := &ExchangeReply{}
-	return reply, c.call(ctx, "Exchange", r, reply)
+	return reply, c.Call(ctx, "Exchange", r, reply)
 }
 
 // Lookup implements Handler.
 func (c *Client) Lookup(ctx context.Context, r *LookupRequest) (*LookupReply, error) {
 	r.Trace = traceOf(ctx)
 	reply := &LookupReply{}
-	return reply, c.call(ctx, "Lookup", r, reply)
+	return reply, c.Call(ctx, "Lookup", r, reply)
 }
 
 // Offer implements Handler.
 func (c *Client) Offer(ctx context.Context, r *OfferRequest) (*OfferReply, error) {
 	r.Trace = traceOf(ctx)
 	reply := &OfferReply{}
-	return reply, c.call(ctx, "Offer", r, reply)
+	return reply, c.Call(ctx, "Offer", r, reply)
 }
 
 // State implements Handler.
 func (c *Client) State(ctx context.Context, r *StateRequest) (*StateReply, error) {
 	reply := &StateReply{}
-	return reply, c.call(ctx, "State", r, reply)
+	return reply, c.Call(ctx, "State", r, reply)
 }
 
-func (c *Client) call(ctx context.Context, method string, in, out any) error {
+// Call calls a method of the peer. An error of class NotSent means that the
+// peer has not seen the call.
+func (c *Client) Call(ctx context.Context, method string, in, out any) error {
 	if _, bounded := ctx.Deadline(); !bounded {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, callTimeout)
--- a/pollendockd/internal/peer/server.go
+++ b/pollendockd/internal/peer/server.go
@@ -31,8 +31,14 @@
 
 // NewServer returns a server on ln whose calls run under ctx.
 func NewServer(ctx context.Context, ln net.Listener, h Handler) (*Server, error) {
+	return NewServerOf(ln, &adapter{ctx: ctx, h: h})
+}
+
+// NewServerOf returns a server on ln that serves the methods of receiver, which
+// have the shape that net/rpc asks for.
+func NewServerOf(ln net.Listener, receiver any) (*Server, error) {
 	s := &Server{ln: ln, rpc: rpc.NewServer(), conns: map[net.Conn]bool{}}
-	if err := s.rpc.RegisterName("Peer", &adapter{ctx: ctx, h: h}); err != nil {
+	if err := s.rpc.RegisterName("Peer", receiver); err != nil {
 		return nil, Class.Wrap(err)
 	}
 	return s, nil
--- /dev/null
+++ b/pollendockd/internal/scheduler/advice.go
@@ -0,0 +1,238 @@
+package scheduler
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"pollendock.example/cell/site"
+)
+
+type (
+	// adviceDesk has queries answered by way of the entry VMs, one at a time
+	// through each, since the advisor serves a VM's calls in turn.
+	adviceDesk struct {
+		queries []*query
+		through map[string]*channel
+	}
+
+	// channel is an entry VM by way of which the advisor is asked.
+	channel struct {
+		busy bool
+		slow bool
+		// restUntil is set after a failure.
+		restUntil time.Time
+		rest      time.Duration
+	}
+
+	// query is one question, and how long its answer should take.
+	query struct {
+		w        *work
+		step     int
+		workers  []string
+		boots    map[string]int64
+		takes    time.Duration
+		valid    time.Duration
+		priority int
+		askedAt  time.Time
+	}
+
+	// stepAdvice is what the advisor has said of a step.
+	stepAdvice struct {
+		asking bool
+		// tickets are for workers that may run the step; refused workers may
+		// not, in any life.
+		tickets map[string]ticket
+		refused map[string]bool
+	}
+
+	// ticket lets the step run in one life of a worker, until a time.
+	ticket struct {
+		text  string
+		boot  int64
+		until time.Time
+	}
+
+	adviceDone struct {
+		l       *leadership
+		q       *query
+		through string
+		tickets []site.Ticket
+		err     error
+	}
+
+	// learned is what past queries of a queue have shown.
+	learned struct {
+		asked, good float64
+	}
+)
+
+const (
+	// ticketMargin is taken off a ticket's life for the way of the order.
+	ticketMargin = 250 * time.Millisecond
+	// adviceSlack is how much longer than expected an answer may take.
+	adviceSlack = 900 * time.Millisecond
+	// slowQuery marks queries that may not take all VMs, so that quick ones
+	// need not wait behind them.
+	slowQuery = 300 * time.Millisecond
+	// quickChannels VMs are kept free of slow queries.
+	quickChannels = 2
+	adviceRest    = time.Second
+	maxAdviceRest = 20 * time.Second
+	// maxNamed bounds the workers in a query.
+	maxNamed = 100
+	// likelyGood is taken as the part of workers that may run a step before a
+	// queue has shown its own, counted as likelyWeight workers.
+	likelyGood   = 0.5
+	likelyWeight = 8
+	// learnedLimit bounds the workers that the past counts as.
+	learnedLimit = 400
+)
+
+func (d *adviceDesk) init() {
+	d.through = map[string]*channel{}
+}
+
+// sound reports whether the VM answered its last query.
+func (d *adviceDesk) sound(name string, now time.Time) bool {
+	c := d.through[name]
+	return c == nil || !now.Before(c.restUntil)
+}
+
+// part is the expected part of workers that may run a step of the queue.
+func (k *learned) part() float64 {
+	return (k.good + likelyGood*likelyWeight) / (k.asked + likelyWeight)
+}
+
+func (l *leadership) learnedOf(queue string) *learned {
+	k := l.learned[queue]
+	if k == nil {
+		k = &learned{}
+		l.learned[queue] = k
+	}
+	return k
+}
+
+func (w *work) adviceOf(step int) *stepAdvice {
+	if w.advice[step] == nil {
+		w.advice[step] = &stepAdvice{tickets: map[string]ticket{}, refused: map[string]bool{}}
+	}
+	return w.advice[step]
+}
+
+func (w *work) dropTicket(step int, worker string) {
+	delete(w.adviceOf(step).tickets, worker)
+}
+
+// ask queues a query about workers of which the step may need some.
+func (l *leadership) ask(w *work, step int, workers []*worker, a *site.Advice, now time.Time) {
+	if len(workers) > maxNamed {
+		workers = workers[:maxNamed]
+	}
+	q := &query{
+		w: w, step: step, priority: w.sub.Priority, boots: map[string]int64{}, valid: a.Valid,
+		takes: a.Base + time.Duration(len(workers))*a.PerUpstream, askedAt: now,
+	}
+	for _, at := range workers {
+		q.workers = append(q.workers, at.id)
+		q.boots[at.id] = at.boot
+	}
+	w.adviceOf(step).asking = true
+	l.advice.queries = append(l.advice.queries, q)
+	sort.SliceStable(l.advice.queries, func(a, b int) bool {
+		return l.advice.queries[a].priority < l.advice.queries[b].priority
+	})
+	l.sendQueries(now)
+}
+
+// sendQueries gives waiting queries to the VMs that are free.
+func (l *leadership) sendQueries(now time.Time) {
+	d := &l.advice
+	members := l.s.deps.Book.Members()
+	names := make([]string, 0, len(members))
+	slow := 0
+	for name := range members {
+		c := d.through[name]
+		if c == nil {
+			c = &channel{}
+			d.through[name] = c
+		}
+		if c.busy && c.slow {
+			slow++
+		}
+		if !c.busy && !now.Before(c.restUntil) {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	var waiting []*query
+	for _, q := range d.queries {
+		isSlow := q.takes >= slowQuery
+		switch {
+		case q.w.state.Phase.Final():
+			q.w.adviceOf(q.step).asking = false
+		case len(names) == 0 || isSlow && slow >= len(members)-quickChannels && slow > 0:
+			waiting = append(waiting, q)
+		default:
+			if isSlow {
+				slow++
+			}
+			l.sendQuery(q, names[0], isSlow)
+			names = names[1:]
+		}
+	}
+	d.queries = waiting
+}
+
+func (l *leadership) sendQuery(q *query, through string, slow bool) {
+	c := l.advice.through[through]
+	c.busy = true
+	c.slow = slow
+	l.spawn(func(ctx context.Context) event {
+		ctx, cancel := context.WithTimeout(ctx, q.takes+adviceSlack)
+		defer cancel()
+		tickets, err := l.s.deps.Advisor.Advise(ctx, through, &AdviceQuery{Job: q.w.id, Step: q.step, Workers: q.workers})
+		return adviceDone{l, q, through, tickets, err}
+	})
+}
+
+func (e adviceDone) handle(s *Scheduler) {
+	l, q := e.l, e.q
+	if !l.current() {
+		return
+	}
+	now := time.Now()
+	c := l.advice.through[e.through]
+	c.busy = false
+	l.place = true
+	defer l.sendQueries(now)
+	if e.err != nil {
+		c.rest = min(max(2*c.rest, adviceRest), maxAdviceRest)
+		c.restUntil = now.Add(c.rest)
+		_ = level.Warn(s.deps.Logger).Log("msg", "no advice", "job", q.w.id, "step", q.step, "through", e.through, "err", e.err)
+		l.advice.queries = append([]*query{q}, l.advice.queries...)
+		return
+	}
+	c.rest = 0
+	advice := q.w.adviceOf(q.step)
+	advice.asking = false
+	for _, id := range q.workers {
+		advice.refused[id] = true
+	}
+	for _, t := range e.tickets {
+		delete(advice.refused, t.Upstream)
+		advice.tickets[t.Upstream] = ticket{t.Ticket, q.boots[t.Upstream], now.Add(q.valid - ticketMargin)}
+	}
+	k := l.learnedOf(q.w.sub.Queue)
+	k.asked += float64(len(q.workers))
+	k.good += float64(len(e.tickets))
+	if k.asked > learnedLimit {
+		k.good *= learnedLimit / k.asked
+		k.asked = learnedLimit
+	}
+	s.deps.Counts.Time("advice", now.Sub(q.askedAt))
+	_ = level.Debug(s.deps.Logger).Log("msg", "advised", "job", q.w.id, "step", q.step, "through", e.through,
+		"asked", len(q.workers), "good", len(e.tickets), "tookMs", now.Sub(q.askedAt).Milliseconds())
+}
--- /dev/null
+++ b/pollendockd/internal/scheduler/flush.go
@@ -0,0 +1,214 @@
+package scheduler
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"pollendock.example/cell/job"
+	"pollendock.example/cell/site"
+)
+
+type (
+	// flushState is what waits to become durable, and the append under way.
+	flushState struct {
+		dirty []*work
+		// starts are planned runs whose order follows the append.
+		starts []*run
+		busy   bool
+		// last is set for the append that ends the term.
+		last bool
+		// urgent asks for an append without anything to write.
+		urgent  bool
+		sentAt  time.Time
+		ackedAt time.Time
+		failing bool
+		// forget lists jobs whose records are to be removed.
+		forget []string
+	}
+
+	// batch is one append with what follows it.
+	batch struct {
+		entries []site.Entry
+		starts  []*run
+		// noted holds, for each worker, the number of the last end whose
+		// outcome is in the batch.
+		noted map[*worker]noted
+		final bool
+	}
+
+	// noted is an end's number in one life of a worker.
+	noted struct {
+		boot   int64
+		number int64
+	}
+
+	appendDone struct {
+		l   *leadership
+		b   *batch
+		err error
+	}
+)
+
+const (
+	// appendGap groups what happens meanwhile into one append.
+	appendGap     = 12 * time.Millisecond
+	appendTimeout = 800 * time.Millisecond
+	appendRetry   = 60 * time.Millisecond
+	// maxBatchJobs bounds the size of an append.
+	maxBatchJobs = 400
+)
+
+func (f *flushState) init(now time.Time) {
+	f.ackedAt = now
+}
+
+// flushIfDue appends what has changed, or a sign of life.
+func (l *leadership) flushIfDue(now time.Time) {
+	f := &l.flush
+	if f.busy || f.last {
+		return
+	}
+	work := len(f.dirty) > 0 || len(f.forget) > 0
+	switch {
+	case l.handedOver != nil:
+	case work && now.Sub(f.sentAt) >= appendGap:
+	case now.Sub(f.sentAt) >= heartbeatGap:
+	default:
+		return
+	}
+	b, err := l.makeBatch()
+	if err != nil {
+		_ = level.Error(l.s.deps.Logger).Log("msg", "state cannot be encoded", "err", err)
+		l.s.endLeadership("state cannot be encoded")
+		return
+	}
+	l.send(b)
+}
+
+func (l *leadership) makeBatch() (*batch, error) {
+	f := &l.flush
+	b := &batch{noted: map[*worker]noted{}}
+	n := min(len(f.dirty), maxBatchJobs)
+	for _, w := range f.dirty[:n] {
+		w.dirty = false
+		e, err := job.StateEntry(w.id, w.state)
+		if err != nil {
+			return nil, err
+		}
+		b.entries = append(b.entries, e)
+	}
+	f.dirty = f.dirty[n:]
+	for _, id := range f.forget {
+		b.entries = append(b.entries, job.ForgetEntries(id)...)
+	}
+	f.forget = nil
+	if len(f.dirty) == 0 {
+		b.starts, f.starts = f.starts, nil
+		for _, at := range l.workers {
+			b.noted[at] = noted{at.boot, at.seen}
+		}
+	}
+	if l.handedOver != nil && len(f.dirty) == 0 {
+		b.final = true
+		f.last = true
+		e, err := job.LeaderEntry(&job.Leader{Epoch: l.term.Epoch, Successor: l.successor()})
+		if err != nil {
+			return nil, err
+		}
+		b.entries = append(b.entries, e)
+	}
+	if len(b.entries) == 0 {
+		e, err := job.LeaderEntry(&job.Leader{Epoch: l.term.Epoch, Incarnation: l.s.opt.Incarnation})
+		if err != nil {
+			return nil, err
+		}
+		b.entries = append(b.entries, e)
+	}
+	return b, nil
+}
+
+func (l *leadership) send(b *batch) {
+	f := &l.flush
+	f.busy = true
+	f.sentAt = time.Now()
+	term := l.term
+	l.spawn(func(ctx context.Context) event {
+		ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+		defer cancel()
+		_, err := l.s.deps.Stream.AppendAs(ctx, term, b.entries)
+		return appendDone{l, b, err}
+	})
+}
+
+func (e appendDone) handle(s *Scheduler) {
+	l := e.l
+	if !l.current() {
+		return
+	}
+	f := &l.flush
+	now := time.Now()
+	switch {
+	case e.err == nil:
+		s.deps.Counts.Time("append", now.Sub(f.sentAt))
+		f.busy = false
+		f.ackedAt = now
+		l.term.Sequence++
+		if f.failing {
+			f.failing = false
+			_ = level.Info(s.deps.Logger).Log("msg", "stream takes appends again", "sequence", l.term.Sequence)
+		}
+		l.durable(e.b)
+	case site.ErrFenced.Has(e.err):
+		s.endLeadership("a later term has begun")
+	default:
+		if !f.failing {
+			f.failing = true
+			_ = level.Warn(s.deps.Logger).Log("msg", "append failed, repeating it", "sequence", l.term.Sequence, "err", e.err)
+		}
+		s.deps.Counts.Count("append_failures", 1)
+		l.spawn(func(ctx context.Context) event {
+			pause(ctx, appendRetry)
+			return appendAgain{l, e.b}
+		})
+	}
+}
+
+type appendAgain struct {
+	l *leadership
+	b *batch
+}
+
+// handle repeats an append as it was, under its own sequence number, so that it
+// takes effect once whether or not an earlier one did.
+func (e appendAgain) handle(*Scheduler) {
+	if e.l.current() {
+		e.l.send(e.b)
+	}
+}
+
+// durable does what waited for the append.
+func (l *leadership) durable(b *batch) {
+	for at, n := range b.noted {
+		if at.boot == n.boot {
+			at.acked = max(at.acked, n.number)
+		}
+	}
+	if b.final {
+		l.s.endLeadership("handed over")
+		return
+	}
+	for _, r := range b.starts {
+		l.order(r)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/pollendockd/internal/scheduler/order.go
@@ -0,0 +1,154 @@
+package scheduler
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"pollendock.example/cell/site"
+)
+
+type (
+	startDone struct {
+		l   *leadership
+		r   *run
+		err error
+	}
+
+	stopDone struct {
+		l   *leadership
+		r   *run
+		err error
+	}
+)
+
+const (
+	startTimeout = 600 * time.Millisecond
+	stopTimeout  = 500 * time.Millisecond
+	stopRetry    = 200 * time.Millisecond
+	// restAfterRefusal keeps new runs away from a worker that refused one.
+	restAfterRefusal = 500 * time.Millisecond
+)
+
+// order starts a run whose dispatch is durable.
+func (l *leadership) order(r *run) {
+	if r.stopWanted {
+		l.endRun(r, site.NotRun, "ended before its order was sent")
+		return
+	}
+	now := time.Now()
+	o := &site.StartOrder{
+		Task: r.task, Run: r.number, Spec: r.w.sub.Spec, Token: l.term.Epoch, Ticket: r.ticket,
+		LeaseEnd: l.nextLease(r.at, now), Checkpoint: r.w.checkpoints[r.w.checkpointKey(r.task)],
+	}
+	r.stage = starting
+	r.sentAt = now
+	client := r.at.client
+	l.spawn(func(ctx context.Context) event {
+		ctx, cancel := context.WithTimeout(ctx, startTimeout)
+		defer cancel()
+		_, err := client.Start(ctx, o)
+		return startDone{l, r, err}
+	})
+}
+
+func (e startDone) handle(s *Scheduler) {
+	l, r := e.l, e.r
+	if !l.current() || r.at.runs[r.key()] != r {
+		return
+	}
+	now := time.Now()
+	s.deps.Counts.Time("start", now.Sub(r.sentAt))
+	var refusal *site.OrderError
+	switch {
+	case e.err == nil:
+		l.logRun(r, "run started", "answerMs", now.Sub(r.sentAt).Milliseconds())
+		if r.stage == starting {
+			r.stage = running
+			r.confirmedAt = now
+			r.settledAfter = now
+		}
+		if !r.at.holdBusy {
+			r.at.holdAt = now
+		}
+	case errors.As(e.err, &refusal):
+		l.startRefused(r, now, refusal)
+	case r.stage == starting:
+		l.logRun(r, "start without an answer", "err", e.err)
+		r.stage = unsettled
+		l.look(r.at, now)
+	}
+}
+
+// startRefused handles an order that was certainly not carried out.
+func (l *leadership) startRefused(r *run, now time.Time, refusal *site.OrderError) {
+	l.s.deps.Counts.Count("refused_"+refusal.Reason.String(), 1)
+	switch refusal.Reason {
+	case site.RefusedFenced:
+		l.s.endLeadership("a worker has orders of a later term")
+		return
+	case site.RefusedTicket:
+		r.w.dropTicket(r.task.Step, r.at.id)
+	case site.RefusedOld, site.RefusedLate:
+	default:
+		r.at.restUntil = later(r.at.restUntil, now.Add(restAfterRefusal))
+	}
+	l.endRun(r, site.NotRun, refusal.Error())
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// tickRuns sends the stops that are due.
+func (l *leadership) tickRuns(at *worker, now time.Time) {
+	for _, r := range at.runs {
+		if !r.stopWanted || r.stopped || r.stopBusy || now.Before(r.stopAt) {
+			continue
+		}
+		if r.stage == planned || r.stage == starting {
+			continue
+		}
+		l.stop(r)
+	}
+}
+
+func (l *leadership) stop(r *run) {
+	r.stopBusy = true
+	o := &site.StopOrder{Task: r.task, Run: r.number, Token: l.term.Epoch}
+	client := r.at.client
+	l.spawn(func(ctx context.Context) event {
+		ctx, cancel := context.WithTimeout(ctx, stopTimeout)
+		defer cancel()
+		_, err := client.Stop(ctx, o)
+		return stopDone{l, r, err}
+	})
+}
+
+func (e stopDone) handle(s *Scheduler) {
+	l, r := e.l, e.r
+	if !l.current() || r.at.runs[r.key()] != r {
+		return
+	}
+	now := time.Now()
+	r.stopBusy = false
+	var refusal *site.OrderError
+	switch {
+	case e.err == nil:
+		r.stopped = true
+		r.stoppedAt = now
+		l.logRun(r, "run stopped")
+		if r.stage == unsettled {
+			r.settledAfter = now
+			l.look(r.at, now)
+		}
+	case errors.As(e.err, &refusal) && refusal.Reason == site.RefusedFenced:
+		s.endLeadership("a worker has orders of a later term")
+	default:
+		l.logRun(r, "stop not confirmed", "err", e.err)
+		r.stopAt = now.Add(stopRetry)
+	}
+}
--- /dev/null
+++ b/pollendockd/internal/scheduler/place.go
@@ -0,0 +1,294 @@
+package scheduler
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"pollendock.example/cell/job"
+	"pollendock.example/cell/placement"
+	"pollendock.example/cell/resource"
+	"pollendock.example/cell/site"
+)
+
+type (
+	// waitingStep is a step of which tasks may be placed now.
+	waitingStep struct {
+		w     *work
+		step  int
+		tasks []int
+		over  bool
+	}
+)
+
+const (
+	// placeGap is the least time between two passes.
+	placeGap = 4 * time.Millisecond
+	// bookLimit is how old the last reading of the records may be for new
+	// starts, so that a cancel is known.
+	bookLimit = 1500 * time.Millisecond
+	// spareCandidates widens queries beyond what should just suffice.
+	spareCandidates = 1.6
+	leastCandidates = 4
+)
+
+// placeAll decides on the waiting tasks of all jobs, in the order in which they
+// are to be served.
+func (l *leadership) placeAll(now time.Time) {
+	if l.handedOver != nil || l.flush.failing || now.Sub(l.s.listedAt) > listLimit || !l.s.deps.Follower.Fresh(bookLimit) {
+		return
+	}
+	catalog := l.s.deps.Catalog()
+	if catalog == nil {
+		return
+	}
+	for _, ws := range l.waitingSteps() {
+		l.placeStep(catalog, ws, now)
+	}
+}
+
+func (l *leadership) waitingSteps() []*waitingStep {
+	var steps []*waitingStep
+	for _, w := range l.works {
+		if w.state.Phase.Final() {
+			continue
+		}
+		for step := range w.state.Steps {
+			if tasks := w.waitingTasks(step); len(tasks) > 0 && w.state.Ready(w.sub, step) {
+				steps = append(steps, &waitingStep{w: w, step: step, tasks: tasks})
+			}
+		}
+	}
+	sort.Slice(steps, func(a, b int) bool { return before(steps[a], steps[b]) })
+	return steps
+}
+
+// before orders steps by the priority of their queue and then by age.
+func before(a, b *waitingStep) bool {
+	if a.w.sub.Priority != b.w.sub.Priority {
+		return a.w.sub.Priority < b.w.sub.Priority
+	}
+	if a.w.order != b.w.order {
+		return a.w.order < b.w.order
+	}
+	return a.step < b.step
+}
+
+// waitingTasks returns the tasks of a step that are to be started; of a gang
+// all or none.
+func (w *work) waitingTasks(step int) []int {
+	var tasks []int
+	for i := range w.state.Steps[step] {
+		if w.state.Steps[step][i].Status == job.Waiting {
+			tasks = append(tasks, i)
+		}
+	}
+	if w.sub.Steps[step].Gang && len(tasks) < len(w.state.Steps[step]) {
+		return nil
+	}
+	return tasks
+}
+
+func (l *leadership) placeStep(catalog *site.Catalog, ws *waitingStep, now time.Time) {
+	w := ws.w
+	spec := &w.sub.Steps[ws.step]
+	service, advice := w.sub.Service, (*site.Advice)(nil)
+	if q := catalog.Queue(w.sub.Queue); q != nil {
+		service, advice = q.Service, q.Advice
+	}
+	if l.s.deps.Advisor == nil {
+		advice = nil
+	}
+	need := placement.Need{
+		Count: min(len(ws.tasks), l.withinLimit(catalog.Team(w.sub.Team), w.sub.Team, spec.Size, len(ws.tasks))),
+		Size:  spec.Size, Gang: spec.Gang, OneRack: spec.OneRack, Rack: spec.Rack, PerWorker: spec.PerWorker,
+	}
+	if need.Count == 0 || spec.Gang && need.Count < len(ws.tasks) {
+		return
+	}
+	rooms, candidates := l.rooms(ws, need, service, advice, now)
+	chosen := placement.Choose(need, rooms)
+	for i, id := range chosen {
+		l.plan(ws, ws.tasks[i], l.workers[id], now)
+	}
+	if advice != nil && len(chosen) < need.Count {
+		need.Count -= len(chosen)
+		l.considerAsking(ws, need, candidates, rooms, advice, now)
+	}
+}
+
+// withinLimit returns how many of n tasks the team's limit allows.
+func (l *leadership) withinLimit(team *site.Team, name string, size resource.Vector, n int) int {
+	if team == nil {
+		return n
+	}
+	left := team.Limit.Sub(l.teamUse[name])
+	for _, c := range []struct{ limit, left, size int64 }{
+		{team.Limit.MilliCPU, left.MilliCPU, size.MilliCPU},
+		{team.Limit.MemoryMB, left.MemoryMB, size.MemoryMB},
+		{team.Limit.Accelerators, left.Accelerators, size.Accelerators},
+	} {
+		if c.limit > 0 && c.size > 0 {
+			n = min(n, int(max(0, c.left)/c.size))
+		}
+	}
+	return n
+}
+
+// rooms returns the workers on which tasks of the step may be placed now, and
+// those with room about which the advisor has to be asked first.
+func (l *leadership) rooms(ws *waitingStep, need placement.Need, service string, advice *site.Advice, now time.Time) ([]placement.Room, []*worker) {
+	spec := &ws.w.sub.Steps[ws.step]
+	var rooms []placement.Room
+	var candidates []*worker
+	var said *stepAdvice
+	if advice != nil {
+		said = ws.w.adviceOf(ws.step)
+	}
+	for _, at := range l.workers {
+		if !at.usable(now) || at.up.Service != service || !at.up.HasLabel(spec.Label) {
+			continue
+		}
+		free := at.free()
+		if !need.Size.Fits(free) || said != nil && said.refused[at.id] {
+			continue
+		}
+		if said != nil && !said.allows(at, now) {
+			candidates = append(candidates, at)
+			continue
+		}
+		rooms = append(rooms, placement.Room{
+			Worker: at.id, Rack: at.up.Rack, Free: free, Tasks: l.tasksThere(at, ws, spec), Doubtful: l.doubtful(ws, at),
+		})
+	}
+	return rooms, candidates
+}
+
+func (a *stepAdvice) allows(at *worker, now time.Time) bool {
+	t, known := a.tickets[at.id]
+	return known && t.boot == at.boot && now.Before(t.until)
+}
+
+// tasksThere counts the tasks of the step that a worker has, where that matters.
+func (l *leadership) tasksThere(at *worker, ws *waitingStep, spec *job.Step) int {
+	if spec.PerWorker == 0 {
+		return 0
+	}
+	n := 0
+	for key := range at.runs {
+		if key.task.Job == ws.w.id && key.task.Step == ws.step {
+			n++
+		}
+	}
+	return n
+}
+
+// doubtful reports whether a task of the step has failed at the worker, or the
+// worker's last run failed.
+func (l *leadership) doubtful(ws *waitingStep, at *worker) bool {
+	if at.failures > 0 {
+		return true
+	}
+	for name, id := range ws.w.avoid {
+		if id == at.id && name.Step == ws.step {
+			return true
+		}
+	}
+	return false
+}
+
+// plan binds a task to a worker. The order follows once that is durable.
+func (l *leadership) plan(ws *waitingStep, index int, at *worker, now time.Time) {
+	w := ws.w
+	t := &w.state.Steps[ws.step][index]
+	t.Status = job.Dispatched
+	t.Run = l.nextRun(w, ws.step, index)
+	t.Worker = at.id
+	t.Boot = at.boot
+	r := &run{
+		task: site.TaskName{Job: w.id, Step: ws.step, Index: index}, number: t.Run, w: w, stage: planned, decidedAt: now,
+	}
+	if a := w.advice[ws.step]; a != nil {
+		r.ticket = a.tickets[at.id].text
+	}
+	l.bind(r, at)
+	if !w.state.Begun {
+		w.state.Begun = true
+		l.s.deps.Counts.Time("wait_"+w.sub.Queue, now.Sub(w.sub.AcceptedAt))
+	}
+	if w.state.Phase == job.Queued {
+		w.state.Phase = job.Running
+	}
+	l.touch(w)
+	l.flush.starts = append(l.flush.starts, r)
+	l.logRun(r, "run decided", "free", at.free())
+}
+
+// nextRun numbers the next start of a task. The members of a gang share it.
+func (l *leadership) nextRun(w *work, step, index int) int64 {
+	tasks := w.state.Steps[step]
+	if !w.sub.Steps[step].Gang {
+		return tasks[index].Run + 1
+	}
+	if index > 0 {
+		// The first member was planned just before, with the gang's number.
+		return tasks[0].Run
+	}
+	highest := int64(0)
+	for i := range tasks {
+		highest = max(highest, tasks[i].Run)
+	}
+	return highest + 1
+}
+
+// considerAsking asks about as many workers as should suffice for the tasks
+// that are left, if they have the room.
+func (l *leadership) considerAsking(ws *waitingStep, need placement.Need, candidates []*worker, rooms []placement.Room, a *site.Advice, now time.Time) {
+	said := ws.w.adviceOf(ws.step)
+	if said.asking || len(candidates) == 0 {
+		return
+	}
+	part := l.learnedOf(ws.w.sub.Queue).part()
+	sort.Slice(candidates, func(i, j int) bool {
+		knownI, knownJ := said.known(candidates[i]), said.known(candidates[j])
+		if knownI != knownJ {
+			return knownI
+		}
+		if candidates[i].used.MilliCPU != candidates[j].used.MilliCPU {
+			return candidates[i].used.MilliCPU < candidates[j].used.MilliCPU
+		}
+		return candidates[i].id < candidates[j].id
+	})
+	expected := 0.0
+	if need.Gang {
+		for i := range rooms {
+			expected += float64(placement.Fit(need, &rooms[i]))
+		}
+	}
+	wanted := float64(need.Count) * spareCandidates
+	n := 0
+	for n < len(candidates) && (expected < wanted || n < leastCandidates) {
+		at := candidates[n]
+		room := placement.Room{Free: at.free()}
+		fit := float64(placement.Fit(need, &room))
+		if said.known(at) {
+			expected += fit
+		} else {
+			expected += fit * part
+		}
+		n++
+	}
+	if need.Gang && expected < float64(need.Count)*math.Min(1, part+0.3) {
+		// Even with luck the gang would not fit; the answer would be stale by
+		// the time there is room.
+		return
+	}
+	l.ask(ws.w, ws.step, candidates[:n], a, now)
+}
+
+// known reports whether the step may run at the worker, once the ticket has
+// been renewed.
+func (a *stepAdvice) known(at *worker) bool {
+	_, known := a.tickets[at.id]
+	return known
+}
--- /dev/null
+++ b/pollendockd/internal/scheduler/term.go
@@ -0,0 +1,248 @@
+package scheduler
+
+import (
+	"context"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-kit/log/level"
+
+	"pollendock.example/cell/job"
+	"pollendock.example/cell/resource"
+	"pollendock.example/cell/site"
+)
+
+type (
+	// leadership is what the leader knows during its term.
+	leadership struct {
+		s      *Scheduler
+		ctx    context.Context
+		cancel context.CancelFunc
+		since  time.Time
+		term   site.Term
+
+		works   map[string]*work
+		workers map[string]*worker
+		// teamUse is what runs of each team hold, stopping ones included.
+		teamUse map[string]resource.Vector
+
+		flush   flushState
+		advice  adviceDesk
+		placeAt time.Time
+		place   bool
+		learned map[string]*learned
+		// handedOver is closed once the leadership has been given up.
+		handedOver chan struct{}
+	}
+
+	campaignDone struct {
+		epoch int64
+		won   bool
+		err   error
+	}
+)
+
+const (
+	// epochStep parts the epochs of terms; the rest is drawn at random, so that
+	// two VMs that stand at the same time rarely choose the same.
+	epochStep = 1 << 10
+	// silenceLimit is how long a leader may append nothing before others stand.
+	silenceLimit = 1200 * time.Millisecond
+	// resignedLimit is the same after the leader has stepped down and its
+	// successor has not begun.
+	resignedLimit = 400 * time.Millisecond
+	// standGap and standSlots part the VMs that stand, so that one wins.
+	standGap   = 120 * time.Millisecond
+	standSlots = 8
+	// freshLimit is how new the last answer of the stream must be to judge a
+	// leader's silence.
+	freshLimit      = 900 * time.Millisecond
+	campaignTimeout = time.Second
+	// heartbeatGap is the longest time without an append of the leader.
+	heartbeatGap = 400 * time.Millisecond
+	// withoutStream is how long a leader goes on without a successful append.
+	// It renews leases all that time, as the stream may be away for all.
+	withoutStream = 10 * time.Second
+)
+
+// considerCampaign stands for leadership if no leader is heard of.
+func (s *Scheduler) considerCampaign() {
+	if s.campaigning || s.stopping || !s.deps.Follower.Loaded() || !s.deps.Follower.Fresh(freshLimit) {
+		return
+	}
+	l, _ := s.deps.Book.Leader()
+	if l.Incarnation == s.opt.Incarnation && l.Epoch == s.campaign && s.campaign > 0 {
+		// The record of a campaign without an answer has taken effect.
+		s.beginLeadership(l.Epoch)
+		return
+	}
+	silence := s.deps.Follower.LeaderSilence()
+	slot := time.Duration(xxhash.Sum64String(s.opt.Incarnation)%standSlots) * standGap
+	limit := silenceLimit + slot
+	if l.Incarnation == "" {
+		limit = resignedLimit + slot
+		if l.Epoch == 0 {
+			limit = slot
+		}
+		if l.Successor == s.opt.Incarnation {
+			limit = 0
+		}
+	}
+	if silence < limit {
+		return
+	}
+	s.stand(l, silence)
+}
+
+// stand appends the record of a new term. The highest epoch wins; it is known
+// to have won once the book shows it.
+func (s *Scheduler) stand(l job.Leader, silence time.Duration) {
+	epoch := (l.Epoch/epochStep+1)*epochStep + rand.Int64N(epochStep)
+	s.campaign = epoch
+	s.campaigning = true
+	_ = level.Info(s.deps.Logger).Log("msg", "standing for leadership", "epoch", epoch,
+		"lastEpoch", l.Epoch, "lastLeader", l.Incarnation, "silenceMs", silence.Milliseconds())
+	go func() {
+		ctx, cancel := context.WithTimeout(s.ctx, campaignTimeout)
+		defer cancel()
+		won, err := s.runCampaign(ctx, epoch)
+		s.post(campaignDone{epoch, won, err})
+	}()
+}
+
+func (s *Scheduler) runCampaign(ctx context.Context, epoch int64) (bool, error) {
+	e, err := job.LeaderEntry(&job.Leader{Epoch: epoch, Incarnation: s.opt.Incarnation})
+	if err != nil {
+		return false, err
+	}
+	if _, err := s.deps.Stream.AppendAs(ctx, site.Term{Epoch: epoch}, []site.Entry{e}); err != nil {
+		return false, err
+	}
+	if err := s.deps.Follower.Sync(ctx); err != nil {
+		return false, err
+	}
+	l, _ := s.deps.Book.Leader()
+	return l.Epoch == epoch && l.Incarnation == s.opt.Incarnation, nil
+}
+
+func (e campaignDone) handle(s *Scheduler) {
+	s.campaigning = false
+	_ = level.Info(s.deps.Logger).Log("msg", "campaign ended", "epoch", e.epoch, "won", e.won, "err", e.err)
+	if e.won && s.lead == nil && !s.stopping {
+		s.beginLeadership(e.epoch)
+	}
+}
+
+// beginLeadership starts from what the book says. The book holds all appends of
+// earlier terms, since the stream has refused them since the record of this one.
+func (s *Scheduler) beginLeadership(epoch int64) {
+	now := time.Now()
+	ctx, cancel := context.WithCancel(s.ctx)
+	l := &leadership{
+		s: s, ctx: ctx, cancel: cancel, since: now,
+		term:    site.Term{Epoch: epoch, Sequence: 1},
+		works:   map[string]*work{},
+		workers: map[string]*worker{},
+		teamUse: map[string]resource.Vector{},
+		learned: map[string]*learned{},
+		place:   true,
+	}
+	l.flush.init(now)
+	l.advice.init()
+	s.lead = l
+	s.deps.Follower.SetEager(true)
+	for _, id := range s.deps.Book.IDs() {
+		l.readJob(id)
+	}
+	_ = level.Info(s.deps.Logger).Log("msg", "leading", "epoch", epoch, "jobs", len(l.works), "next", s.deps.Book.Next())
+	s.deps.Counts.Count("terms", 1)
+	for i := range s.upstreams {
+		l.noteUpstream(&s.upstreams[i])
+	}
+	l.tick(now)
+}
+
+// endLeadership drops all that belongs to the term.
+func (s *Scheduler) endLeadership(why string) {
+	l := s.lead
+	if l == nil {
+		return
+	}
+	s.lead = nil
+	l.cancel()
+	s.deps.Follower.SetEager(false)
+	_ = level.Warn(s.deps.Logger).Log("msg", "no longer leading", "epoch", l.term.Epoch, "why", why,
+		"ledMs", time.Since(l.since).Milliseconds())
+	if l.handedOver != nil {
+		close(l.handedOver)
+	}
+}
+
+// handOver names a successor in the last append of the term.
+func (l *leadership) handOver(done chan struct{}) {
+	if l.handedOver != nil {
+		close(done)
+		return
+	}
+	l.handedOver = done
+	l.flush.urgent = true
+}
+
+// successor returns the incarnation of another member, one that answered its
+// last query if there is one.
+func (l *leadership) successor() string {
+	members := l.s.deps.Book.Members()
+	names := make([]string, 0, len(members))
+	for name := range members {
+		if name != l.s.opt.Name {
+			names = append(names, name)
+		}
+	}
+	if len(names) == 0 {
+		return ""
+	}
+	sort.Strings(names)
+	rand.Shuffle(len(names), func(a, b int) { names[a], names[b] = names[b], names[a] })
+	for _, name := range names {
+		if l.advice.sound(name, time.Now()) {
+			return members[name].Incarnation
+		}
+	}
+	return members[names[0]].Incarnation
+}
+
+// current reports whether an event belongs to the present term.
+func (l *leadership) current() bool {
+	return l.s.lead == l
+}
+
+// spawn runs fn on a goroutine of its own and posts the event that it returns.
+func (l *leadership) spawn(fn func(ctx context.Context) event) {
+	go func() {
+		if e := fn(l.ctx); e != nil {
+			l.s.post(e)
+		}
+	}()
+}
+
+func (l *leadership) tick(now time.Time) {
+	if now.Sub(l.flush.ackedAt) > withoutStream {
+		l.s.endLeadership("the stream took no append for too long")
+		return
+	}
+	l.s.pollUpstreams(now)
+	l.tickWorkers(now)
+	l.place = true
+}
+
+// step decides after events.
+func (l *leadership) step(now time.Time) {
+	if l.place && now.Sub(l.placeAt) >= placeGap {
+		l.placeAt = now
+		l.place = false
+		l.placeAll(now)
+	}
+	l.flushIfDue(now)
+}
--- /dev/null
+++ b/pollendockd/internal/scheduler/worker.go
@@ -0,0 +1,469 @@
+package scheduler
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"pollendock.example/cell/resource"
+	"pollendock.example/cell/site"
+)
+
+type (
+	// worker is what the leader knows of an upstream.
+	worker struct {
+		id     string
+		up     site.Upstream
+		client Worker
+		// listed is set while the platform's list has it.
+		listed bool
+
+		// boot is the life that answered the last hold; 0 before the first.
+		boot int64
+		// clock was read at the worker shortly before clockAt.
+		clock   time.Duration
+		clockAt time.Time
+		// leaseEnd is the latest end of a lease that was sent, on the worker's
+		// clock. Nothing that was ordered in this term runs after it.
+		leaseEnd time.Duration
+
+		// seen is the number of the last end that was read, acked that of the
+		// last whose outcome is durable.
+		seen, acked int64
+
+		runs map[runKey]*run
+		used resource.Vector
+
+		holdBusy  bool
+		holdAt    time.Time
+		holdFails int
+		lost      bool
+
+		// failures counts failed runs in a row, of different jobs.
+		failures  int
+		failedJob string
+		restUntil time.Time
+		rest      time.Duration
+	}
+
+	upstreamsDone struct {
+		list       []site.Upstream
+		unreadable []string
+		at         time.Time
+		err        error
+	}
+
+	holdDone struct {
+		l      *leadership
+		at     *worker
+		sentAt time.Time
+		looped bool
+		reply  *site.HoldReply
+		err    error
+	}
+)
+
+const (
+	pollGap     = 250 * time.Millisecond
+	pollTimeout = time.Second
+	// listLimit is how old the list of workers may be for new starts: a worker
+	// that leaves gets no work once its entry could have been read.
+	listLimit = 1500 * time.Millisecond
+
+	lease = 4500 * time.Millisecond
+	// leaseMargin keeps leases below the longest that a worker grants.
+	leaseMargin = 500 * time.Millisecond
+	// clockRate is the slowest that a worker's clock may run.
+	clockRate = 0.98
+	// lapseSlack covers the worker's delay in ending what has lapsed.
+	lapseSlack = 150 * time.Millisecond
+
+	holdWait    = time.Second
+	holdTimeout = 700 * time.Millisecond
+	// holdGap groups ends that come together into one answer.
+	holdGap = 20 * time.Millisecond
+	// idleHoldGap parts the holds of a worker that runs nothing.
+	idleHoldGap  = 1500 * time.Millisecond
+	holdRetry    = 150 * time.Millisecond
+	maxEndedRows = 500
+
+	// failuresBeforeRest ends the trust in a worker, until it has rested.
+	failuresBeforeRest = 2
+	firstRest          = 2 * time.Second
+	maxRest            = 16 * time.Second
+)
+
+// pollUpstreams reads the platform's list of workers.
+func (s *Scheduler) pollUpstreams(now time.Time) {
+	if s.polling || now.Sub(s.pollAt) < pollGap {
+		return
+	}
+	s.polling = true
+	s.pollAt = now
+	go func() {
+		ctx, cancel := context.WithTimeout(s.ctx, pollTimeout)
+		defer cancel()
+		list, unreadable, err := s.deps.Upstreams.Next(ctx)
+		s.post(upstreamsDone{list, unreadable, now, err})
+	}()
+}
+
+func (e upstreamsDone) handle(s *Scheduler) {
+	s.polling = false
+	if e.err != nil {
+		_ = level.Warn(s.deps.Logger).Log("msg", "list of workers not read", "ageMs", time.Since(s.listedAt).Milliseconds(), "err", e.err)
+		return
+	}
+	s.listedAt = e.at
+	if e.list == nil {
+		return
+	}
+	for _, id := range e.unreadable {
+		_ = level.Debug(s.deps.Logger).Log("msg", "entry describes no worker", "worker", id)
+	}
+	s.upstreams = e.list
+	if s.lead != nil {
+		s.lead.noteList(e.list)
+	}
+}
+
+func (l *leadership) noteList(list []site.Upstream) {
+	on := make(map[string]bool, len(list))
+	for i := range list {
+		on[list[i].ID] = true
+		l.noteUpstream(&list[i])
+	}
+	for id, at := range l.workers {
+		if on[id] {
+			continue
+		}
+		if at.listed {
+			_ = level.Info(l.s.deps.Logger).Log("msg", "worker gone from the list", "worker", id, "runs", len(at.runs))
+		}
+		at.listed = false
+		if len(at.runs) == 0 && !at.holdBusy {
+			delete(l.workers, id)
+		}
+	}
+}
+
+func (l *leadership) noteUpstream(u *site.Upstream) {
+	at := l.workerOf(u.ID)
+	changed := !at.listed || at.up.Boot != u.Boot || at.up.Draining != u.Draining
+	if at.client == nil || at.up.Addr != u.Addr {
+		at.client = l.s.deps.Dial(u.ID, u.Addr)
+	}
+	at.up = *u
+	at.listed = true
+	if changed {
+		_ = level.Info(l.s.deps.Logger).Log("msg", "worker listed", "worker", u.ID, "boot", u.Boot, "draining", u.Draining,
+			"dataCentre", u.DataCentre, "capacity", u.Capacity)
+		l.place = true
+	}
+}
+
+// workerOf returns the worker of that id, which may not be listed.
+func (l *leadership) workerOf(id string) *worker {
+	at := l.workers[id]
+	if at == nil {
+		at = &worker{id: id, runs: map[runKey]*run{}}
+		l.workers[id] = at
+	}
+	return at
+}
+
+// usable reports whether the worker takes new runs: its present life is known
+// to obey this term.
+func (at *worker) usable(now time.Time) bool {
+	return at.listed && !at.up.Draining && at.boot != 0 && at.boot == at.up.Boot && at.holdFails == 0 &&
+		!now.Before(at.restUntil)
+}
+
+func (at *worker) free() resource.Vector {
+	return at.up.Capacity.Sub(at.used)
+}
+
+// clockNow estimates the worker's clock.
+func (at *worker) clockNow(now time.Time) time.Duration {
+	return at.clock + now.Sub(at.clockAt)
+}
+
+// nextLease returns the end of a lease that begins now, and notes it as sent.
+func (l *leadership) nextLease(at *worker, now time.Time) time.Duration {
+	if at.boot == 0 {
+		return 0
+	}
+	length := min(lease, l.s.opt.Bounds.MaxLease-leaseMargin)
+	end := at.clockNow(now) + length
+	at.leaseEnd = max(at.leaseEnd, end)
+	return end
+}
+
+// lapseAt is when nothing that was ordered before can still run at the worker,
+// if it is not heard of until then.
+func (l *leadership) lapseAt(at *worker) time.Time {
+	if at.boot == 0 {
+		// The last leader may renew until it has gone without the stream for
+		// too long.
+		longest := time.Duration(float64(l.s.opt.Bounds.MaxLease) / clockRate)
+		return l.since.Add(withoutStream + longest + lapseSlack)
+	}
+	left := max(0, at.leaseEnd-at.clock)
+	return at.clockAt.Add(time.Duration(float64(left)/clockRate) + lapseSlack)
+}
+
+func (l *leadership) tickWorkers(now time.Time) {
+	for _, at := range l.workers {
+		if at.client == nil {
+			l.lapseIfDue(at, now)
+			continue
+		}
+		if !at.holdBusy && !now.Before(at.holdAt) && (at.listed || len(at.runs) > 0) {
+			l.hold(at, now)
+		}
+		l.lapseIfDue(at, now)
+		l.tickRuns(at, now)
+	}
+}
+
+// lapseIfDue ends what ran at a worker that has not been heard of for so long
+// that all its leases have run out.
+func (l *leadership) lapseIfDue(at *worker, now time.Time) {
+	if len(at.runs) == 0 || now.Before(l.lapseAt(at)) {
+		return
+	}
+	for _, r := range at.list() {
+		if r.stage == planned || r.stage == starting {
+			continue
+		}
+		l.endRun(r, site.Lapsed, "the worker was silent for longer than its leases last")
+	}
+}
+
+// list returns the runs, so that they can be ended while it is gone through.
+func (at *worker) list() []*run {
+	runs := make([]*run, 0, len(at.runs))
+	for _, r := range at.runs {
+		runs = append(runs, r)
+	}
+	return runs
+}
+
+// hold renews the lease and asks for the lists; it waits for an end if the
+// worker runs anything.
+func (l *leadership) hold(at *worker, now time.Time) {
+	at.holdBusy = true
+	wait := time.Duration(0)
+	if at.boot != 0 && len(at.runs) > 0 {
+		wait = holdWait
+	}
+	l.sendHold(at, now, wait, true)
+}
+
+// look asks for the lists at once, beside a hold that waits.
+func (l *leadership) look(at *worker, now time.Time) {
+	l.sendHold(at, now, 0, false)
+}
+
+func (l *leadership) sendHold(at *worker, now time.Time, wait time.Duration, looped bool) {
+	o := &site.HoldOrder{Token: l.term.Epoch, Acked: at.acked, LeaseEnd: l.nextLease(at, now), Wait: wait}
+	client := at.client
+	l.spawn(func(ctx context.Context) event {
+		ctx, cancel := context.WithTimeout(ctx, wait+holdTimeout)
+		defer cancel()
+		reply, err := client.Hold(ctx, o)
+		return holdDone{l, at, now, looped, reply, err}
+	})
+}
+
+func (e holdDone) handle(s *Scheduler) {
+	l, at := e.l, e.at
+	if !l.current() {
+		return
+	}
+	now := time.Now()
+	if e.looped {
+		at.holdBusy = false
+	}
+	if e.err != nil {
+		l.holdFailed(at, now, e.err)
+		return
+	}
+	if at.lost {
+		at.lost = false
+		_ = level.Info(s.deps.Logger).Log("msg", "worker regained", "worker", at.id, "boot", e.reply.Boot)
+	}
+	at.holdFails = 0
+	at.holdAt = now.Add(holdGap)
+	if len(at.runs) == 0 {
+		at.holdAt = now.Add(idleHoldGap)
+	}
+	if at.boot != e.reply.Boot {
+		l.noteBoot(at, e.reply.Boot)
+		at.holdAt = now
+	}
+	at.clock = e.reply.Clock
+	at.clockAt = now
+	l.readEnds(at, e.reply)
+	l.readRuns(at, e.reply, e.sentAt, now)
+}
+
+func (l *leadership) holdFailed(at *worker, now time.Time, err error) {
+	var refusal *site.OrderError
+	if errors.As(err, &refusal) && refusal.Reason == site.RefusedFenced {
+		l.s.endLeadership("a worker has orders of a later term")
+		return
+	}
+	at.holdFails++
+	at.holdAt = now.Add(holdRetry)
+	if !at.lost && at.holdFails > 1 {
+		at.lost = true
+		_ = level.Warn(l.s.deps.Logger).Log("msg", "worker lost", "worker", at.id, "runs", len(at.runs), "err", err)
+	}
+}
+
+// noteBoot begins a new life of the worker: it knows nothing of before.
+func (l *leadership) noteBoot(at *worker, boot int64) {
+	_ = level.Info(l.s.deps.Logger).Log("msg", "worker answers", "worker", at.id, "boot", boot, "lastBoot", at.boot, "runs", len(at.runs))
+	at.boot = boot
+	at.seen = 0
+	at.acked = 0
+	at.leaseEnd = 0
+	at.failures = 0
+	at.restUntil = time.Time{}
+	l.place = true
+}
+
+// readEnds takes in the ends that are new.
+func (l *leadership) readEnds(at *worker, h *site.HoldReply) {
+	for i := range h.Ended {
+		e := &h.Ended[i]
+		if e.Number <= at.seen {
+			continue
+		}
+		at.seen = e.Number
+		r := at.runs[runKey{e.Task, e.Run}]
+		if r == nil {
+			continue
+		}
+		l.keepCheckpoint(r, e.Checkpoint)
+		l.judge(at, r, e.How)
+		l.endRun(r, e.How, "listed by the worker")
+	}
+}
+
+// readRuns takes in what runs, and what does not.
+func (l *leadership) readRuns(at *worker, h *site.HoldReply, sentAt, now time.Time) {
+	listed := make(map[runKey]bool, len(h.Running))
+	for i := range h.Running {
+		s := &h.Running[i]
+		key := runKey{s.Task, s.Run}
+		listed[key] = true
+		r := at.runs[key]
+		if r == nil {
+			r = l.adoptStray(at, key)
+		}
+		if r == nil {
+			continue
+		}
+		if r.stage != running {
+			r.stage = running
+			r.confirmedAt = now
+			r.settledAfter = now
+			l.logRun(r, "run found at its worker")
+		}
+		l.keepCheckpoint(r, s.Checkpoint)
+		if s.Percent != r.percent {
+			r.percent = s.Percent
+			r.percentAt = now
+		}
+	}
+	if len(h.Ended) >= maxEndedRows {
+		// More ends may follow, so absence from both lists tells nothing.
+		return
+	}
+	for _, r := range at.list() {
+		if !listed[r.key()] {
+			l.absent(r, sentAt, now)
+		}
+	}
+}
+
+// absent concludes that a run does not exist, if the list that lacks it is new
+// enough to tell.
+func (l *leadership) absent(r *run, sentAt, now time.Time) {
+	if r.settledAfter.IsZero() || sentAt.Before(r.settledAfter) {
+		if r.stage == unsettled && !r.stopWanted && sentAt.After(r.sentAt) {
+			// The order may be carried out late, unless it is barred.
+			r.stopWanted = true
+			r.stopAt = now
+		}
+		return
+	}
+	switch {
+	case r.stage == running:
+		l.endRun(r, site.Lapsed, "the worker no longer lists it")
+	case r.stage == inherited:
+		l.endRun(r, site.NotRun, "not at the worker, which now refuses the last leader's orders")
+	case r.stage == unsettled && r.stopped:
+		l.endRun(r, site.NotRun, "barred before it began")
+	}
+}
+
+// adoptStray counts a run that is not in the records any more and ends it.
+func (l *leadership) adoptStray(at *worker, key runKey) *run {
+	w := l.works[key.task.Job]
+	if w == nil {
+		j := l.s.deps.Book.Job(key.task.Job)
+		if j == nil || key.task.Step >= len(j.Submission.Steps) {
+			_ = level.Error(l.s.deps.Logger).Log("msg", "worker runs a task of an unknown job", "worker", at.id, "job", key.task.Job)
+			return nil
+		}
+		w = &work{id: key.task.Job, sub: j.Submission, state: j.State.Clone()}
+	}
+	r := &run{task: key.task, number: key.number, w: w, stage: running, decidedAt: time.Now(), stopWanted: true}
+	l.bind(r, at)
+	l.logRun(r, "run is not recorded here, stopping it")
+	return r
+}
+
+// keepCheckpoint notes the newest checkpoint of a task; one of any member
+// serves the whole gang.
+func (l *leadership) keepCheckpoint(r *run, checkpoint string) {
+	if checkpoint == "" || r.w.checkpoints == nil || !r.w.sub.Steps[r.task.Step].Checkpointing {
+		return
+	}
+	r.w.checkpoints[r.w.checkpointKey(r.task)] = checkpoint
+}
+
+func (w *work) checkpointKey(t site.TaskName) site.TaskName {
+	if w.sub.Steps[t.Step].Gang {
+		t.Index = 0
+	}
+	return t
+}
+
+// judge keeps count of a worker's failures. One that fails tasks of several
+// jobs in a row rests, longer each time.
+func (l *leadership) judge(at *worker, r *run, how site.EndKind) {
+	switch how {
+	case site.Done:
+		at.failures = 0
+		at.failedJob = ""
+		at.rest = 0
+	case site.Failed:
+		if at.failedJob == r.task.Job {
+			return
+		}
+		at.failedJob = r.task.Job
+		at.failures++
+		if at.failures < failuresBeforeRest {
+			return
+		}
+		at.rest = min(max(2*at.rest, firstRest), maxRest)
+		at.restUntil = time.Now().Add(at.rest)
+		_ = level.Warn(l.s.deps.Logger).Log("msg", "worker distrusted", "worker", at.id, "failures", at.failures, "restMs", at.rest.Milliseconds())
+	}
+}
--- /dev/null
+++ b/pollendockd/internal/telemetry/counts.go
@@ -0,0 +1,25 @@
+package telemetry
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// Counts takes counters and times by name.
+type Counts struct {
+	Scope tally.Scope
+}
+
+// timeBuckets reach from 1 ms to about 33 s.
+var timeBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)
+
+// Count adds n to a counter.
+func (c Counts) Count(name string, n int64) {
+	c.Scope.Counter(name).Inc(n)
+}
+
+// Time adds a time to a histogram.
+func (c Counts) Time(name string, d time.Duration) {
+	c.Scope.Histogram(name, timeBuckets).RecordDuration(d)
+}
--- a/pollendockd/main.go
+++ b/pollendockd/main.go
@@ -27,8 +27,9 @@
 
 type (
 	options struct {
-		Config string `arg:"--config,required" help:"settings file"`
-		Check  bool   `arg:"--check" help:"check the settings file and exit"`
+		Config   string `arg:"--config" help:"settings file"`
+		Check    bool   `arg:"--check" help:"check the settings file and exit"`
+		Platform bool   `arg:"--platform" help:"run on the users' platform, with its settings file"`
 	}
 
 	// process holds what the parts of a running entry VM share.
@@ -52,7 +53,17 @@
 
 func main() {
 	var opt options
-	arg.MustParse(&opt)
+	p := arg.MustParse(&opt)
+	if opt.Platform {
+		if err := serveSite(); err != nil {
+			fmt.Fprintln(os.Stderr, "pollendockd:", err)
+			os.Exit(1)
+		}
+		return
+	}
+	if opt.Config == "" {
+		p.Fail("--config or --platform is needed")
+	}
 	cfg, err := settings.Load(opt.Config)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "pollendockd:", err)
