--- a/cell/job/book.go
+++ b/cell/job/book.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"sort"
 	"strings"
 	"sync"
 
@@ -224,7 +225,7 @@
 	return j.State.Phase
 }
 
-// IDs returns the ids of all jobs.
+// IDs returns the ids of all jobs in the order of their acceptance.
 func (b *Book) IDs() []string {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
@@ -232,6 +233,7 @@
 	for id := range b.jobs {
 		ids = append(ids, id)
 	}
+	sort.Slice(ids, func(x, y int) bool { return b.jobs[ids[x]].Order < b.jobs[ids[y]].Order })
 	return ids
 }
 
--- a/cell/job/submission.go
+++ b/cell/job/submission.go
@@ -3,6 +3,7 @@
 package job
 
 import (
+	"slices"
 	"time"
 
 	"pollendock.example/cell/code"
@@ -103,3 +104,24 @@
 	}
 	return nil
 }
+
+// Chain returns the estimated time of the longest chain of steps.
+func (s *Submission) Chain() time.Duration {
+	longest := time.Duration(0)
+	for i := range s.Steps {
+		longest = max(longest, s.ChainFrom(i))
+	}
+	return longest
+}
+
+// ChainFrom returns the estimated time of the longest chain that begins with a
+// step.
+func (s *Submission) ChainFrom(step int) time.Duration {
+	longest := time.Duration(0)
+	for next := step + 1; next < len(s.Steps); next++ {
+		if slices.Contains(s.Steps[next].After, step) {
+			longest = max(longest, s.ChainFrom(next))
+		}
+	}
+	return s.Steps[step].Estimate + longest
+}
--- a/pollendockd/internal/book/follower.go
+++ b/pollendockd/internal/book/follower.go
@@ -45,6 +45,9 @@
 	readTimeout = 1200 * time.Millisecond
 	loadTimeout = 3 * time.Second
 	retryGap    = 100 * time.Millisecond
+	// seriesGap ends a series of reads: a leader that could not append meanwhile
+	// gets its time anew.
+	seriesGap = time.Second
 	// eagerGap and idleGap part the reads, so that several appends are read in
 	// one call. A state may be shown that much late at VMs that do not decide.
 	eagerGap = 5 * time.Millisecond
@@ -73,7 +76,6 @@
 			pause(ctx, retryGap)
 		case failing:
 			failing = false
-			f.freshSince.Store(int64(time.Since(f.start)))
 			_ = level.Info(f.logger).Log("msg", "stream regained", "next", f.book.Next())
 		}
 		if f.eager.Load() {
@@ -133,7 +135,9 @@
 	if err != nil {
 		_ = level.Error(f.logger).Log("msg", "record cannot be read", "err", err)
 	}
-	f.readAt.Store(now)
+	if time.Duration(now-f.readAt.Swap(now)) > seriesGap {
+		f.freshSince.Store(now)
+	}
 	if len(ids) > 0 {
 		f.changed(ids)
 	}
--- a/pollendockd/internal/desk/desk.go
+++ b/pollendockd/internal/desk/desk.go
@@ -26,9 +26,11 @@
 	// Peers passes requests on to another entry VM. An error of class
 	// site.ErrRefused means that none took the request.
 	Peers interface {
-		Submit(ctx context.Context, at site.Address, draft *job.Submission) error
-		Status(ctx context.Context, at site.Address) (*site.Status, error)
-		Cancel(ctx context.Context, at site.Address) error
+		// They return the catalog version that the VM went by; it is at
+		// least the given one.
+		Submit(ctx context.Context, at site.Address, draft *job.Submission, least int64) (int64, error)
+		Status(ctx context.Context, at site.Address, least int64) (*site.Status, int64, error)
+		Cancel(ctx context.Context, at site.Address, least int64) (int64, error)
 	}
 
 	// Deps are what the desk works with.
@@ -53,6 +55,9 @@
 		deps     Deps
 		acceptor *acceptor
 		stopping atomic.Bool
+		// shown is the highest catalog version that a caller has seen at work
+		// here, by way of other VMs.
+		shown atomic.Int64
 	}
 )
 
@@ -89,6 +94,14 @@
 	return d.stopping.Load()
 }
 
+// Version returns that of the catalog in force here, or 0.
+func (d *Desk) Version() int64 {
+	if c := d.deps.Catalog.Current(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
 // Ready reports whether the balancer may send callers here.
 func (d *Desk) Ready() bool {
 	return !d.stopping.Load() && d.deps.Follower.Loaded() && d.deps.Catalog.Current() != nil
@@ -96,7 +109,19 @@
 
 // current reports whether what this VM knows is new enough to decide on.
 func (d *Desk) current() bool {
-	return d.deps.Follower.Fresh(currentLimit) && d.deps.Catalog.Fresh(currentLimit)
+	return d.deps.Follower.Fresh(currentLimit) && d.deps.Catalog.Fresh(currentLimit) &&
+		d.deps.Catalog.Current().Version >= d.shown.Load()
+}
+
+// show notes the catalog version under which another VM served a request of
+// this one. This VM decides on nothing by an older version from then on.
+func (d *Desk) show(version int64) {
+	for {
+		old := d.shown.Load()
+		if version <= old || d.shown.CompareAndSwap(old, version) {
+			return
+		}
+	}
 }
 
 // RetryAfter returns when a caller that was refused should come back, or 0.
@@ -119,7 +144,8 @@
 	if d.current() {
 		err = d.SubmitHere(ctx, at, draft)
 	} else {
-		err = d.pass(d.deps.Peers.Submit(ctx, at, draft), code.AcceptUnknown)
+		version, passed := d.deps.Peers.Submit(ctx, at, draft, d.least())
+		err = d.passed(version, passed, code.AcceptUnknown)
 	}
 	d.note("submit", at, err, began)
 	return err
@@ -170,8 +196,15 @@
 	return code.New(code.AcceptUnknown, "%v", err)
 }
 
-// pass names the outcome of a request that another VM was to take.
-func (d *Desk) pass(err error, unknown code.Code) error {
+// least is the oldest catalog version by which callers of this VM may be
+// served.
+func (d *Desk) least() int64 {
+	return max(d.Version(), d.shown.Load())
+}
+
+// passed names the outcome of a request that another VM was to take.
+func (d *Desk) passed(version int64, err error, unknown code.Code) error {
+	d.show(version)
 	if err == nil {
 		return nil
 	}
@@ -191,8 +224,8 @@
 	if d.current() {
 		return d.StatusHere(ctx, at)
 	}
-	s, err := d.deps.Peers.Status(ctx, at)
-	return s, d.pass(err, code.NotReady)
+	s, version, err := d.deps.Peers.Status(ctx, at, d.least())
+	return s, d.passed(version, err, code.NotReady)
 }
 
 // StatusHere answers without passing the request on.
@@ -220,7 +253,8 @@
 	if d.current() {
 		err = d.CancelHere(ctx, at)
 	} else {
-		err = d.pass(d.deps.Peers.Cancel(ctx, at), code.AcceptUnknown)
+		version, passed := d.deps.Peers.Cancel(ctx, at, d.least())
+		err = d.passed(version, passed, code.AcceptUnknown)
 	}
 	d.note("cancel", at, err, began)
 	return err
@@ -246,8 +280,8 @@
 // itself.
 func (d *Desk) locate(at site.Address) (*site.Queue, string, string, error) {
 	c := d.deps.Catalog.Current()
-	if c == nil || !d.deps.Follower.Loaded() {
-		return nil, "", "", code.New(code.NotReady, "this VM has no configuration yet")
+	if c == nil || !d.current() {
+		return nil, "", "", code.New(code.NotReady, "this VM has no current records or configuration")
 	}
 	q, id := c.QueueFor(at.Host, at.Path)
 	if q == nil {
@@ -298,10 +332,6 @@
 	number, detail := code.Of(err)
 	d.deps.Counts.Count(verb+"_"+number.String(), 1)
 	d.deps.Counts.Time(verb, time.Since(began))
-	version := int64(0)
-	if c := d.deps.Catalog.Current(); c != nil {
-		version = c.Version
-	}
 	_ = level.Info(d.deps.Logger).Log("msg", verb, "path", at.Path, "code", int(number), "outcome", number, "detail", detail,
-		"version", version, "tookMs", time.Since(began).Milliseconds())
+		"version", d.Version(), "tookMs", time.Since(began).Milliseconds())
 }
--- a/pollendockd/internal/helper/helper.go
+++ b/pollendockd/internal/helper/helper.go
@@ -27,6 +27,8 @@
 		SubmitHere(ctx context.Context, at site.Address, draft *job.Submission) error
 		StatusHere(ctx context.Context, at site.Address) (*site.Status, error)
 		CancelHere(ctx context.Context, at site.Address) error
+		// Version is that of the catalog in force here.
+		Version() int64
 	}
 
 	// Server serves the calls of other entry VMs over net/rpc.
@@ -61,6 +63,8 @@
 		At site.Address
 		// Draft is set for Submit.
 		Draft *job.Submission
+		// Least is the oldest catalog version by which it may be served.
+		Least int64
 	}
 
 	// Outcome is what became of it.
@@ -68,6 +72,8 @@
 		Code   code.Code
 		Detail string
 		Status site.Status
+		// Version is that of the catalog that was gone by.
+		Version int64
 	}
 )
 
@@ -93,29 +99,36 @@
 
 // Submit serves the call of that name.
 func (s *Server) Submit(r *Request, reply *Outcome) error {
-	ctx, cancel := context.WithTimeout(s.ctx, serveTimeout)
-	defer cancel()
-	reply.Code, reply.Detail = code.Of(s.desk.SubmitHere(ctx, r.At, r.Draft))
-	return nil
+	return s.serve(r, reply, func(ctx context.Context) error { return s.desk.SubmitHere(ctx, r.At, r.Draft) })
 }
 
 // Status serves the call of that name.
 func (s *Server) Status(r *Request, reply *Outcome) error {
-	ctx, cancel := context.WithTimeout(s.ctx, serveTimeout)
-	defer cancel()
-	status, err := s.desk.StatusHere(ctx, r.At)
-	reply.Code, reply.Detail = code.Of(err)
-	if err == nil {
-		reply.Status = *status
-	}
-	return nil
+	return s.serve(r, reply, func(ctx context.Context) error {
+		status, err := s.desk.StatusHere(ctx, r.At)
+		if err == nil {
+			reply.Status = *status
+		}
+		return err
+	})
 }
 
 // Cancel serves the call of that name.
 func (s *Server) Cancel(r *Request, reply *Outcome) error {
+	return s.serve(r, reply, func(ctx context.Context) error { return s.desk.CancelHere(ctx, r.At) })
+}
+
+// serve runs fn unless the catalog here is older than the sender's callers have
+// seen.
+func (s *Server) serve(r *Request, reply *Outcome, fn func(ctx context.Context) error) error {
+	reply.Version = s.desk.Version()
+	if reply.Version < r.Least {
+		reply.Code, reply.Detail = code.NotReady, "the catalog is older than asked for"
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(s.ctx, serveTimeout)
 	defer cancel()
-	reply.Code, reply.Detail = code.Of(s.desk.CancelHere(ctx, r.At))
+	reply.Code, reply.Detail = code.Of(fn(ctx))
 	return nil
 }
 
@@ -157,24 +170,21 @@
 }
 
 // Submit passes a job on.
-func (p *Peers) Submit(ctx context.Context, at site.Address, draft *job.Submission) error {
-	_, err := p.pass(ctx, "Submit", &Request{At: at, Draft: draft})
-	return err
+func (p *Peers) Submit(ctx context.Context, at site.Address, draft *job.Submission, least int64) (int64, error) {
+	out, err := p.pass(ctx, "Submit", &Request{At: at, Draft: draft, Least: least})
+	return out.Version, err
 }
 
 // Status passes a question on.
-func (p *Peers) Status(ctx context.Context, at site.Address) (*site.Status, error) {
-	out, err := p.pass(ctx, "Status", &Request{At: at})
-	if err != nil {
-		return nil, err
-	}
-	return &out.Status, nil
+func (p *Peers) Status(ctx context.Context, at site.Address, least int64) (*site.Status, int64, error) {
+	out, err := p.pass(ctx, "Status", &Request{At: at, Least: least})
+	return &out.Status, out.Version, err
 }
 
 // Cancel passes a cancel on.
-func (p *Peers) Cancel(ctx context.Context, at site.Address) error {
-	_, err := p.pass(ctx, "Cancel", &Request{At: at})
-	return err
+func (p *Peers) Cancel(ctx context.Context, at site.Address, least int64) (int64, error) {
+	out, err := p.pass(ctx, "Cancel", &Request{At: at, Least: least})
+	return out.Version, err
 }
 
 // pass tries other VMs until one has served the request. Requests on jobs are
@@ -188,14 +198,14 @@
 		case err == nil && out.Code == code.OK:
 			return &out, nil
 		case err == nil && out.Code != code.LogDown && out.Code != code.NotReady && out.Code != code.AcceptUnknown:
-			return nil, code.New(out.Code, "%s", out.Detail)
+			return &out, code.New(out.Code, "%s", out.Detail)
 		case err == nil && out.Code == code.AcceptUnknown, err != nil && !peer.NotSent.Has(err):
 			failure = site.ErrUnknown.New("%s: %v %s", m.Name, err, out.Detail)
 		case !site.ErrUnknown.Has(failure):
 			failure = site.ErrRefused.New("%s: %v %s", m.Name, err, out.Detail)
 		}
 	}
-	return nil, failure
+	return &Outcome{}, failure
 }
 
 func (p *Peers) call(ctx context.Context, m *job.Member, method string, r *Request, out *Outcome) error {
--- a/pollendockd/internal/scheduler/place.go
+++ b/pollendockd/internal/scheduler/place.go
@@ -17,13 +17,26 @@
 		w     *work
 		step  int
 		tasks []int
-		over  bool
+		turn  placement.Turn
+	}
+
+	// pass is what one round over the waiting steps has found out.
+	pass struct {
+		now     time.Time
+		catalog *site.Catalog
+		// usable holds the workers that take new runs, by service.
+		usable map[string][]*worker
+		// full holds sizes for which no worker of a service has room.
+		full map[string][]resource.Vector
 	}
 )
 
 const (
-	// placeGap is the least time between two passes.
-	placeGap = 4 * time.Millisecond
+	// placeGap is the least time between two passes, and passShare the most of
+	// the time that passes may take: a deep queue must not keep the leader from
+	// its leases and appends.
+	placeGap  = 4 * time.Millisecond
+	passShare = 6
 	// bookLimit is how old the last reading of the records may be for new
 	// starts, so that a cancel is known.
 	bookLimit = 1500 * time.Millisecond
@@ -42,12 +55,19 @@
 	if catalog == nil {
 		return
 	}
-	for _, ws := range l.waitingSteps() {
-		l.placeStep(catalog, ws, now)
+	p := &pass{now: now, catalog: catalog, usable: map[string][]*worker{}, full: map[string][]resource.Vector{}}
+	for _, at := range l.workers {
+		if at.usable(now) {
+			p.usable[at.up.Service] = append(p.usable[at.up.Service], at)
+		}
+	}
+	for _, ws := range l.waitingSteps(p) {
+		l.placeStep(p, ws)
 	}
+	l.placeCost = time.Since(now)
 }
 
-func (l *leadership) waitingSteps() []*waitingStep {
+func (l *leadership) waitingSteps(p *pass) []*waitingStep {
 	var steps []*waitingStep
 	for _, w := range l.works {
 		if w.state.Phase.Final() {
@@ -55,23 +75,25 @@
 		}
 		for step := range w.state.Steps {
 			if tasks := w.waitingTasks(step); len(tasks) > 0 && w.state.Ready(w.sub, step) {
-				steps = append(steps, &waitingStep{w: w, step: step, tasks: tasks})
+				steps = append(steps, &waitingStep{w: w, step: step, tasks: tasks, turn: l.turnOf(p, w, step)})
 			}
 		}
 	}
-	sort.Slice(steps, func(a, b int) bool { return before(steps[a], steps[b]) })
+	sort.Slice(steps, func(a, b int) bool { return steps[a].turn.Before(&steps[b].turn) })
 	return steps
 }
 
-// before orders steps by the priority of their queue and then by age.
-func before(a, b *waitingStep) bool {
-	if a.w.sub.Priority != b.w.sub.Priority {
-		return a.w.sub.Priority < b.w.sub.Priority
-	}
-	if a.w.order != b.w.order {
-		return a.w.order < b.w.order
+// turnOf works out when a step is to be served.
+func (l *leadership) turnOf(p *pass, w *work, step int) placement.Turn {
+	allowed := time.Duration(w.stretch*float64(w.sub.Chain())) + w.objective
+	remaining := w.sub.ChainFrom(step)
+	return placement.Turn{
+		Rank:        placement.RankAt(p.now, w.sub.AcceptedAt, allowed, remaining, w.beyond),
+		Priority:    w.sub.Priority,
+		LatestStart: w.sub.AcceptedAt.Add(allowed - remaining),
+		Order:       w.order,
+		Step:        step,
 	}
-	return a.step < b.step
 }
 
 // waitingTasks returns the tasks of a step that are to be started; of a gang
@@ -89,31 +111,31 @@
 	return tasks
 }
 
-func (l *leadership) placeStep(catalog *site.Catalog, ws *waitingStep, now time.Time) {
+func (l *leadership) placeStep(p *pass, ws *waitingStep) {
 	w := ws.w
 	spec := &w.sub.Steps[ws.step]
 	service, advice := w.sub.Service, (*site.Advice)(nil)
-	if q := catalog.Queue(w.sub.Queue); q != nil {
+	if q := p.catalog.Queue(w.sub.Queue); q != nil {
 		service, advice = q.Service, q.Advice
 	}
 	if l.s.deps.Advisor == nil {
 		advice = nil
 	}
 	need := placement.Need{
-		Count: min(len(ws.tasks), l.withinLimit(catalog.Team(w.sub.Team), w.sub.Team, spec.Size, len(ws.tasks))),
+		Count: min(len(ws.tasks), l.withinLimit(p.catalog.Team(w.sub.Team), w.sub.Team, spec.Size, len(ws.tasks))),
 		Size:  spec.Size, Gang: spec.Gang, OneRack: spec.OneRack, Rack: spec.Rack, PerWorker: spec.PerWorker,
 	}
-	if need.Count == 0 || spec.Gang && need.Count < len(ws.tasks) {
+	if need.Count == 0 || spec.Gang && need.Count < len(ws.tasks) || p.isFull(service, spec.Size) {
 		return
 	}
-	rooms, candidates := l.rooms(ws, need, service, advice, now)
+	rooms, candidates := l.rooms(p, ws, need, service, advice)
 	chosen := placement.Choose(need, rooms)
 	for i, id := range chosen {
-		l.plan(ws, ws.tasks[i], l.workers[id], now)
+		l.plan(ws, ws.tasks[i], l.workers[id], p.now)
 	}
 	if advice != nil && len(chosen) < need.Count {
 		need.Count -= len(chosen)
-		l.considerAsking(ws, need, candidates, rooms, advice, now)
+		l.considerAsking(ws, need, candidates, rooms, advice, p.now)
 	}
 }
 
@@ -137,7 +159,7 @@
 
 // rooms returns the workers on which tasks of the step may be placed now, and
 // those with room about which the advisor has to be asked first.
-func (l *leadership) rooms(ws *waitingStep, need placement.Need, service string, advice *site.Advice, now time.Time) ([]placement.Room, []*worker) {
+func (l *leadership) rooms(p *pass, ws *waitingStep, need placement.Need, service string, advice *site.Advice) ([]placement.Room, []*worker) {
 	spec := &ws.w.sub.Steps[ws.step]
 	var rooms []placement.Room
 	var candidates []*worker
@@ -145,15 +167,17 @@
 	if advice != nil {
 		said = ws.w.adviceOf(ws.step)
 	}
-	for _, at := range l.workers {
-		if !at.usable(now) || at.up.Service != service || !at.up.HasLabel(spec.Label) {
+	fits := false
+	for _, at := range p.usable[service] {
+		free := at.free()
+		if !need.Size.Fits(free) {
 			continue
 		}
-		free := at.free()
-		if !need.Size.Fits(free) || said != nil && said.refused[at.id] {
+		fits = true
+		if !at.up.HasLabel(spec.Label) || said != nil && said.refused[at.id] {
 			continue
 		}
-		if said != nil && !said.allows(at, now) {
+		if said != nil && !said.allows(at, p.now) {
 			candidates = append(candidates, at)
 			continue
 		}
@@ -161,9 +185,22 @@
 			Worker: at.id, Rack: at.up.Rack, Free: free, Tasks: l.tasksThere(at, ws, spec), Doubtful: l.doubtful(ws, at),
 		})
 	}
+	if !fits {
+		p.full[service] = append(p.full[service], need.Size)
+	}
 	return rooms, candidates
 }
 
+// isFull reports whether a task at most as large has found no room in the pass.
+func (p *pass) isFull(service string, size resource.Vector) bool {
+	for _, full := range p.full[service] {
+		if full.Fits(size) {
+			return true
+		}
+	}
+	return false
+}
+
 func (a *stepAdvice) allows(at *worker, now time.Time) bool {
 	t, known := a.tickets[at.id]
 	return known && t.boot == at.boot && now.Before(t.until)
--- a/pollendockd/internal/scheduler/scheduler.go
+++ b/pollendockd/internal/scheduler/scheduler.go
@@ -104,7 +104,10 @@
 		// campaign is the newest epoch for which this VM stood.
 		campaign    int64
 		campaigning bool
-		stopping    bool
+		// over is the epoch of the last term that this VM has ended; it never
+		// leads in it again.
+		over     int64
+		stopping bool
 
 		// upstreams is the newest list of workers, current at listedAt.
 		upstreams []site.Upstream
--- a/pollendockd/internal/scheduler/term.go
+++ b/pollendockd/internal/scheduler/term.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log/level"
 
 	"pollendock.example/cell/job"
+	"pollendock.example/cell/placement"
 	"pollendock.example/cell/resource"
 	"pollendock.example/cell/site"
 )
@@ -31,8 +32,11 @@
 		flush   flushState
 		advice  adviceDesk
 		placeAt time.Time
-		place   bool
-		learned map[string]*learned
+		// placeCost is how long the last pass took.
+		placeCost time.Duration
+		place     bool
+		meters    map[string]*placement.Meter
+		learned   map[string]*learned
 		// handedOver is closed once the leadership has been given up.
 		handedOver chan struct{}
 	}
@@ -73,7 +77,7 @@
 		return
 	}
 	l, _ := s.deps.Book.Leader()
-	if l.Incarnation == s.opt.Incarnation && l.Epoch == s.campaign && s.campaign > 0 {
+	if l.Incarnation == s.opt.Incarnation && l.Epoch == s.campaign && s.campaign > s.over {
 		// The record of a campaign without an answer has taken effect.
 		s.beginLeadership(l.Epoch)
 		return
@@ -130,7 +134,7 @@
 func (e campaignDone) handle(s *Scheduler) {
 	s.campaigning = false
 	_ = level.Info(s.deps.Logger).Log("msg", "campaign ended", "epoch", e.epoch, "won", e.won, "err", e.err)
-	if e.won && s.lead == nil && !s.stopping {
+	if e.won && s.lead == nil && !s.stopping && e.epoch > s.over {
 		s.beginLeadership(e.epoch)
 	}
 }
@@ -147,6 +151,7 @@
 		workers: map[string]*worker{},
 		teamUse: map[string]resource.Vector{},
 		learned: map[string]*learned{},
+		meters:  map[string]*placement.Meter{},
 		place:   true,
 	}
 	l.flush.init(now)
@@ -171,6 +176,7 @@
 		return
 	}
 	s.lead = nil
+	s.over = l.term.Epoch
 	l.cancel()
 	s.deps.Follower.SetEager(false)
 	_ = level.Warn(s.deps.Logger).Log("msg", "no longer leading", "epoch", l.term.Epoch, "why", why,
@@ -239,7 +245,7 @@
 
 // step decides after events.
 func (l *leadership) step(now time.Time) {
-	if l.place && now.Sub(l.placeAt) >= placeGap {
+	if l.place && now.Sub(l.placeAt) >= max(placeGap, passShare*l.placeCost) {
 		l.placeAt = now
 		l.place = false
 		l.placeAll(now)
--- a/pollendockd/internal/scheduler/work.go
+++ b/pollendockd/internal/scheduler/work.go
@@ -6,6 +6,7 @@
 	"github.com/go-kit/log/level"
 
 	"pollendock.example/cell/job"
+	"pollendock.example/cell/placement"
 	"pollendock.example/cell/site"
 )
 
@@ -16,6 +17,11 @@
 		sub   *job.Submission
 		state *job.State
 		order int64
+		// stretch and objective give the time that the job may take.
+		stretch   float64
+		objective time.Duration
+		// beyond is set for a job beyond what its team is owed.
+		beyond bool
 		// advice holds what the advisor said of each step.
 		advice []*stepAdvice
 		// checkpoints holds the newest one of each task; gangs use that of
@@ -95,6 +101,7 @@
 			avoid:       map[site.TaskName]string{},
 		}
 		l.works[id] = w
+		l.assess(w)
 		l.inherit(w)
 		l.place = true
 	}
@@ -108,6 +115,26 @@
 	}
 }
 
+// assess notes what the catalog says of the job's queue and team now.
+func (l *leadership) assess(w *work) {
+	catalog := l.s.deps.Catalog()
+	if catalog == nil {
+		return
+	}
+	if q := catalog.Queue(w.sub.Queue); q != nil {
+		w.stretch = q.Stretch
+		w.objective = q.Objective
+	}
+	if team := catalog.Team(w.sub.Team); team != nil {
+		m := l.meters[team.Name]
+		if m == nil {
+			m = &placement.Meter{}
+			l.meters[team.Name] = m
+		}
+		w.beyond = m.Take(w.sub.AcceptedAt, team.Weight)
+	}
+}
+
 // inherit makes runs of the tasks that an earlier leader dispatched.
 func (l *leadership) inherit(w *work) {
 	for step, tasks := range w.state.Steps {
