--- a/pollendockd/internal/scheduler/place.go
+++ b/pollendockd/internal/scheduler/place.go
@@ -28,6 +28,9 @@
 		usable map[string][]*worker
 		// full holds sizes for which no worker of a service has room.
 		full map[string][]resource.Vector
+		// unspoken is the processor time that is free and that no step earlier
+		// in turn is about to ask for, by service.
+		unspoken map[string]int64
 	}
 )
 
@@ -55,10 +58,11 @@
 	if catalog == nil {
 		return
 	}
-	p := &pass{now: now, catalog: catalog, usable: map[string][]*worker{}, full: map[string][]resource.Vector{}}
+	p := &pass{now: now, catalog: catalog, usable: map[string][]*worker{}, full: map[string][]resource.Vector{}, unspoken: map[string]int64{}}
 	for _, at := range l.workers {
 		if at.usable(now) {
 			p.usable[at.up.Service] = append(p.usable[at.up.Service], at)
+			p.unspoken[at.up.Service] += max(0, at.free().MilliCPU)
 		}
 	}
 	for _, ws := range l.waitingSteps(p) {
@@ -133,10 +137,19 @@
 	for i, id := range chosen {
 		l.plan(ws, ws.tasks[i], l.workers[id], p.now)
 	}
-	if advice != nil && len(chosen) < need.Count {
-		need.Count -= len(chosen)
+	p.unspoken[service] -= int64(len(chosen)) * spec.Size.MilliCPU
+	if advice == nil || len(chosen) == need.Count {
+		return
+	}
+	need.Count -= len(chosen)
+	// A step further back would ask in vain: what is free goes to those before
+	// it, and its tickets would run out meanwhile.
+	if p.unspoken[service] > 0 && !w.adviceOf(ws.step).asking {
 		l.considerAsking(ws, need, candidates, rooms, advice, p.now)
 	}
+	if w.adviceOf(ws.step).asking {
+		p.unspoken[service] -= int64(need.Count) * spec.Size.MilliCPU
+	}
 }
 
 // withinLimit returns how many of n tasks the team's limit allows.
@@ -282,7 +295,7 @@
 // that are left, if they have the room.
 func (l *leadership) considerAsking(ws *waitingStep, need placement.Need, candidates []*worker, rooms []placement.Room, a *site.Advice, now time.Time) {
 	said := ws.w.adviceOf(ws.step)
-	if said.asking || len(candidates) == 0 {
+	if len(candidates) == 0 {
 		return
 	}
 	part := l.learnedOf(ws.w.sub.Queue).part()
