No new lease for a worker that does not answer; a fleet of stand-ins for the tests

Ruled out: the worker's list entry (it was gone). Tests: TestWorkerThatLeftIsGivenUp and TestStories/worker_leaves failed before.

--- /dev/null
+++ b/pollendockd/internal/scheduler/cell_test.go
@@ -0,0 +1,169 @@
+package scheduler
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"pollendock.example/cell/job"
+	"pollendock.example/cell/resource"
+	"pollendock.example/cell/site"
+	"pollendock.example/pollendockd/internal/book"
+	"pollendock.example/standin/fleet"
+)
+
+type (
+	// cell is a deployment in one bubble: a store, workers and entry VMs.
+	cell struct {
+		t       *testing.T
+		ctx     context.Context
+		store   *fleet.Store
+		fleet   *fleet.Fleet
+		catalog *site.Catalog
+		vms     map[string]*vm
+		subs    map[string]*job.Submission
+		// takes and how are the outcome of runs, unless outcome is set.
+		outcome func(t site.TaskName, run int64, worker string) (time.Duration, site.EndKind)
+	}
+
+	// vm is one entry VM.
+	vm struct {
+		book      *job.Book
+		scheduler *Scheduler
+		kill      context.CancelFunc
+	}
+
+	noCounts struct{}
+)
+
+const workTime = 2 * time.Second
+
+func (noCounts) Count(string, int64)        {}
+func (noCounts) Time(string, time.Duration) {}
+
+// inCell runs a test in a bubble with workers of 10 cores each.
+func inCell(t *testing.T, workers int, fn func(c *cell)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer synctest.Wait()
+		defer cancel()
+		c := &cell{t: t, ctx: ctx, store: fleet.NewStore(), vms: map[string]*vm{}, subs: map[string]*job.Submission{}}
+		c.catalog = (&site.Catalog{
+			Version:  1,
+			Queues:   []site.Queue{{Name: "q", Service: "s", MaxAttempts: 2, Stretch: 2, Objective: time.Second}},
+			Teams:    []site.Team{{Name: "team", Keys: []string{"k"}, Weight: 1000}},
+			Services: map[string]site.Service{"s": {}},
+		}).Index()
+		c.fleet = fleet.NewFleet(c.runOutcome, c.sizeOf)
+		for i := range workers {
+			c.fleet.Add(fmt.Sprintf("w%d", i), "s", resource.Vector{MilliCPU: 10_000, MemoryMB: 10_000})
+		}
+		go c.fleet.Run(ctx)
+		fn(c)
+		for _, b := range c.fleet.Breaches() {
+			t.Errorf("breach: %s", b)
+		}
+	})
+}
+
+func (c *cell) runOutcome(t site.TaskName, run int64, worker string) (time.Duration, site.EndKind) {
+	if c.outcome != nil {
+		return c.outcome(t, run, worker)
+	}
+	return workTime, site.Done
+}
+
+func (c *cell) sizeOf(t site.TaskName) (resource.Vector, int) {
+	step := &c.subs[t.Job].Steps[t.Step]
+	if step.Gang {
+		return step.Size, step.Count
+	}
+	return step.Size, 0
+}
+
+// start brings up an entry VM.
+func (c *cell) start(name string) *vm {
+	ctx, cancel := context.WithCancel(c.ctx)
+	v := &vm{book: job.NewBook(), kill: cancel}
+	logger := log.NewNopLogger()
+	follower := book.NewFollower(c.store, v.book, logger, func(ids []string) { v.scheduler.JobsChanged(ids) })
+	v.scheduler = New(Options{
+		Name: name, Incarnation: name + "/1",
+		Bounds: site.Bounds{MaxLease: 6 * time.Second, StopTime: 200 * time.Millisecond},
+	}, Deps{
+		Stream: c.store, Follower: follower, Book: v.book, Upstreams: c.fleet,
+		Dial:    func(id string, _ netip.AddrPort) Worker { return c.fleet.Worker(id) },
+		Catalog: func() *site.Catalog { return c.catalog }, Logger: logger, Counts: noCounts{},
+	})
+	go func() { _ = v.scheduler.Run(ctx) }()
+	go func() { _ = follower.Run(ctx) }()
+	c.vms[name] = v
+	return v
+}
+
+// submit makes a job durable, as the desk does.
+func (c *cell) submit(id string, steps ...job.Step) {
+	c.t.Helper()
+	s := &job.Submission{
+		ID: id, Team: "team", Queue: "q", Service: "s", MaxAttempts: 2, AcceptedAt: time.Now(), Spec: "x", Steps: steps,
+	}
+	c.subs[id] = s
+	e, err := job.SubmissionEntry(s)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	if _, err := c.store.Append(c.ctx, []site.Entry{e}); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+func (c *cell) cancel(id string) {
+	c.t.Helper()
+	if _, err := c.store.Append(c.ctx, []site.Entry{job.CancelEntry(id)}); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// expectPhase checks the state of a job at a VM after some time.
+func expectPhase(c *cell, v *vm, id string, within time.Duration, want job.Phase) {
+	c.t.Helper()
+	deadline := time.Now().Add(within)
+	for {
+		j := v.book.Job(id)
+		if j != nil && j.Phase() == want {
+			return
+		}
+		if time.Now().After(deadline) {
+			c.t.Fatalf("job %s is not %v within %v: %+v", id, want, within, j)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// expectStarts checks how often a task of step 0 was begun.
+func expectStarts(c *cell, id string, index, want int) {
+	c.t.Helper()
+	if n := c.fleet.Starts(site.TaskName{Job: id, Index: index}); n != want {
+		c.t.Errorf("task %d of job %s was begun %d times, want %d", index, id, n, want)
+	}
+}
+
+func tasks(n int, cores int64) job.Step {
+	return job.Step{Count: n, Size: resource.Vector{MilliCPU: cores * 1000, MemoryMB: 100}, Estimate: workTime}
+}
+
+func gang(n int, cores int64) job.Step {
+	s := tasks(n, cores)
+	s.Gang = true
+	return s
+}
+
+func after(s job.Step, steps ...int) job.Step {
+	s.After = steps
+	return s
+}
--- a/pollendockd/internal/scheduler/order.go
+++ b/pollendockd/internal/scheduler/order.go
@@ -37,9 +37,14 @@
 		return
 	}
 	now := time.Now()
+	end := l.nextLease(r.at, now)
+	if end == 0 {
+		l.endRun(r, site.NotRun, "the worker has not answered for too long")
+		return
+	}
 	o := &site.StartOrder{
 		Task: r.task, Run: r.number, Spec: r.w.sub.Spec, Token: l.term.Epoch, Ticket: r.ticket,
-		LeaseEnd: l.nextLease(r.at, now), Checkpoint: r.w.checkpoints[r.w.checkpointKey(r.task)],
+		LeaseEnd: end, Checkpoint: r.w.checkpoints[r.w.checkpointKey(r.task)],
 	}
 	r.stage = starting
 	r.sentAt = now
--- /dev/null
+++ b/pollendockd/internal/scheduler/story_test.go
@@ -0,0 +1,148 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"pollendock.example/cell/job"
+	"pollendock.example/cell/site"
+)
+
+// TestStories plays one job of each form through one fault of each kind.
+func TestStories(t *testing.T) {
+	jobs := []struct {
+		name  string
+		steps []job.Step
+	}{
+		{"tasks", []job.Step{tasks(3, 4)}},
+		{"gang", []job.Step{gang(3, 6)}},
+		{"steps", []job.Step{tasks(2, 4), after(gang(2, 6), 0)}},
+	}
+	faults := []struct {
+		name   string
+		strike func(c *cell)
+	}{
+		{"none", func(*cell) {}},
+		{"start answer lost", func(c *cell) { c.fleet.Worker("w0").LoseAnswers(1) }},
+		{"start late", func(c *cell) { c.fleet.Worker("w0").DelayStarts(1, 3*time.Second) }},
+		{"append answer lost", func(c *cell) { c.store.LoseAnswers(1) }},
+		{"worker leaves", func(c *cell) { time.Sleep(time.Second); c.fleet.Worker("w0").Leave() }},
+		{"worker reborn", func(c *cell) { time.Sleep(time.Second); c.fleet.Worker("w0").Reboot() }},
+		{"worker silent", func(c *cell) {
+			time.Sleep(time.Second)
+			c.fleet.Worker("w0").SetSilent(true)
+			time.Sleep(3 * time.Second)
+			c.fleet.Worker("w0").SetSilent(false)
+		}},
+		{"leader killed", func(c *cell) { time.Sleep(time.Second); c.vms["a"].kill() }},
+		{"leader killed at once", func(c *cell) { time.Sleep(20 * time.Millisecond); c.vms["a"].kill() }},
+		{"store silent", func(c *cell) {
+			time.Sleep(300 * time.Millisecond)
+			c.store.SetSilent(true)
+			time.Sleep(4 * time.Second)
+			c.store.SetSilent(false)
+		}},
+		{"store refuses", func(c *cell) {
+			c.store.SetAway(true)
+			time.Sleep(4 * time.Second)
+			c.store.SetAway(false)
+		}},
+		{"history dropped", func(c *cell) { time.Sleep(30 * time.Millisecond); c.store.Trim() }},
+	}
+	for _, f := range faults {
+		for _, j := range jobs {
+			t.Run(f.name+"/"+j.name, func(t *testing.T) {
+				inCell(t, 3, func(c *cell) {
+					c.start("a")
+					time.Sleep(3 * time.Second)
+					b := c.start("b")
+					time.Sleep(time.Second)
+					c.submit("j1", j.steps...)
+					f.strike(c)
+					expectPhase(c, b, "j1", 30*time.Second, job.Completed)
+				})
+			})
+		}
+	}
+}
+
+// TestWorkerThatLeftIsGivenUp: a worker that went away for good was sent holds
+// with new leases for ever, so what it had run never counted as lapsed.
+func TestWorkerThatLeftIsGivenUp(t *testing.T) {
+	inCell(t, 1, func(c *cell) {
+		a := c.start("a")
+		time.Sleep(time.Second)
+		c.submit("j1", tasks(1, 4))
+		time.Sleep(500 * time.Millisecond)
+		c.fleet.Worker("w0").Leave()
+		c.fleet.Add("w1", "s", c.fleet.Worker("w0").Capacity())
+		expectPhase(c, a, "j1", 12*time.Second, job.Completed)
+		expectStarts(c, "j1", 0, 2)
+	})
+}
+
+// TestFailuresEndTheJob: a task is started anew until it has failed as often as
+// the queue allows.
+func TestFailuresEndTheJob(t *testing.T) {
+	for _, step := range []job.Step{tasks(1, 4), gang(2, 4)} {
+		inCell(t, 2, func(c *cell) {
+			c.outcome = func(site.TaskName, int64, string) (time.Duration, site.EndKind) { return workTime, site.Failed }
+			a := c.start("a")
+			c.submit("j1", step)
+			expectPhase(c, a, "j1", 20*time.Second, job.Failed)
+			expectStarts(c, "j1", 0, 2)
+		})
+	}
+}
+
+// TestCancelStopsTasks: a canceled job has nothing running soon after.
+func TestCancelStopsTasks(t *testing.T) {
+	inCell(t, 2, func(c *cell) {
+		a := c.start("a")
+		c.submit("j1", tasks(2, 6))
+		time.Sleep(time.Second)
+		c.cancel("j1")
+		expectPhase(c, a, "j1", time.Second, job.Canceled)
+		time.Sleep(time.Second)
+		for _, id := range []string{"w0", "w1"} {
+			if n := c.fleet.Worker(id).Running(); n > 0 {
+				t.Errorf("%s still runs %d tasks", id, n)
+			}
+		}
+	})
+}
+
+// TestHandover: a leader that stops names a successor, which goes on at once.
+func TestHandover(t *testing.T) {
+	inCell(t, 2, func(c *cell) {
+		a := c.start("a")
+		time.Sleep(2 * time.Second)
+		b := c.start("b")
+		c.submit("j1", tasks(2, 6))
+		time.Sleep(500 * time.Millisecond)
+		a.scheduler.Stop(c.ctx)
+		a.kill()
+		c.submit("j2", tasks(1, 4))
+		expectPhase(c, b, "j2", 4*time.Second, job.Completed)
+		expectPhase(c, b, "j1", 4*time.Second, job.Completed)
+		expectStarts(c, "j1", 0, 1)
+	})
+}
+
+// TestRejoinedTermIsOver: a leader that a worker refused began the same term
+// again at once, as long as its book still showed it as the leader.
+func TestRejoinedTermIsOver(t *testing.T) {
+	inCell(t, 1, func(c *cell) {
+		a := c.start("a")
+		time.Sleep(time.Second)
+		lead := a.scheduler.lead
+		if lead == nil {
+			t.Fatal("nobody leads")
+		}
+		_, _ = c.fleet.Worker("w0").Hold(c.ctx, &site.HoldOrder{Token: lead.term.Epoch + 1})
+		time.Sleep(1700 * time.Millisecond)
+		if a.scheduler.lead != nil && a.scheduler.lead.term.Epoch == lead.term.Epoch {
+			t.Errorf("term %d was begun again", lead.term.Epoch)
+		}
+	})
+}
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -73,6 +73,8 @@
 	listLimit = 1500 * time.Millisecond
 
 	lease = 4500 * time.Millisecond
+	// renewLimit is how old a worker's last answer may be for a new lease.
+	renewLimit = holdWait + holdTimeout + 300*time.Millisecond
 	// leaseMargin keeps leases below the longest that a worker grants.
 	leaseMargin = 500 * time.Millisecond
 	// clockRate is the slowest that a worker's clock may run.
@@ -190,9 +192,12 @@
 	return at.clock + now.Sub(at.clockAt)
 }
 
-// nextLease returns the end of a lease that begins now, and notes it as sent.
+// nextLease returns the end of a lease that begins now, and notes it as sent. It
+// returns 0, which renews nothing, for a worker that has not answered for long.
 func (l *leadership) nextLease(at *worker, now time.Time) time.Duration {
-	if at.boot == 0 {
+	if at.boot == 0 || now.Sub(at.clockAt) > renewLimit {
+		// An order without an answer may have been carried out, so each new end
+		// puts off the time at which all has surely lapsed.
 		return 0
 	}
 	length := min(lease, l.s.opt.Bounds.MaxLease-leaseMargin)
@@ -256,7 +261,7 @@
 func (l *leadership) hold(at *worker, now time.Time) {
 	at.holdBusy = true
 	wait := time.Duration(0)
-	if at.boot != 0 && len(at.runs) > 0 {
+	if at.boot != 0 && len(at.runs) > 0 && at.holdFails == 0 {
 		wait = holdWait
 	}
 	l.sendHold(at, now, wait, true)
--- /dev/null
+++ b/standin/fleet/store.go
@@ -0,0 +1,181 @@
+// Package fleet plays the parts of a deployment that jobs of several steps
+// need: the stream of records, workers under leases, and the advisor. Faults
+// are set on each part; what must never happen is noted as a breach.
+package fleet
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"pollendock.example/cell/site"
+)
+
+// Store is the stream of records.
+type Store struct {
+	mu      sync.Mutex
+	entries []site.Entry
+	first   int64
+	wake    chan struct{}
+	epoch   int64
+	// sequence is the next one of the epoch, last the offset of the one before.
+	sequence int64
+	last     int64
+	away     bool
+	silent   bool
+	loseNext int
+}
+
+// NewStore returns an empty stream.
+func NewStore() *Store {
+	return &Store{wake: make(chan struct{})}
+}
+
+// SetAway has the store refuse every call.
+func (s *Store) SetAway(away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = away
+}
+
+// SetSilent has the store leave every call without an answer.
+func (s *Store) SetSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = silent
+}
+
+// LoseAnswers has the next n appends done without an answer.
+func (s *Store) LoseAnswers(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loseNext = n
+}
+
+// Trim drops the history; the newest entry of each key stays.
+func (s *Store) Trim() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.first = int64(len(s.entries))
+}
+
+// Entries returns all that was ever appended.
+func (s *Store) Entries() []site.Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]site.Entry(nil), s.entries...)
+}
+
+// available blocks while the store is silent, and refuses while it is away.
+func (s *Store) available(ctx context.Context) error {
+	s.mu.Lock()
+	silent, away := s.silent, s.away
+	s.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return site.ErrUnknown.Wrap(ctx.Err())
+	}
+	if away {
+		return site.ErrRefused.New("away")
+	}
+	return nil
+}
+
+// Append adds entries.
+func (s *Store) Append(ctx context.Context, entries []site.Entry) (int64, error) {
+	if err := s.available(ctx); err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.add(entries)
+}
+
+// AppendAs adds entries in a term.
+func (s *Store) AppendAs(ctx context.Context, t site.Term, entries []site.Entry) (int64, error) {
+	if err := s.available(ctx); err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case t.Epoch < s.epoch:
+		return 0, site.ErrFenced.New("epoch %d after %d", t.Epoch, s.epoch)
+	case t.Epoch > s.epoch:
+		s.epoch = t.Epoch
+		s.sequence = t.Sequence
+	case t.Sequence == s.sequence-1:
+		return s.last, nil
+	case t.Sequence != s.sequence:
+		return 0, site.ErrRefused.New("sequence %d, not %d", t.Sequence, s.sequence)
+	}
+	s.sequence = t.Sequence + 1
+	s.last = int64(len(s.entries))
+	return s.add(entries)
+}
+
+func (s *Store) add(entries []site.Entry) (int64, error) {
+	at := int64(len(s.entries))
+	for i, e := range entries {
+		e.Offset = at + int64(i)
+		s.entries = append(s.entries, e)
+	}
+	close(s.wake)
+	s.wake = make(chan struct{})
+	if s.loseNext > 0 {
+		s.loseNext--
+		return 0, site.ErrUnknown.New("the answer was lost")
+	}
+	return at, nil
+}
+
+// Read returns entries from an offset on.
+func (s *Store) Read(ctx context.Context, from int64, wait time.Duration) (*site.Page, error) {
+	if err := s.available(ctx); err != nil {
+		return nil, err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		end, wake := int64(len(s.entries)), s.wake
+		if from < s.first {
+			s.mu.Unlock()
+			return nil, site.ErrTrimmed.New("%d is before %d", from, s.first)
+		}
+		if end > from {
+			page := &site.Page{Entries: append([]site.Entry(nil), s.entries[from:]...), Next: end, End: end}
+			s.mu.Unlock()
+			return page, nil
+		}
+		s.mu.Unlock()
+		select {
+		case <-wake:
+		case <-timer.C:
+			return &site.Page{Next: from, End: end}, nil
+		case <-ctx.Done():
+			return nil, site.ErrUnknown.Wrap(ctx.Err())
+		}
+	}
+}
+
+// Newest returns the newest entry of each key.
+func (s *Store) Newest(ctx context.Context) (*site.Page, error) {
+	if err := s.available(ctx); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	newest := map[string]int{}
+	for i := range s.entries {
+		newest[s.entries[i].Key] = i
+	}
+	end := int64(len(s.entries))
+	p := &site.Page{Next: end, End: end}
+	for i := range s.entries {
+		if newest[s.entries[i].Key] == i && len(s.entries[i].Value) > 0 {
+			p.Entries = append(p.Entries, s.entries[i])
+		}
+	}
+	return p, nil
+}
--- /dev/null
+++ b/standin/fleet/worker.go
@@ -0,0 +1,468 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sort"
+	"sync"
+	"time"
+
+	"pollendock.example/cell/resource"
+	"pollendock.example/cell/site"
+)
+
+type (
+	// Fleet is all workers of a deployment, and the judge of what they do.
+	Fleet struct {
+		mu       sync.Mutex
+		began    time.Time
+		workers  map[string]*Worker
+		outcome  func(t site.TaskName, run int64, worker string) (time.Duration, site.EndKind)
+		size     func(t site.TaskName) (resource.Vector, int)
+		breaches []string
+		// done holds the tasks of which a good end was acknowledged.
+		done   map[site.TaskName]bool
+		starts map[site.TaskName]int
+		// startedAt is when the newest run of a task began.
+		startedAt map[site.TaskName]time.Time
+	}
+
+	// Worker runs tasks under a lease.
+	Worker struct {
+		fleet *Fleet
+		up    site.Upstream
+		boot  time.Time
+
+		token    int64
+		leaseEnd time.Duration
+		runs     map[site.TaskName]*running
+		barred   map[site.TaskName]int64
+		ended    []ending
+		number   int64
+		wake     chan struct{}
+
+		// gone workers run nothing; silent ones run on but cannot be reached.
+		gone      bool
+		silent    bool
+		listed    bool
+		loseNext  int
+		lateNext  int
+		lateAfter time.Duration
+	}
+
+	// ending is the end of a run that was not acknowledged yet.
+	ending struct {
+		site.RunEnd
+		at time.Time
+		// lapsed is set once the worker's lease has run out since: the
+		// scheduler may then have given the run up, and the end counts no more.
+		lapsed bool
+	}
+
+	running struct {
+		task   site.TaskName
+		number int64
+		began  time.Time
+		// endAt is zero while a gang waits for its members.
+		endAt time.Time
+		how   site.EndKind
+		takes time.Duration
+	}
+)
+
+const (
+	checkEvery = 10 * time.Millisecond
+	gangWait   = 3 * time.Second
+)
+
+// NewFleet returns a fleet. Outcome says how long a run takes and how it ends,
+// size what a task takes of a worker, and how many members its gang has, 0 if
+// it is none.
+func NewFleet(
+	outcome func(t site.TaskName, run int64, worker string) (time.Duration, site.EndKind),
+	size func(t site.TaskName) (resource.Vector, int),
+) *Fleet {
+	return &Fleet{
+		began: time.Now(), workers: map[string]*Worker{}, outcome: outcome, size: size,
+		done: map[site.TaskName]bool{}, starts: map[site.TaskName]int{}, startedAt: map[site.TaskName]time.Time{},
+	}
+}
+
+// Add brings up a worker.
+func (f *Fleet) Add(id, service string, capacity resource.Vector) *Worker {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := &Worker{fleet: f, listed: true, up: site.Upstream{
+		ID: id, Service: service, Capacity: capacity, Labels: []string{"a", "r1-1"}, Rack: "r1-1",
+		Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(1000+len(f.workers))),
+	}}
+	w.restart()
+	f.workers[id] = w
+	return w
+}
+
+// restart begins a life of the worker, which knows nothing of before.
+func (w *Worker) restart() {
+	w.boot = time.Now()
+	w.up.Boot = w.boot.UnixMilli()
+	w.token = 0
+	w.leaseEnd = 0
+	w.runs = map[site.TaskName]*running{}
+	w.barred = map[site.TaskName]int64{}
+	w.ended = nil
+	w.number = 0
+	w.wake = make(chan struct{})
+}
+
+// Next returns the list of workers.
+func (f *Fleet) Next(context.Context) ([]site.Upstream, []string, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	list := []site.Upstream{}
+	for _, w := range f.workers {
+		if w.listed {
+			list = append(list, w.up)
+		}
+	}
+	return list, nil, nil
+}
+
+// Worker returns the worker of that id.
+func (f *Fleet) Worker(id string) *Worker {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.workers[id]
+}
+
+// Breaches returns what must not have happened.
+func (f *Fleet) Breaches() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]string(nil), f.breaches...)
+}
+
+// Starts returns how often a task was begun.
+func (f *Fleet) Starts(t site.TaskName) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.starts[t]
+}
+
+// Run ends tasks and leases as time goes by.
+func (f *Fleet) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		f.mu.Lock()
+		now := time.Now()
+		f.gatherGangs(now)
+		for _, w := range f.workers {
+			w.pass(now)
+		}
+		f.mu.Unlock()
+		select {
+		case <-time.After(checkEvery):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// gatherGangs starts the work of gangs whose members are all there.
+func (f *Fleet) gatherGangs(now time.Time) {
+	present := map[string][]*running{}
+	wanted := map[string]int{}
+	for _, w := range f.workers {
+		for _, r := range w.runs {
+			if _, n := f.size(r.task); n > 0 && r.endAt.IsZero() {
+				key := fmt.Sprintf("%s.%d.%d", r.task.Job, r.task.Step, r.number)
+				present[key] = append(present[key], r)
+				wanted[key] = n
+			}
+		}
+	}
+	for key, list := range present {
+		if len(list) < wanted[key] {
+			continue
+		}
+		for _, r := range list {
+			r.endAt = now.Add(r.takes)
+		}
+	}
+}
+
+func (w *Worker) clock(now time.Time) time.Duration {
+	return now.Sub(w.boot)
+}
+
+func (w *Worker) pass(now time.Time) {
+	if w.gone {
+		return
+	}
+	lapsed := w.leaseEnd > 0 && w.clock(now) >= w.leaseEnd
+	for i := range w.ended {
+		w.ended[i].lapsed = w.ended[i].lapsed || lapsed
+	}
+	for _, r := range w.sorted() {
+		switch {
+		case lapsed:
+			w.end(r, site.Lapsed)
+		case !r.endAt.IsZero() && !now.Before(r.endAt):
+			w.end(r, r.how)
+		case r.endAt.IsZero() && now.Sub(r.began) >= gangWait:
+			w.end(r, site.GangIncomplete)
+		}
+	}
+}
+
+func (w *Worker) sorted() []*running {
+	var list []*running
+	for _, r := range w.runs {
+		list = append(list, r)
+	}
+	sort.Slice(list, func(a, b int) bool {
+		if list[a].task.Job != list[b].task.Job {
+			return list[a].task.Job < list[b].task.Job
+		}
+		return list[a].task.Index < list[b].task.Index
+	})
+	return list
+}
+
+func (w *Worker) end(r *running, how site.EndKind) {
+	if w.runs[r.task] != r {
+		return
+	}
+	delete(w.runs, r.task)
+	w.barred[r.task] = max(w.barred[r.task], r.number)
+	w.number++
+	w.ended = append(w.ended, ending{RunEnd: site.RunEnd{Number: w.number, Task: r.task, Run: r.number, How: how}, at: time.Now()})
+	close(w.wake)
+	w.wake = make(chan struct{})
+	if _, n := w.fleet.size(r.task); n > 0 && how != site.Done {
+		w.fleet.breakGang(r)
+	}
+}
+
+// breakGang ends the other members of a run.
+func (f *Fleet) breakGang(of *running) {
+	for _, w := range f.workers {
+		for _, r := range w.sorted() {
+			if r.task.Job == of.task.Job && r.task.Step == of.task.Step && r.number == of.number {
+				w.end(r, site.GangBroken)
+			}
+		}
+	}
+}
+
+// Leave takes the worker away for good, with all that it runs.
+func (w *Worker) Leave() {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	w.gone = true
+	w.listed = false
+	w.runs = map[site.TaskName]*running{}
+}
+
+// SetSilent cuts the worker off, or lets it answer again.
+func (w *Worker) SetSilent(silent bool) {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	w.silent = silent
+}
+
+// Reboot kills the worker's process and starts it under the same id.
+func (w *Worker) Reboot() {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	w.restart()
+}
+
+// LoseAnswers has the next n starts carried out without an answer.
+func (w *Worker) LoseAnswers(n int) {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	w.loseNext = n
+}
+
+// DelayStarts has the next n starts carried out later, without an answer.
+func (w *Worker) DelayStarts(n int, by time.Duration) {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	w.lateNext = n
+	w.lateAfter = by
+}
+
+// Running returns the number of runs.
+func (w *Worker) Running() int {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	return len(w.runs)
+}
+
+// reach blocks while the worker is out of reach.
+func (w *Worker) reach(ctx context.Context) error {
+	w.fleet.mu.Lock()
+	gone := w.gone || w.silent
+	w.fleet.mu.Unlock()
+	if gone {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return nil
+}
+
+// Start implements the order.
+func (w *Worker) Start(ctx context.Context, o *site.StartOrder) (time.Duration, error) {
+	if err := w.reach(ctx); err != nil {
+		return 0, err
+	}
+	w.fleet.mu.Lock()
+	if w.lateNext > 0 {
+		w.lateNext--
+		late := *o
+		time.AfterFunc(w.lateAfter, func() {
+			w.fleet.mu.Lock()
+			defer w.fleet.mu.Unlock()
+			_ = w.begin(&late)
+		})
+		w.fleet.mu.Unlock()
+		<-ctx.Done()
+		return 0, ctx.Err()
+	}
+	err := w.begin(o)
+	lose := w.loseNext > 0
+	if lose {
+		w.loseNext--
+	}
+	clock := w.clock(time.Now())
+	w.fleet.mu.Unlock()
+	if lose {
+		<-ctx.Done()
+		return 0, ctx.Err()
+	}
+	return clock, err
+}
+
+func (w *Worker) begin(o *site.StartOrder) error {
+	f := w.fleet
+	now := time.Now()
+	switch {
+	case o.Token < w.token:
+		return &site.OrderError{Reason: site.RefusedFenced}
+	case o.Run <= w.barred[o.Task]:
+		return &site.OrderError{Reason: site.RefusedOld}
+	case o.LeaseEnd <= w.clock(now):
+		return &site.OrderError{Reason: site.RefusedLate}
+	}
+	w.token = o.Token
+	w.leaseEnd = max(w.leaseEnd, o.LeaseEnd)
+	if r := w.runs[o.Task]; r != nil && r.number == o.Run {
+		return nil
+	}
+	w.judge(o)
+	takes, how := f.outcome(o.Task, o.Run, w.up.ID)
+	r := &running{task: o.Task, number: o.Run, began: now, how: how, takes: takes}
+	if _, gang := f.size(o.Task); gang == 0 {
+		r.endAt = now.Add(takes)
+	}
+	w.runs[o.Task] = r
+	f.starts[o.Task]++
+	f.startedAt[o.Task] = now
+	return nil
+}
+
+// acknowledge notes a good end. Nothing may have been started after it.
+func (f *Fleet) acknowledge(e *ending) {
+	if e.How != site.Done || e.lapsed {
+		return
+	}
+	f.done[e.Task] = true
+	if f.startedAt[e.Task].After(e.at) {
+		f.breaches = append(f.breaches, fmt.Sprintf("%v run %d was done before a later run began", e.Task, e.Run))
+	}
+}
+
+// judge notes what a start breaks.
+func (w *Worker) judge(o *site.StartOrder) {
+	f := w.fleet
+	if f.done[o.Task] {
+		f.breaches = append(f.breaches, fmt.Sprintf("%v run %d starts after it was done", o.Task, o.Run))
+	}
+	size, _ := f.size(o.Task)
+	total := size
+	for _, other := range f.workers {
+		if r := other.runs[o.Task]; r != nil && !other.gone {
+			f.breaches = append(f.breaches, fmt.Sprintf("%v run %d starts while run %d is at %s", o.Task, o.Run, r.number, other.up.ID))
+		}
+	}
+	for t := range w.runs {
+		size, _ := f.size(t)
+		total = total.Add(size)
+	}
+	if !total.Fits(w.up.Capacity) {
+		f.breaches = append(f.breaches, fmt.Sprintf("%s holds %v of %v", w.up.ID, total, w.up.Capacity))
+	}
+}
+
+// Stop implements the order.
+func (w *Worker) Stop(ctx context.Context, o *site.StopOrder) (time.Duration, error) {
+	if err := w.reach(ctx); err != nil {
+		return 0, err
+	}
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	if o.Token < w.token {
+		return 0, &site.OrderError{Reason: site.RefusedFenced}
+	}
+	w.token = o.Token
+	w.barred[o.Task] = max(w.barred[o.Task], o.Run)
+	if r := w.runs[o.Task]; r != nil && r.number == o.Run {
+		w.end(r, site.Stopped)
+	}
+	return w.clock(time.Now()), nil
+}
+
+// Hold implements the order.
+func (w *Worker) Hold(ctx context.Context, o *site.HoldOrder) (*site.HoldReply, error) {
+	if err := w.reach(ctx); err != nil {
+		return nil, err
+	}
+	w.fleet.mu.Lock()
+	if o.Token < w.token {
+		w.fleet.mu.Unlock()
+		return nil, &site.OrderError{Reason: site.RefusedFenced}
+	}
+	w.token = o.Token
+	w.leaseEnd = max(w.leaseEnd, o.LeaseEnd)
+	for len(w.ended) > 0 && w.ended[0].Number <= o.Acked {
+		w.fleet.acknowledge(&w.ended[0])
+		w.ended = w.ended[1:]
+	}
+	wake, wait := w.wake, len(w.ended) == 0
+	w.fleet.mu.Unlock()
+	if wait && o.Wait > 0 {
+		select {
+		case <-wake:
+		case <-time.After(o.Wait):
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	if err := w.reach(ctx); err != nil {
+		return nil, err
+	}
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	reply := &site.HoldReply{Clock: w.clock(time.Now()), Boot: w.up.Boot}
+	for _, e := range w.ended {
+		reply.Ended = append(reply.Ended, e.RunEnd)
+	}
+	for _, r := range w.sorted() {
+		reply.Running = append(reply.Running, site.RunStatus{Task: r.task, Run: r.number})
+	}
+	return reply, nil
+}
+
+// Capacity returns what the worker offers.
+func (w *Worker) Capacity() resource.Vector {
+	return w.up.Capacity
+}
