--- a/pollendockd/internal/desk/desk.go
+++ b/pollendockd/internal/desk/desk.go
@@ -23,6 +23,11 @@
 		Fresh(within time.Duration) bool
 	}
 
+	// Leader makes entries durable together with its own.
+	Leader interface {
+		Accept(ctx context.Context, entries []site.Entry) error
+	}
+
 	// Peers passes requests on to another entry VM. An error of class
 	// site.ErrRefused means that none took the request.
 	Peers interface {
@@ -40,6 +45,7 @@
 		Book     *job.Book
 		Catalog  *CatalogWatch
 		Peers    Peers
+		Leader   Leader
 		Logger   log.Logger
 		Counts   Counts
 	}
@@ -184,16 +190,22 @@
 	return d.accept(ctx, e)
 }
 
-// accept makes an entry durable and names the outcome.
+// accept makes an entry durable and names the outcome. Without the leader this
+// VM appends it itself: entries of requests may be appended twice.
 func (d *Desk) accept(ctx context.Context, e site.Entry) error {
-	err := d.acceptor.accept(ctx, []site.Entry{e})
+	entries := []site.Entry{e}
+	byLeader := d.deps.Leader.Accept(ctx, entries)
+	if byLeader == nil {
+		return nil
+	}
+	err := d.acceptor.accept(ctx, entries)
 	switch {
 	case err == nil:
 		return nil
-	case site.ErrRefused.Has(err):
-		return code.New(code.LogDown, "%v", err)
+	case site.ErrRefused.Has(err) && site.ErrRefused.Has(byLeader):
+		return code.New(code.LogDown, "%v; by the leader: %v", err, byLeader)
 	}
-	return code.New(code.AcceptUnknown, "%v", err)
+	return code.New(code.AcceptUnknown, "%v; by the leader: %v", err, byLeader)
 }
 
 // least is the oldest catalog version by which callers of this VM may be
--- a/pollendockd/internal/helper/helper.go
+++ b/pollendockd/internal/helper/helper.go
@@ -31,11 +31,17 @@
 		Version() int64
 	}
 
+	// Leader makes entries durable if this VM leads.
+	Leader interface {
+		Accept(ctx context.Context, entries []site.Entry) error
+	}
+
 	// Server serves the calls of other entry VMs over net/rpc.
 	Server struct {
 		ctx     context.Context
 		advisor Advisor
 		desk    Desk
+		leader  Leader
 	}
 
 	// Peers calls the other entry VMs.
@@ -44,10 +50,24 @@
 		book    *job.Book
 		advisor Advisor
 
+		self   string
+		leader Leader
+
 		mu    sync.Mutex
-		conns map[string]*conn
+		conns map[connKey]*conn
+		// shun is until when a leader that did not answer is not asked.
+		shun map[string]time.Time
 	}
 
+	// connKey parts the connections of one peer by use: a call without an
+	// answer closes its connection.
+	connKey struct {
+		name string
+		use  connUse
+	}
+
+	connUse int
+
 	conn struct {
 		incarnation string
 		client      *peer.Client
@@ -58,6 +78,19 @@
 		Tickets []site.Ticket
 	}
 
+	// AcceptRequest asks the leader to make entries durable.
+	AcceptRequest struct {
+		Entries []site.Entry
+	}
+
+	// AcceptReply says what became of them; neither flag is set if that is not
+	// known.
+	AcceptReply struct {
+		Done    bool
+		Refused bool
+		Detail  string
+	}
+
 	// Request is a caller's request that is passed on.
 	Request struct {
 		At site.Address
@@ -78,16 +111,37 @@
 )
 
 const (
-	serveTimeout = 2 * time.Second
-	passTimeout  = 1200 * time.Millisecond
+	serveTimeout  = 2 * time.Second
+	passTimeout   = 1200 * time.Millisecond
+	acceptTimeout = 1300 * time.Millisecond
+	shunTime      = time.Second
 	// passTries bounds the VMs that are tried for a request.
 	passTries = 3
 )
 
+const (
+	forAdvice connUse = iota
+	forRequests
+	forAccepts
+)
+
 // NewServer returns a server whose calls run under ctx. The advisor is nil where
 // there is none.
-func NewServer(ctx context.Context, advisor Advisor, desk Desk) *Server {
-	return &Server{ctx: ctx, advisor: advisor, desk: desk}
+func NewServer(ctx context.Context, advisor Advisor, desk Desk, leader Leader) *Server {
+	return &Server{ctx: ctx, advisor: advisor, desk: desk, leader: leader}
+}
+
+// Accept serves the call of that name.
+func (s *Server) Accept(r *AcceptRequest, reply *AcceptReply) error {
+	ctx, cancel := context.WithTimeout(s.ctx, serveTimeout)
+	defer cancel()
+	err := s.leader.Accept(ctx, r.Entries)
+	reply.Done = err == nil
+	reply.Refused = site.ErrRefused.Has(err)
+	if err != nil {
+		reply.Detail = err.Error()
+	}
+	return nil
 }
 
 // Advise serves the call of that name.
@@ -132,16 +186,21 @@
 	return nil
 }
 
-// NewPeers returns the peers of the VM of that name, as the book lists them.
-func NewPeers(name string, book *job.Book, advisor Advisor) *Peers {
-	return &Peers{name: name, book: book, advisor: advisor, conns: map[string]*conn{}}
+// NewPeers returns the peers of an entry VM, as the book lists them. Leader is
+// the VM itself, for the time in which it leads.
+func NewPeers(self *job.Member, book *job.Book, advisor Advisor, leader Leader) *Peers {
+	return &Peers{
+		name: self.Name, self: self.Incarnation, book: book, advisor: advisor, leader: leader,
+		conns: map[connKey]*conn{}, shun: map[string]time.Time{},
+	}
 }
 
 // client returns a client for a member.
-func (p *Peers) client(m *job.Member) *peer.Client {
+func (p *Peers) client(m *job.Member, use connUse) *peer.Client {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c := p.conns[m.Name]
+	key := connKey{m.Name, use}
+	c := p.conns[key]
 	if c != nil && c.incarnation == m.Incarnation {
 		return c.client
 	}
@@ -149,10 +208,63 @@
 		c.client.Close()
 	}
 	c = &conn{m.Incarnation, peer.NewClient(m.PeerAddr)}
-	p.conns[m.Name] = c
+	p.conns[key] = c
 	return c.client
 }
 
+// Accept asks the leader to make entries durable with its own, so that the
+// stream takes few appends. An error of class site.ErrRefused means that they
+// are not and never will be by this call.
+func (p *Peers) Accept(ctx context.Context, entries []site.Entry) error {
+	l, _ := p.book.Leader()
+	if l.Incarnation == p.self {
+		return p.leader.Accept(ctx, entries)
+	}
+	m := p.memberOf(l.Incarnation)
+	if m == nil || p.shunned(l.Incarnation) {
+		return site.ErrRefused.New("no leader is known to answer")
+	}
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
+	var reply AcceptReply
+	err := p.client(m, forAccepts).Call(ctx, "Accept", &AcceptRequest{Entries: entries}, &reply)
+	switch {
+	case err == nil && reply.Done:
+		return nil
+	case err == nil && reply.Refused:
+		return site.ErrRefused.New("%s", reply.Detail)
+	case err == nil:
+		return site.ErrUnknown.New("%s", reply.Detail)
+	}
+	p.shunLeader(l.Incarnation)
+	if peer.NotSent.Has(err) {
+		return site.ErrRefused.Wrap(err)
+	}
+	return site.ErrUnknown.Wrap(err)
+}
+
+// memberOf returns the member of that incarnation, or nil.
+func (p *Peers) memberOf(incarnation string) *job.Member {
+	for _, m := range p.book.Members() {
+		if m.Incarnation == incarnation {
+			return &m
+		}
+	}
+	return nil
+}
+
+func (p *Peers) shunned(incarnation string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Now().Before(p.shun[incarnation])
+}
+
+func (p *Peers) shunLeader(incarnation string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.shun = map[string]time.Time{incarnation: time.Now().Add(shunTime)}
+}
+
 // Advise asks the advisor by way of the VM of that name.
 func (p *Peers) Advise(ctx context.Context, through string, q *scheduler.AdviceQuery) ([]site.Ticket, error) {
 	if through == p.name {
@@ -163,7 +275,7 @@
 		return nil, peer.NotSent.New("%s is not listed any more", through)
 	}
 	var reply AdviceReply
-	if err := p.client(&m).Call(ctx, "Advise", q, &reply); err != nil {
+	if err := p.client(&m, forAdvice).Call(ctx, "Advise", q, &reply); err != nil {
 		return nil, err
 	}
 	return reply.Tickets, nil
@@ -211,7 +323,7 @@
 func (p *Peers) call(ctx context.Context, m *job.Member, method string, r *Request, out *Outcome) error {
 	ctx, cancel := context.WithTimeout(ctx, passTimeout)
 	defer cancel()
-	return p.client(m).Call(ctx, method, r, out)
+	return p.client(m, forRequests).Call(ctx, method, r, out)
 }
 
 // others returns some other VMs in no order.
--- a/pollendockd/internal/scheduler/flush.go
+++ b/pollendockd/internal/scheduler/flush.go
@@ -14,9 +14,13 @@
 	// flushState is what waits to become durable, and the append under way.
 	flushState struct {
 		dirty []*work
+		// accepts are callers' records.
+		accepts []acceptAsked
 		// starts are planned runs whose order follows the append.
 		starts []*run
 		busy   bool
+		// sent is the append under way.
+		sent *batch
 		// last is set for the append that ends the term.
 		last bool
 		// urgent asks for an append without anything to write.
@@ -31,6 +35,7 @@
 	// batch is one append with what follows it.
 	batch struct {
 		entries []site.Entry
+		accepts []acceptAsked
 		starts  []*run
 		// noted holds, for each worker, the number of the last end whose
 		// outcome is in the batch.
@@ -57,7 +62,8 @@
 	appendTimeout = 800 * time.Millisecond
 	appendRetry   = 60 * time.Millisecond
 	// maxBatchJobs bounds the size of an append.
-	maxBatchJobs = 400
+	maxBatchJobs    = 400
+	maxBatchAccepts = 100
 )
 
 func (f *flushState) init(now time.Time) {
@@ -70,7 +76,7 @@
 	if f.busy || f.last {
 		return
 	}
-	work := len(f.dirty) > 0 || len(f.forget) > 0
+	work := len(f.dirty) > 0 || len(f.forget) > 0 || len(f.accepts) > 0
 	switch {
 	case l.handedOver != nil:
 	case work && now.Sub(f.sentAt) >= appendGap:
@@ -90,7 +96,12 @@
 func (l *leadership) makeBatch() (*batch, error) {
 	f := &l.flush
 	b := &batch{noted: map[*worker]noted{}}
-	n := min(len(f.dirty), maxBatchJobs)
+	n := min(len(f.accepts), maxBatchAccepts)
+	b.accepts, f.accepts = f.accepts[:n], f.accepts[n:]
+	for _, a := range b.accepts {
+		b.entries = append(b.entries, a.entries...)
+	}
+	n = min(len(f.dirty), maxBatchJobs)
 	for _, w := range f.dirty[:n] {
 		w.dirty = false
 		e, err := job.StateEntry(w.id, w.state)
@@ -132,6 +143,7 @@
 func (l *leadership) send(b *batch) {
 	f := &l.flush
 	f.busy = true
+	f.sent = b
 	f.sentAt = time.Now()
 	term := l.term
 	l.spawn(func(ctx context.Context) event {
@@ -196,14 +208,31 @@
 		}
 	}
 	if b.final {
+		answer(b.accepts, nil)
 		l.s.endLeadership("handed over")
 		return
 	}
+	answer(b.accepts, nil)
 	for _, r := range b.starts {
 		l.order(r)
 	}
 }
 
+func answer(accepts []acceptAsked, err error) {
+	for _, a := range accepts {
+		a.reply <- err
+	}
+}
+
+// abandon answers callers at the end of the term: what was not sent is refused,
+// of the rest it is not known.
+func (f *flushState) abandon() {
+	if f.busy {
+		answer(f.sent.accepts, site.ErrUnknown.New("the term has ended"))
+	}
+	answer(f.accepts, site.ErrRefused.New("the term has ended"))
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/pollendockd/internal/scheduler/scheduler.go
+++ b/pollendockd/internal/scheduler/scheduler.go
@@ -104,6 +104,7 @@
 		// campaign is the newest epoch for which this VM stood.
 		campaign    int64
 		campaigning bool
+		stoodAt     time.Time
 		// over is the epoch of the last term that this VM has ended; it never
 		// leads in it again.
 		over     int64
@@ -128,6 +129,12 @@
 	stopAsked struct {
 		done chan struct{}
 	}
+
+	// acceptAsked asks the leader to make entries durable with its own.
+	acceptAsked struct {
+		entries []site.Entry
+		reply   chan error
+	}
 )
 
 const (
@@ -199,6 +206,30 @@
 	}
 }
 
+// Accept makes entries durable, together with the leader's own. It refuses at
+// once if this VM does not lead or its appends fail; an error of class
+// site.ErrRefused means that the entries are not durable and never will be.
+func (s *Scheduler) Accept(ctx context.Context, entries []site.Entry) error {
+	m := acceptAsked{entries, make(chan error, 1)}
+	s.post(m)
+	select {
+	case err := <-m.reply:
+		return err
+	case <-ctx.Done():
+		return site.ErrUnknown.Wrap(ctx.Err())
+	case <-s.ended:
+		return site.ErrUnknown.New("the process ends")
+	}
+}
+
+func (e acceptAsked) handle(s *Scheduler) {
+	if s.lead == nil || s.lead.flush.failing || s.lead.flush.last {
+		e.reply <- site.ErrRefused.New("this VM does not lead, or its appends fail")
+		return
+	}
+	s.lead.flush.accepts = append(s.lead.flush.accepts, e)
+}
+
 // Stop hands the leadership over, if this VM has it.
 func (s *Scheduler) Stop(ctx context.Context) {
 	m := stopAsked{make(chan struct{})}
--- a/pollendockd/internal/scheduler/term.go
+++ b/pollendockd/internal/scheduler/term.go
@@ -60,10 +60,14 @@
 	// standGap and standSlots part the VMs that stand, so that one wins.
 	standGap   = 120 * time.Millisecond
 	standSlots = 8
+	// standAgain parts the campaigns of one VM.
+	standAgain = 200 * time.Millisecond
 	// freshLimit is how new the last answer of the stream must be to judge a
 	// leader's silence.
-	freshLimit      = 900 * time.Millisecond
-	campaignTimeout = time.Second
+	freshLimit = 900 * time.Millisecond
+	// slowTimes is how many calls of the stream a leader may need to be heard.
+	slowTimes       = 12
+	campaignTimeout = 2 * time.Second
 	// heartbeatGap is the longest time without an append of the leader.
 	heartbeatGap = 400 * time.Millisecond
 	// withoutStream is how long a leader goes on without a successful append.
@@ -94,29 +98,33 @@
 			limit = 0
 		}
 	}
-	if silence < limit {
+	if silence < limit || time.Since(s.stoodAt) < standAgain {
 		return
 	}
-	s.stand(l, silence)
+	s.stand(l, silence, limit)
 }
 
 // stand appends the record of a new term. The highest epoch wins; it is known
 // to have won once the book shows it.
-func (s *Scheduler) stand(l job.Leader, silence time.Duration) {
+func (s *Scheduler) stand(l job.Leader, silence, limit time.Duration) {
 	epoch := (l.Epoch/epochStep+1)*epochStep + rand.Int64N(epochStep)
 	s.campaign = epoch
 	s.campaigning = true
+	s.stoodAt = time.Now()
 	_ = level.Info(s.deps.Logger).Log("msg", "standing for leadership", "epoch", epoch,
 		"lastEpoch", l.Epoch, "lastLeader", l.Incarnation, "silenceMs", silence.Milliseconds())
 	go func() {
 		ctx, cancel := context.WithTimeout(s.ctx, campaignTimeout)
 		defer cancel()
-		won, err := s.runCampaign(ctx, epoch)
+		won, err := s.runCampaign(ctx, l, epoch, limit)
 		s.post(campaignDone{epoch, won, err})
 	}()
 }
 
-func (s *Scheduler) runCampaign(ctx context.Context, epoch int64) (bool, error) {
+func (s *Scheduler) runCampaign(ctx context.Context, last job.Leader, epoch int64, limit time.Duration) (bool, error) {
+	if slow, err := s.leaderMayLive(ctx, last, limit); err != nil || slow {
+		return false, err
+	}
 	e, err := job.LeaderEntry(&job.Leader{Epoch: epoch, Incarnation: s.opt.Incarnation})
 	if err != nil {
 		return false, err
@@ -131,6 +139,19 @@
 	return l.Epoch == epoch && l.Incarnation == s.opt.Incarnation, nil
 }
 
+// leaderMayLive reads on and reports whether a sign of the leader has come, or
+// may still come since the stream is slow: then its records take long as well.
+func (s *Scheduler) leaderMayLive(ctx context.Context, last job.Leader, limit time.Duration) (bool, error) {
+	began := time.Now()
+	if err := s.deps.Follower.Sync(ctx); err != nil {
+		return false, err
+	}
+	if now, _ := s.deps.Book.Leader(); now != last {
+		return true, nil
+	}
+	return s.deps.Follower.LeaderSilence() < limit+slowTimes*time.Since(began), nil
+}
+
 func (e campaignDone) handle(s *Scheduler) {
 	s.campaigning = false
 	_ = level.Info(s.deps.Logger).Log("msg", "campaign ended", "epoch", e.epoch, "won", e.won, "err", e.err)
@@ -178,6 +199,7 @@
 	s.lead = nil
 	s.over = l.term.Epoch
 	l.cancel()
+	l.flush.abandon()
 	s.deps.Follower.SetEager(false)
 	_ = level.Warn(s.deps.Logger).Log("msg", "no longer leading", "epoch", l.term.Epoch, "why", why,
 		"ledMs", time.Since(l.since).Milliseconds())
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -19,6 +19,8 @@
 		client Worker
 		// listed is set while the platform's list has it.
 		listed bool
+		// unlistedAt is when it was first missing on a current list.
+		unlistedAt time.Time
 
 		// boot is the life that answered the last hold; 0 before the first.
 		boot int64
@@ -73,6 +75,9 @@
 	listLimit = 1500 * time.Millisecond
 
 	lease = 4500 * time.Millisecond
+	// goneAfter is how long a worker that lives may be missing on the list after
+	// the store was away.
+	goneAfter = 2500 * time.Millisecond
 	// renewLimit is how old a worker's last answer may be for a new lease.
 	renewLimit = holdWait + holdTimeout + 300*time.Millisecond
 	// leaseMargin keeps leases below the longest that a worker grants.
@@ -144,6 +149,9 @@
 		if at.listed {
 			_ = level.Info(l.s.deps.Logger).Log("msg", "worker gone from the list", "worker", id, "runs", len(at.runs))
 		}
+		if at.unlistedAt.IsZero() {
+			at.unlistedAt = time.Now()
+		}
 		at.listed = false
 		if len(at.runs) == 0 && !at.holdBusy {
 			delete(l.workers, id)
@@ -159,6 +167,7 @@
 	}
 	at.up = *u
 	at.listed = true
+	at.unlistedAt = time.Time{}
 	if changed {
 		_ = level.Info(l.s.deps.Logger).Log("msg", "worker listed", "worker", u.ID, "boot", u.Boot, "draining", u.Draining,
 			"dataCentre", u.DataCentre, "capacity", u.Capacity)
@@ -213,6 +222,11 @@
 		// The last leader may renew until it has gone without the stream for
 		// too long.
 		longest := time.Duration(float64(l.s.opt.Bounds.MaxLease) / clockRate)
+		if !at.unlistedAt.IsZero() {
+			// A worker that stays off a current list is gone; a lease of the
+			// last leader is waited for all the same.
+			return later(at.unlistedAt.Add(goneAfter), l.since.Add(longest+lapseSlack))
+		}
 		return l.since.Add(withoutStream + longest + lapseSlack)
 	}
 	left := max(0, at.leaseEnd-at.clock)
@@ -222,6 +236,9 @@
 func (l *leadership) tickWorkers(now time.Time) {
 	for _, at := range l.workers {
 		if at.client == nil {
+			if at.unlistedAt.IsZero() && !l.s.listedAt.Before(l.since) {
+				at.unlistedAt = now
+			}
 			l.lapseIfDue(at, now)
 			continue
 		}
--- a/pollendockd/site.go
+++ b/pollendockd/site.go
@@ -46,6 +46,11 @@
 		// advisor is nil where there is none.
 		advisor helper.Advisor
 	}
+
+	// leaderHere is the scheduler of this VM, which is made after its peers.
+	leaderHere struct {
+		s *siteProcess
+	}
 )
 
 const (
@@ -117,23 +122,27 @@
 		Dial:    func(id string, addr netip.AddrPort) scheduler.Worker { return s.platform.Worker(id, addr) },
 		Catalog: s.catalog.Current, Logger: s.logger, Counts: counts,
 	}
-	var advisor helper.Advisor
 	if s.platform.Advisor != nil {
-		advisor = s.platform.Advisor
+		s.advisor = s.platform.Advisor
 	}
-	s.peers = helper.NewPeers(s.local.Name, s.book, advisor)
-	if advisor != nil {
+	s.peers = helper.NewPeers(&s.member, s.book, s.advisor, leaderHere{s})
+	if s.advisor != nil {
 		deps.Advisor = s.peers
 	}
-	s.advisor = advisor
 	s.scheduler = scheduler.New(scheduler.Options{
 		Name: s.local.Name, Incarnation: s.member.Incarnation, Bounds: s.local.Bounds,
 	}, deps)
 	s.desk = desk.New(desk.Deps{
-		Stream: stream, Follower: s.follower, Book: s.book, Catalog: s.catalog, Peers: s.peers, Logger: s.logger, Counts: counts,
+		Stream: stream, Follower: s.follower, Book: s.book, Catalog: s.catalog, Peers: s.peers, Leader: s.peers,
+		Logger: s.logger, Counts: counts,
 	})
 }
 
+// Accept makes entries durable if this VM leads.
+func (l leaderHere) Accept(ctx context.Context, entries []site.Entry) error {
+	return l.s.scheduler.Accept(ctx, entries)
+}
+
 func (s *siteProcess) run() error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -147,7 +156,7 @@
 	if err != nil {
 		return err
 	}
-	peers, err := peer.NewServerOf(peerListener, helper.NewServer(ctx, s.advisor, s.desk))
+	peers, err := peer.NewServerOf(peerListener, helper.NewServer(ctx, s.advisor, s.desk, s.scheduler))
 	if err != nil {
 		return err
 	}
