--- a/cell/job/submission.go
+++ b/cell/job/submission.go
@@ -105,15 +105,6 @@
 	return nil
 }
 
-// Chain returns the estimated time of the longest chain of steps.
-func (s *Submission) Chain() time.Duration {
-	longest := time.Duration(0)
-	for i := range s.Steps {
-		longest = max(longest, s.ChainFrom(i))
-	}
-	return longest
-}
-
 // ChainFrom returns the estimated time of the longest chain that begins with a
 // step.
 func (s *Submission) ChainFrom(step int) time.Duration {
--- a/cell/placement/turn.go
+++ b/cell/placement/turn.go
@@ -31,11 +31,12 @@
 const (
 	// InTime steps can make their job complete in time.
 	InTime Rank = iota
+	// Surplus steps can as well, but their team has sent more than it is owed.
+	Surplus
 	// Late steps cannot, but their caller still gains something.
 	Late
-	// Beyond steps belong to a job beyond what its team is owed, or to one that
-	// is so late that its caller has given up on it.
-	Beyond
+	// Overdue steps belong to a job on which its caller has given up.
+	Overdue
 )
 
 const (
@@ -43,7 +44,7 @@
 	// something.
 	lateTimes = 3
 	// burst is how much of its future due a team may use at once.
-	burst = 700 * time.Millisecond
+	burst = 2 * time.Second
 )
 
 // Before orders turns. Work that can still be in time goes before work that
@@ -69,10 +70,12 @@
 func RankAt(now, accepted time.Time, allowed, remaining time.Duration, beyond bool) Rank {
 	done := now.Add(remaining)
 	switch {
-	case beyond || done.After(accepted.Add(lateTimes*allowed)):
-		return Beyond
+	case done.After(accepted.Add(lateTimes * allowed)):
+		return Overdue
 	case done.After(accepted.Add(allowed)):
 		return Late
+	case beyond:
+		return Surplus
 	}
 	return InTime
 }
--- a/pollendockd/internal/scheduler/advice.go
+++ b/pollendockd/internal/scheduler/advice.go
@@ -42,6 +42,8 @@
 	// stepAdvice is what the advisor has said of a step.
 	stepAdvice struct {
 		asking bool
+		// spoken is the processor time that the tasks asked for will take.
+		spoken int64
 		// tickets are for workers that may run the step; refused workers may
 		// not, in any life.
 		tickets map[string]ticket
--- a/pollendockd/internal/scheduler/place.go
+++ b/pollendockd/internal/scheduler/place.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"math"
 	"sort"
 	"time"
 
@@ -39,7 +38,10 @@
 	// the time that passes may take: a deep queue must not keep the leader from
 	// its leases and appends.
 	placeGap  = 4 * time.Millisecond
-	passShare = 6
+	passShare = 4
+	// overduePerPass bounds the steps of jobs that nobody waits for any more
+	// that a pass looks at. There may be a thousand after a burst.
+	overduePerPass = 16
 	// bookLimit is how old the last reading of the records may be for new
 	// starts, so that a cancel is known.
 	bookLimit = 1500 * time.Millisecond
@@ -65,7 +67,14 @@
 			p.unspoken[at.up.Service] += max(0, at.free().MilliCPU)
 		}
 	}
+	overdue := 0
 	for _, ws := range l.waitingSteps(p) {
+		if ws.turn.Rank == placement.Overdue {
+			overdue++
+		}
+		if overdue > overduePerPass {
+			break
+		}
 		l.placeStep(p, ws)
 	}
 	l.placeCost = time.Since(now)
@@ -73,13 +82,16 @@
 
 func (l *leadership) waitingSteps(p *pass) []*waitingStep {
 	var steps []*waitingStep
+	l.waiting = map[placement.Rank]int{}
 	for _, w := range l.works {
 		if w.state.Phase.Final() {
 			continue
 		}
 		for step := range w.state.Steps {
-			if tasks := w.waitingTasks(step); len(tasks) > 0 && w.state.Ready(w.sub, step) {
-				steps = append(steps, &waitingStep{w: w, step: step, tasks: tasks, turn: l.turnOf(p, w, step)})
+			if w.anyWaiting(step) && w.state.Ready(w.sub, step) {
+				ws := &waitingStep{w: w, step: step, turn: l.turnOf(p, w, step)}
+				l.waiting[ws.turn.Rank]++
+				steps = append(steps, ws)
 			}
 		}
 	}
@@ -89,17 +101,26 @@
 
 // turnOf works out when a step is to be served.
 func (l *leadership) turnOf(p *pass, w *work, step int) placement.Turn {
-	allowed := time.Duration(w.stretch*float64(w.sub.Chain())) + w.objective
-	remaining := w.sub.ChainFrom(step)
+	remaining := w.chains[step]
 	return placement.Turn{
-		Rank:        placement.RankAt(p.now, w.sub.AcceptedAt, allowed, remaining, w.beyond),
+		Rank:        placement.RankAt(p.now, w.sub.AcceptedAt, w.allowed, remaining, w.beyond),
 		Priority:    w.sub.Priority,
-		LatestStart: w.sub.AcceptedAt.Add(allowed - remaining),
+		LatestStart: w.sub.AcceptedAt.Add(w.allowed - remaining),
 		Order:       w.order,
 		Step:        step,
 	}
 }
 
+// anyWaiting reports whether a task of the step is to be started.
+func (w *work) anyWaiting(step int) bool {
+	for i := range w.state.Steps[step] {
+		if w.state.Steps[step][i].Status == job.Waiting {
+			return true
+		}
+	}
+	return false
+}
+
 // waitingTasks returns the tasks of a step that are to be started; of a gang
 // all or none.
 func (w *work) waitingTasks(step int) []int {
@@ -125,11 +146,19 @@
 	if l.s.deps.Advisor == nil {
 		advice = nil
 	}
+	if p.isFull(service, spec.Size) {
+		return
+	}
+	if advice != nil && w.adviceOf(ws.step).asking && !w.adviceOf(ws.step).anyValid(p.now) {
+		p.unspoken[service] -= w.adviceOf(ws.step).spoken
+		return
+	}
+	ws.tasks = w.waitingTasks(ws.step)
 	need := placement.Need{
 		Count: min(len(ws.tasks), l.withinLimit(p.catalog.Team(w.sub.Team), w.sub.Team, spec.Size, len(ws.tasks))),
 		Size:  spec.Size, Gang: spec.Gang, OneRack: spec.OneRack, Rack: spec.Rack, PerWorker: spec.PerWorker,
 	}
-	if need.Count == 0 || spec.Gang && need.Count < len(ws.tasks) || p.isFull(service, spec.Size) {
+	if need.Count == 0 || spec.Gang && need.Count < len(ws.tasks) {
 		return
 	}
 	rooms, candidates := l.rooms(p, ws, need, service, advice)
@@ -147,8 +176,9 @@
 	if p.unspoken[service] > 0 && !w.adviceOf(ws.step).asking {
 		l.considerAsking(ws, need, candidates, rooms, advice, p.now)
 	}
-	if w.adviceOf(ws.step).asking {
-		p.unspoken[service] -= int64(need.Count) * spec.Size.MilliCPU
+	if said := w.adviceOf(ws.step); said.asking {
+		said.spoken = int64(need.Count) * spec.Size.MilliCPU
+		p.unspoken[service] -= said.spoken
 	}
 }
 
@@ -214,6 +244,16 @@
 	return false
 }
 
+// anyValid reports whether a ticket can still be used.
+func (a *stepAdvice) anyValid(now time.Time) bool {
+	for _, t := range a.tickets {
+		if now.Before(t.until) {
+			return true
+		}
+	}
+	return false
+}
+
 func (a *stepAdvice) allows(at *worker, now time.Time) bool {
 	t, known := a.tickets[at.id]
 	return known && t.boot == at.boot && now.Before(t.until)
@@ -271,7 +311,8 @@
 	}
 	l.touch(w)
 	l.flush.starts = append(l.flush.starts, r)
-	l.logRun(r, "run decided", "free", at.free())
+	l.logRun(r, "run decided", "team", w.sub.Team, "rank", ws.turn.Rank, "beyond", w.beyond,
+		"slackMs", ws.turn.LatestStart.Sub(now).Milliseconds(), "free", at.free())
 }
 
 // nextRun numbers the next start of a task. The members of a gang share it.
@@ -328,9 +369,9 @@
 		}
 		n++
 	}
-	if need.Gang && expected < float64(need.Count)*math.Min(1, part+0.3) {
-		// Even with luck the gang would not fit; the answer would be stale by
-		// the time there is room.
+	if need.Gang && expected < float64(need.Count) {
+		// The gang would hardly fit, and its tickets would run out before there
+		// is room.
 		return
 	}
 	l.ask(ws.w, ws.step, candidates[:n], a, now)
--- a/pollendockd/internal/scheduler/term.go
+++ b/pollendockd/internal/scheduler/term.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sort"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -36,7 +37,10 @@
 		placeCost time.Duration
 		place     bool
 		meters    map[string]*placement.Meter
-		learned   map[string]*learned
+		// waiting counts the steps of the last pass by rank.
+		waiting    map[placement.Rank]int
+		reportedAt time.Time
+		learned    map[string]*learned
 		// handedOver is closed once the leadership has been given up.
 		handedOver chan struct{}
 	}
@@ -70,6 +74,8 @@
 	campaignTimeout = 2 * time.Second
 	// heartbeatGap is the longest time without an append of the leader.
 	heartbeatGap = 400 * time.Millisecond
+	// reportGap parts the lines on the state of the cell.
+	reportGap = time.Second
 	// withoutStream is how long a leader goes on without a successful append.
 	// It renews leases all that time, as the stream may be away for all.
 	withoutStream = 10 * time.Second
@@ -97,6 +103,8 @@
 		if l.Successor == s.opt.Incarnation {
 			limit = 0
 		}
+	} else if s.restarted(l.Incarnation) {
+		limit = slot
 	}
 	if silence < limit || time.Since(s.stoodAt) < standAgain {
 		return
@@ -104,6 +112,14 @@
 	s.stand(l, silence, limit)
 }
 
+// restarted reports whether the VM of an incarnation has listed itself under
+// another one since: its process was killed.
+func (s *Scheduler) restarted(incarnation string) bool {
+	name, _, _ := strings.Cut(incarnation, "/")
+	m, listed := s.deps.Book.Members()[name]
+	return listed && m.Incarnation != incarnation
+}
+
 // stand appends the record of a new term. The highest epoch wins; it is known
 // to have won once the book shows it.
 func (s *Scheduler) stand(l job.Leader, silence, limit time.Duration) {
@@ -263,6 +279,34 @@
 	l.s.pollUpstreams(now)
 	l.tickWorkers(now)
 	l.place = true
+	if now.Sub(l.reportedAt) >= reportGap {
+		l.reportedAt = now
+		l.report(now)
+	}
+}
+
+// report logs and measures how full the cell is and what waits.
+func (l *leadership) report(now time.Time) {
+	var free, total resource.Vector
+	usable, runs := 0, 0
+	for _, at := range l.workers {
+		runs += len(at.runs)
+		if at.usable(now) {
+			usable++
+			free = free.Add(at.free())
+			total = total.Add(at.up.Capacity)
+		}
+	}
+	busy := 0
+	for _, c := range l.advice.through {
+		if c.busy {
+			busy++
+		}
+	}
+	_ = level.Info(l.s.deps.Logger).Log("msg", "cell", "epoch", l.term.Epoch, "jobs", len(l.works), "inTime", l.waiting[placement.InTime],
+		"surplus", l.waiting[placement.Surplus], "late", l.waiting[placement.Late], "overdue", l.waiting[placement.Overdue],
+		"runs", runs, "workers", len(l.workers), "usable", usable, "freeMilliCpu", free.MilliCPU, "milliCpu", total.MilliCPU,
+		"queries", len(l.advice.queries), "asking", busy, "passMs", l.placeCost.Milliseconds())
 }
 
 // step decides after events.
--- a/pollendockd/internal/scheduler/work.go
+++ b/pollendockd/internal/scheduler/work.go
@@ -17,9 +17,10 @@
 		sub   *job.Submission
 		state *job.State
 		order int64
-		// stretch and objective give the time that the job may take.
-		stretch   float64
-		objective time.Duration
+		// allowed is the time that the job may take, chains that of the longest
+		// chain of work that begins with each step.
+		allowed time.Duration
+		chains  []time.Duration
 		// beyond is set for a job beyond what its team is owed.
 		beyond bool
 		// advice holds what the advisor said of each step.
@@ -117,13 +118,18 @@
 
 // assess notes what the catalog says of the job's queue and team now.
 func (l *leadership) assess(w *work) {
+	longest := time.Duration(0)
+	for step := range w.sub.Steps {
+		w.chains = append(w.chains, w.sub.ChainFrom(step))
+		longest = max(longest, w.chains[step])
+	}
+	w.allowed = longest
 	catalog := l.s.deps.Catalog()
 	if catalog == nil {
 		return
 	}
 	if q := catalog.Queue(w.sub.Queue); q != nil {
-		w.stretch = q.Stretch
-		w.objective = q.Objective
+		w.allowed = time.Duration(q.Stretch*float64(longest)) + q.Objective
 	}
 	if team := catalog.Team(w.sub.Team); team != nil {
 		m := l.meters[team.Name]
