--- /dev/null
+++ b/cell/placement/placement_test.go
@@ -0,0 +1,134 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pollendock.example/cell/resource"
+)
+
+func cores(n int64) resource.Vector {
+	return resource.Vector{MilliCPU: n * 1000}
+}
+
+func expectChoice(t *testing.T, name string, n Need, rooms []Room, want []string) {
+	t.Helper()
+	got := Choose(n, rooms)
+	slices.Sort(got)
+	if !slices.Equal(got, want) {
+		t.Errorf("%s: chosen %v, want %v", name, got, want)
+	}
+}
+
+func TestChoose(t *testing.T) {
+	rooms := []Room{
+		{Worker: "a", Rack: "r1", Free: cores(60)},
+		{Worker: "b", Rack: "r1", Free: cores(20)},
+		{Worker: "c", Rack: "r2", Free: cores(40)},
+		{Worker: "d", Rack: "r2", Free: cores(6), Doubtful: true},
+	}
+	expectChoice(t, "the fullest room", Need{Count: 1, Size: cores(5)}, rooms, []string{"b"})
+	expectChoice(t, "as many as fit", Need{Count: 9, Size: cores(20)}, rooms, []string{"a", "a", "a", "b", "c", "c"})
+	expectChoice(t, "a gang fits", Need{Count: 6, Size: cores(20), Gang: true}, rooms, []string{"a", "a", "a", "b", "c", "c"})
+	expectChoice(t, "a gang does not fit", Need{Count: 7, Size: cores(20), Gang: true}, rooms, nil)
+	expectChoice(t, "near the data", Need{Count: 1, Size: cores(5), Rack: "r2"}, rooms, []string{"c"})
+	expectChoice(t, "far from full data", Need{Count: 1, Size: cores(50), Rack: "r2"}, rooms, []string{"a"})
+	expectChoice(t, "on one rack", Need{Count: 4, Size: cores(20), Gang: true, OneRack: true}, rooms, []string{"a", "a", "a", "b"})
+	expectChoice(t, "on two racks if need be", Need{Count: 5, Size: cores(20), Gang: true, OneRack: true}, rooms, []string{"a", "a", "b", "c", "c"})
+	expectChoice(t, "spread", Need{Count: 3, Size: cores(5), PerWorker: 1}, rooms, []string{"a", "b", "c"})
+	rooms[0].Tasks = 1
+	expectChoice(t, "spread beside earlier tasks", Need{Count: 4, Size: cores(5), PerWorker: 1}, rooms, []string{"b", "c", "d"})
+}
+
+// FuzzChoose: no choice goes beyond a room, the count or the spread, and a gang
+// is placed whole or not at all.
+func FuzzChoose(f *testing.F) {
+	f.Add(uint64(1), 5, true)
+	f.Fuzz(func(t *testing.T, seed uint64, count int, gang bool) {
+		r := rand.New(rand.NewPCG(seed, 1))
+		n := Need{Count: count%20 + 1, Size: cores(r.Int64N(20)), Gang: gang, OneRack: r.IntN(2) == 0, PerWorker: r.IntN(3)}
+		if n.Count < 1 {
+			return
+		}
+		free := map[string]*Room{}
+		var rooms []Room
+		for i := range r.IntN(8) {
+			rooms = append(rooms, Room{Worker: string(rune('a' + i)), Rack: string(rune('x' + r.IntN(2))), Free: cores(r.Int64N(64)), Tasks: r.IntN(3)})
+		}
+		for i := range rooms {
+			room := rooms[i]
+			free[room.Worker] = &room
+		}
+		chosen := Choose(n, rooms)
+		if len(chosen) > n.Count || n.Gang && len(chosen) != 0 && len(chosen) != n.Count {
+			t.Fatalf("%+v: %d chosen", n, len(chosen))
+		}
+		for _, w := range chosen {
+			room := free[w]
+			room.Free = room.Free.Sub(n.Size)
+			room.Tasks++
+			if room.Free.MilliCPU < 0 || n.PerWorker > 0 && room.Tasks > n.PerWorker {
+				t.Fatalf("%+v: %s is overfull: %+v", n, w, room)
+			}
+		}
+	})
+}
+
+func TestTurns(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	ranks := []struct {
+		name           string
+		age, remaining time.Duration
+		beyond         bool
+		want           Rank
+	}{
+		{"new", 0, time.Second, false, InTime},
+		{"new, beyond the team's due", 0, time.Second, true, Surplus},
+		{"can just be in time", time.Second, time.Second, false, InTime},
+		{"cannot be in time", 1001 * time.Millisecond, time.Second, false, Late},
+		{"late and beyond", 1001 * time.Millisecond, time.Second, true, Late},
+		{"given up", 5001 * time.Millisecond, time.Second, false, Overdue},
+	}
+	for _, r := range ranks {
+		if got := RankAt(now, now.Add(-r.age), 2*time.Second, r.remaining, r.beyond); got != r.want {
+			t.Errorf("%s: rank %d, want %d", r.name, got, r.want)
+		}
+	}
+	inOrder := []Turn{
+		{Rank: InTime, Priority: 0, LatestStart: now.Add(time.Second)},
+		{Rank: InTime, Priority: 1, LatestStart: now},
+		{Rank: InTime, Priority: 1, LatestStart: now.Add(time.Second), Order: 1},
+		{Rank: InTime, Priority: 1, LatestStart: now.Add(time.Second), Order: 2},
+		{Rank: Surplus, Priority: 0, LatestStart: now},
+		{Rank: Late, Priority: 0, LatestStart: now},
+	}
+	for i := range inOrder[1:] {
+		if !inOrder[i].Before(&inOrder[i+1]) || inOrder[i+1].Before(&inOrder[i]) {
+			t.Errorf("turns %d and %d are out of order", i, i+1)
+		}
+	}
+}
+
+// TestMeter: a team that sends five times what it is owed has its surplus
+// marked, once the burst is used up; one within its due never has.
+func TestMeter(t *testing.T) {
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	for _, c := range []struct {
+		sends float64
+		most  int
+		least int
+	}{{10, 0, 0}, {50, 400, 350}} {
+		m := Meter{}
+		beyond := 0
+		for i := range int(10 * c.sends) {
+			if m.Take(start.Add(time.Duration(float64(i)/c.sends*float64(time.Second))), 10) {
+				beyond++
+			}
+		}
+		if beyond > c.most || beyond < c.least {
+			t.Errorf("%v a second: %d beyond, want %d to %d", c.sends, beyond, c.least, c.most)
+		}
+	}
+}
--- a/pollendockd/internal/scheduler/work.go
+++ b/pollendockd/internal/scheduler/work.go
@@ -305,7 +305,7 @@
 	w.state.EndedAt = time.Now()
 	l.touch(w)
 	_ = level.Info(l.s.deps.Logger).Log("msg", "job ended", "job", w.id, "team", w.sub.Team, "phase", p, "why", why,
-		"ageMs", time.Since(w.sub.AcceptedAt).Milliseconds())
+		"ageMs", time.Since(w.sub.AcceptedAt).Milliseconds(), "allowedMs", w.allowed.Milliseconds(), "queue", w.sub.Queue)
 	l.s.deps.Counts.Count("jobs_"+p.String(), 1)
 	l.s.deps.Counts.Time("job_"+w.sub.Queue, time.Since(w.sub.AcceptedAt))
 	for step, tasks := range w.state.Steps {
