--- a/cell/placement/placement.go
+++ b/cell/placement/placement.go
@@ -17,6 +17,9 @@
 		Free resource.Vector
 		// Tasks is the number of the step's tasks that are there.
 		Tasks int
+		// Reserved workers have room that is held back for a gang; they are
+		// taken after the others.
+		Reserved bool
 		// Doubtful workers are taken last.
 		Doubtful bool
 	}
@@ -86,12 +89,15 @@
 	return chosen
 }
 
-// before orders rooms: sound workers first, then those near the data, then the
-// fullest.
+// before orders rooms: sound workers first, then those that nobody waits for,
+// then those near the data, then the fullest.
 func before(n Need, a, b *Room) bool {
 	if a.Doubtful != b.Doubtful {
 		return b.Doubtful
 	}
+	if a.Reserved != b.Reserved {
+		return b.Reserved
+	}
 	if nearA, nearB := n.Rack == a.Rack, n.Rack == b.Rack; n.Rack != "" && nearA != nearB {
 		return nearA
 	}
--- /dev/null
+++ b/cell/placement/reserve.go
@@ -0,0 +1,84 @@
+package placement
+
+import (
+	"sort"
+	"time"
+
+	"pollendock.example/cell/resource"
+)
+
+type (
+	// Outlook is a worker with what will become free there.
+	Outlook struct {
+		Room
+		Releases []Release
+	}
+
+	// Release is room that is expected to become free.
+	Release struct {
+		Worker string
+		// In is the time from now.
+		In   time.Duration
+		Size resource.Vector
+	}
+
+	// Reservation is room at a worker that is held back for a gang.
+	Reservation struct {
+		Worker string
+		Tasks  int
+	}
+)
+
+// Reserve returns where a gang can start soonest and in what time. It answers
+// the load of small tasks that fill each hole as it appears, so that a gang of
+// large ones would never find its rooms free at one moment.
+func Reserve(n Need, workers []Outlook) ([]Reservation, time.Duration, bool) {
+	index := map[string]int{}
+	rooms := make([]Room, len(workers))
+	fits := make([]int, len(workers))
+	total := 0
+	var releases []Release
+	for i := range workers {
+		index[workers[i].Worker] = i
+		rooms[i] = workers[i].Room
+		fits[i] = Fit(n, &rooms[i])
+		total += fits[i]
+		releases = append(releases, workers[i].Releases...)
+	}
+	if total >= n.Count {
+		return reserveAt(n, rooms, fits), 0, true
+	}
+	sort.SliceStable(releases, func(a, b int) bool { return releases[a].In < releases[b].In })
+	for _, r := range releases {
+		i := index[r.Worker]
+		rooms[i].Free = rooms[i].Free.Add(r.Size)
+		now := Fit(n, &rooms[i])
+		total += now - fits[i]
+		fits[i] = now
+		if total >= n.Count {
+			return reserveAt(n, rooms, fits), r.In, true
+		}
+	}
+	return nil, 0, false
+}
+
+// reserveAt takes the workers that hold the most tasks, so that few are held
+// back.
+func reserveAt(n Need, rooms []Room, fits []int) []Reservation {
+	order := make([]int, len(rooms))
+	for i := range order {
+		order[i] = i
+	}
+	sort.SliceStable(order, func(a, b int) bool { return fits[order[a]] > fits[order[b]] })
+	var reserved []Reservation
+	left := n.Count
+	for _, i := range order {
+		take := min(left, fits[i])
+		if take == 0 {
+			break
+		}
+		reserved = append(reserved, Reservation{rooms[i].Worker, take})
+		left -= take
+	}
+	return reserved
+}
--- a/pollendockd/internal/scheduler/place.go
+++ b/pollendockd/internal/scheduler/place.go
@@ -30,6 +30,15 @@
 		// unspoken is the processor time that is free and that no step earlier
 		// in turn is about to ask for, by service.
 		unspoken map[string]int64
+		// held is room that is held back for gangs earlier in turn.
+		held  map[*worker]held
+		gangs int
+	}
+
+	// held is room at a worker that a gang is expected to take.
+	held struct {
+		size resource.Vector
+		in   time.Duration
 	}
 )
 
@@ -60,7 +69,7 @@
 	if catalog == nil {
 		return
 	}
-	p := &pass{now: now, catalog: catalog, usable: map[string][]*worker{}, full: map[string][]resource.Vector{}, unspoken: map[string]int64{}}
+	p := &pass{now: now, catalog: catalog, usable: map[string][]*worker{}, full: map[string][]resource.Vector{}, unspoken: map[string]int64{}, held: map[*worker]held{}}
 	for _, at := range l.workers {
 		if at.usable(now) {
 			p.usable[at.up.Service] = append(p.usable[at.up.Service], at)
@@ -77,6 +86,7 @@
 		}
 		l.placeStep(p, ws)
 	}
+	l.held = p.held
 	l.placeCost = time.Since(now)
 }
 
@@ -146,10 +156,10 @@
 	if l.s.deps.Advisor == nil {
 		advice = nil
 	}
-	if p.isFull(service, spec.Size) {
+	if !spec.Gang && p.isFull(service, spec.Size) {
 		return
 	}
-	if advice != nil && w.adviceOf(ws.step).asking && !w.adviceOf(ws.step).anyValid(p.now) {
+	if advice != nil && !spec.Gang && w.adviceOf(ws.step).asking && !w.adviceOf(ws.step).anyValid(p.now) {
 		p.unspoken[service] -= w.adviceOf(ws.step).spoken
 		return
 	}
@@ -167,14 +177,21 @@
 		l.plan(ws, ws.tasks[i], l.workers[id], p.now)
 	}
 	p.unspoken[service] -= int64(len(chosen)) * spec.Size.MilliCPU
-	if advice == nil || len(chosen) == need.Count {
+	if len(chosen) == need.Count {
+		return
+	}
+	if p.isHeavy(service, need) && ws.turn.Rank == placement.InTime {
+		l.reserve(p, ws, need, service, advice)
+		return
+	}
+	if advice == nil {
 		return
 	}
 	need.Count -= len(chosen)
 	// A step further back would ask in vain: what is free goes to those before
 	// it, and its tickets would run out meanwhile.
 	if p.unspoken[service] > 0 && !w.adviceOf(ws.step).asking {
-		l.considerAsking(ws, need, candidates, rooms, advice, p.now)
+		l.considerAsking(p, ws, need, candidates, rooms, advice)
 	}
 	if said := w.adviceOf(ws.step); said.asking {
 		said.spoken = int64(need.Count) * spec.Size.MilliCPU
@@ -212,7 +229,7 @@
 	}
 	fits := false
 	for _, at := range p.usable[service] {
-		free := at.free()
+		free := p.free(at, spec)
 		if !need.Size.Fits(free) {
 			continue
 		}
@@ -226,6 +243,7 @@
 		}
 		rooms = append(rooms, placement.Room{
 			Worker: at.id, Rack: at.up.Rack, Free: free, Tasks: l.tasksThere(at, ws, spec), Doubtful: l.doubtful(ws, at),
+			Reserved: l.held[at].size.MilliCPU > 0,
 		})
 	}
 	if !fits {
@@ -334,7 +352,7 @@
 
 // considerAsking asks about as many workers as should suffice for the tasks
 // that are left, if they have the room.
-func (l *leadership) considerAsking(ws *waitingStep, need placement.Need, candidates []*worker, rooms []placement.Room, a *site.Advice, now time.Time) {
+func (l *leadership) considerAsking(p *pass, ws *waitingStep, need placement.Need, candidates []*worker, rooms []placement.Room, a *site.Advice) {
 	said := ws.w.adviceOf(ws.step)
 	if len(candidates) == 0 {
 		return
@@ -360,7 +378,7 @@
 	n := 0
 	for n < len(candidates) && (expected < wanted || n < leastCandidates) {
 		at := candidates[n]
-		room := placement.Room{Free: at.free()}
+		room := placement.Room{Free: p.free(at, &ws.w.sub.Steps[ws.step])}
 		fit := float64(placement.Fit(need, &room))
 		if said.known(at) {
 			expected += fit
@@ -374,7 +392,7 @@
 		// is room.
 		return
 	}
-	l.ask(ws.w, ws.step, candidates[:n], a, now)
+	l.ask(ws.w, ws.step, candidates[:n], a, p.now)
 }
 
 // known reports whether the step may run at the worker, once the ticket has
--- /dev/null
+++ b/pollendockd/internal/scheduler/reserve.go
@@ -0,0 +1,125 @@
+package scheduler
+
+import (
+	"time"
+
+	"pollendock.example/cell/job"
+	"pollendock.example/cell/placement"
+	"pollendock.example/cell/resource"
+	"pollendock.example/cell/site"
+)
+
+const (
+	// heldGangs bounds the gangs for which a pass holds room back.
+	heldGangs = 6
+	// estimateSlack widens the estimates of work that may run in held room
+	// until the gang takes it.
+	estimateSlack = 1.3
+	// leastRemaining is taken for runs that should have ended.
+	leastRemaining = 200 * time.Millisecond
+	// leastPercent is the progress from which a run's end is worked out.
+	leastPercent = 8
+	// askLead is how long before its start a gang asks for tickets, besides the
+	// time that the answer takes.
+	askLead = 250 * time.Millisecond
+)
+
+// isHeavy reports whether a gang takes more than one worker can hold.
+func (p *pass) isHeavy(service string, n placement.Need) bool {
+	if !n.Gang {
+		return false
+	}
+	for _, at := range p.usable[service] {
+		if n.Size.Scale(int64(n.Count)).Fits(at.up.Capacity) {
+			return false
+		}
+	}
+	return true
+}
+
+// free returns the room at a worker for tasks of a step: what is held for a
+// gang may be used by work that should end before.
+func (p *pass) free(at *worker, spec *job.Step) resource.Vector {
+	free := at.free()
+	h, isHeld := p.held[at]
+	if !isHeld || time.Duration(estimateSlack*float64(spec.Estimate)) <= h.in && !spec.Endless {
+		return free
+	}
+	return free.Sub(h.size)
+}
+
+// reserve holds room back for a gang that does not fit now, and asks for its
+// tickets in time for its start.
+func (l *leadership) reserve(p *pass, ws *waitingStep, need placement.Need, service string, a *site.Advice) {
+	if p.gangs >= heldGangs {
+		return
+	}
+	spec := &ws.w.sub.Steps[ws.step]
+	var outlooks []placement.Outlook
+	var unknown []*worker
+	var said *stepAdvice
+	if a != nil {
+		said = ws.w.adviceOf(ws.step)
+	}
+	for _, at := range p.usable[service] {
+		if !at.up.HasLabel(spec.Label) || !need.Size.Fits(at.up.Capacity) || said != nil && said.refused[at.id] {
+			continue
+		}
+		if said != nil && !said.known(at) {
+			unknown = append(unknown, at)
+			continue
+		}
+		outlooks = append(outlooks, l.outlook(p, at, ws))
+	}
+	if len(unknown) > 0 && !said.asking {
+		// Which workers are good never changes: it is asked once, of all.
+		l.ask(ws.w, ws.step, unknown, a, p.now)
+		return
+	}
+	reserved, in, ok := placement.Reserve(need, outlooks)
+	if !ok {
+		return
+	}
+	p.gangs++
+	var chosen []*worker
+	for _, r := range reserved {
+		at := l.workers[r.Worker]
+		chosen = append(chosen, at)
+		h := p.held[at]
+		size := need.Size.Scale(int64(r.Tasks))
+		p.unspoken[service] -= min(size.MilliCPU, max(0, at.free().MilliCPU))
+		p.held[at] = held{h.size.Add(size), max(h.in, in)}
+	}
+	if said != nil && !said.asking && in <= askLead+a.Base+time.Duration(len(chosen))*a.PerUpstream {
+		l.ask(ws.w, ws.step, chosen, a, p.now)
+	}
+}
+
+// outlook returns what is free at a worker, and when the rest will be.
+func (l *leadership) outlook(p *pass, at *worker, ws *waitingStep) placement.Outlook {
+	spec := &ws.w.sub.Steps[ws.step]
+	o := placement.Outlook{Room: placement.Room{
+		Worker: at.id, Rack: at.up.Rack, Free: at.free().Sub(p.held[at].size), Tasks: l.tasksThere(at, ws, spec),
+	}}
+	for _, r := range at.runs {
+		step := &r.w.sub.Steps[r.task.Step]
+		if step.Endless {
+			continue
+		}
+		o.Releases = append(o.Releases, placement.Release{Worker: at.id, In: r.remaining(p.now, step.Estimate), Size: step.Size})
+	}
+	return o
+}
+
+// remaining works out when a run should end, from its progress if it has some.
+func (r *run) remaining(now time.Time, estimate time.Duration) time.Duration {
+	began := r.confirmedAt
+	if began.IsZero() {
+		began = r.decidedAt
+	}
+	total := estimate
+	if r.percent >= leastPercent && r.percentAt.After(began) {
+		total = r.percentAt.Sub(began) * 100 / time.Duration(r.percent)
+	}
+	return max(leastRemaining, total-now.Sub(began))
+}
--- a/pollendockd/internal/scheduler/term.go
+++ b/pollendockd/internal/scheduler/term.go
@@ -37,6 +37,8 @@
 		placeCost time.Duration
 		place     bool
 		meters    map[string]*placement.Meter
+		// held is the room that the last pass held back for gangs.
+		held map[*worker]held
 		// waiting counts the steps of the last pass by rank.
 		waiting    map[placement.Rank]int
 		reportedAt time.Time
