--- a/pollendockd/internal/desk/acceptor.go
+++ b/pollendockd/internal/desk/acceptor.go
@@ -27,7 +27,7 @@
 )
 
 const (
-	acceptTimeout  = 700 * time.Millisecond
+	acceptTimeout  = 1500 * time.Millisecond
 	acceptBuffer   = 256
 	maxAcceptances = 64
 )
--- a/pollendockd/internal/desk/desk.go
+++ b/pollendockd/internal/desk/desk.go
@@ -72,7 +72,9 @@
 	// currentLimit is how old the last reading of records and catalog may be
 	// for this VM to answer by itself.
 	currentLimit = 1300 * time.Millisecond
-	syncTimeout  = 700 * time.Millisecond
+	// directLimit is the same for an append of this VM's own.
+	directLimit = 700 * time.Millisecond
+	syncTimeout = 700 * time.Millisecond
 	// requestLimit bounds a request within this VM.
 	requestLimit = 2500 * time.Millisecond
 
@@ -198,6 +200,11 @@
 	if byLeader == nil {
 		return nil
 	}
+	if site.ErrRefused.Has(byLeader) && !d.deps.Follower.Fresh(directLimit) {
+		// An append would likely get no answer, and then nobody could tell the
+		// caller whether the job runs.
+		return code.New(code.LogDown, "%v", byLeader)
+	}
 	err := d.acceptor.accept(ctx, entries)
 	switch {
 	case err == nil:
--- a/pollendockd/internal/helper/helper.go
+++ b/pollendockd/internal/helper/helper.go
@@ -113,7 +113,7 @@
 const (
 	serveTimeout  = 2 * time.Second
 	passTimeout   = 1200 * time.Millisecond
-	acceptTimeout = 1300 * time.Millisecond
+	acceptTimeout = 2 * time.Second
 	shunTime      = time.Second
 	// passTries bounds the VMs that are tried for a request.
 	passTries = 3
--- a/pollendockd/internal/scheduler/flush.go
+++ b/pollendockd/internal/scheduler/flush.go
@@ -61,6 +61,10 @@
 	appendGap     = 12 * time.Millisecond
 	appendTimeout = 800 * time.Millisecond
 	appendRetry   = 60 * time.Millisecond
+	// An append that takes longer than doubtAfter, while no read has been
+	// answered for doubtFresh, is likely to get no answer.
+	doubtAfter = 300 * time.Millisecond
+	doubtFresh = 700 * time.Millisecond
 	// maxBatchJobs bounds the size of an append.
 	maxBatchJobs    = 400
 	maxBatchAccepts = 100
@@ -70,6 +74,12 @@
 	f.ackedAt = now
 }
 
+// streamAway reports whether an append has failed, or is likely to.
+func (l *leadership) streamAway(now time.Time) bool {
+	f := &l.flush
+	return f.failing || f.busy && now.Sub(f.sentAt) > doubtAfter && !l.s.deps.Follower.Fresh(doubtFresh)
+}
+
 // flushIfDue appends what has changed, or a sign of life.
 func (l *leadership) flushIfDue(now time.Time) {
 	f := &l.flush
@@ -180,6 +190,8 @@
 			_ = level.Warn(s.deps.Logger).Log("msg", "append failed, repeating it", "sequence", l.term.Sequence, "err", e.err)
 		}
 		s.deps.Counts.Count("append_failures", 1)
+		answer(f.accepts, site.ErrRefused.New("the stream does not answer the leader"))
+		f.accepts = nil
 		l.spawn(func(ctx context.Context) event {
 			pause(ctx, appendRetry)
 			return appendAgain{l, e.b}
--- a/pollendockd/internal/scheduler/scheduler.go
+++ b/pollendockd/internal/scheduler/scheduler.go
@@ -223,8 +223,12 @@
 }
 
 func (e acceptAsked) handle(s *Scheduler) {
-	if s.lead == nil || s.lead.flush.failing || s.lead.flush.last {
-		e.reply <- site.ErrRefused.New("this VM does not lead, or its appends fail")
+	if s.lead == nil || s.lead.flush.last {
+		e.reply <- site.ErrRefused.New("this VM does not lead")
+		return
+	}
+	if s.lead.streamAway(time.Now()) {
+		e.reply <- site.ErrRefused.New("the stream does not answer the leader")
 		return
 	}
 	s.lead.flush.accepts = append(s.lead.flush.accepts, e)
--- a/pollendockd/internal/scheduler/term.go
+++ b/pollendockd/internal/scheduler/term.go
@@ -95,6 +95,7 @@
 		return
 	}
 	silence := s.deps.Follower.LeaderSilence()
+	gone := l.Incarnation == "" || s.restarted(l.Incarnation)
 	slot := time.Duration(xxhash.Sum64String(s.opt.Incarnation)%standSlots) * standGap
 	limit := silenceLimit + slot
 	if l.Incarnation == "" {
@@ -105,13 +106,13 @@
 		if l.Successor == s.opt.Incarnation {
 			limit = 0
 		}
-	} else if s.restarted(l.Incarnation) {
+	} else if gone {
 		limit = slot
 	}
 	if silence < limit || time.Since(s.stoodAt) < standAgain {
 		return
 	}
-	s.stand(l, silence, limit)
+	s.stand(l, silence, limit, gone)
 }
 
 // restarted reports whether the VM of an incarnation has listed itself under
@@ -124,7 +125,7 @@
 
 // stand appends the record of a new term. The highest epoch wins; it is known
 // to have won once the book shows it.
-func (s *Scheduler) stand(l job.Leader, silence, limit time.Duration) {
+func (s *Scheduler) stand(l job.Leader, silence, limit time.Duration, gone bool) {
 	epoch := (l.Epoch/epochStep+1)*epochStep + rand.Int64N(epochStep)
 	s.campaign = epoch
 	s.campaigning = true
@@ -134,13 +135,13 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(s.ctx, campaignTimeout)
 		defer cancel()
-		won, err := s.runCampaign(ctx, l, epoch, limit)
+		won, err := s.runCampaign(ctx, l, epoch, limit, gone)
 		s.post(campaignDone{epoch, won, err})
 	}()
 }
 
-func (s *Scheduler) runCampaign(ctx context.Context, last job.Leader, epoch int64, limit time.Duration) (bool, error) {
-	if slow, err := s.leaderMayLive(ctx, last, limit); err != nil || slow {
+func (s *Scheduler) runCampaign(ctx context.Context, last job.Leader, epoch int64, limit time.Duration, gone bool) (bool, error) {
+	if slow, err := s.leaderMayLive(ctx, last, limit, gone); err != nil || slow {
 		return false, err
 	}
 	e, err := job.LeaderEntry(&job.Leader{Epoch: epoch, Incarnation: s.opt.Incarnation})
@@ -159,7 +160,7 @@
 
 // leaderMayLive reads on and reports whether a sign of the leader has come, or
 // may still come since the stream is slow: then its records take long as well.
-func (s *Scheduler) leaderMayLive(ctx context.Context, last job.Leader, limit time.Duration) (bool, error) {
+func (s *Scheduler) leaderMayLive(ctx context.Context, last job.Leader, limit time.Duration, gone bool) (bool, error) {
 	began := time.Now()
 	if err := s.deps.Follower.Sync(ctx); err != nil {
 		return false, err
@@ -167,7 +168,7 @@
 	if now, _ := s.deps.Book.Leader(); now != last {
 		return true, nil
 	}
-	return s.deps.Follower.LeaderSilence() < limit+slowTimes*time.Since(began), nil
+	return !gone && s.deps.Follower.LeaderSilence() < limit+slowTimes*time.Since(began), nil
 }
 
 func (e campaignDone) handle(s *Scheduler) {
