The leader passes its records on to the other VMs

Lookups of a team at its limit waited up to 1.5 s for batch tasks of that team. Ruled out: longer pauses between reads (states would be shown late).

--- a/pollendockd/internal/book/follower.go
+++ b/pollendockd/internal/book/follower.go
@@ -29,8 +29,12 @@
 		start   time.Time
 
 		loaded atomic.Bool
-		// eager is set while this VM decides, and so reads without a pause.
+		// eager is set while this VM decides.
 		eager atomic.Bool
+		// offeredAt is the time since start of the last offer that was taken.
+		offeredAt atomic.Int64
+		// hurry asks for a read at once.
+		hurry chan struct{}
 		// readAt and leaderAt are times since start: of the last answer of the
 		// stream, and of the last records that a leader appended.
 		readAt   atomic.Int64
@@ -48,16 +52,22 @@
 	// seriesGap ends a series of reads: a leader that could not append meanwhile
 	// gets its time anew.
 	seriesGap = time.Second
-	// eagerGap and idleGap part the reads, so that several appends are read in
-	// one call. A state may be shown that much late at VMs that do not decide.
-	eagerGap = 5 * time.Millisecond
-	idleGap  = 100 * time.Millisecond
+	// idleGap parts reads that wait for records, so that several appends are
+	// read in one call.
+	idleGap = 100 * time.Millisecond
+	// offerLimit is how old the last offer may be for reads not to wait for
+	// records: each append would end the wait, though its records are offered.
+	offerLimit = 600 * time.Millisecond
+	// checkGap parts the reads beside offers, eagerGap those at the VM that
+	// decides.
+	checkGap = 700 * time.Millisecond
+	eagerGap = 200 * time.Millisecond
 )
 
 // NewFollower returns a follower that calls changed with the ids of jobs whose
 // records are new.
 func NewFollower(stream Stream, b *job.Book, logger log.Logger, changed func(ids []string)) *Follower {
-	return &Follower{stream: stream, book: b, logger: logger, changed: changed, start: time.Now()}
+	return &Follower{stream: stream, book: b, logger: logger, changed: changed, start: time.Now(), hurry: make(chan struct{}, 1)}
 }
 
 // Run reads until ctx ends.
@@ -78,20 +88,65 @@
 			failing = false
 			_ = level.Info(f.logger).Log("msg", "stream regained", "next", f.book.Next())
 		}
+		f.rest(ctx)
+	}
+	return ctx.Err()
+}
+
+// offered reports whether the leader has offered records of late.
+func (f *Follower) offered() bool {
+	last := f.offeredAt.Load()
+	return last > 0 && time.Since(f.start)-time.Duration(last) < offerLimit
+}
+
+// rest waits until the next read is due.
+func (f *Follower) rest(ctx context.Context) {
+	gap := idleGap
+	if f.offered() {
+		gap = checkGap
 		if f.eager.Load() {
-			pause(ctx, eagerGap)
-			continue
+			gap = eagerGap
 		}
-		pause(ctx, idleGap)
 	}
-	return ctx.Err()
+	timer := time.NewTimer(gap)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-f.hurry:
+	case <-ctx.Done():
+	}
+}
+
+// Offer takes records that are durable from another way than the stream. If
+// some before them are missing here, all are read at once.
+func (f *Follower) Offer(entries []site.Entry) {
+	if len(entries) == 0 || !f.loaded.Load() {
+		return
+	}
+	next := f.book.Next()
+	last := entries[len(entries)-1].Offset
+	if entries[0].Offset > next {
+		select {
+		case f.hurry <- struct{}{}:
+		default:
+		}
+		return
+	}
+	f.offeredAt.Store(int64(time.Since(f.start)))
+	if last >= next {
+		f.apply(&site.Page{Entries: entries, Next: last + 1, End: last + 1})
+	}
 }
 
 func (f *Follower) readOnce(ctx context.Context) error {
 	if !f.loaded.Load() {
 		return f.load(ctx)
 	}
-	err := f.read(ctx, readWait)
+	wait := readWait
+	if f.offered() {
+		wait = 0
+	}
+	err := f.read(ctx, wait)
 	if site.ErrTrimmed.Has(err) {
 		_ = level.Warn(f.logger).Log("msg", "records are no longer kept, reading all keys", "next", f.book.Next())
 		return f.load(ctx)
@@ -168,7 +223,7 @@
 	return f.loaded.Load()
 }
 
-// SetEager says whether this VM decides.
+// SetEager says whether this VM decides, and so reads more often.
 func (f *Follower) SetEager(eager bool) {
 	f.eager.Store(eager)
 }
--- a/pollendockd/internal/desk/catalog.go
+++ b/pollendockd/internal/desk/catalog.go
@@ -32,8 +32,8 @@
 )
 
 const (
-	catalogWait    = 500 * time.Millisecond
-	catalogTimeout = 800 * time.Millisecond
+	catalogWait    = time.Second
+	catalogTimeout = 600 * time.Millisecond
 	catalogRetry   = 100 * time.Millisecond
 )
 
--- a/pollendockd/internal/desk/desk.go
+++ b/pollendockd/internal/desk/desk.go
@@ -72,6 +72,7 @@
 	// currentLimit is how old the last reading of records and catalog may be
 	// for this VM to answer by itself.
 	currentLimit = 1300 * time.Millisecond
+	catalogLimit = 1700 * time.Millisecond
 	// directLimit is the same for an append of this VM's own.
 	directLimit = 700 * time.Millisecond
 	syncTimeout = 700 * time.Millisecond
@@ -117,7 +118,7 @@
 
 // current reports whether what this VM knows is new enough to decide on.
 func (d *Desk) current() bool {
-	return d.deps.Follower.Fresh(currentLimit) && d.deps.Catalog.Fresh(currentLimit) &&
+	return d.deps.Follower.Fresh(currentLimit) && d.deps.Catalog.Fresh(catalogLimit) &&
 		d.deps.Catalog.Current().Version >= d.shown.Load()
 }
 
--- a/pollendockd/internal/helper/helper.go
+++ b/pollendockd/internal/helper/helper.go
@@ -36,12 +36,18 @@
 		Accept(ctx context.Context, entries []site.Entry) error
 	}
 
+	// Follower takes records that the leader has appended.
+	Follower interface {
+		Offer(entries []site.Entry)
+	}
+
 	// Server serves the calls of other entry VMs over net/rpc.
 	Server struct {
 		ctx     context.Context
 		advisor Advisor
 		desk    Desk
 		leader  Leader
+		book    Follower
 	}
 
 	// Peers calls the other entry VMs.
@@ -55,6 +61,8 @@
 
 		mu    sync.Mutex
 		conns map[connKey]*conn
+		// offers holds what is to be passed on to each peer.
+		offers map[string]*offer
 		// shun is until when a leader that did not answer is not asked.
 		shun map[string]time.Time
 	}
@@ -68,6 +76,12 @@
 
 	connUse int
 
+	// offer is what waits for one peer while a call to it is under way.
+	offer struct {
+		busy    bool
+		waiting []site.Entry
+	}
+
 	conn struct {
 		incarnation string
 		client      *peer.Client
@@ -91,6 +105,14 @@
 		Detail  string
 	}
 
+	// OfferRequest carries records that are durable.
+	OfferRequest struct {
+		Entries []site.Entry
+	}
+
+	// OfferReply is empty.
+	OfferReply struct{}
+
 	// Request is a caller's request that is passed on.
 	Request struct {
 		At site.Address
@@ -115,6 +137,10 @@
 	passTimeout   = 1200 * time.Millisecond
 	acceptTimeout = 2 * time.Second
 	shunTime      = time.Second
+	offerTimeout  = 500 * time.Millisecond
+	// maxOffer bounds the records that wait for a peer, which reads the stream
+	// where it has missed some.
+	maxOffer = 2000
 	// passTries bounds the VMs that are tried for a request.
 	passTries = 3
 )
@@ -123,12 +149,19 @@
 	forAdvice connUse = iota
 	forRequests
 	forAccepts
+	forOffers
 )
 
 // NewServer returns a server whose calls run under ctx. The advisor is nil where
 // there is none.
-func NewServer(ctx context.Context, advisor Advisor, desk Desk, leader Leader) *Server {
-	return &Server{ctx: ctx, advisor: advisor, desk: desk, leader: leader}
+func NewServer(ctx context.Context, advisor Advisor, desk Desk, leader Leader, book Follower) *Server {
+	return &Server{ctx: ctx, advisor: advisor, desk: desk, leader: leader, book: book}
+}
+
+// Offer serves the call of that name.
+func (s *Server) Offer(r *OfferRequest, _ *OfferReply) error {
+	s.book.Offer(r.Entries)
+	return nil
 }
 
 // Accept serves the call of that name.
@@ -191,7 +224,7 @@
 func NewPeers(self *job.Member, book *job.Book, advisor Advisor, leader Leader) *Peers {
 	return &Peers{
 		name: self.Name, self: self.Incarnation, book: book, advisor: advisor, leader: leader,
-		conns: map[connKey]*conn{}, shun: map[string]time.Time{},
+		conns: map[connKey]*conn{}, offers: map[string]*offer{}, shun: map[string]time.Time{},
 	}
 }
 
@@ -243,6 +276,50 @@
 	return site.ErrUnknown.Wrap(err)
 }
 
+// Offer passes records on to all other VMs, in order and one call at a time to
+// each. What a VM misses it reads from the stream.
+func (p *Peers) Offer(entries []site.Entry) {
+	for _, m := range p.book.Members() {
+		if m.Name != p.name {
+			p.offerTo(m, entries)
+		}
+	}
+}
+
+func (p *Peers) offerTo(m job.Member, entries []site.Entry) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	o := p.offers[m.Name]
+	if o == nil {
+		o = &offer{}
+		p.offers[m.Name] = o
+	}
+	if len(o.waiting) < maxOffer {
+		o.waiting = append(o.waiting, entries...)
+	}
+	if !o.busy {
+		o.busy = true
+		go p.sendOffers(m, o)
+	}
+}
+
+func (p *Peers) sendOffers(m job.Member, o *offer) {
+	for {
+		p.mu.Lock()
+		entries := o.waiting
+		o.waiting = nil
+		o.busy = len(entries) > 0
+		p.mu.Unlock()
+		if len(entries) == 0 {
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), offerTimeout)
+		// A VM that misses an offer reads the stream.
+		_ = p.client(&m, forOffers).Call(ctx, "Offer", &OfferRequest{Entries: entries}, &OfferReply{})
+		cancel()
+	}
+}
+
 // memberOf returns the member of that incarnation, or nil.
 func (p *Peers) memberOf(incarnation string) *job.Member {
 	for _, m := range p.book.Members() {
--- a/pollendockd/internal/scheduler/advice.go
+++ b/pollendockd/internal/scheduler/advice.go
@@ -235,6 +235,6 @@
 		k.asked = learnedLimit
 	}
 	s.deps.Counts.Time("advice", now.Sub(q.askedAt))
-	_ = level.Debug(s.deps.Logger).Log("msg", "advised", "job", q.w.id, "step", q.step, "through", e.through,
+	_ = level.Info(s.deps.Logger).Log("msg", "advised", "job", q.w.id, "step", q.step, "through", e.through,
 		"asked", len(q.workers), "good", len(e.tickets), "tookMs", now.Sub(q.askedAt).Milliseconds())
 }
--- a/pollendockd/internal/scheduler/flush.go
+++ b/pollendockd/internal/scheduler/flush.go
@@ -50,9 +50,11 @@
 	}
 
 	appendDone struct {
-		l   *leadership
-		b   *batch
-		err error
+		l *leadership
+		b *batch
+		// first is the offset of the batch's first entry.
+		first int64
+		err   error
 	}
 )
 
@@ -159,8 +161,8 @@
 	l.spawn(func(ctx context.Context) event {
 		ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 		defer cancel()
-		_, err := l.s.deps.Stream.AppendAs(ctx, term, b.entries)
-		return appendDone{l, b, err}
+		first, err := l.s.deps.Stream.AppendAs(ctx, term, b.entries)
+		return appendDone{l, b, first, err}
 	})
 }
 
@@ -181,7 +183,7 @@
 			f.failing = false
 			_ = level.Info(s.deps.Logger).Log("msg", "stream takes appends again", "sequence", l.term.Sequence)
 		}
-		l.durable(e.b)
+		l.durable(e.b, e.first)
 	case site.ErrFenced.Has(e.err):
 		s.endLeadership("a later term has begun")
 	default:
@@ -213,7 +215,12 @@
 }
 
 // durable does what waited for the append.
-func (l *leadership) durable(b *batch) {
+func (l *leadership) durable(b *batch, first int64) {
+	for i := range b.entries {
+		b.entries[i].Offset = first + int64(i)
+	}
+	l.s.deps.Peers.Offer(b.entries)
+	l.offer(b.entries)
 	for at, n := range b.noted {
 		if at.boot == n.boot {
 			at.acked = max(at.acked, n.number)
@@ -230,6 +237,12 @@
 	}
 }
 
+// offer gives the entries to this VM's book. That calls back for the jobs that
+// changed, which must not wait for the goroutine that is here.
+func (l *leadership) offer(entries []site.Entry) {
+	go l.s.deps.Follower.Offer(entries)
+}
+
 func answer(accepts []acceptAsked, err error) {
 	for _, a := range accepts {
 		a.reply <- err
--- a/pollendockd/internal/scheduler/place.go
+++ b/pollendockd/internal/scheduler/place.go
@@ -54,6 +54,9 @@
 	// bookLimit is how old the last reading of the records may be for new
 	// starts, so that a cancel is known.
 	bookLimit = 1500 * time.Millisecond
+	// batchPart is the part of a team's limit that work of a later priority may
+	// take beside other work.
+	batchPart = 0.9
 	// spareCandidates widens queries beyond what should just suffice.
 	spareCandidates = 1.6
 	leastCandidates = 4
@@ -93,6 +96,7 @@
 func (l *leadership) waitingSteps(p *pass) []*waitingStep {
 	var steps []*waitingStep
 	l.waiting = map[placement.Rank]int{}
+	l.limited = 0
 	for _, w := range l.works {
 		if w.state.Phase.Final() {
 			continue
@@ -165,10 +169,11 @@
 	}
 	ws.tasks = w.waitingTasks(ws.step)
 	need := placement.Need{
-		Count: min(len(ws.tasks), l.withinLimit(p.catalog.Team(w.sub.Team), w.sub.Team, spec.Size, len(ws.tasks))),
+		Count: l.withinLimit(p, w, spec.Size, len(ws.tasks)),
 		Size:  spec.Size, Gang: spec.Gang, OneRack: spec.OneRack, Rack: spec.Rack, PerWorker: spec.PerWorker,
 	}
 	if need.Count == 0 || spec.Gang && need.Count < len(ws.tasks) {
+		l.limited++
 		return
 	}
 	rooms, candidates := l.rooms(p, ws, need, service, advice)
@@ -199,19 +204,26 @@
 	}
 }
 
-// withinLimit returns how many of n tasks the team's limit allows.
-func (l *leadership) withinLimit(team *site.Team, name string, size resource.Vector, n int) int {
+// withinLimit returns how many of n tasks the team's limit allows. Work that is
+// not of the first priority leaves a part of the limit to work that is: a lookup
+// would else wait for a batch task of its own team to end.
+func (l *leadership) withinLimit(p *pass, w *work, size resource.Vector, n int) int {
+	team := p.catalog.Team(w.sub.Team)
 	if team == nil {
 		return n
 	}
-	left := team.Limit.Sub(l.teamUse[name])
-	for _, c := range []struct{ limit, left, size int64 }{
-		{team.Limit.MilliCPU, left.MilliCPU, size.MilliCPU},
-		{team.Limit.MemoryMB, left.MemoryMB, size.MemoryMB},
-		{team.Limit.Accelerators, left.Accelerators, size.Accelerators},
+	use := l.teamUse[w.sub.Team]
+	part := 1.0
+	if w.sub.Priority > 0 && use.MilliCPU > 0 {
+		part = batchPart
+	}
+	for _, c := range []struct{ limit, use, size int64 }{
+		{team.Limit.MilliCPU, use.MilliCPU, size.MilliCPU},
+		{team.Limit.MemoryMB, use.MemoryMB, size.MemoryMB},
+		{team.Limit.Accelerators, use.Accelerators, size.Accelerators},
 	} {
 		if c.limit > 0 && c.size > 0 {
-			n = min(n, int(max(0, c.left)/c.size))
+			n = min(n, int(max(0, int64(part*float64(c.limit))-c.use)/c.size))
 		}
 	}
 	return n
--- a/pollendockd/internal/scheduler/scheduler.go
+++ b/pollendockd/internal/scheduler/scheduler.go
@@ -31,6 +31,13 @@
 		Fresh(within time.Duration) bool
 		LeaderSilence() time.Duration
 		SetEager(eager bool)
+		// Offer takes records that this VM has appended.
+		Offer(entries []site.Entry)
+	}
+
+	// Peers passes records on to the other entry VMs.
+	Peers interface {
+		Offer(entries []site.Entry)
 	}
 
 	// Upstreams follows the list of workers.
@@ -66,6 +73,7 @@
 		Stream    Stream
 		Follower  Follower
 		Book      *job.Book
+		Peers     Peers
 		Upstreams Upstreams
 		// Dial returns the worker at an address.
 		Dial func(id string, addr netip.AddrPort) Worker
--- a/pollendockd/internal/scheduler/term.go
+++ b/pollendockd/internal/scheduler/term.go
@@ -40,7 +40,9 @@
 		// held is the room that the last pass held back for gangs.
 		held map[*worker]held
 		// waiting counts the steps of the last pass by rank.
-		waiting    map[placement.Rank]int
+		waiting map[placement.Rank]int
+		// limited counts those that their team's limit kept back.
+		limited    int
 		reportedAt time.Time
 		learned    map[string]*learned
 		// handedOver is closed once the leadership has been given up.
@@ -308,7 +310,7 @@
 	}
 	_ = level.Info(l.s.deps.Logger).Log("msg", "cell", "epoch", l.term.Epoch, "jobs", len(l.works), "inTime", l.waiting[placement.InTime],
 		"surplus", l.waiting[placement.Surplus], "late", l.waiting[placement.Late], "overdue", l.waiting[placement.Overdue],
-		"runs", runs, "workers", len(l.workers), "usable", usable, "freeMilliCpu", free.MilliCPU, "milliCpu", total.MilliCPU,
+		"limited", l.limited, "held", len(l.held), "runs", runs, "workers", len(l.workers), "usable", usable, "freeMilliCpu", free.MilliCPU, "milliCpu", total.MilliCPU,
 		"queries", len(l.advice.queries), "asking", busy, "passMs", l.placeCost.Milliseconds())
 }
 
--- a/pollendockd/site.go
+++ b/pollendockd/site.go
@@ -126,6 +126,7 @@
 		s.advisor = s.platform.Advisor
 	}
 	s.peers = helper.NewPeers(&s.member, s.book, s.advisor, leaderHere{s})
+	deps.Peers = s.peers
 	if s.advisor != nil {
 		deps.Advisor = s.peers
 	}
@@ -156,7 +157,7 @@
 	if err != nil {
 		return err
 	}
-	peers, err := peer.NewServerOf(peerListener, helper.NewServer(ctx, s.advisor, s.desk, s.scheduler))
+	peers, err := peer.NewServerOf(peerListener, helper.NewServer(ctx, s.advisor, s.desk, s.scheduler, s.follower))
 	if err != nil {
 		return err
 	}
