--- a/pollendockd/internal/book/follower.go
+++ b/pollendockd/internal/book/follower.go
@@ -124,14 +124,18 @@
 		return
 	}
 	next := f.book.Next()
-	last := entries[len(entries)-1].Offset
-	if entries[0].Offset > next {
+	run := contiguous(entries)
+	if entries[0].Offset > next || run < len(entries) {
 		select {
 		case f.hurry <- struct{}{}:
 		default:
 		}
+	}
+	if entries[0].Offset > next {
 		return
 	}
+	entries = entries[:run]
+	last := entries[run-1].Offset
 	f.offeredAt.Store(int64(time.Since(f.start)))
 	if last >= next {
 		f.apply(&site.Page{Entries: entries, Next: last + 1, End: last + 1})
@@ -223,6 +227,16 @@
 	return f.loaded.Load()
 }
 
+// contiguous returns how many entries follow each other without a hole: two
+// offers may have been joined, and others have appended between them.
+func contiguous(entries []site.Entry) int {
+	n := 1
+	for n < len(entries) && entries[n].Offset == entries[n-1].Offset+1 {
+		n++
+	}
+	return n
+}
+
 // SetEager says whether this VM decides, and so reads more often.
 func (f *Follower) SetEager(eager bool) {
 	f.eager.Store(eager)
--- /dev/null
+++ b/pollendockd/internal/book/follower_test.go
@@ -0,0 +1,154 @@
+package book
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"pollendock.example/cell/job"
+	"pollendock.example/cell/site"
+	"pollendock.example/standin/fleet"
+)
+
+// inStream runs a test with a follower that reads a store.
+func inStream(t *testing.T, fn func(ctx context.Context, store *fleet.Store, b *job.Book, f *Follower)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer synctest.Wait()
+		defer cancel()
+		store, b := fleet.NewStore(), job.NewBook()
+		f := NewFollower(store, b, log.NewNopLogger(), func([]string) {})
+		fn(ctx, store, b, f)
+	})
+}
+
+func entryOf(t *testing.T, id string) site.Entry {
+	t.Helper()
+	e, err := job.SubmissionEntry(&job.Submission{ID: id, Queue: "q", Steps: []job.Step{{Count: 1}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return e
+}
+
+// add appends jobs and returns their entries with offsets.
+func add(ctx context.Context, t *testing.T, store *fleet.Store, ids ...string) []site.Entry {
+	t.Helper()
+	var entries []site.Entry
+	for _, id := range ids {
+		entries = append(entries, entryOf(t, id))
+	}
+	first, err := store.Append(ctx, entries)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range entries {
+		entries[i].Offset = first + int64(i)
+	}
+	return entries
+}
+
+func expectJobs(t *testing.T, b *job.Book, ids ...string) {
+	t.Helper()
+	for _, id := range ids {
+		if b.Job(id) == nil {
+			t.Errorf("job %s is not known", id)
+		}
+	}
+}
+
+// TestOfferWithHoles: two offers that went out together left the records of
+// others between them out, and the book went on behind them.
+func TestOfferWithHoles(t *testing.T) {
+	inStream(t, func(ctx context.Context, store *fleet.Store, b *job.Book, f *Follower) {
+		if err := f.Sync(ctx); err != nil {
+			t.Fatal(err)
+		}
+		first := add(ctx, t, store, "a")
+		add(ctx, t, store, "between")
+		last := add(ctx, t, store, "z")
+		f.Offer(append(first, last...))
+		if err := f.Sync(ctx); err != nil {
+			t.Fatal(err)
+		}
+		expectJobs(t, b, "a", "between", "z")
+	})
+}
+
+// TestOffers: offers in order need no read, late ones change nothing, and a gap
+// is read at once.
+func TestOffers(t *testing.T) {
+	inStream(t, func(ctx context.Context, store *fleet.Store, b *job.Book, f *Follower) {
+		if err := f.Sync(ctx); err != nil {
+			t.Fatal(err)
+		}
+		one := add(ctx, t, store, "1")
+		two := add(ctx, t, store, "2")
+		f.Offer(one)
+		expectJobs(t, b, "1")
+		f.Offer(two)
+		f.Offer(one)
+		expectJobs(t, b, "2")
+		if b.Next() != 2 {
+			t.Errorf("read up to %d, want 2", b.Next())
+		}
+		go func() { _ = f.Run(ctx) }()
+		add(ctx, t, store, "3")
+		f.Offer(add(ctx, t, store, "4"))
+		time.Sleep(50 * time.Millisecond)
+		expectJobs(t, b, "3", "4")
+	})
+}
+
+// TestFollowerFaults: the book is whole after each fault of the store.
+func TestFollowerFaults(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		fault func(store *fleet.Store, on bool)
+	}{
+		{"away", (*fleet.Store).SetAway},
+		{"silent", (*fleet.Store).SetSilent},
+		{"trimmed", func(s *fleet.Store, on bool) {
+			if on {
+				s.Trim()
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inStream(t, func(ctx context.Context, store *fleet.Store, b *job.Book, f *Follower) {
+				go func() { _ = f.Run(ctx) }()
+				time.Sleep(time.Second)
+				add(ctx, t, store, "1")
+				c.fault(store, true)
+				time.Sleep(3 * time.Second)
+				c.fault(store, false)
+				add(ctx, t, store, "2")
+				time.Sleep(3 * time.Second)
+				expectJobs(t, b, "1", "2")
+			})
+		})
+	}
+}
+
+// TestPagesTwice: pages that are read again, in any order, leave the same book.
+func TestPagesTwice(t *testing.T) {
+	b := job.NewBook()
+	var pages []*site.Page
+	for i := range int64(5) {
+		e := entryOf(t, fmt.Sprint(i))
+		e.Offset = i
+		pages = append(pages, &site.Page{Entries: []site.Entry{e}, Next: i + 1, End: i + 1})
+	}
+	for _, i := range []int{0, 1, 2, 1, 0, 3, 4, 2} {
+		if _, err := b.Apply(pages[i]); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if b.Waiting("q") != 5 || b.Next() != 5 {
+		t.Errorf("waiting %d, next %d, want 5 and 5", b.Waiting("q"), b.Next())
+	}
+}
