--- a/pollendockd/internal/scheduler/order.go
+++ b/pollendockd/internal/scheduler/order.go
@@ -71,6 +71,7 @@
 		if r.stage == starting {
 			r.stage = running
 			r.confirmedAt = now
+			r.percentAt = now
 			r.settledAfter = now
 		}
 		if !r.at.holdBusy {
--- a/pollendockd/internal/scheduler/story_test.go
+++ b/pollendockd/internal/scheduler/story_test.go
@@ -6,6 +6,7 @@
 
 	"pollendock.example/cell/job"
 	"pollendock.example/cell/site"
+	"pollendock.example/standin/fleet"
 )
 
 // TestStories plays one job of each form through one fault of each kind.
@@ -146,3 +147,25 @@
 		}
 	})
 }
+
+// TestStandstill: tasks that make no progress on one worker are run elsewhere,
+// and that worker gets no more while none of its tasks does.
+func TestStandstill(t *testing.T) {
+	for _, step := range []job.Step{tasks(2, 4), gang(2, 4)} {
+		inCell(t, 2, func(c *cell) {
+			c.outcome = func(_ site.TaskName, _ int64, worker string) (time.Duration, site.EndKind) {
+				if worker == "w0" {
+					return fleet.Standstill, site.Done
+				}
+				return workTime, site.Done
+			}
+			a := c.start("a")
+			time.Sleep(time.Second)
+			c.submit("j1", step)
+			time.Sleep(2500 * time.Millisecond)
+			c.submit("j2", tasks(1, 1))
+			expectPhase(c, a, "j2", 3*time.Second, job.Completed)
+			expectPhase(c, a, "j1", 8*time.Second, job.Completed)
+		})
+	}
+}
--- a/pollendockd/internal/scheduler/term.go
+++ b/pollendockd/internal/scheduler/term.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sort"
 	"strings"
@@ -61,13 +62,13 @@
 	// two VMs that stand at the same time rarely choose the same.
 	epochStep = 1 << 10
 	// silenceLimit is how long a leader may append nothing before others stand.
-	silenceLimit = 1200 * time.Millisecond
+	silenceLimit = 700 * time.Millisecond
 	// resignedLimit is the same after the leader has stepped down and its
 	// successor has not begun.
 	resignedLimit = 400 * time.Millisecond
-	// standGap and standSlots part the VMs that stand, so that one wins.
-	standGap   = 120 * time.Millisecond
-	standSlots = 8
+	// standGap parts the VMs that stand, so that one wins, up to standSlots.
+	standGap   = 100 * time.Millisecond
+	standSlots = 12
 	// standAgain parts the campaigns of one VM.
 	standAgain = 200 * time.Millisecond
 	// freshLimit is how new the last answer of the stream must be to judge a
@@ -77,7 +78,7 @@
 	slowTimes       = 12
 	campaignTimeout = 2 * time.Second
 	// heartbeatGap is the longest time without an append of the leader.
-	heartbeatGap = 400 * time.Millisecond
+	heartbeatGap = 200 * time.Millisecond
 	// reportGap parts the lines on the state of the cell.
 	reportGap = time.Second
 	// withoutStream is how long a leader goes on without a successful append.
@@ -98,7 +99,7 @@
 	}
 	silence := s.deps.Follower.LeaderSilence()
 	gone := l.Incarnation == "" || s.restarted(l.Incarnation)
-	slot := time.Duration(xxhash.Sum64String(s.opt.Incarnation)%standSlots) * standGap
+	slot := time.Duration(s.place(&l)) * standGap
 	limit := silenceLimit + slot
 	if l.Incarnation == "" {
 		limit = resignedLimit + slot
@@ -117,6 +118,22 @@
 	s.stand(l, silence, limit, gone)
 }
 
+// place returns where this VM stands in the order of those that may follow a
+// leader: one of them in each term is first, and the others wait for it.
+func (s *Scheduler) place(l *job.Leader) int {
+	rank := func(incarnation string) uint64 {
+		return xxhash.Sum64String(fmt.Sprint(incarnation, l.Epoch))
+	}
+	mine := rank(s.opt.Incarnation)
+	place := 0
+	for _, m := range s.deps.Book.Members() {
+		if m.Incarnation != l.Incarnation && rank(m.Incarnation) < mine {
+			place++
+		}
+	}
+	return min(place, standSlots)
+}
+
 // restarted reports whether the VM of an incarnation has listed itself under
 // another one since: its process was killed.
 func (s *Scheduler) restarted(incarnation string) bool {
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -43,6 +43,10 @@
 		holdFails int
 		lost      bool
 
+		// stuckSince is when the worker's runs stopped making progress; zero
+		// while one of them does.
+		stuckSince time.Time
+
 		// failures counts failed runs in a row, of different jobs.
 		failures  int
 		failedJob string
@@ -96,6 +100,12 @@
 	holdRetry    = 150 * time.Millisecond
 	maxEndedRows = 500
 
+	// A worker whose runs have made no progress for stuckAfter takes no more; a
+	// run is stopped after stillLimit. Of long tasks stillPart of the estimate
+	// is waited for.
+	stuckAfter = 1500 * time.Millisecond
+	stillLimit = 2500 * time.Millisecond
+	stillPart  = 0.1
 	// failuresBeforeRest ends the trust in a worker, until it has rested.
 	failuresBeforeRest = 2
 	firstRest          = 2 * time.Second
@@ -189,7 +199,7 @@
 // to obey this term.
 func (at *worker) usable(now time.Time) bool {
 	return at.listed && !at.up.Draining && at.boot != 0 && at.boot == at.up.Boot && at.holdFails == 0 &&
-		!now.Before(at.restUntil)
+		!now.Before(at.restUntil) && (at.stuckSince.IsZero() || now.Sub(at.stuckSince) < stuckAfter)
 }
 
 func (at *worker) free() resource.Vector {
@@ -393,6 +403,7 @@
 		if r.stage != running {
 			r.stage = running
 			r.confirmedAt = now
+			r.percentAt = now
 			r.settledAfter = now
 			l.logRun(r, "run found at its worker")
 		}
@@ -411,6 +422,38 @@
 			l.absent(r, sentAt, now)
 		}
 	}
+	l.watchProgress(at, now)
+}
+
+// watchProgress looks for tasks that stand still. They are stopped to run
+// elsewhere, and a worker whose tasks all stand still gets no more.
+func (l *leadership) watchProgress(at *worker, now time.Time) {
+	oldest := time.Time{}
+	moving := false
+	for _, r := range at.runs {
+		step := &r.w.sub.Steps[r.task.Step]
+		if r.stage != running || step.Endless {
+			continue
+		}
+		still := now.Sub(later(r.percentAt, r.confirmedAt))
+		patience := time.Duration(float64(step.Estimate) * stillPart)
+		if still < max(stuckAfter, patience) {
+			moving = moving || r.percentAt.After(r.confirmedAt) || now.Sub(r.confirmedAt) < stuckAfter
+			continue
+		}
+		if oldest.IsZero() || r.percentAt.Before(oldest) {
+			oldest = now.Add(-still)
+		}
+		if still >= max(stillLimit, patience) && !r.stopWanted && !r.w.state.Phase.Final() {
+			r.stopWanted = true
+			r.w.avoid[r.task] = at.id
+			l.logRun(r, "run stands still, stopping it", "percent", r.percent, "stillMs", still.Milliseconds())
+		}
+	}
+	if moving {
+		oldest = time.Time{}
+	}
+	at.stuckSince = oldest
 }
 
 // absent concludes that a run does not exist, if the list that lacks it is new
@@ -445,7 +488,7 @@
 		}
 		w = &work{id: key.task.Job, sub: j.Submission, state: j.State.Clone()}
 	}
-	r := &run{task: key.task, number: key.number, w: w, stage: running, decidedAt: time.Now(), stopWanted: true}
+	r := &run{task: key.task, number: key.number, w: w, stage: running, decidedAt: time.Now(), stopWanted: true, confirmedAt: time.Now(), percentAt: time.Now()}
 	l.bind(r, at)
 	l.logRun(r, "run is not recorded here, stopping it")
 	return r
--- a/standin/fleet/worker.go
+++ b/standin/fleet/worker.go
@@ -74,6 +74,9 @@
 const (
 	checkEvery = 10 * time.Millisecond
 	gangWait   = 3 * time.Second
+
+	// Standstill is the time of a run that makes no progress.
+	Standstill = time.Hour
 )
 
 // NewFleet returns a fleet. Outcome says how long a run takes and how it ends,
@@ -166,6 +169,15 @@
 	}
 }
 
+// percent is the progress of a run; a gang makes none before all are there, nor
+// does a run that never ends.
+func (r *running) percent(now time.Time) int {
+	if r.endAt.IsZero() || r.takes >= Standstill {
+		return 0
+	}
+	return int(100 - 100*r.endAt.Sub(now)/r.takes)
+}
+
 // gatherGangs starts the work of gangs whose members are all there.
 func (f *Fleet) gatherGangs(now time.Time) {
 	present := map[string][]*running{}
@@ -457,7 +469,7 @@
 		reply.Ended = append(reply.Ended, e.RunEnd)
 	}
 	for _, r := range w.sorted() {
-		reply.Running = append(reply.Running, site.RunStatus{Task: r.task, Run: r.number})
+		reply.Running = append(reply.Running, site.RunStatus{Task: r.task, Run: r.number, Percent: r.percent(time.Now())})
 	}
 	return reply, nil
 }
