A gang member that has done its part does not stand still

Ruled out: the shorter silence of leaders (terms began only after faults). Test: TestUnevenGang failed before (and fails with the check taken out).

--- a/pollendockd/internal/scheduler/story_test.go
+++ b/pollendockd/internal/scheduler/story_test.go
@@ -169,3 +169,18 @@
 		})
 	}
 }
+
+// TestUnevenGang: the fast member of a gang, which has done its part and waits
+// for the slow one, was taken for one that stands still, and all its work lost.
+func TestUnevenGang(t *testing.T) {
+	inCell(t, 2, func(c *cell) {
+		c.outcome = func(n site.TaskName, _ int64, _ string) (time.Duration, site.EndKind) {
+			return time.Duration(1+9*n.Index) * time.Second, site.Done
+		}
+		a := c.start("a")
+		time.Sleep(time.Second)
+		c.submit("j1", gang(2, 6))
+		expectPhase(c, a, "j1", 12*time.Second, job.Completed)
+		expectStarts(c, "j1", 0, 1)
+	})
+}
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -106,6 +106,8 @@
 	stuckAfter = 1500 * time.Millisecond
 	stillLimit = 2500 * time.Millisecond
 	stillPart  = 0.1
+	// allDone is the progress of a task that has done its part.
+	allDone = 100
 	// failuresBeforeRest ends the trust in a worker, until it has rested.
 	failuresBeforeRest = 2
 	firstRest          = 2 * time.Second
@@ -432,7 +434,9 @@
 	moving := false
 	for _, r := range at.runs {
 		step := &r.w.sub.Steps[r.task.Step]
-		if r.stage != running || step.Endless {
+		if r.stage != running || step.Endless || r.percent >= allDone {
+			// A member of a gang that has done its part waits for the others.
+			moving = moving || r.percent >= allDone
 			continue
 		}
 		still := now.Sub(later(r.percentAt, r.confirmedAt))
--- a/standin/fleet/worker.go
+++ b/standin/fleet/worker.go
@@ -66,8 +66,10 @@
 		began  time.Time
 		// endAt is zero while a gang waits for its members.
 		endAt time.Time
-		how   site.EndKind
-		takes time.Duration
+		// partAt is when it has done its own part; a gang ends together.
+		partAt time.Time
+		how    site.EndKind
+		takes  time.Duration
 	}
 )
 
@@ -175,7 +177,7 @@
 	if r.endAt.IsZero() || r.takes >= Standstill {
 		return 0
 	}
-	return int(100 - 100*r.endAt.Sub(now)/r.takes)
+	return int(min(100, 100-100*r.partAt.Sub(now)/r.takes))
 }
 
 // gatherGangs starts the work of gangs whose members are all there.
@@ -195,8 +197,13 @@
 		if len(list) < wanted[key] {
 			continue
 		}
+		longest := time.Duration(0)
 		for _, r := range list {
-			r.endAt = now.Add(r.takes)
+			longest = max(longest, r.takes)
+		}
+		for _, r := range list {
+			r.partAt = now.Add(r.takes)
+			r.endAt = now.Add(longest)
 		}
 	}
 }
@@ -375,6 +382,7 @@
 	r := &running{task: o.Task, number: o.Run, began: now, how: how, takes: takes}
 	if _, gang := f.size(o.Task); gang == 0 {
 		r.endAt = now.Add(takes)
+		r.partAt = r.endAt
 	}
 	w.runs[o.Task] = r
 	f.starts[o.Task]++
