--- a/pollendockd/internal/scheduler/term.go
+++ b/pollendockd/internal/scheduler/term.go
@@ -75,8 +75,12 @@
 	// leader's silence.
 	freshLimit = 900 * time.Millisecond
 	// slowTimes is how many calls of the stream a leader may need to be heard.
-	slowTimes       = 12
-	campaignTimeout = 2 * time.Second
+	slowTimes = 12
+	// slowCall is a call of a slow stream; each VM then waits turnTimes calls
+	// for every VM before it.
+	slowCall        = 60 * time.Millisecond
+	turnTimes       = 6
+	campaignTimeout = 6 * time.Second
 	// heartbeatGap is the longest time without an append of the leader.
 	heartbeatGap = 200 * time.Millisecond
 	// reportGap parts the lines on the state of the cell.
@@ -177,17 +181,27 @@
 	return l.Epoch == epoch && l.Incarnation == s.opt.Incarnation, nil
 }
 
-// leaderMayLive reads on and reports whether a sign of the leader has come, or
-// may still come since the stream is slow: then its records take long as well.
+// leaderMayLive reads on and reports whether a sign of a leader has come, or may
+// still come since the stream is slow: its records take long as well. With a
+// slow stream VMs wait longer for those before them, too, since a campaign that
+// follows another ends the term that has just begun.
 func (s *Scheduler) leaderMayLive(ctx context.Context, last job.Leader, limit time.Duration, gone bool) (bool, error) {
 	began := time.Now()
 	if err := s.deps.Follower.Sync(ctx); err != nil {
 		return false, err
 	}
-	if now, _ := s.deps.Book.Leader(); now != last {
+	call := time.Since(began)
+	if !gone && s.deps.Follower.LeaderSilence() < limit+slowTimes*call {
 		return true, nil
 	}
-	return !gone && s.deps.Follower.LeaderSilence() < limit+slowTimes*time.Since(began), nil
+	if call > slowCall {
+		pause(ctx, time.Duration(s.place(&last))*turnTimes*call)
+		if err := s.deps.Follower.Sync(ctx); err != nil {
+			return false, err
+		}
+	}
+	now, _ := s.deps.Book.Leader()
+	return now != last, nil
 }
 
 func (e campaignDone) handle(s *Scheduler) {
