--- a/pollendock/main.go
+++ b/pollendock/main.go
@@ -40,6 +40,7 @@
 		Cancel *cancelCmd `arg:"subcommand:cancel" help:"end durable work"`
 		Cell   *cellCmd   `arg:"subcommand:cell" help:"show workers, teams and entry VMs"`
 		Check  *checkCmd  `arg:"subcommand:check" help:"check a patch against a document, offline"`
+		Story  *storyCmd  `arg:"subcommand:story" help:"gather what entry VMs logged of one job, offline"`
 	}
 )
 
@@ -97,6 +98,8 @@
 		return o.Cell
 	case o.Check != nil:
 		return o.Check
+	case o.Story != nil:
+		return o.Story
 	}
 	return nil
 }
--- a/pollendockd/internal/desk/desk.go
+++ b/pollendockd/internal/desk/desk.go
@@ -239,13 +239,23 @@
 
 // Status returns the state of a job, or of a queue.
 func (d *Desk) Status(ctx context.Context, at site.Address) (*site.Status, error) {
+	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, requestLimit)
 	defer cancel()
+	var s *site.Status
+	var err error
 	if d.current() {
-		return d.StatusHere(ctx, at)
+		s, err = d.StatusHere(ctx, at)
+	} else {
+		var version int64
+		s, version, err = d.deps.Peers.Status(ctx, at, d.least())
+		err = d.passed(version, err, code.NotReady)
+	}
+	if err != nil {
+		// States that are found are many, and decide nothing.
+		d.note("status", at, err, began)
 	}
-	s, version, err := d.deps.Peers.Status(ctx, at, d.least())
-	return s, d.passed(version, err, code.NotReady)
+	return s, err
 }
 
 // StatusHere answers without passing the request on.
--- /dev/null
+++ b/pollendockd/internal/desk/desk_test.go
@@ -0,0 +1,282 @@
+package desk
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"pollendock.example/cell/code"
+	"pollendock.example/cell/job"
+	"pollendock.example/cell/site"
+	"pollendock.example/pollendockd/internal/book"
+	"pollendock.example/standin/fleet"
+)
+
+type (
+	// shop is a desk with what it needs, in one bubble.
+	shop struct {
+		ctx     context.Context
+		store   *fleet.Store
+		book    *job.Book
+		source  *source
+		catalog *CatalogWatch
+		desk    *Desk
+		leader  *leader
+		peers   *peers
+	}
+
+	// source hands out catalogs.
+	source struct {
+		next   *site.Catalog
+		silent bool
+	}
+
+	// leader answers as it is told.
+	leader struct {
+		store *fleet.Store
+		err   error
+		calls int
+	}
+
+	// peers answers as it is told.
+	peers struct {
+		err     error
+		version int64
+		calls   int
+		least   int64
+	}
+
+	noCounts struct{}
+)
+
+func (noCounts) Count(string, int64)        {}
+func (noCounts) Time(string, time.Duration) {}
+
+func (s *source) Next(ctx context.Context, wait time.Duration) (*site.Catalog, error) {
+	if s.silent {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	c := s.next
+	s.next = nil
+	if c == nil {
+		pause(ctx, wait)
+	}
+	return c, nil
+}
+
+func (l *leader) Accept(ctx context.Context, entries []site.Entry) error {
+	l.calls++
+	if l.err != nil {
+		return l.err
+	}
+	_, err := l.store.Append(ctx, entries)
+	return err
+}
+
+func (p *peers) answer(least int64) (int64, error) {
+	p.calls++
+	p.least = least
+	return p.version, p.err
+}
+
+func (p *peers) Submit(_ context.Context, _ site.Address, _ *job.Submission, least int64) (int64, error) {
+	return p.answer(least)
+}
+
+func (p *peers) Status(_ context.Context, _ site.Address, least int64) (*site.Status, int64, error) {
+	v, err := p.answer(least)
+	return &site.Status{}, v, err
+}
+
+func (p *peers) Cancel(_ context.Context, _ site.Address, least int64) (int64, error) {
+	return p.answer(least)
+}
+
+func catalogOf(version int64, keys ...string) *site.Catalog {
+	return (&site.Catalog{
+		Version: version,
+		Queues: []site.Queue{
+			{Name: "q", Host: "h", PathPrefix: "/q/", Service: "s"},
+			{Name: "open", Host: "h", PathPrefix: "/open/", Service: "s", Public: true},
+		},
+		Teams: []site.Team{{Name: "a", Keys: keys}, {Name: "b", Keys: []string{"kb"}}},
+	}).Index()
+}
+
+func inShop(t *testing.T, fn func(s *shop)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer synctest.Wait()
+		defer cancel()
+		logger := log.NewNopLogger()
+		s := &shop{ctx: ctx, store: fleet.NewStore(), book: job.NewBook(), source: &source{next: catalogOf(1, "ka")}, peers: &peers{}}
+		s.leader = &leader{store: s.store}
+		follower := book.NewFollower(s.store, s.book, logger, func([]string) {})
+		s.catalog = NewCatalogWatch(s.source, logger)
+		s.desk = New(Deps{
+			Stream: s.store, Follower: follower, Book: s.book, Catalog: s.catalog, Peers: s.peers, Leader: s.leader,
+			Logger: logger, Counts: noCounts{},
+		})
+		go func() { _ = follower.Run(ctx) }()
+		go func() { _ = s.catalog.Run(ctx) }()
+		go func() { _ = s.desk.Run(ctx) }()
+		time.Sleep(time.Second)
+		fn(s)
+	})
+}
+
+const (
+	goodID  = "00000000000000aa"
+	otherID = "00000000000000bb"
+)
+
+func at(path, key string) site.Address {
+	return site.Address{Host: "h", Path: path, Key: key}
+}
+
+func draft() *job.Submission {
+	return &job.Submission{Spec: "x", Steps: []job.Step{{Count: 1}}}
+}
+
+func expectCode(t *testing.T, what string, err error, want code.Code) {
+	t.Helper()
+	if got, detail := code.Of(err); got != want {
+		t.Errorf("%s: %v (%s), want %v", what, got, detail, want)
+	}
+}
+
+func TestRequests(t *testing.T) {
+	inShop(t, func(s *shop) {
+		submit := func(path, key string) error { return s.desk.Submit(s.ctx, at(path, key), draft()) }
+		expectCode(t, "unknown queue", submit("/nowhere/"+goodID, "ka"), code.NotFound)
+		expectCode(t, "unknown key", submit("/q/"+goodID, "kx"), code.Unauthenticated)
+		expectCode(t, "no key", submit("/q/"+goodID, ""), code.Unauthenticated)
+		expectCode(t, "bad id", submit("/q/xyz", "ka"), code.BadRequest)
+		expectCode(t, "no steps", s.desk.Submit(s.ctx, at("/q/"+goodID, "ka"), &job.Submission{}), code.BadRequest)
+		expectCode(t, "good", submit("/q/"+goodID, "ka"), code.OK)
+		expectCode(t, "public", submit("/open/"+otherID, ""), code.OK)
+		time.Sleep(time.Second)
+		expectCode(t, "again", submit("/q/"+goodID, "ka"), code.OK)
+		expectCode(t, "of another team", submit("/q/"+goodID, "kb"), code.KeyReused)
+		if n := len(s.store.Entries()); n != 2 {
+			t.Errorf("%d records, want 2", n)
+		}
+		status, err := s.desk.Status(s.ctx, at("/q/"+goodID, "ka"))
+		expectCode(t, "status", err, code.OK)
+		if status.Phase != int(job.Queued) {
+			t.Errorf("phase %d", status.Phase)
+		}
+		_, err = s.desk.Status(s.ctx, at("/q/"+goodID, "kb"))
+		expectCode(t, "status for another team", err, code.NoSuchJob)
+		waiting, err := s.desk.Status(s.ctx, at("/q/", "ka"))
+		expectCode(t, "queue", err, code.OK)
+		if !waiting.OfQueue || waiting.Waiting != 1 {
+			t.Errorf("queue status %+v", waiting)
+		}
+		expectCode(t, "cancel", s.desk.Cancel(s.ctx, at("/q/"+goodID, "ka")), code.OK)
+		time.Sleep(time.Second)
+		status, err = s.desk.Status(s.ctx, at("/q/"+goodID, "ka"))
+		expectCode(t, "status", err, code.OK)
+		if status.Phase != int(job.Canceled) {
+			t.Errorf("phase %d after the cancel", status.Phase)
+		}
+		expectCode(t, "cancel of none", s.desk.Cancel(s.ctx, at("/q/00000000000000cc", "ka")), code.NoSuchJob)
+	})
+}
+
+// TestStatusRightAfterAccept: a job that another VM has just accepted is looked
+// for in the stream before it is said not to exist.
+func TestStatusRightAfterAccept(t *testing.T) {
+	inShop(t, func(s *shop) {
+		e, err := job.SubmissionEntry(&job.Submission{ID: goodID, Team: "a", Queue: "q", Steps: []job.Step{{Count: 1}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := s.store.Append(s.ctx, []site.Entry{e}); err != nil {
+			t.Fatal(err)
+		}
+		_, err = s.desk.Status(s.ctx, at("/q/"+goodID, "ka"))
+		expectCode(t, "status", err, code.OK)
+	})
+}
+
+// TestOutcomes: a refusal says that the job never runs, so it is given only
+// where nothing can have become durable.
+func TestOutcomes(t *testing.T) {
+	refused, unknown := site.ErrRefused.New("x"), site.ErrUnknown.New("x")
+	cases := []struct {
+		name   string
+		leader error
+		store  func(*fleet.Store)
+		want   code.Code
+	}{
+		{"by the leader", nil, func(*fleet.Store) {}, code.OK},
+		{"without a leader", refused, func(*fleet.Store) {}, code.OK},
+		{"leader silent", unknown, func(*fleet.Store) {}, code.OK},
+		{"both refuse", refused, func(s *fleet.Store) { s.SetAway(true) }, code.LogDown},
+		{"leader silent, store refuses", unknown, func(s *fleet.Store) { s.SetAway(true) }, code.AcceptUnknown},
+		{"no leader, answer lost", refused, func(s *fleet.Store) { s.LoseAnswers(1) }, code.AcceptUnknown},
+	}
+	for _, c := range cases {
+		inShop(t, func(s *shop) {
+			s.leader.err = c.leader
+			c.store(s.store)
+			expectCode(t, c.name, s.desk.Submit(s.ctx, at("/q/"+goodID, "ka"), draft()), c.want)
+		})
+	}
+}
+
+// TestStoreAway: with the stream silent, requests are passed on, and refused at
+// once where nobody takes them.
+func TestStoreAway(t *testing.T) {
+	inShop(t, func(s *shop) {
+		s.store.SetSilent(true)
+		s.leader.err = site.ErrRefused.New("x")
+		time.Sleep(3 * time.Second)
+		s.peers.err = site.ErrRefused.New("none")
+		began := time.Now()
+		err := s.desk.Submit(s.ctx, at("/q/"+goodID, "ka"), draft())
+		expectCode(t, "submit", err, code.NotReady)
+		if took := time.Since(began); took > 100*time.Millisecond {
+			t.Errorf("the refusal took %v", took)
+		}
+		if s.desk.RetryAfter(err) <= 0 {
+			t.Error("the refusal does not say when to come back")
+		}
+		if s.leader.calls > 0 || s.peers.calls != 1 {
+			t.Errorf("%d calls of the leader, %d of peers", s.leader.calls, s.peers.calls)
+		}
+		s.peers.err = site.ErrUnknown.New("lost")
+		expectCode(t, "submit", s.desk.Submit(s.ctx, at("/q/"+goodID, "ka"), draft()), code.AcceptUnknown)
+		_, err = s.desk.Status(s.ctx, at("/q/"+goodID, "ka"))
+		expectCode(t, "status", err, code.NotReady)
+	})
+}
+
+// TestVersionNeverGoesBack: a VM that passed a request to one with a newer
+// catalog went by its own, older one right after it.
+func TestVersionNeverGoesBack(t *testing.T) {
+	inShop(t, func(s *shop) {
+		s.source.silent = true
+		time.Sleep(3 * time.Second)
+		s.peers.version = 5
+		expectCode(t, "passed on", s.desk.Submit(s.ctx, at("/q/"+goodID, "ka"), draft()), code.OK)
+		s.source.silent = false
+		s.source.next = catalogOf(3, "ka")
+		time.Sleep(3 * time.Second)
+		expectCode(t, "an older catalog", s.desk.Submit(s.ctx, at("/q/"+otherID, "ka"), draft()), code.OK)
+		if s.peers.calls != 2 || s.peers.least != 5 {
+			t.Errorf("%d requests passed on, the last for version %d or newer", s.peers.calls, s.peers.least)
+		}
+		s.source.next = catalogOf(5, "knew")
+		time.Sleep(3 * time.Second)
+		expectCode(t, "the key is withdrawn", s.desk.Submit(s.ctx, at("/q/"+otherID, "ka"), draft()), code.Unauthenticated)
+		s.source.next = catalogOf(4, "ka")
+		time.Sleep(3 * time.Second)
+		expectCode(t, "a late, older catalog", s.desk.Submit(s.ctx, at("/q/"+otherID, "ka"), draft()), code.Unauthenticated)
+	})
+}
