A leader that the stream turns away asks others to lead

Ruled out: the advisor, the workers (none lost). Test: TestLeaderTurnedAway failed before; TestTeamLimit is new.

--- a/pollendockd/internal/helper/helper.go
+++ b/pollendockd/internal/helper/helper.go
@@ -9,6 +9,9 @@
 	"sync"
 	"time"
 
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
 	"pollendock.example/cell/code"
 	"pollendock.example/cell/job"
 	"pollendock.example/cell/site"
@@ -34,6 +37,8 @@
 	// Leader makes entries durable if this VM leads.
 	Leader interface {
 		Accept(ctx context.Context, entries []site.Entry) error
+		// Yield tells that the leader of a term cannot append.
+		Yield(epoch int64)
 	}
 
 	// Follower takes records that the leader has appended.
@@ -59,6 +64,8 @@
 		self   string
 		leader Leader
 
+		logger log.Logger
+
 		mu    sync.Mutex
 		conns map[connKey]*conn
 		// offers holds what is to be passed on to each peer.
@@ -79,6 +86,7 @@
 	// offer is what waits for one peer while a call to it is under way.
 	offer struct {
 		busy    bool
+		failing bool
 		waiting []site.Entry
 	}
 
@@ -113,6 +121,14 @@
 	// OfferReply is empty.
 	OfferReply struct{}
 
+	// YieldRequest names the term of a leader that cannot append.
+	YieldRequest struct {
+		Epoch int64
+	}
+
+	// YieldReply is empty.
+	YieldReply struct{}
+
 	// Request is a caller's request that is passed on.
 	Request struct {
 		At site.Address
@@ -158,6 +174,12 @@
 	return &Server{ctx: ctx, advisor: advisor, desk: desk, leader: leader, book: book}
 }
 
+// Yield serves the call of that name.
+func (s *Server) Yield(r *YieldRequest, _ *YieldReply) error {
+	s.leader.Yield(r.Epoch)
+	return nil
+}
+
 // Offer serves the call of that name.
 func (s *Server) Offer(r *OfferRequest, _ *OfferReply) error {
 	s.book.Offer(r.Entries)
@@ -221,9 +243,9 @@
 
 // NewPeers returns the peers of an entry VM, as the book lists them. Leader is
 // the VM itself, for the time in which it leads.
-func NewPeers(self *job.Member, book *job.Book, advisor Advisor, leader Leader) *Peers {
+func NewPeers(self *job.Member, book *job.Book, advisor Advisor, leader Leader, logger log.Logger) *Peers {
 	return &Peers{
-		name: self.Name, self: self.Incarnation, book: book, advisor: advisor, leader: leader,
+		name: self.Name, self: self.Incarnation, book: book, advisor: advisor, leader: leader, logger: logger,
 		conns: map[connKey]*conn{}, offers: map[string]*offer{}, shun: map[string]time.Time{},
 	}
 }
@@ -314,9 +336,41 @@
 			return
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), offerTimeout)
-		// A VM that misses an offer reads the stream.
-		_ = p.client(&m, forOffers).Call(ctx, "Offer", &OfferRequest{Entries: entries}, &OfferReply{})
+		err := p.client(&m, forOffers).Call(ctx, "Offer", &OfferRequest{Entries: entries}, &OfferReply{})
 		cancel()
+		p.noteOffer(m.Name, o, err)
+	}
+}
+
+// noteOffer logs when offers to a peer begin to fail, and when they succeed
+// again. A VM that misses one reads the stream, so nothing else has to be done.
+func (p *Peers) noteOffer(name string, o *offer, err error) {
+	p.mu.Lock()
+	changed := o.failing != (err != nil)
+	o.failing = err != nil
+	p.mu.Unlock()
+	switch {
+	case !changed:
+	case err != nil:
+		_ = level.Warn(p.logger).Log("msg", "peer lost", "peer", name, "err", err)
+	default:
+		_ = level.Info(p.logger).Log("msg", "peer regained", "peer", name)
+	}
+}
+
+// Yield tells all other VMs that the leader of a term cannot append.
+func (p *Peers) Yield(epoch int64) {
+	for _, m := range p.book.Members() {
+		if m.Name == p.name {
+			continue
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), offerTimeout)
+			defer cancel()
+			if err := p.client(&m, forOffers).Call(ctx, "Yield", &YieldRequest{Epoch: epoch}, &YieldReply{}); err != nil {
+				_ = level.Warn(p.logger).Log("msg", "peer not asked to lead", "peer", m.Name, "epoch", epoch, "err", err)
+			}
+		}()
 	}
 }
 
--- a/pollendockd/internal/scheduler/cell_test.go
+++ b/pollendockd/internal/scheduler/cell_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -35,18 +36,45 @@
 	vm struct {
 		book      *job.Book
 		scheduler *Scheduler
+		stream    *vmStream
 		kill      context.CancelFunc
 	}
 
+	// vmStream is the stream as one VM reaches it.
+	vmStream struct {
+		*fleet.Store
+		refuses atomic.Bool
+	}
+
 	noCounts struct{}
 
-	// noPeers passes nothing on.
-	noPeers struct{}
+	// otherVMs passes yields on, and no records.
+	otherVMs struct {
+		c    *cell
+		name string
+	}
 )
 
 const workTime = 2 * time.Second
 
-func (noPeers) Offer([]site.Entry)          {}
+func (o otherVMs) Offer([]site.Entry) {}
+
+func (o otherVMs) Yield(epoch int64) {
+	for name, v := range o.c.vms {
+		if name != o.name {
+			v.scheduler.Yield(epoch)
+		}
+	}
+}
+
+// AppendAs refuses if this VM is turned away.
+func (s *vmStream) AppendAs(ctx context.Context, t site.Term, entries []site.Entry) (int64, error) {
+	if s.refuses.Load() {
+		return 0, site.ErrRefused.New("turned away")
+	}
+	return s.Store.AppendAs(ctx, t, entries)
+}
+
 func (noCounts) Count(string, int64)        {}
 func (noCounts) Time(string, time.Duration) {}
 
@@ -95,12 +123,14 @@
 	ctx, cancel := context.WithCancel(c.ctx)
 	v := &vm{book: job.NewBook(), kill: cancel}
 	logger := log.NewNopLogger()
+	stream := &vmStream{Store: c.store}
+	v.stream = stream
 	follower := book.NewFollower(c.store, v.book, logger, func(ids []string) { v.scheduler.JobsChanged(ids) })
 	v.scheduler = New(Options{
 		Name: name, Incarnation: name + "/1",
 		Bounds: site.Bounds{MaxLease: 6 * time.Second, StopTime: 200 * time.Millisecond},
 	}, Deps{
-		Stream: c.store, Follower: follower, Book: v.book, Peers: noPeers{}, Upstreams: c.fleet,
+		Stream: stream, Follower: follower, Book: v.book, Peers: otherVMs{c, name}, Upstreams: c.fleet,
 		Dial:    func(id string, _ netip.AddrPort) Worker { return c.fleet.Worker(id) },
 		Catalog: func() *site.Catalog { return c.catalog }, Logger: logger, Counts: noCounts{},
 	})
--- a/pollendockd/internal/scheduler/flush.go
+++ b/pollendockd/internal/scheduler/flush.go
@@ -28,6 +28,8 @@
 		sentAt  time.Time
 		ackedAt time.Time
 		failing bool
+		// refused counts quick refusals in a row.
+		refused int
 		// forget lists jobs whose records are to be removed.
 		forget []string
 	}
@@ -63,6 +65,11 @@
 	appendGap     = 12 * time.Millisecond
 	appendTimeout = 800 * time.Millisecond
 	appendRetry   = 60 * time.Millisecond
+	// A leader whose appends are refused yieldAfter times in a row asks others
+	// to stand. Refusals that take longer than quickRefusal come from a stream
+	// that is slow for all.
+	yieldAfter   = 2
+	quickRefusal = 60 * time.Millisecond
 	// An append that takes longer than doubtAfter, while no read has been
 	// answered for doubtFresh, is likely to get no answer.
 	doubtAfter = 300 * time.Millisecond
@@ -178,6 +185,7 @@
 		s.deps.Counts.Time("append", now.Sub(f.sentAt))
 		f.busy = false
 		f.ackedAt = now
+		f.refused = 0
 		l.term.Sequence++
 		if f.failing {
 			f.failing = false
@@ -192,6 +200,13 @@
 			_ = level.Warn(s.deps.Logger).Log("msg", "append failed, repeating it", "sequence", l.term.Sequence, "err", e.err)
 		}
 		s.deps.Counts.Count("append_failures", 1)
+		if site.ErrRefused.Has(e.err) && now.Sub(f.sentAt) < quickRefusal {
+			f.refused++
+		}
+		if f.refused == yieldAfter {
+			_ = level.Warn(s.deps.Logger).Log("msg", "the stream turns this VM away, asking others to lead", "epoch", l.term.Epoch)
+			s.deps.Peers.Yield(l.term.Epoch)
+		}
 		answer(f.accepts, site.ErrRefused.New("the stream does not answer the leader"))
 		f.accepts = nil
 		l.spawn(func(ctx context.Context) event {
--- a/pollendockd/internal/scheduler/scheduler.go
+++ b/pollendockd/internal/scheduler/scheduler.go
@@ -38,6 +38,8 @@
 	// Peers passes records on to the other entry VMs.
 	Peers interface {
 		Offer(entries []site.Entry)
+		// Yield tells them that the leader of a term cannot append.
+		Yield(epoch int64)
 	}
 
 	// Upstreams follows the list of workers.
@@ -115,7 +117,9 @@
 		stoodAt     time.Time
 		// over is the epoch of the last term that this VM has ended; it never
 		// leads in it again.
-		over     int64
+		over int64
+		// yielded is the newest term whose leader has asked others to stand.
+		yielded  int64
 		stopping bool
 
 		// upstreams is the newest list of workers, current at listedAt.
@@ -138,6 +142,10 @@
 		done chan struct{}
 	}
 
+	leaderYields struct {
+		epoch int64
+	}
+
 	// acceptAsked asks the leader to make entries durable with its own.
 	acceptAsked struct {
 		entries []site.Entry
@@ -242,6 +250,18 @@
 	s.lead.flush.accepts = append(s.lead.flush.accepts, e)
 }
 
+// Yield tells that the leader of a term cannot append, and asks this VM to stand.
+func (s *Scheduler) Yield(epoch int64) {
+	s.post(leaderYields{epoch})
+}
+
+func (e leaderYields) handle(s *Scheduler) {
+	s.yielded = max(s.yielded, e.epoch)
+	if s.lead == nil {
+		s.considerCampaign()
+	}
+}
+
 // Stop hands the leadership over, if this VM has it.
 func (s *Scheduler) Stop(ctx context.Context) {
 	m := stopAsked{make(chan struct{})}
--- a/pollendockd/internal/scheduler/story_test.go
+++ b/pollendockd/internal/scheduler/story_test.go
@@ -1,10 +1,12 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"pollendock.example/cell/job"
+	"pollendock.example/cell/resource"
 	"pollendock.example/cell/site"
 	"pollendock.example/standin/fleet"
 )
@@ -184,3 +186,57 @@
 		expectStarts(c, "j1", 0, 1)
 	})
 }
+
+// TestLeaderTurnedAway: a leader whose appends the stream refuses asks another
+// VM to lead, which does so long before the leader's silence would tell.
+func TestLeaderTurnedAway(t *testing.T) {
+	inCell(t, 2, func(c *cell) {
+		a := c.start("a")
+		time.Sleep(2 * time.Second)
+		b := c.start("b")
+		time.Sleep(time.Second)
+		entry, err := job.MemberEntry(&job.Member{Name: "b", Incarnation: "b/1"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.store.Append(c.ctx, []site.Entry{entry}); err != nil {
+			t.Fatal(err)
+		}
+		a.stream.refuses.Store(true)
+		time.Sleep(450 * time.Millisecond)
+		if l, _ := b.book.Leader(); l.Incarnation != "b/1" {
+			t.Errorf("%q leads", l.Incarnation)
+		}
+		c.submit("j1", tasks(1, 4))
+		expectPhase(c, b, "j1", 3*time.Second, job.Completed)
+	})
+}
+
+// TestTeamLimit: a team never has more running than its limit, with work that
+// is being stopped, and lookups find a part of it free.
+func TestTeamLimit(t *testing.T) {
+	inCell(t, 4, func(c *cell) {
+		c.catalog = (&site.Catalog{
+			Version:  2,
+			Queues:   []site.Queue{{Name: "q", Service: "s", MaxAttempts: 2, Stretch: 9}},
+			Teams:    []site.Team{{Name: "team", Limit: resource.Vector{MilliCPU: 10_000}}},
+			Services: map[string]site.Service{"s": {}},
+		}).Index()
+		a := c.start("a")
+		time.Sleep(time.Second)
+		c.submit("j1", tasks(8, 4))
+		for range 60 {
+			running := 0
+			for i := range 4 {
+				running += c.fleet.Worker(fmt.Sprintf("w%d", i)).Running()
+			}
+			if running > 2 {
+				t.Fatalf("%d tasks of 4 cores run, the limit is 10 cores", running)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		c.cancel("j1")
+		c.submit("j2", tasks(2, 4))
+		expectPhase(c, a, "j2", 8*time.Second, job.Completed)
+	})
+}
--- a/pollendockd/internal/scheduler/term.go
+++ b/pollendockd/internal/scheduler/term.go
@@ -102,7 +102,7 @@
 		return
 	}
 	silence := s.deps.Follower.LeaderSilence()
-	gone := l.Incarnation == "" || s.restarted(l.Incarnation)
+	gone := l.Incarnation == "" || s.restarted(l.Incarnation) || l.Epoch > 0 && l.Epoch == s.yielded
 	slot := time.Duration(s.place(&l)) * standGap
 	limit := silenceLimit + slot
 	if l.Incarnation == "" {
--- a/pollendockd/site.go
+++ b/pollendockd/site.go
@@ -125,7 +125,7 @@
 	if s.platform.Advisor != nil {
 		s.advisor = s.platform.Advisor
 	}
-	s.peers = helper.NewPeers(&s.member, s.book, s.advisor, leaderHere{s})
+	s.peers = helper.NewPeers(&s.member, s.book, s.advisor, leaderHere{s}, s.logger)
 	deps.Peers = s.peers
 	if s.advisor != nil {
 		deps.Advisor = s.peers
@@ -144,6 +144,11 @@
 	return l.s.scheduler.Accept(ctx, entries)
 }
 
+// Yield asks this VM to stand.
+func (l leaderHere) Yield(epoch int64) {
+	l.s.scheduler.Yield(epoch)
+}
+
 func (s *siteProcess) run() error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
