Demos take free ports, and entry VMs of another cell are refused

Cause: the ports were fixed, and a process left over from an earlier run was taken for a peer. A cell is named by the address of its log.

--- a/demo/cell.sh
+++ b/demo/cell.sh
@@ -2,8 +2,9 @@
 # Functions that start and stop a whole cell on loopback: one stand-in for the
 # platform and a number of entry VMs. Sourced by the scripts beside it.
 #
-# Addresses: log and list 127.0.0.1:7100, workers from 127.0.0.1:7200 on, entry
-# VM N at 127.0.0.1:8000+N for callers and 127.0.0.1:8100+N for peers.
+# Addresses on 127.0.0.1, from BASE on, which is chosen so that all are free: log
+# and list BASE, entry VM N at BASE+10+N for callers and BASE+40+N for peers,
+# workers from BASE+100 on.
 
 BIN="${BIN:-bin}"
 WORKERS="${WORKERS:-50}"
@@ -14,12 +15,33 @@
 declare -A ENTRY_PID=()
 STANDIN_PID=""
 
+# take_ports sets BASE to the first of 400 ports that nobody listens on, and that
+# no other cell of these scripts has taken.
+take_ports() {
+    local try port
+    for try in $(seq 1 40); do
+        BASE=$((20000 + (RANDOM % 30) * 400))
+        mkdir "${TMPDIR:-/tmp}/pollendock-ports-$BASE" 2>/dev/null || continue
+        for port in "$BASE" $((BASE + 11)) $((BASE + 41)) $((BASE + 100)); do
+            if (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null; then
+                rmdir "${TMPDIR:-/tmp}/pollendock-ports-$BASE"
+                continue 2
+            fi
+        done
+        return 0
+    done
+    echo "no free ports found" >&2
+    return 1
+}
+
+take_ports
+
 hash_key() {
     printf %s "$1" | sha256sum | cut -d' ' -f1
 }
 
 start_standin() {
-    "$BIN/standin" --workers "$WORKERS" --data-centres "$DATA_CENTRES" "$@" 2>"$RUN_DIR/standin.log" &
+    "$BIN/standin" --listen "127.0.0.1:$BASE" --first-worker "127.0.0.1:$((BASE + 100))" --workers "$WORKERS" --data-centres "$DATA_CENTRES" "$@" 2>"$RUN_DIR/standin.log" &
     STANDIN_PID=$!
 }
 
@@ -27,19 +49,19 @@
 start_entry() {
     local n=$1 name=$2 peers="" i
     for i in $(seq 1 "$ENTRIES"); do
-        peers+="\"127.0.0.1:$((8100 + i))\", "
+        peers+="\"127.0.0.1:$((BASE + 40 + i))\", "
     done
     cat >"$RUN_DIR/entry-$n.toml" <<TOML
 entryId = "$name"
 dataCentre = "dc-$(((n - 1) % DATA_CENTRES))"
-listen = "127.0.0.1:$((8000 + n))"
-peerListen = "127.0.0.1:$((8100 + n))"
+listen = "127.0.0.1:$((BASE + 10 + n))"
+peerListen = "127.0.0.1:$((BASE + 40 + n))"
 peers = [${peers%, }]
 bootstrapHash = "$(hash_key "$OPERATOR_KEY")"
 
 [platform]
-log = "127.0.0.1:7100"
-vmList = "127.0.0.1:7100"
+log = "127.0.0.1:$BASE"
+vmList = "127.0.0.1:$BASE"
 
 [telemetry]
 logLevel = "${LOG_LEVEL:-info}"
@@ -53,7 +75,7 @@
 entry_urls() {
     local n
     for n in "$@"; do
-        printf 'http://127.0.0.1:%d ' $((8000 + n))
+        printf 'http://127.0.0.1:%d ' $((BASE + 10 + n))
     done
 }
 
@@ -63,7 +85,7 @@
     "$BIN/loadgen" --mix "$1" --print-config "$OPERATOR_KEY" >"$RUN_DIR/first.json"
     local try
     for try in $(seq 1 50); do
-        if POLLENDOCK_KEY="$OPERATOR_KEY" "$BIN/pollendock" --server http://127.0.0.1:8001 \
+        if POLLENDOCK_KEY="$OPERATOR_KEY" "$BIN/pollendock" --server http://127.0.0.1:$((BASE + 11)) \
             config patch --base 0 --author demo --reason "first configuration" "$RUN_DIR/first.json" \
             2>"$RUN_DIR/publish.err"; then
             return 0
@@ -87,6 +109,7 @@
         kill -TERM "$STANDIN_PID" 2>/dev/null || true
         wait "$STANDIN_PID" 2>/dev/null || true
     fi
+    rmdir "${TMPDIR:-/tmp}/pollendock-ports-$BASE" 2>/dev/null || true
     if [ -n "${KEEP_RUN_DIR:-}" ]; then
         echo "logs are in $RUN_DIR"
     else
--- a/demo/demo.sh
+++ b/demo/demo.sh
@@ -12,7 +12,7 @@
 start_cell
 publish_mix rehearsal
 
-"$BIN/loadgen" --mix rehearsal --length "${LENGTH}s" --grace 40s --seed "$SEED" \
+"$BIN/loadgen" --stage "http://127.0.0.1:$BASE" --mix rehearsal --length "${LENGTH}s" --grace 40s --seed "$SEED" \
     --entries $(entry_urls 1 2 3 4 5 6 7) &
 LOAD_PID=$!
 
@@ -29,7 +29,7 @@
 
 sleep $((LENGTH / 5))
 echo "worker-010 is leaving"
-"$BIN/standin" ctl --leaving worker-010
+"$BIN/standin" ctl --stage "http://127.0.0.1:$BASE" --leaving worker-010
 
 STATUS=0
 wait "$LOAD_PID" || STATUS=$?
--- a/demo/measure.sh
+++ b/demo/measure.sh
@@ -20,7 +20,7 @@
 # Reboots a worker, so that its tasks end, after 20 s.
 kill_worker() {
     sleep 20
-    "$BIN/standin" ctl --worker worker-005 --action reboot
+    "$BIN/standin" ctl --stage "http://127.0.0.1:$BASE" --worker worker-005 --action reboot
 }
 
 # Stops an entry VM gracefully after 20 s.
@@ -42,23 +42,23 @@
 # Lists a worker as leaving after 20 s.
 leave_worker() {
     sleep 20
-    "$BIN/standin" ctl --leaving worker-010
+    "$BIN/standin" ctl --stage "http://127.0.0.1:$BASE" --leaving worker-010
 }
 
 # Takes the log away from 20 s to 35 s.
 log_down() {
     sleep 20
-    "$BIN/standin" ctl --log down
+    "$BIN/standin" ctl --stage "http://127.0.0.1:$BASE" --log down
     sleep 15
-    "$BIN/standin" ctl --log up
+    "$BIN/standin" ctl --stage "http://127.0.0.1:$BASE" --log up
 }
 
 # Freezes a worker, so that its connections are silent, from 20 s to 30 s.
 freeze_worker() {
     sleep 20
-    "$BIN/standin" ctl --worker worker-005 --action pause
+    "$BIN/standin" ctl --stage "http://127.0.0.1:$BASE" --worker worker-005 --action pause
     sleep 10
-    "$BIN/standin" ctl --worker worker-005 --action resume
+    "$BIN/standin" ctl --stage "http://127.0.0.1:$BASE" --worker worker-005 --action resume
 }
 
 start_cell
@@ -67,6 +67,6 @@
 "${FAULT:-none}" &
 FAULT_PID=$!
 STATUS=0
-"$BIN/loadgen" --mix "$MIX" --entries $(entry_urls $(seq 1 $((ENTRIES + 1)))) "$@" || STATUS=$?
+"$BIN/loadgen" --stage "http://127.0.0.1:$BASE" --mix "$MIX" --entries $(entry_urls $(seq 1 $((ENTRIES + 1)))) "$@" || STATUS=$?
 wait "$FAULT_PID" 2>/dev/null || true
 exit $STATUS
--- a/pollendockd/internal/entry/admit.go
+++ b/pollendockd/internal/entry/admit.go
@@ -72,7 +72,8 @@
 	// Class wraps the errors of this package.
 	Class = errs.Class("entry")
 
-	errStopped = Class.New("the entry VM was stopped")
+	errStopped   = Class.New("the entry VM was stopped")
+	errOtherCell = Class.New("the caller belongs to another cell")
 )
 
 // Identify returns the owner of a key by the configuration in force here.
--- a/pollendockd/internal/entry/member.go
+++ b/pollendockd/internal/entry/member.go
@@ -116,6 +116,7 @@
 
 func (c *control) view() peer.View {
 	return peer.View{
+		Cell:        c.opt.Cell,
 		EntryID:     c.opt.EntryID,
 		Incarnation: c.inc,
 		DataCentre:  c.opt.DataCentre,
@@ -151,7 +152,7 @@
 		return
 	}
 	p.busy = false
-	if m.err != nil {
+	if m.err != nil || c.foreign(m.reply.View) {
 		return
 	}
 	if len(m.reply.Records) > 0 {
@@ -160,7 +161,22 @@
 	c.noteView(p, m.reply.View)
 }
 
+// foreign reports whether a view comes from a VM of another cell, whose records
+// would be taken for those of this one.
+func (c *control) foreign(v peer.View) bool {
+	if v.Cell == c.opt.Cell {
+		return false
+	}
+	level.Warn(c.e.deps.Logger).Log("msg", "a VM of another cell", "peer", v.Addr, "entry", v.EntryID, "cell", v.Cell)
+	return true
+}
+
 func (m exchangeAsked) handle(c *control) {
+	if c.foreign(m.view) {
+		// The caller sees from the view that it has the wrong address.
+		m.reply <- &peer.ExchangeReply{View: peer.View{Cell: c.opt.Cell}}
+		return
+	}
 	if p := c.addPeer(m.view.Addr); p != nil {
 		c.noteView(p, m.view)
 	}
@@ -318,7 +334,7 @@
 	s.e.post(peersAsked{handlers})
 	select {
 	case list := <-handlers:
-		return recoverFrom(ctx, list, oldest)
+		return recoverFrom(ctx, s.e.opt.Cell, list, oldest)
 	case <-s.e.done:
 		return nil
 	}
@@ -332,10 +348,10 @@
 	m.reply <- list
 }
 
-func recoverFrom(ctx context.Context, list []peer.Handler, oldest int64) *ledger.State {
+func recoverFrom(ctx context.Context, cell string, list []peer.Handler, oldest int64) *ledger.State {
 	for _, h := range list {
 		ctx, cancel := context.WithTimeout(ctx, stateTimeout)
-		reply, err := h.State(ctx, &peer.StateRequest{})
+		reply, err := h.State(ctx, &peer.StateRequest{Cell: cell})
 		cancel()
 		if err != nil || len(reply.Data) == 0 {
 			continue
@@ -363,7 +379,10 @@
 }
 
 // State implements peer.Handler.
-func (e *Entry) State(ctx context.Context, _ *peer.StateRequest) (*peer.StateReply, error) {
+func (e *Entry) State(ctx context.Context, r *peer.StateRequest) (*peer.StateReply, error) {
+	if r.Cell != e.opt.Cell {
+		return nil, errOtherCell
+	}
 	m := stateAsked{make(chan []byte, 1)}
 	e.post(m)
 	select {
--- a/pollendockd/internal/entry/options.go
+++ b/pollendockd/internal/entry/options.go
@@ -20,6 +20,8 @@
 type (
 	// Options are the settings of an entry VM.
 	Options struct {
+		// Cell names the deployment: peers of another one are refused.
+		Cell string
 		// EntryID names the VM.
 		EntryID string
 		// DataCentre is where the VM is.
--- a/pollendockd/internal/peer/types.go
+++ b/pollendockd/internal/peer/types.go
@@ -32,6 +32,8 @@
 
 	// View is what an entry VM says of itself.
 	View struct {
+		// Cell names the deployment. VMs of two cells do not speak.
+		Cell        string
 		EntryID     string
 		Incarnation string
 		DataCentre  string
@@ -88,6 +90,8 @@
 	// StateRequest asks for the whole state.
 	StateRequest struct {
 		Trace Trace
+		// Cell names the deployment that the caller belongs to.
+		Cell string
 	}
 
 	// StateReply is a serialized ledger.State.
--- a/pollendockd/main.go
+++ b/pollendockd/main.go
@@ -97,6 +97,7 @@
 
 func (p *process) entryOptions() entry.Options {
 	return entry.Options{
+		Cell:          p.cfg.Platform.Log.String(),
 		EntryID:       p.cfg.EntryID,
 		DataCentre:    p.cfg.DataCentre,
 		PeerAddr:      p.cfg.PeerListen,
