--- a/pollendockd/internal/book/follower.go
+++ b/pollendockd/internal/book/follower.go
@@ -11,6 +11,7 @@
 
 	"pollendock.example/cell/job"
 	"pollendock.example/cell/site"
+	"pollendock.example/pollendockd/internal/pause"
 )
 
 type (
@@ -83,7 +84,7 @@
 				_ = level.Warn(f.logger).Log("msg", "stream lost", "next", f.book.Next(), "err", err)
 			}
 			failing = true
-			pause(ctx, retryGap)
+			pause.For(ctx, retryGap)
 		case failing:
 			failing = false
 			_ = level.Info(f.logger).Log("msg", "stream regained", "next", f.book.Next())
@@ -253,13 +254,3 @@
 	last := max(f.leaderAt.Load(), f.freshSince.Load())
 	return time.Since(f.start) - time.Duration(last)
 }
-
-// pause waits for d or the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/pollendockd/internal/desk/catalog.go
+++ b/pollendockd/internal/desk/catalog.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log/level"
 
 	"pollendock.example/cell/site"
+	"pollendock.example/pollendockd/internal/pause"
 )
 
 type (
@@ -55,7 +56,7 @@
 		}
 		failing = err != nil
 		if failing {
-			pause(ctx, catalogRetry)
+			pause.For(ctx, catalogRetry)
 		}
 	}
 	return ctx.Err()
@@ -87,13 +88,3 @@
 func (w *CatalogWatch) Fresh(within time.Duration) bool {
 	return w.current.Load() != nil && time.Since(w.start)-time.Duration(w.readAt.Load()) <= within
 }
-
-// pause waits for d or the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/pollendockd/internal/desk/desk_test.go
+++ b/pollendockd/internal/desk/desk_test.go
@@ -12,6 +12,7 @@
 	"pollendock.example/cell/job"
 	"pollendock.example/cell/site"
 	"pollendock.example/pollendockd/internal/book"
+	"pollendock.example/pollendockd/internal/pause"
 	"pollendock.example/standin/fleet"
 )
 
@@ -63,7 +64,7 @@
 	c := s.next
 	s.next = nil
 	if c == nil {
-		pause(ctx, wait)
+		pause.For(ctx, wait)
 	}
 	return c, nil
 }
--- a/pollendockd/internal/entry/lookup.go
+++ b/pollendockd/internal/entry/lookup.go
@@ -14,6 +14,7 @@
 	"pollendock.example/cell/code"
 	"pollendock.example/cell/config"
 	"pollendock.example/cell/platform"
+	"pollendock.example/pollendockd/internal/pause"
 )
 
 type (
@@ -144,7 +145,7 @@
 	if a.provenBy.After(a.l.Deadline) {
 		e.post(lookupSettled{a, verdictOpen, nil, ""})
 	}
-	pause(ctx, time.Until(a.provenBy))
+	pause.For(ctx, time.Until(a.provenBy))
 	e.post(lookupSettled{a, verdictStopped, nil, ""})
 }
 
--- a/pollendockd/internal/entry/watch.go
+++ b/pollendockd/internal/entry/watch.go
@@ -8,6 +8,7 @@
 
 	"pollendock.example/cell/ledger"
 	"pollendock.example/cell/platform"
+	"pollendock.example/pollendockd/internal/pause"
 )
 
 type (
@@ -52,7 +53,7 @@
 			e.post(claimLost{id: id, session: s})
 			return
 		default:
-			pause(ctx, watchBackoff)
+			pause.For(ctx, watchBackoff)
 		}
 	}
 }
@@ -165,13 +166,3 @@
 	}
 	return 2*reached >= len(total)
 }
-
-// pause waits for d or the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/pollendockd/internal/helper/helper.go
+++ b/pollendockd/internal/helper/helper.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
 
 	"pollendock.example/cell/code"
 	"pollendock.example/cell/job"
@@ -168,79 +167,6 @@
 	forOffers
 )
 
-// NewServer returns a server whose calls run under ctx. The advisor is nil where
-// there is none.
-func NewServer(ctx context.Context, advisor Advisor, desk Desk, leader Leader, book Follower) *Server {
-	return &Server{ctx: ctx, advisor: advisor, desk: desk, leader: leader, book: book}
-}
-
-// Yield serves the call of that name.
-func (s *Server) Yield(r *YieldRequest, _ *YieldReply) error {
-	s.leader.Yield(r.Epoch)
-	return nil
-}
-
-// Offer serves the call of that name.
-func (s *Server) Offer(r *OfferRequest, _ *OfferReply) error {
-	s.book.Offer(r.Entries)
-	return nil
-}
-
-// Accept serves the call of that name.
-func (s *Server) Accept(r *AcceptRequest, reply *AcceptReply) error {
-	ctx, cancel := context.WithTimeout(s.ctx, serveTimeout)
-	defer cancel()
-	err := s.leader.Accept(ctx, r.Entries)
-	reply.Done = err == nil
-	reply.Refused = site.ErrRefused.Has(err)
-	if err != nil {
-		reply.Detail = err.Error()
-	}
-	return nil
-}
-
-// Advise serves the call of that name.
-func (s *Server) Advise(q *scheduler.AdviceQuery, reply *AdviceReply) error {
-	var err error
-	reply.Tickets, err = s.advisor.Advise(s.ctx, q.Job, q.Step, q.Workers)
-	return err
-}
-
-// Submit serves the call of that name.
-func (s *Server) Submit(r *Request, reply *Outcome) error {
-	return s.serve(r, reply, func(ctx context.Context) error { return s.desk.SubmitHere(ctx, r.At, r.Draft) })
-}
-
-// Status serves the call of that name.
-func (s *Server) Status(r *Request, reply *Outcome) error {
-	return s.serve(r, reply, func(ctx context.Context) error {
-		status, err := s.desk.StatusHere(ctx, r.At)
-		if err == nil {
-			reply.Status = *status
-		}
-		return err
-	})
-}
-
-// Cancel serves the call of that name.
-func (s *Server) Cancel(r *Request, reply *Outcome) error {
-	return s.serve(r, reply, func(ctx context.Context) error { return s.desk.CancelHere(ctx, r.At) })
-}
-
-// serve runs fn unless the catalog here is older than the sender's callers have
-// seen.
-func (s *Server) serve(r *Request, reply *Outcome, fn func(ctx context.Context) error) error {
-	reply.Version = s.desk.Version()
-	if reply.Version < r.Least {
-		reply.Code, reply.Detail = code.NotReady, "the catalog is older than asked for"
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(s.ctx, serveTimeout)
-	defer cancel()
-	reply.Code, reply.Detail = code.Of(fn(ctx))
-	return nil
-}
-
 // NewPeers returns the peers of an entry VM, as the book lists them. Leader is
 // the VM itself, for the time in which it leads.
 func NewPeers(self *job.Member, book *job.Book, advisor Advisor, leader Leader, logger log.Logger) *Peers {
@@ -298,82 +224,6 @@
 	return site.ErrUnknown.Wrap(err)
 }
 
-// Offer passes records on to all other VMs, in order and one call at a time to
-// each. What a VM misses it reads from the stream.
-func (p *Peers) Offer(entries []site.Entry) {
-	for _, m := range p.book.Members() {
-		if m.Name != p.name {
-			p.offerTo(m, entries)
-		}
-	}
-}
-
-func (p *Peers) offerTo(m job.Member, entries []site.Entry) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	o := p.offers[m.Name]
-	if o == nil {
-		o = &offer{}
-		p.offers[m.Name] = o
-	}
-	if len(o.waiting) < maxOffer {
-		o.waiting = append(o.waiting, entries...)
-	}
-	if !o.busy {
-		o.busy = true
-		go p.sendOffers(m, o)
-	}
-}
-
-func (p *Peers) sendOffers(m job.Member, o *offer) {
-	for {
-		p.mu.Lock()
-		entries := o.waiting
-		o.waiting = nil
-		o.busy = len(entries) > 0
-		p.mu.Unlock()
-		if len(entries) == 0 {
-			return
-		}
-		ctx, cancel := context.WithTimeout(context.Background(), offerTimeout)
-		err := p.client(&m, forOffers).Call(ctx, "Offer", &OfferRequest{Entries: entries}, &OfferReply{})
-		cancel()
-		p.noteOffer(m.Name, o, err)
-	}
-}
-
-// noteOffer logs when offers to a peer begin to fail, and when they succeed
-// again. A VM that misses one reads the stream, so nothing else has to be done.
-func (p *Peers) noteOffer(name string, o *offer, err error) {
-	p.mu.Lock()
-	changed := o.failing != (err != nil)
-	o.failing = err != nil
-	p.mu.Unlock()
-	switch {
-	case !changed:
-	case err != nil:
-		_ = level.Warn(p.logger).Log("msg", "peer lost", "peer", name, "err", err)
-	default:
-		_ = level.Info(p.logger).Log("msg", "peer regained", "peer", name)
-	}
-}
-
-// Yield tells all other VMs that the leader of a term cannot append.
-func (p *Peers) Yield(epoch int64) {
-	for _, m := range p.book.Members() {
-		if m.Name == p.name {
-			continue
-		}
-		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), offerTimeout)
-			defer cancel()
-			if err := p.client(&m, forOffers).Call(ctx, "Yield", &YieldRequest{Epoch: epoch}, &YieldReply{}); err != nil {
-				_ = level.Warn(p.logger).Log("msg", "peer not asked to lead", "peer", m.Name, "epoch", epoch, "err", err)
-			}
-		}()
-	}
-}
-
 // memberOf returns the member of that incarnation, or nil.
 func (p *Peers) memberOf(incarnation string) *job.Member {
 	for _, m := range p.book.Members() {
--- a/pollendockd/internal/journal/append.go
+++ b/pollendockd/internal/journal/append.go
@@ -10,6 +10,7 @@
 
 	"pollendock.example/cell/ledger"
 	"pollendock.example/cell/platform"
+	"pollendock.example/pollendockd/internal/pause"
 )
 
 type (
@@ -120,7 +121,7 @@
 		} else {
 			backoff = firstBackoff
 		}
-		pause(ctx, wait)
+		pause.For(ctx, wait)
 	}
 }
 
@@ -192,13 +193,3 @@
 	a.queue = kept
 	return given
 }
-
-// pause waits for d or the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/pollendockd/internal/scheduler/flush.go
+++ b/pollendockd/internal/scheduler/flush.go
@@ -8,6 +8,7 @@
 
 	"pollendock.example/cell/job"
 	"pollendock.example/cell/site"
+	"pollendock.example/pollendockd/internal/pause"
 )
 
 type (
@@ -210,7 +211,7 @@
 		answer(f.accepts, site.ErrRefused.New("the stream does not answer the leader"))
 		f.accepts = nil
 		l.spawn(func(ctx context.Context) event {
-			pause(ctx, appendRetry)
+			pause.For(ctx, appendRetry)
 			return appendAgain{l, e.b}
 		})
 	}
@@ -272,12 +273,3 @@
 	}
 	answer(f.accepts, site.ErrRefused.New("the term has ended"))
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- /dev/null
+++ b/pollendockd/internal/scheduler/hold.go
@@ -0,0 +1,271 @@
+package scheduler
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"pollendock.example/cell/site"
+)
+
+type (
+	holdDone struct {
+		l      *leadership
+		at     *worker
+		sentAt time.Time
+		looped bool
+		reply  *site.HoldReply
+		err    error
+	}
+)
+
+const (
+	holdWait    = time.Second
+	holdTimeout = 700 * time.Millisecond
+	// holdGap groups ends that come together into one answer.
+	holdGap = 20 * time.Millisecond
+	// idleHoldGap parts the holds of a worker that runs nothing.
+	idleHoldGap  = 1500 * time.Millisecond
+	holdRetry    = 150 * time.Millisecond
+	maxEndedRows = 500
+
+	// A worker whose runs have made no progress for stuckAfter takes no more; a
+	// run is stopped after stillLimit. Of long tasks stillPart of the estimate
+	// is waited for.
+	stuckAfter = 1500 * time.Millisecond
+	stillLimit = 2500 * time.Millisecond
+	stillPart  = 0.1
+	// allDone is the progress of a task that has done its part.
+	allDone = 100
+)
+
+// hold renews the lease and asks for the lists; it waits for an end if the
+// worker runs anything.
+func (l *leadership) hold(at *worker, now time.Time) {
+	at.holdBusy = true
+	wait := time.Duration(0)
+	if at.boot != 0 && len(at.runs) > 0 && at.holdFails == 0 {
+		wait = holdWait
+	}
+	l.sendHold(at, now, wait, true)
+}
+
+// look asks for the lists at once, beside a hold that waits.
+func (l *leadership) look(at *worker, now time.Time) {
+	l.sendHold(at, now, 0, false)
+}
+
+func (l *leadership) sendHold(at *worker, now time.Time, wait time.Duration, looped bool) {
+	o := &site.HoldOrder{Token: l.term.Epoch, Acked: at.acked, LeaseEnd: l.nextLease(at, now), Wait: wait}
+	client := at.client
+	l.spawn(func(ctx context.Context) event {
+		ctx, cancel := context.WithTimeout(ctx, wait+holdTimeout)
+		defer cancel()
+		reply, err := client.Hold(ctx, o)
+		return holdDone{l, at, now, looped, reply, err}
+	})
+}
+
+func (e holdDone) handle(s *Scheduler) {
+	l, at := e.l, e.at
+	if !l.current() {
+		return
+	}
+	now := time.Now()
+	if e.looped {
+		at.holdBusy = false
+	}
+	if e.err != nil {
+		l.holdFailed(at, now, e.err)
+		return
+	}
+	if at.lost {
+		at.lost = false
+		_ = level.Info(s.deps.Logger).Log("msg", "worker regained", "worker", at.id, "boot", e.reply.Boot)
+	}
+	at.holdFails = 0
+	at.holdAt = now.Add(holdGap)
+	if len(at.runs) == 0 {
+		at.holdAt = now.Add(idleHoldGap)
+	}
+	if at.boot != e.reply.Boot {
+		l.noteBoot(at, e.reply.Boot)
+		at.holdAt = now
+	}
+	at.clock = e.reply.Clock
+	at.clockAt = now
+	l.readEnds(at, e.reply)
+	l.readRuns(at, e.reply, e.sentAt, now)
+}
+
+func (l *leadership) holdFailed(at *worker, now time.Time, err error) {
+	var refusal *site.OrderError
+	if errors.As(err, &refusal) && refusal.Reason == site.RefusedFenced {
+		l.s.endLeadership("a worker has orders of a later term")
+		return
+	}
+	at.holdFails++
+	at.holdAt = now.Add(holdRetry)
+	if !at.lost && at.holdFails > 1 {
+		at.lost = true
+		_ = level.Warn(l.s.deps.Logger).Log("msg", "worker lost", "worker", at.id, "runs", len(at.runs), "err", err)
+	}
+}
+
+// noteBoot begins a new life of the worker: it knows nothing of before.
+func (l *leadership) noteBoot(at *worker, boot int64) {
+	_ = level.Info(l.s.deps.Logger).Log("msg", "worker answers", "worker", at.id, "boot", boot, "lastBoot", at.boot, "runs", len(at.runs))
+	at.boot = boot
+	at.seen = 0
+	at.acked = 0
+	at.leaseEnd = 0
+	at.failures = 0
+	at.restUntil = time.Time{}
+	l.place = true
+}
+
+// readEnds takes in the ends that are new.
+func (l *leadership) readEnds(at *worker, h *site.HoldReply) {
+	for i := range h.Ended {
+		e := &h.Ended[i]
+		if e.Number <= at.seen {
+			continue
+		}
+		at.seen = e.Number
+		r := at.runs[runKey{e.Task, e.Run}]
+		if r == nil {
+			continue
+		}
+		l.keepCheckpoint(r, e.Checkpoint)
+		l.judge(at, r, e.How)
+		l.endRun(r, e.How, "listed by the worker")
+	}
+}
+
+// readRuns takes in what runs, and what does not.
+func (l *leadership) readRuns(at *worker, h *site.HoldReply, sentAt, now time.Time) {
+	listed := make(map[runKey]bool, len(h.Running))
+	for i := range h.Running {
+		s := &h.Running[i]
+		key := runKey{s.Task, s.Run}
+		listed[key] = true
+		r := at.runs[key]
+		if r == nil {
+			r = l.adoptStray(at, key)
+		}
+		if r == nil {
+			continue
+		}
+		if r.stage != running {
+			r.stage = running
+			r.confirmedAt = now
+			r.percentAt = now
+			r.settledAfter = now
+			l.logRun(r, "run found at its worker")
+		}
+		l.keepCheckpoint(r, s.Checkpoint)
+		if s.Percent != r.percent {
+			r.percent = s.Percent
+			r.percentAt = now
+		}
+	}
+	if len(h.Ended) >= maxEndedRows {
+		// More ends may follow, so absence from both lists tells nothing.
+		return
+	}
+	for _, r := range at.list() {
+		if !listed[r.key()] {
+			l.absent(r, sentAt, now)
+		}
+	}
+	l.watchProgress(at, now)
+}
+
+// watchProgress looks for tasks that stand still. They are stopped to run
+// elsewhere, and a worker whose tasks all stand still gets no more.
+func (l *leadership) watchProgress(at *worker, now time.Time) {
+	oldest := time.Time{}
+	moving := false
+	for _, r := range at.runs {
+		step := &r.w.sub.Steps[r.task.Step]
+		if r.stage != running || step.Endless || r.percent >= allDone {
+			// A member of a gang that has done its part waits for the others.
+			moving = moving || r.percent >= allDone
+			continue
+		}
+		still := now.Sub(later(r.percentAt, r.confirmedAt))
+		patience := time.Duration(float64(step.Estimate) * stillPart)
+		if still < max(stuckAfter, patience) {
+			moving = moving || r.percentAt.After(r.confirmedAt) || now.Sub(r.confirmedAt) < stuckAfter
+			continue
+		}
+		if oldest.IsZero() || r.percentAt.Before(oldest) {
+			oldest = now.Add(-still)
+		}
+		if still >= max(stillLimit, patience) && !r.stopWanted && !r.w.state.Phase.Final() {
+			r.stopWanted = true
+			r.w.avoid[r.task] = at.id
+			l.logRun(r, "run stands still, stopping it", "percent", r.percent, "stillMs", still.Milliseconds())
+		}
+	}
+	if moving {
+		oldest = time.Time{}
+	}
+	at.stuckSince = oldest
+}
+
+// absent concludes that a run does not exist, if the list that lacks it is new
+// enough to tell.
+func (l *leadership) absent(r *run, sentAt, now time.Time) {
+	if r.settledAfter.IsZero() || sentAt.Before(r.settledAfter) {
+		if r.stage == unsettled && !r.stopWanted && sentAt.After(r.sentAt) {
+			// The order may be carried out late, unless it is barred.
+			r.stopWanted = true
+			r.stopAt = now
+		}
+		return
+	}
+	switch {
+	case r.stage == running:
+		l.endRun(r, site.Lapsed, "the worker no longer lists it")
+	case r.stage == inherited:
+		l.endRun(r, site.NotRun, "not at the worker, which now refuses the last leader's orders")
+	case r.stage == unsettled && r.stopped:
+		l.endRun(r, site.NotRun, "barred before it began")
+	}
+}
+
+// adoptStray counts a run that is not in the records any more and ends it.
+func (l *leadership) adoptStray(at *worker, key runKey) *run {
+	w := l.works[key.task.Job]
+	if w == nil {
+		j := l.s.deps.Book.Job(key.task.Job)
+		if j == nil || key.task.Step >= len(j.Submission.Steps) {
+			_ = level.Error(l.s.deps.Logger).Log("msg", "worker runs a task of an unknown job", "worker", at.id, "job", key.task.Job)
+			return nil
+		}
+		w = &work{id: key.task.Job, sub: j.Submission, state: j.State.Clone()}
+	}
+	r := &run{task: key.task, number: key.number, w: w, stage: running, decidedAt: time.Now(), stopWanted: true, confirmedAt: time.Now(), percentAt: time.Now()}
+	l.bind(r, at)
+	l.logRun(r, "run is not recorded here, stopping it")
+	return r
+}
+
+// keepCheckpoint notes the newest checkpoint of a task; one of any member
+// serves the whole gang.
+func (l *leadership) keepCheckpoint(r *run, checkpoint string) {
+	if checkpoint == "" || r.w.checkpoints == nil || !r.w.sub.Steps[r.task.Step].Checkpointing {
+		return
+	}
+	r.w.checkpoints[r.w.checkpointKey(r.task)] = checkpoint
+}
+
+func (w *work) checkpointKey(t site.TaskName) site.TaskName {
+	if w.sub.Steps[t.Step].Gang {
+		t.Index = 0
+	}
+	return t
+}
