--- a/pollendockd/internal/scheduler/cell_test.go
+++ b/pollendockd/internal/scheduler/cell_test.go
@@ -46,6 +46,8 @@
 	vmStream struct {
 		*fleet.Store
 		refuses atomic.Bool
+		// largest is the size of the largest append, in bytes.
+		largest atomic.Int64
 	}
 
 	noCounts struct{}
@@ -74,6 +76,13 @@
 	if s.refuses.Load() {
 		return 0, site.ErrRefused.New("turned away")
 	}
+	size := int64(0)
+	for _, e := range entries {
+		size += int64(len(e.Value))
+	}
+	if size > s.largest.Load() {
+		s.largest.Store(size)
+	}
 	return s.Store.AppendAs(ctx, t, entries)
 }
 
--- a/pollendockd/internal/scheduler/flush.go
+++ b/pollendockd/internal/scheduler/flush.go
@@ -75,9 +75,8 @@
 	// answered for doubtFresh, is likely to get no answer.
 	doubtAfter = 300 * time.Millisecond
 	doubtFresh = 700 * time.Millisecond
-	// maxBatchJobs bounds the size of an append.
-	maxBatchJobs    = 400
-	maxBatchAccepts = 100
+	// maxBatchBytes bounds the size of an append.
+	maxBatchBytes = 400 << 10
 )
 
 func (f *flushState) init(now time.Time) {
@@ -116,19 +115,27 @@
 func (l *leadership) makeBatch() (*batch, error) {
 	f := &l.flush
 	b := &batch{noted: map[*worker]noted{}}
-	n := min(len(f.accepts), maxBatchAccepts)
-	b.accepts, f.accepts = f.accepts[:n], f.accepts[n:]
-	for _, a := range b.accepts {
-		b.entries = append(b.entries, a.entries...)
+	size := 0
+	n := 0
+	for n < len(f.accepts) && size < maxBatchBytes {
+		for _, e := range f.accepts[n].entries {
+			size += len(e.Value)
+			b.entries = append(b.entries, e)
+		}
+		n++
 	}
-	n = min(len(f.dirty), maxBatchJobs)
-	for _, w := range f.dirty[:n] {
-		w.dirty = false
+	b.accepts, f.accepts = f.accepts[:n], f.accepts[n:]
+	n = 0
+	for n < len(f.dirty) && size < maxBatchBytes {
+		w := f.dirty[n]
 		e, err := job.StateEntry(w.id, w.state)
 		if err != nil {
 			return nil, err
 		}
+		w.dirty = false
+		size += len(e.Value)
 		b.entries = append(b.entries, e)
+		n++
 	}
 	f.dirty = f.dirty[n:]
 	for _, id := range f.forget {
--- a/pollendockd/internal/scheduler/story_test.go
+++ b/pollendockd/internal/scheduler/story_test.go
@@ -264,3 +264,29 @@
 		time.Sleep(2 * time.Second)
 	})
 }
+
+// TestAppendsAreBounded: after an outage so much waits that one append with all
+// of it would be refused for its size, for ever.
+func TestAppendsAreBounded(t *testing.T) {
+	inCell(t, 1, func(c *cell) {
+		a := c.start("a")
+		time.Sleep(time.Second)
+		const jobs = 100
+		done := make(chan error, jobs)
+		for i := range jobs {
+			entry := site.Entry{Key: fmt.Sprintf("m/%d", i)}
+			if i%2 == 0 {
+				entry.Value = make([]byte, 20<<10)
+			}
+			go func() { done <- a.scheduler.Accept(c.ctx, []site.Entry{entry}) }()
+		}
+		for range jobs {
+			if err := <-done; err != nil {
+				t.Fatal(err)
+			}
+		}
+		if n := a.stream.largest.Load(); n > 512<<10 {
+			t.Errorf("an append of %d bytes", n)
+		}
+	})
+}
