Old jobs are forgotten; patience with tasks grows with their own pace

Cause (reading): records of jobs that had ended were never removed, and a task of a hundred times its estimate was stopped as standing still for ever. Tests: TestOldJobsAreForgotten, TestFalseEstimate (fails with the old patience).

--- a/cell/job/book.go
+++ b/cell/job/book.go
@@ -4,6 +4,7 @@
 	"sort"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -237,6 +238,23 @@
 	return ids
 }
 
+// EndedBefore returns the ids of up to most jobs that ended before a time, and of
+// which nothing runs.
+func (b *Book) EndedBefore(t time.Time, most int) []string {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	var ids []string
+	for id, j := range b.jobs {
+		if j.Submission == nil || !j.State.Phase.Final() || j.State.AnyDispatched() || !j.State.EndedAt.Before(t) {
+			continue
+		}
+		if ids = append(ids, id); len(ids) == most {
+			return ids
+		}
+	}
+	return ids
+}
+
 // Waiting returns the number of accepted jobs of a queue that have not begun.
 func (b *Book) Waiting(queue string) int {
 	b.mu.RLock()
--- a/pollendockd/internal/scheduler/flush.go
+++ b/pollendockd/internal/scheduler/flush.go
@@ -23,9 +23,7 @@
 		// sent is the append under way.
 		sent *batch
 		// last is set for the append that ends the term.
-		last bool
-		// urgent asks for an append without anything to write.
-		urgent  bool
+		last    bool
 		sentAt  time.Time
 		ackedAt time.Time
 		failing bool
--- a/pollendockd/internal/scheduler/hold.go
+++ b/pollendockd/internal/scheduler/hold.go
@@ -33,12 +33,17 @@
 	unackedGap   = 150 * time.Millisecond
 	maxEndedRows = 500
 
-	// A worker whose runs have made no progress for stuckAfter takes no more; a
-	// run is stopped after stillLimit. Of long tasks stillPart of the estimate
-	// is waited for.
-	stuckAfter = 1500 * time.Millisecond
+	// A run is stopped that has made no progress for stillLimit, for stillPart of
+	// its estimate, and for stillPaces times the time that it takes for a
+	// percent, each doubled with every stop of the task up to maxStills. A
+	// worker of whose runs none has made progress for stuckPart of stuckWhole of
+	// that time takes no more.
 	stillLimit = 2500 * time.Millisecond
 	stillPart  = 0.1
+	stillPaces = 4
+	maxStills  = 10
+	stuckPart  = 3
+	stuckWhole = 5
 	// allDone is the progress of a task that has done its part.
 	allDone = 100
 )
@@ -211,34 +216,43 @@
 // watchProgress looks for tasks that stand still. They are stopped to run
 // elsewhere, and a worker whose tasks all stand still gets no more.
 func (l *leadership) watchProgress(at *worker, now time.Time) {
-	oldest := time.Time{}
+	progressAt := time.Time{}
 	moving := false
 	for _, r := range at.runs {
-		step := &r.w.sub.Steps[r.task.Step]
-		if r.stage != running || step.Endless || r.percent >= allDone {
-			// A member of a gang that has done its part waits for the others.
-			moving = moving || r.percent >= allDone
+		if r.stage != running || r.w.sub.Steps[r.task.Step].Endless {
 			continue
 		}
-		still := now.Sub(later(r.percentAt, r.confirmedAt))
-		patience := time.Duration(float64(step.Estimate) * stillPart)
-		if still < max(stuckAfter, patience) {
-			moving = moving || r.percentAt.After(r.confirmedAt) || now.Sub(r.confirmedAt) < stuckAfter
+		if r.percent >= allDone {
+			// A member of a gang that has done its part waits for the others.
+			moving = true
 			continue
 		}
-		if oldest.IsZero() || r.percentAt.Before(oldest) {
-			oldest = now.Add(-still)
-		}
-		if still >= max(stillLimit, patience) && !r.stopWanted && !r.w.state.Phase.Final() {
+		last := later(r.percentAt, r.confirmedAt)
+		progressAt = later(progressAt, last)
+		patience := r.patience()
+		moving = moving || now.Sub(last) < patience*stuckPart/stuckWhole
+		if now.Sub(last) >= patience && !r.stopWanted && !r.w.state.Phase.Final() {
 			r.stopWanted = true
 			r.w.avoid[r.task] = at.id
-			l.logRun(r, "run stands still, stopping it", "percent", r.percent, "stillMs", still.Milliseconds())
+			r.w.stills[r.task]++
+			l.logRun(r, "run stands still, stopping it", "percent", r.percent, "stillMs", now.Sub(last).Milliseconds())
 		}
 	}
+	at.stuckSince = progressAt
 	if moving {
-		oldest = time.Time{}
+		at.stuckSince = time.Time{}
+	}
+}
+
+// patience is how long a run may make no progress. It grows with the time that
+// the run has taken for each percent, and with each stop of the task: one that
+// takes a hundred times its estimate comes to its end all the same.
+func (r *run) patience() time.Duration {
+	p := max(stillLimit, time.Duration(float64(r.w.sub.Steps[r.task.Step].Estimate)*stillPart))
+	if r.percent > 0 && r.percentAt.After(r.confirmedAt) {
+		p = max(p, stillPaces*r.percentAt.Sub(r.confirmedAt)/time.Duration(r.percent))
 	}
-	at.stuckSince = oldest
+	return p << min(r.w.stills[r.task], maxStills)
 }
 
 // absent concludes that a run does not exist, if the list that lacks it is new
--- a/pollendockd/internal/scheduler/story_test.go
+++ b/pollendockd/internal/scheduler/story_test.go
@@ -290,3 +290,39 @@
 		}
 	})
 }
+
+// TestOldJobsAreForgotten: what ended is kept as long as callers may ask for it,
+// and then removed at every VM; a job that runs is kept.
+func TestOldJobsAreForgotten(t *testing.T) {
+	inCell(t, 2, func(c *cell) {
+		a := c.start("a")
+		time.Sleep(time.Second)
+		b := c.start("b")
+		c.submit("j1", tasks(1, 4))
+		expectPhase(c, b, "j1", 5*time.Second, job.Completed)
+		time.Sleep(leastKeep)
+		expectPhase(c, b, "j1", time.Second, job.Completed)
+		c.outcome = func(site.TaskName, int64, string) (time.Duration, site.EndKind) { return 3 * leastKeep, site.Done }
+		c.submit("j2", tasks(1, 4))
+		time.Sleep(leastKeep + 5*time.Second)
+		for name, v := range map[string]*vm{"a": a, "b": b} {
+			if v.book.Job("j1") != nil {
+				t.Errorf("%s still knows j1", name)
+			}
+			if v.book.Job("j2") == nil {
+				t.Errorf("%s has forgotten j2", name)
+			}
+		}
+	})
+}
+
+// TestFalseEstimate: a task that takes a hundred times its estimate is not
+// stopped again and again as standing still.
+func TestFalseEstimate(t *testing.T) {
+	inCell(t, 2, func(c *cell) {
+		c.outcome = func(site.TaskName, int64, string) (time.Duration, site.EndKind) { return 15 * time.Minute, site.Done }
+		a := c.start("a")
+		c.submit("j1", tasks(1, 4))
+		expectPhase(c, a, "j1", 20*time.Minute, job.Completed)
+	})
+}
--- a/pollendockd/internal/scheduler/term.go
+++ b/pollendockd/internal/scheduler/term.go
@@ -54,6 +54,12 @@
 	strongerTimes = 1.3
 	// heartbeatGap is the longest time without an append of the leader.
 	heartbeatGap = 200 * time.Millisecond
+	// The state of a job that has ended is kept for keepTimes the time that
+	// callers may ask for it, at least leastKeep. forgetAtOnce bounds the jobs
+	// that are removed in one append.
+	keepTimes    = 2
+	leastKeep    = time.Minute
+	forgetAtOnce = 50
 	// reportGap parts the lines on the state of the cell.
 	reportGap = time.Second
 	// withoutStream is how long a leader goes on without a successful append.
@@ -116,7 +122,6 @@
 		return
 	}
 	l.handedOver = done
-	l.flush.urgent = true
 }
 
 // successor returns the incarnation of the strongest other member that answered
@@ -185,10 +190,20 @@
 	if now.Sub(l.reportedAt) >= reportGap {
 		l.reportedAt = now
 		l.report(now)
+		l.forgetOld(now)
 	}
 }
 
-// report logs and measures how full the cell is and what waits.
+// forgetOld has the records of jobs removed that ended long ago.
+func (l *leadership) forgetOld(now time.Time) {
+	if len(l.flush.forget) > 0 {
+		return
+	}
+	keep := max(l.s.opt.Bounds.KeepStatus, leastKeep)
+	l.flush.forget = l.s.deps.Book.EndedBefore(now.Add(-keepTimes*keep), forgetAtOnce)
+}
+
+// report logs how full the cell is and what waits.
 func (l *leadership) report(now time.Time) {
 	var free, total resource.Vector
 	usable, runs := 0, 0
--- a/pollendockd/internal/scheduler/work.go
+++ b/pollendockd/internal/scheduler/work.go
@@ -30,7 +30,9 @@
 		checkpoints map[site.TaskName]string
 		// avoid names the worker on which a task failed last.
 		avoid map[site.TaskName]string
-		dirty bool
+		// stills counts the runs of a task that were stopped as standing still.
+		stills map[site.TaskName]int
+		dirty  bool
 	}
 
 	// run is one start of a task, from the decision until its end is certain.
@@ -100,6 +102,7 @@
 			advice:      make([]*stepAdvice, len(j.Submission.Steps)),
 			checkpoints: map[site.TaskName]string{},
 			avoid:       map[site.TaskName]string{},
+			stills:      map[site.TaskName]int{},
 		}
 		l.works[id] = w
 		l.assess(w)
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -181,7 +181,7 @@
 // to obey this term.
 func (at *worker) usable(now time.Time) bool {
 	return at.listed && !at.up.Draining && at.boot != 0 && at.boot == at.up.Boot && at.holdFails == 0 &&
-		!now.Before(at.restUntil) && (at.stuckSince.IsZero() || now.Sub(at.stuckSince) < stuckAfter)
+		!now.Before(at.restUntil) && at.stuckSince.IsZero()
 }
 
 func (at *worker) free() resource.Vector {
