--- /dev/null
+++ b/cell/job/job_test.go
@@ -0,0 +1,147 @@
+package job
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pollendock.example/cell/code"
+	"pollendock.example/cell/resource"
+	"pollendock.example/cell/site"
+)
+
+func sub(id string, steps ...Step) *Submission {
+	return &Submission{ID: id, Team: "a", Queue: "q", MaxAttempts: 2, Steps: steps}
+}
+
+func mustEntry(t *testing.T, e site.Entry, err error) site.Entry {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return e
+}
+
+func TestValidate(t *testing.T) {
+	good := Step{Count: 1}
+	cases := []struct {
+		name string
+		s    *Submission
+		want code.Code
+	}{
+		{"good", sub("x", good, Step{Count: 2, After: []int{0}}), code.OK},
+		{"no steps", sub("x"), code.BadRequest},
+		{"no tasks", sub("x", Step{}), code.BadSize},
+		{"too many tasks", sub("x", Step{Count: MaxTasks}, good), code.BadSize},
+		{"negative size", sub("x", Step{Count: 1, Size: resource.Vector{MilliCPU: -1}}), code.BadSize},
+		{"after itself", sub("x", Step{Count: 1, After: []int{0}}), code.BadRequest},
+		{"after a later one", sub("x", Step{Count: 1, After: []int{1}}, good), code.BadRequest},
+		{"long spec", &Submission{Spec: string(make([]byte, MaxSpecBytes+1)), Steps: []Step{good}}, code.TooLarge},
+	}
+	for _, c := range cases {
+		if got, detail := code.Of(c.s.Validate()); got != c.want {
+			t.Errorf("%s: %v (%s), want %v", c.name, got, detail, c.want)
+		}
+	}
+}
+
+func TestChains(t *testing.T) {
+	s := sub("x",
+		Step{Count: 1, Estimate: time.Second},
+		Step{Count: 1, Estimate: 5 * time.Second},
+		Step{Count: 1, Estimate: 2 * time.Second, After: []int{0}},
+		Step{Count: 1, Estimate: 3 * time.Second, After: []int{2}},
+	)
+	for step, want := range []time.Duration{6 * time.Second, 5 * time.Second, 5 * time.Second, 3 * time.Second} {
+		if got := s.ChainFrom(step); got != want {
+			t.Errorf("chain from %d is %v, want %v", step, got, want)
+		}
+	}
+	st := NewState(s)
+	if !st.Ready(s, 0) || st.Ready(s, 2) {
+		t.Error("a step is ready before its time, or not in time")
+	}
+	st.Steps[0][0].Status = DoneTask
+	if !st.Ready(s, 2) || st.Ready(s, 3) {
+		t.Error("a step is ready before its time, or not in time")
+	}
+}
+
+// TestBookInAnyOrder: pages of all keys are no snapshot, so the entries of one
+// job may come in any order and more than once.
+func TestBookInAnyOrder(t *testing.T) {
+	s := sub("x", Step{Count: 1})
+	running, done := NewState(s), NewState(s)
+	running.Phase, running.Begun = Running, true
+	done.Phase, done.Steps = Completed, nil
+	entry := func(e site.Entry, err error) site.Entry { return mustEntry(t, e, err) }
+	entries := []site.Entry{
+		entry(SubmissionEntry(s)), entry(SubmissionEntry(s)), entry(StateEntry("x", running)), CancelEntry("x"),
+		entry(StateEntry("x", done)),
+	}
+	for i := range entries {
+		entries[i].Offset = int64(i)
+	}
+	for seed := range uint64(30) {
+		r := rand.New(rand.NewPCG(seed, 1))
+		b := NewBook()
+		for range 3 {
+			for _, i := range r.Perm(len(entries)) {
+				if _, err := b.Apply(&site.Page{Entries: entries[i : i+1], Next: int64(i) + 1}); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		j := b.Job("x")
+		if j == nil || j.Phase() != Completed || b.Waiting("q") != 0 || b.Next() != 5 {
+			t.Fatalf("seed %d: %+v, waiting %d, next %d", seed, j, b.Waiting("q"), b.Next())
+		}
+	}
+}
+
+func TestCancelBeforeTheEnd(t *testing.T) {
+	b := NewBook()
+	first, err := SubmissionEntry(sub("x", Step{Count: 1}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	cancel := CancelEntry("x")
+	cancel.Offset = 1
+	if _, err := b.Apply(&site.Page{Entries: []site.Entry{first, cancel}, Next: 2}); err != nil {
+		t.Fatal(err)
+	}
+	if p := b.Job("x").Phase(); p != Canceled || b.Waiting("q") != 0 {
+		t.Errorf("phase %v, %d waiting", p, b.Waiting("q"))
+	}
+	for i, e := range ForgetEntries("x") {
+		e.Offset = int64(2 + i)
+		if _, err := b.Apply(&site.Page{Entries: []site.Entry{e}, Next: e.Offset + 1}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if b.Job("x") != nil || len(b.IDs()) != 0 {
+		t.Error("the job is still known")
+	}
+}
+
+// FuzzBook: bytes from elsewhere are named in an error and change no other job.
+func FuzzBook(f *testing.F) {
+	f.Add("s/x", []byte{1, 2})
+	f.Add("leader", []byte{})
+	f.Fuzz(func(t *testing.T, key string, value []byte) {
+		b := NewBook()
+		first, err := SubmissionEntry(sub("good", Step{Count: 1}))
+		if err != nil {
+			t.Fatal(err)
+		}
+		foreign := site.Entry{Key: key, Value: value, Offset: 1}
+		if _, err := b.Apply(&site.Page{Entries: []site.Entry{first, foreign}, Next: 2}); err == nil && key == "" {
+			t.Error("an empty key is taken")
+		}
+		b.IDs()
+		b.EndedBefore(time.Now(), 1)
+		if key != "s/good" && key != "j/good" && key != "c/good" && b.Job("good").Phase() != Queued {
+			t.Error("another job has changed")
+		}
+	})
+}
