Overdue steps are looked at in turn

Cause (reading): a pass looked at the first 16 overdue steps only; where none of them could ever run, e.g. for a label that no worker has, later ones never did. Test: TestHopelessJobsHoldNobodyBack failed before.

--- a/pollendockd/internal/scheduler/place.go
+++ b/pollendockd/internal/scheduler/place.go
@@ -79,20 +79,25 @@
 			p.unspoken[at.up.Service] += max(0, at.free().MilliCPU)
 		}
 	}
-	overdue := 0
-	for _, ws := range l.waitingSteps(p) {
-		if ws.turn.Rank == placement.Overdue {
-			overdue++
-		}
-		if overdue > overduePerPass {
-			break
-		}
+	steps := l.waitingSteps(p)
+	timely := len(steps) - l.waiting[placement.Overdue]
+	for _, ws := range steps[:timely] {
 		l.placeStep(p, ws)
 	}
+	l.placeOverdue(p, steps[timely:])
 	l.held = p.held
 	l.placeCost = time.Since(now)
 }
 
+// placeOverdue looks at some of the overdue steps, and at the next ones in the
+// next pass: the first ones may be such that can never run.
+func (l *leadership) placeOverdue(p *pass, steps []*waitingStep) {
+	for range min(overduePerPass, len(steps)) {
+		l.overdueAt++
+		l.placeStep(p, steps[l.overdueAt%len(steps)])
+	}
+}
+
 func (l *leadership) waitingSteps(p *pass) []*waitingStep {
 	var steps []*waitingStep
 	l.waiting = map[placement.Rank]int{}
--- a/pollendockd/internal/scheduler/story_test.go
+++ b/pollendockd/internal/scheduler/story_test.go
@@ -326,3 +326,21 @@
 		expectPhase(c, a, "j1", 20*time.Minute, job.Completed)
 	})
 }
+
+// TestHopelessJobsHoldNobodyBack: jobs that no worker can run, more than a pass
+// looks at once they are overdue, kept every later overdue job from running.
+func TestHopelessJobsHoldNobodyBack(t *testing.T) {
+	inCell(t, 0, func(c *cell) {
+		a := c.start("a")
+		time.Sleep(time.Second)
+		hopeless := tasks(1, 1)
+		hopeless.Label = "none has it"
+		for i := range 2 * overduePerPass {
+			c.submit(fmt.Sprintf("hopeless%d", i), hopeless)
+		}
+		c.submit("j1", tasks(1, 4))
+		time.Sleep(time.Minute)
+		c.fleet.Add("w0", "s", resource.Vector{MilliCPU: 10_000, MemoryMB: 10_000})
+		expectPhase(c, a, "j1", 10*time.Second, job.Completed)
+	})
+}
--- a/pollendockd/internal/scheduler/term.go
+++ b/pollendockd/internal/scheduler/term.go
@@ -38,6 +38,8 @@
 		held map[*worker]held
 		// waiting counts the steps of the last pass by rank.
 		waiting map[placement.Rank]int
+		// overdueAt goes round the overdue steps.
+		overdueAt int
 		// limited counts those that their team's limit kept back.
 		limited    int
 		reportedAt time.Time
