--- /dev/null
+++ b/standin/fleet/fleet.go
@@ -0,0 +1,154 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"time"
+
+	"pollendock.example/cell/resource"
+	"pollendock.example/cell/site"
+)
+
+type (
+	// Fleet is all workers of a deployment, and the judge of what they do.
+	Fleet struct {
+		mu       sync.Mutex
+		began    time.Time
+		workers  map[string]*Worker
+		outcome  func(t site.TaskName, run int64, worker string) (time.Duration, site.EndKind)
+		size     func(t site.TaskName) (resource.Vector, int)
+		breaches []string
+		// done holds the tasks of which a good end was acknowledged.
+		done   map[site.TaskName]bool
+		starts map[site.TaskName]int
+		// startedAt is when the newest run of a task began.
+		startedAt map[site.TaskName]time.Time
+	}
+)
+
+func NewFleet(
+	outcome func(t site.TaskName, run int64, worker string) (time.Duration, site.EndKind),
+	size func(t site.TaskName) (resource.Vector, int),
+) *Fleet {
+	return &Fleet{
+		began: time.Now(), workers: map[string]*Worker{}, outcome: outcome, size: size,
+		done: map[site.TaskName]bool{}, starts: map[site.TaskName]int{}, startedAt: map[site.TaskName]time.Time{},
+	}
+}
+
+func (f *Fleet) Add(id, service string, capacity resource.Vector) *Worker {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := &Worker{fleet: f, listed: true, up: site.Upstream{
+		ID: id, Service: service, Capacity: capacity, Labels: []string{"a", "r1-1"}, Rack: "r1-1",
+		Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(1000+len(f.workers))),
+	}}
+	w.restart()
+	f.workers[id] = w
+	return w
+}
+
+func (f *Fleet) Next(context.Context) ([]site.Upstream, []string, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	list := []site.Upstream{}
+	for _, w := range f.workers {
+		if w.listed {
+			list = append(list, w.up)
+		}
+	}
+	return list, nil, nil
+}
+
+func (f *Fleet) Worker(id string) *Worker {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.workers[id]
+}
+
+func (f *Fleet) Breaches() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]string(nil), f.breaches...)
+}
+
+func (f *Fleet) Starts(t site.TaskName) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.starts[t]
+}
+
+func (f *Fleet) Started() map[string]bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	ids := map[string]bool{}
+	for t := range f.starts {
+		ids[t.Job] = true
+	}
+	return ids
+}
+
+func (f *Fleet) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		f.mu.Lock()
+		now := time.Now()
+		f.gatherGangs(now)
+		for _, w := range f.workers {
+			w.pass(now)
+		}
+		f.mu.Unlock()
+		select {
+		case <-time.After(checkEvery):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (f *Fleet) gatherGangs(now time.Time) {
+	present := map[string][]*running{}
+	wanted := map[string]int{}
+	for _, w := range f.workers {
+		for _, r := range w.runs {
+			if _, n := f.size(r.task); n > 0 && r.endAt.IsZero() {
+				key := fmt.Sprintf("%s.%d.%d", r.task.Job, r.task.Step, r.number)
+				present[key] = append(present[key], r)
+				wanted[key] = n
+			}
+		}
+	}
+	for key, list := range present {
+		if len(list) < wanted[key] {
+			continue
+		}
+		longest := time.Duration(0)
+		for _, r := range list {
+			longest = max(longest, r.takes)
+		}
+		for _, r := range list {
+			r.partAt = now.Add(r.takes)
+			r.endAt = now.Add(longest)
+		}
+	}
+}
+
+func (f *Fleet) breakGang(of *running) {
+	for _, w := range f.workers {
+		for _, r := range w.sorted() {
+			if r.task.Job == of.task.Job && r.task.Step == of.task.Step && r.number == of.number {
+				w.end(r, site.GangBroken)
+			}
+		}
+	}
+}
+
+func (f *Fleet) acknowledge(e *ending) {
+	if e.How != site.Done || e.lapsed {
+		return
+	}
+	f.done[e.Task] = true
+	if f.startedAt[e.Task].After(e.at) {
+		f.breaches = append(f.breaches, fmt.Sprintf("%v run %d was done before a later run began", e.Task, e.Run))
+	}
+}
