Remove fields and a branch that nothing uses

Settings for gang waits and far racks were decoded and read by nobody, a run kept the time of its stop without use, and three codes that the desk never gives had a time to come back. No behaviour changes.

--- a/cell/site/local.go
+++ b/cell/site/local.go
@@ -27,13 +27,9 @@
 		MaxLease time.Duration
 		// StopTime is the most that a worker takes to stop a run.
 		StopTime time.Duration
-		// GangWait is how long a worker lets a gang task wait for the others.
-		GangWait time.Duration
 		// Grace is the time between the signal to stop and the kill.
 		Grace time.Duration
 		// KeepStatus is how long the state of a job that has ended is served.
 		KeepStatus time.Duration
-		// RackPenalty is how many times as long a task takes far from its data.
-		RackPenalty float64
 	}
 )
--- a/pollendockd/internal/desk/desk.go
+++ b/pollendockd/internal/desk/desk.go
@@ -80,7 +80,6 @@
 	requestLimit = 2500 * time.Millisecond
 
 	retryWhenAway = 2 * time.Second
-	retryDefault  = time.Second
 )
 
 // New returns a desk.
@@ -135,11 +134,8 @@
 
 // RetryAfter returns when a caller that was refused should come back, or 0.
 func (d *Desk) RetryAfter(err error) time.Duration {
-	switch number, _ := code.Of(err); number {
-	case code.LogDown, code.NotReady:
+	if number, _ := code.Of(err); number == code.LogDown || number == code.NotReady {
 		return retryWhenAway
-	case code.QueueFull, code.OverLimit, code.NoRoom:
-		return retryDefault
 	}
 	return 0
 }
--- a/pollendockd/internal/scheduler/order.go
+++ b/pollendockd/internal/scheduler/order.go
@@ -145,7 +145,6 @@
 	switch {
 	case e.err == nil:
 		r.stopped = true
-		r.stoppedAt = now
 		l.logRun(r, "run stopped")
 		if r.stage == unsettled {
 			r.settledAfter = now
--- a/pollendockd/internal/scheduler/work.go
+++ b/pollendockd/internal/scheduler/work.go
@@ -48,12 +48,11 @@
 		decidedAt   time.Time
 		sentAt      time.Time
 		confirmedAt time.Time
-		// stopped is set once the worker has answered a stop, at stoppedAt.
+		// stopped is set once the worker has answered a stop.
 		stopWanted bool
 		stopBusy   bool
 		stopAt     time.Time
 		stopped    bool
-		stoppedAt  time.Time
 		// settledAfter is the local time after which a hold must have been sent
 		// for its list to tell whether the run exists.
 		settledAfter time.Time
