Overdue steps with tickets are placed at once, and queries go in turn order

The ticket that a step got ran out (2 s) before its next look, so none of them ever ran, though a third of the room was free. Their queries went by queue priority alone and so came before those of work that could still be in time.

Now overdue steps with a valid ticket are looked at in each pass, queries are sent in the order of turns, and overdue steps ask only while no query waits.

TestOverdueJobsRun fails without the change.

--- a/pollendockd/internal/scheduler/advice.go
+++ b/pollendockd/internal/scheduler/advice.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"pollendock.example/cell/placement"
 	"pollendock.example/cell/site"
 )
 
@@ -29,14 +30,14 @@
 
 	// query is one question, and how long its answer should take.
 	query struct {
-		w        *work
-		step     int
-		workers  []string
-		boots    map[string]int64
-		takes    time.Duration
-		valid    time.Duration
-		priority int
-		askedAt  time.Time
+		w       *work
+		step    int
+		turn    placement.Turn
+		workers []string
+		boots   map[string]int64
+		takes   time.Duration
+		valid   time.Duration
+		askedAt time.Time
 	}
 
 	// stepAdvice is what the advisor has said of a step.
@@ -128,23 +129,31 @@
 	delete(w.adviceOf(step).tickets, worker)
 }
 
+// takes reports whether a step of that rank may ask now. Work on which its
+// caller has given up asks only while nobody else waits: after a burst there may
+// be a thousand such jobs.
+func (d *adviceDesk) takes(r placement.Rank) bool {
+	return r != placement.Overdue || len(d.queries) == 0
+}
+
 // ask queues a query about workers of which the step may need some.
-func (l *leadership) ask(w *work, step int, workers []*worker, a *site.Advice, now time.Time) {
+func (l *leadership) ask(ws *waitingStep, workers []*worker, a *site.Advice, now time.Time) {
+	w := ws.w
 	if len(workers) > maxNamed {
 		workers = workers[:maxNamed]
 	}
 	q := &query{
-		w: w, step: step, priority: w.sub.Priority, boots: map[string]int64{}, valid: a.Valid,
+		w: w, step: ws.step, turn: ws.turn, boots: map[string]int64{}, valid: a.Valid,
 		takes: a.Base + time.Duration(len(workers))*a.PerUpstream, askedAt: now,
 	}
 	for _, at := range workers {
 		q.workers = append(q.workers, at.id)
 		q.boots[at.id] = at.boot
 	}
-	w.adviceOf(step).asking = true
+	w.adviceOf(ws.step).asking = true
 	l.advice.queries = append(l.advice.queries, q)
 	sort.SliceStable(l.advice.queries, func(a, b int) bool {
-		return l.advice.queries[a].priority < l.advice.queries[b].priority
+		return l.advice.queries[a].turn.Before(&l.advice.queries[b].turn)
 	})
 	l.sendQueries(now)
 }
--- /dev/null
+++ b/pollendockd/internal/scheduler/advice_test.go
@@ -0,0 +1,36 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pollendock.example/cell/job"
+	"pollendock.example/cell/site"
+)
+
+// TestOverdueJobsRun: after a burst there may be a thousand jobs on which their
+// callers have given up. Their tickets ran out before their next turn came, so
+// that none of them ever ran, and their queries took the advisor's time.
+func TestOverdueJobsRun(t *testing.T) {
+	inCell(t, 20, func(c *cell) {
+		const jobs = 3000
+		c.advise(site.Advice{Base: 2 * time.Millisecond, PerUpstream: 100 * time.Microsecond, Valid: 300 * time.Millisecond}, 0.7)
+		c.outcome = func(site.TaskName, int64, string) (time.Duration, site.EndKind) {
+			return 100 * time.Millisecond, site.Done
+		}
+		for i := range jobs {
+			c.submitAt(time.Now().Add(-time.Minute), fmt.Sprintf("old%d", i), tasks(1, 1))
+		}
+		a := c.start("a")
+		for _, name := range []string{"b", "d", "e"} {
+			c.join(name)
+		}
+		time.Sleep(3 * time.Second)
+		c.submit("new", tasks(3, 2))
+		expectPhase(c, a, "new", time.Second, job.Completed)
+		for i := range jobs {
+			expectPhase(c, a, fmt.Sprintf("old%d", i), 20*time.Second, job.Completed)
+		}
+	})
+}
--- a/pollendockd/internal/scheduler/cell_test.go
+++ b/pollendockd/internal/scheduler/cell_test.go
@@ -27,6 +27,8 @@
 		store   *fleet.Store
 		fleet   *fleet.Fleet
 		catalog *site.Catalog
+		// advisor is nil where the queue has no advice.
+		advisor *fleet.Advisor
 		vms     map[string]*vm
 		mu      sync.Mutex
 		subs    map[string]*job.Submission
@@ -52,6 +54,11 @@
 
 	noCounts struct{}
 
+	// advisorOf carries queries to the stand-in.
+	advisorOf struct {
+		*fleet.Advisor
+	}
+
 	// otherVMs passes yields on, and no records.
 	otherVMs struct {
 		c    *cell
@@ -61,6 +68,10 @@
 
 const workTime = 2 * time.Second
 
+func (a advisorOf) Advise(ctx context.Context, through string, q *AdviceQuery) ([]site.Ticket, error) {
+	return a.Advisor.Advise(ctx, through, q.Job, q.Step, q.Workers)
+}
+
 func (o otherVMs) Offer([]site.Entry) {}
 
 func (o otherVMs) Yield(epoch int64) {
@@ -139,25 +150,54 @@
 	stream := &vmStream{Store: c.store}
 	v.stream = stream
 	follower := book.NewFollower(c.store, v.book, logger, func(ids []string) { v.scheduler.JobsChanged(ids) })
-	v.scheduler = New(Options{
-		Name: name, Incarnation: name + "/1",
-		Bounds: site.Bounds{MaxLease: 6 * time.Second, StopTime: 200 * time.Millisecond},
-	}, Deps{
+	deps := Deps{
 		Stream: stream, Follower: follower, Book: v.book, Peers: otherVMs{c, name}, Upstreams: c.fleet,
 		Dial:    func(id string, _ netip.AddrPort) Worker { return c.fleet.Worker(id) },
 		Catalog: func() *site.Catalog { return c.catalog }, Logger: logger, Counts: noCounts{},
-	})
+	}
+	if c.advisor != nil {
+		deps.Advisor = advisorOf{c.advisor}
+		c.join(name)
+	}
+	v.scheduler = New(Options{
+		Name: name, Incarnation: name + "/1",
+		Bounds: site.Bounds{MaxLease: 6 * time.Second, StopTime: 200 * time.Millisecond},
+	}, deps)
 	go func() { _ = v.scheduler.Run(ctx) }()
 	go func() { _ = follower.Run(ctx) }()
 	c.vms[name] = v
 	return v
 }
 
+// advise gives the queue an advisor that allows a part of the workers.
+func (c *cell) advise(a site.Advice, good float64) {
+	c.catalog.Queues[0].Advice = &a
+	c.advisor = fleet.NewAdvisor(a, good)
+}
+
+// join lists an entry VM.
+func (c *cell) join(name string) {
+	c.t.Helper()
+	e, err := job.MemberEntry(&job.Member{Name: name, Incarnation: name + "/1"})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	if _, err := c.store.Append(c.ctx, []site.Entry{e}); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
 // submit makes a job durable, as the desk does.
 func (c *cell) submit(id string, steps ...job.Step) {
+	c.t.Helper()
+	c.submitAt(time.Now(), id, steps...)
+}
+
+// submitAt makes a job durable that was accepted at another time.
+func (c *cell) submitAt(accepted time.Time, id string, steps ...job.Step) {
 	c.t.Helper()
 	s := &job.Submission{
-		ID: id, Team: "team", Queue: "q", Service: "s", MaxAttempts: 2, AcceptedAt: time.Now(), Spec: "x", Steps: steps,
+		ID: id, Team: "team", Queue: "q", Service: "s", MaxAttempts: 2, AcceptedAt: accepted, Spec: "x", Steps: steps,
 	}
 	c.mu.Lock()
 	c.subs[id] = s
--- a/pollendockd/internal/scheduler/place.go
+++ b/pollendockd/internal/scheduler/place.go
@@ -89,12 +89,21 @@
 	l.placeCost = time.Since(now)
 }
 
-// placeOverdue looks at some of the overdue steps, and at the next ones in the
-// next pass: the first ones may be such that can never run.
+// placeOverdue looks at the overdue steps that have tickets, which would run
+// out before their next turn. Of the others it looks at some, and at the next
+// ones in the next pass: the first ones may be such that can never run.
 func (l *leadership) placeOverdue(p *pass, steps []*waitingStep) {
-	for range min(overduePerPass, len(steps)) {
+	var rest []*waitingStep
+	for _, ws := range steps {
+		if a := ws.w.advice[ws.step]; a != nil && a.anyValid(p.now) {
+			l.placeStep(p, ws)
+			continue
+		}
+		rest = append(rest, ws)
+	}
+	for range min(overduePerPass, len(rest)) {
 		l.overdueAt++
-		l.placeStep(p, steps[l.overdueAt%len(steps)])
+		l.placeStep(p, rest[l.overdueAt%len(rest)])
 	}
 }
 
@@ -200,7 +209,7 @@
 	need.Count -= len(chosen)
 	// A step further back would ask in vain: what is free goes to those before
 	// it, and its tickets would run out meanwhile.
-	if p.unspoken[service] > 0 && !w.adviceOf(ws.step).asking {
+	if p.unspoken[service] > 0 && !w.adviceOf(ws.step).asking && l.advice.takes(ws.turn.Rank) {
 		l.considerAsking(p, ws, need, candidates, rooms, advice)
 	}
 	if said := w.adviceOf(ws.step); said.asking {
@@ -409,7 +418,7 @@
 		// is room.
 		return
 	}
-	l.ask(ws.w, ws.step, candidates[:n], a, p.now)
+	l.ask(ws, candidates[:n], a, p.now)
 }
 
 // known reports whether the step may run at the worker, once the ticket has
--- a/pollendockd/internal/scheduler/reserve.go
+++ b/pollendockd/internal/scheduler/reserve.go
@@ -73,7 +73,7 @@
 	}
 	if len(unknown) > 0 && !said.asking {
 		// Which workers are good never changes: it is asked once, of all.
-		l.ask(ws.w, ws.step, unknown, a, p.now)
+		l.ask(ws, unknown, a, p.now)
 		return
 	}
 	reserved, in, ok := placement.Reserve(need, outlooks)
@@ -91,7 +91,7 @@
 		p.held[at] = held{h.size.Add(size), max(h.in, in)}
 	}
 	if said != nil && !said.asking && in <= askLead+a.Base+time.Duration(len(chosen))*a.PerUpstream {
-		l.ask(ws.w, ws.step, chosen, a, p.now)
+		l.ask(ws, chosen, a, p.now)
 	}
 }
 
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -28,6 +28,9 @@
 	}
 )
 
+// NewFleet returns a fleet. Outcome says how long a run takes and how it ends,
+// size what a task takes of a worker, and how many members its gang has, 0 if
+// it is none.
 func NewFleet(
 	outcome func(t site.TaskName, run int64, worker string) (time.Duration, site.EndKind),
 	size func(t site.TaskName) (resource.Vector, int),
@@ -38,6 +41,7 @@
 	}
 }
 
+// Add brings up a worker.
 func (f *Fleet) Add(id, service string, capacity resource.Vector) *Worker {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -50,6 +54,7 @@
 	return w
 }
 
+// Next returns the list of workers.
 func (f *Fleet) Next(context.Context) ([]site.Upstream, []string, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -62,24 +67,28 @@
 	return list, nil, nil
 }
 
+// Worker returns the worker of that id.
 func (f *Fleet) Worker(id string) *Worker {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.workers[id]
 }
 
+// Breaches returns what must not have happened.
 func (f *Fleet) Breaches() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return append([]string(nil), f.breaches...)
 }
 
+// Starts returns how often a task was begun.
 func (f *Fleet) Starts(t site.TaskName) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.starts[t]
 }
 
+// Started returns the ids of the jobs of which a task was begun.
 func (f *Fleet) Started() map[string]bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -90,6 +99,7 @@
 	return ids
 }
 
+// Run ends tasks and leases as time goes by.
 func (f *Fleet) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		f.mu.Lock()
@@ -106,6 +116,7 @@
 	}
 }
 
+// gatherGangs starts the work of gangs whose members are all there.
 func (f *Fleet) gatherGangs(now time.Time) {
 	present := map[string][]*running{}
 	wanted := map[string]int{}
@@ -133,6 +144,7 @@
 	}
 }
 
+// breakGang ends the other members of a run.
 func (f *Fleet) breakGang(of *running) {
 	for _, w := range f.workers {
 		for _, r := range w.sorted() {
@@ -143,6 +155,7 @@
 	}
 }
 
+// acknowledge notes a good end. Nothing may have been started after it.
 func (f *Fleet) acknowledge(e *ending) {
 	if e.How != site.Done || e.lapsed {
 		return
--- a/standin/fleet/worker.go
+++ b/standin/fleet/worker.go
@@ -64,10 +64,6 @@
 	Standstill = time.Hour
 )
 
-// NewFleet returns a fleet. Outcome says how long a run takes and how it ends,
-// size what a task takes of a worker, and how many members its gang has, 0 if
-// it is none.
-// Add brings up a worker.
 // restart begins a life of the worker, which knows nothing of before.
 func (w *Worker) restart() {
 	w.boot = time.Now()
@@ -81,12 +77,6 @@
 	w.wake = make(chan struct{})
 }
 
-// Next returns the list of workers.
-// Worker returns the worker of that id.
-// Breaches returns what must not have happened.
-// Starts returns how often a task was begun.
-// Started returns the ids of the jobs of which a task was begun.
-// Run ends tasks and leases as time goes by.
 // percent is the progress of a run; a gang makes none before all are there, nor
 // does a run that never ends.
 func (r *running) percent(now time.Time) int {
@@ -96,7 +86,6 @@
 	return int(min(100, 100-100*r.partAt.Sub(now)/r.takes))
 }
 
-// gatherGangs starts the work of gangs whose members are all there.
 func (w *Worker) clock(now time.Time) time.Duration {
 	return now.Sub(w.boot)
 }
@@ -150,7 +139,6 @@
 	}
 }
 
-// breakGang ends the other members of a run.
 // Leave takes the worker away for good, with all that it runs.
 func (w *Worker) Leave() {
 	w.fleet.mu.Lock()
@@ -274,7 +262,6 @@
 	return nil
 }
 
-// acknowledge notes a good end. Nothing may have been started after it.
 // judge notes what a start breaks.
 func (w *Worker) judge(o *site.StartOrder) {
 	f := w.fleet
