A pass looks only at the workers for which a step has tickets

Of a step with advice only the few workers with a ticket matter; the others are looked at when it asks.

The "advised" line tells how long the call took beside the whole wait.

--- a/pollendockd/internal/scheduler/advice.go
+++ b/pollendockd/internal/scheduler/advice.go
@@ -37,7 +37,9 @@
 		boots   map[string]int64
 		takes   time.Duration
 		valid   time.Duration
+		// askedAt is when the step asked, sentAt when a VM was free for it.
 		askedAt time.Time
+		sentAt  time.Time
 	}
 
 	// stepAdvice is what the advisor has said of a step.
@@ -201,6 +203,7 @@
 	c := l.advice.through[through]
 	c.busy = true
 	c.slow = slow
+	q.sentAt = time.Now()
 	l.spawn(func(ctx context.Context) event {
 		ctx, cancel := context.WithTimeout(ctx, q.takes+adviceSlack)
 		defer cancel()
@@ -245,5 +248,5 @@
 	}
 	s.deps.Counts.Time("advice", now.Sub(q.askedAt))
 	_ = level.Info(s.deps.Logger).Log("msg", "advised", "job", q.w.id, "step", q.step, "through", e.through,
-		"asked", len(q.workers), "good", len(e.tickets), "tookMs", now.Sub(q.askedAt).Milliseconds())
+		"asked", len(q.workers), "good", len(e.tickets), "tookMs", now.Sub(q.askedAt).Milliseconds(), "callMs", now.Sub(q.sentAt).Milliseconds())
 }
--- a/pollendockd/internal/scheduler/place.go
+++ b/pollendockd/internal/scheduler/place.go
@@ -177,8 +177,12 @@
 	if !spec.Gang && p.isFull(service, spec.Size) {
 		return
 	}
-	if advice != nil && !spec.Gang && w.adviceOf(ws.step).asking && !w.adviceOf(ws.step).anyValid(p.now) {
-		p.unspoken[service] -= w.adviceOf(ws.step).spoken
+	var said *stepAdvice
+	if advice != nil {
+		said = w.adviceOf(ws.step)
+	}
+	if said != nil && !spec.Gang && said.asking && !said.anyValid(p.now) {
+		p.unspoken[service] -= said.spoken
 		return
 	}
 	ws.tasks = w.waitingTasks(ws.step)
@@ -190,7 +194,7 @@
 		l.limited++
 		return
 	}
-	rooms, candidates := l.rooms(p, ws, need, service, advice)
+	rooms := l.rooms(p, ws, need, service, said)
 	chosen := placement.Choose(need, rooms)
 	for i, id := range chosen {
 		l.plan(ws, ws.tasks[i], l.workers[id], p.now)
@@ -203,16 +207,17 @@
 		l.reserve(p, ws, need, service, advice)
 		return
 	}
-	if advice == nil {
+	if said == nil {
 		return
 	}
 	need.Count -= len(chosen)
 	// A step further back would ask in vain: what is free goes to those before
 	// it, and its tickets would run out meanwhile.
-	if p.unspoken[service] > 0 && !w.adviceOf(ws.step).asking && l.advice.takes(ws.turn.Rank) {
+	if p.unspoken[service] > 0 && !said.asking && l.advice.takes(ws.turn.Rank) {
+		candidates := l.candidates(p, ws, need.Size, service, said)
 		l.considerAsking(p, ws, need, candidates, rooms, advice)
 	}
-	if said := w.adviceOf(ws.step); said.asking {
+	if said.asking {
 		said.spoken = int64(need.Count) * spec.Size.MilliCPU
 		p.unspoken[service] -= said.spoken
 	}
@@ -243,39 +248,78 @@
 	return n
 }
 
-// rooms returns the workers on which tasks of the step may be placed now, and
-// those with room about which the advisor has to be asked first.
-func (l *leadership) rooms(p *pass, ws *waitingStep, need placement.Need, service string, advice *site.Advice) ([]placement.Room, []*worker) {
+// rooms returns the workers on which tasks of the step may be placed now. Of a
+// step that needs advice these are the few with a ticket, so that a pass does
+// not go through all workers for each of the steps that wait.
+func (l *leadership) rooms(p *pass, ws *waitingStep, need placement.Need, service string, said *stepAdvice) []placement.Room {
 	spec := &ws.w.sub.Steps[ws.step]
+	if said == nil {
+		return l.anyRooms(p, ws, need.Size, service)
+	}
 	var rooms []placement.Room
-	var candidates []*worker
-	var said *stepAdvice
-	if advice != nil {
-		said = ws.w.adviceOf(ws.step)
+	for id := range said.tickets {
+		at := l.workers[id]
+		if at == nil || at.up.Service != service || !at.usable(p.now) || !said.allows(at, p.now) {
+			continue
+		}
+		if free := p.free(at, spec); need.Size.Fits(free) {
+			rooms = append(rooms, l.room(ws, at, free))
+		}
 	}
+	return rooms
+}
+
+// anyRooms returns all workers with room for a step that needs no advice.
+func (l *leadership) anyRooms(p *pass, ws *waitingStep, size resource.Vector, service string) []placement.Room {
+	spec := &ws.w.sub.Steps[ws.step]
+	var rooms []placement.Room
 	fits := false
 	for _, at := range p.usable[service] {
 		free := p.free(at, spec)
-		if !need.Size.Fits(free) {
+		if !size.Fits(free) {
 			continue
 		}
 		fits = true
-		if !at.up.HasLabel(spec.Label) || said != nil && said.refused[at.id] {
-			continue
+		if at.up.HasLabel(spec.Label) {
+			rooms = append(rooms, l.room(ws, at, free))
 		}
-		if said != nil && !said.allows(at, p.now) {
-			candidates = append(candidates, at)
+	}
+	if !fits {
+		p.noteFull(service, size)
+	}
+	return rooms
+}
+
+func (l *leadership) room(ws *waitingStep, at *worker, free resource.Vector) placement.Room {
+	return placement.Room{
+		Worker: at.id, Rack: at.up.Rack, Free: free, Tasks: l.tasksThere(at, ws), Doubtful: l.doubtful(ws, at),
+		Reserved: l.held[at].size.MilliCPU > 0,
+	}
+}
+
+// candidates returns the workers with room about which the advisor has to be
+// asked.
+func (l *leadership) candidates(p *pass, ws *waitingStep, size resource.Vector, service string, said *stepAdvice) []*worker {
+	spec := &ws.w.sub.Steps[ws.step]
+	var list []*worker
+	fits := false
+	for _, at := range p.usable[service] {
+		if !size.Fits(p.free(at, spec)) {
 			continue
 		}
-		rooms = append(rooms, placement.Room{
-			Worker: at.id, Rack: at.up.Rack, Free: free, Tasks: l.tasksThere(at, ws, spec), Doubtful: l.doubtful(ws, at),
-			Reserved: l.held[at].size.MilliCPU > 0,
-		})
+		fits = true
+		if at.up.HasLabel(spec.Label) && !said.refused[at.id] && !said.allows(at, p.now) {
+			list = append(list, at)
+		}
 	}
 	if !fits {
-		p.full[service] = append(p.full[service], need.Size)
+		p.noteFull(service, size)
 	}
-	return rooms, candidates
+	return list
+}
+
+func (p *pass) noteFull(service string, size resource.Vector) {
+	p.full[service] = append(p.full[service], size)
 }
 
 // isFull reports whether a task at most as large has found no room in the pass.
@@ -304,8 +348,8 @@
 }
 
 // tasksThere counts the tasks of the step that a worker has, where that matters.
-func (l *leadership) tasksThere(at *worker, ws *waitingStep, spec *job.Step) int {
-	if spec.PerWorker == 0 {
+func (l *leadership) tasksThere(at *worker, ws *waitingStep) int {
+	if ws.w.sub.Steps[ws.step].PerWorker == 0 {
 		return 0
 	}
 	n := 0
--- a/pollendockd/internal/scheduler/reserve.go
+++ b/pollendockd/internal/scheduler/reserve.go
@@ -97,9 +97,8 @@
 
 // outlook returns what is free at a worker, and when the rest will be.
 func (l *leadership) outlook(p *pass, at *worker, ws *waitingStep) placement.Outlook {
-	spec := &ws.w.sub.Steps[ws.step]
 	o := placement.Outlook{Room: placement.Room{
-		Worker: at.id, Rack: at.up.Rack, Free: at.free().Sub(p.held[at].size), Tasks: l.tasksThere(at, ws, spec),
+		Worker: at.id, Rack: at.up.Rack, Free: at.free().Sub(p.held[at].size), Tasks: l.tasksThere(at, ws),
 	}}
 	for _, r := range at.runs {
 		step := &r.w.sub.Steps[r.task.Step]
