Slow queries go through half of the VMs at most

Cause: all but two VMs could have a slow query. After a change of leader all waiting recounts ask at once, for a second and more each, and the lookups' queries (12 ms) waited for the two VMs left.

--- a/pollendockd/internal/scheduler/advice.go
+++ b/pollendockd/internal/scheduler/advice.go
@@ -82,8 +82,9 @@
 	// slowQuery marks queries that may not take all VMs, so that quick ones
 	// need not wait behind them.
 	slowQuery = 300 * time.Millisecond
-	// quickChannels VMs are kept free of slow queries.
-	quickChannels = 2
+	// One in slowPart VMs at most has a slow query: after a change of leader all
+	// waiting gangs ask at once, for a second and more each.
+	slowPart = 2
 	adviceRest    = time.Second
 	maxAdviceRest = 20 * time.Second
 	// maxNamed bounds the workers in a query.
@@ -186,7 +187,7 @@
 		switch {
 		case q.w.state.Phase.Final():
 			q.w.adviceOf(q.step).asking = false
-		case len(names) == 0 || isSlow && slow >= len(members)-quickChannels && slow > 0:
+		case len(names) == 0 || isSlow && slow >= max(1, len(members)/slowPart):
 			waiting = append(waiting, q)
 		default:
 			if isSlow {
