Queries spread over the workers, and gangs ask about the emptiest first

Gangs asked about up to 100 workers in no order, 1.3 s a query, three times in a row before they held any room.

Now a worker counts the processor time that queries under way will take, and a gang asks about the emptiest workers, three times what should suffice, and holds room among those it knows while it asks about more.

TestQueriesSpread: 87 queries for 40 jobs before.

--- a/pollendockd/internal/scheduler/advice.go
+++ b/pollendockd/internal/scheduler/advice.go
@@ -37,6 +37,9 @@
 		boots   map[string]int64
 		takes   time.Duration
 		valid   time.Duration
+		// share is the processor time that the step is expected to take at each
+		// of the workers.
+		share int64
 		// askedAt is when the step asked, sentAt when a VM was free for it.
 		askedAt time.Time
 		sentAt  time.Time
@@ -84,7 +87,7 @@
 	slowQuery = 300 * time.Millisecond
 	// One in slowPart VMs at most has a slow query: after a change of leader all
 	// waiting gangs ask at once, for a second and more each.
-	slowPart = 2
+	slowPart      = 2
 	adviceRest    = time.Second
 	maxAdviceRest = 20 * time.Second
 	// maxNamed bounds the workers in a query.
@@ -139,19 +142,23 @@
 	return r != placement.Overdue || len(d.queries) == 0
 }
 
-// ask queues a query about workers of which the step may need some.
-func (l *leadership) ask(ws *waitingStep, workers []*worker, a *site.Advice, now time.Time) {
+// ask queues a query about workers of which the step may need some. It is
+// expected to take the processor time of take there, which other steps leave to
+// it: steps that ask at the same time would else all be given the same rooms.
+func (l *leadership) ask(ws *waitingStep, workers []*worker, take int64, a *site.Advice, now time.Time) {
 	w := ws.w
 	if len(workers) > maxNamed {
 		workers = workers[:maxNamed]
 	}
 	q := &query{
 		w: w, step: ws.step, turn: ws.turn, boots: map[string]int64{}, valid: a.Valid,
+		share: take / int64(len(workers)),
 		takes: a.Base + time.Duration(len(workers))*a.PerUpstream, askedAt: now,
 	}
 	for _, at := range workers {
 		q.workers = append(q.workers, at.id)
 		q.boots[at.id] = at.boot
+		at.spoken += q.share
 	}
 	w.adviceOf(ws.step).asking = true
 	l.advice.queries = append(l.advice.queries, q)
@@ -186,7 +193,7 @@
 		isSlow := q.takes >= slowQuery
 		switch {
 		case q.w.state.Phase.Final():
-			q.w.adviceOf(q.step).asking = false
+			l.closeQuery(q)
 		case len(names) == 0 || isSlow && slow >= max(1, len(members)/slowPart):
 			waiting = append(waiting, q)
 		default:
@@ -200,6 +207,16 @@
 	d.queries = waiting
 }
 
+// closeQuery frees what a query held.
+func (l *leadership) closeQuery(q *query) {
+	q.w.adviceOf(q.step).asking = false
+	for _, id := range q.workers {
+		if at := l.workers[id]; at != nil && at.boot == q.boots[id] {
+			at.spoken -= q.share
+		}
+	}
+}
+
 func (l *leadership) sendQuery(q *query, through string, slow bool) {
 	c := l.advice.through[through]
 	c.busy = true
@@ -231,8 +248,8 @@
 		return
 	}
 	c.rest = 0
+	l.closeQuery(q)
 	advice := q.w.adviceOf(q.step)
-	advice.asking = false
 	for _, id := range q.workers {
 		advice.refused[id] = true
 	}
--- a/pollendockd/internal/scheduler/advice_test.go
+++ b/pollendockd/internal/scheduler/advice_test.go
@@ -34,3 +34,27 @@
 		}
 	})
 }
+
+// TestQueriesSpread: jobs that come together used to ask about the same few
+// workers, the emptiest ones. Most got tickets for rooms that another had taken
+// and had to ask again.
+func TestQueriesSpread(t *testing.T) {
+	inCell(t, 40, func(c *cell) {
+		const jobs = 40
+		c.advise(site.Advice{Base: 10 * time.Millisecond, PerUpstream: 100 * time.Microsecond, Valid: 2 * time.Second}, 1)
+		a := c.start("a")
+		for _, name := range []string{"b", "d", "e"} {
+			c.join(name)
+		}
+		time.Sleep(3 * time.Second)
+		for i := range jobs {
+			c.submit(fmt.Sprintf("job%d", i), tasks(2, 4))
+		}
+		for i := range jobs {
+			expectPhase(c, a, fmt.Sprintf("job%d", i), 4*time.Second, job.Completed)
+		}
+		if n := c.advisor.Calls(); n > jobs*3/2 {
+			t.Errorf("%d queries for %d jobs", n, jobs)
+		}
+	})
+}
--- a/pollendockd/internal/scheduler/hold.go
+++ b/pollendockd/internal/scheduler/hold.go
@@ -131,6 +131,7 @@
 	at.seen = 0
 	at.acked = 0
 	at.leaseEnd = 0
+	at.spoken = 0
 	at.givenUp = nil
 	at.ackHeld = false
 	at.failures = 0
--- a/pollendockd/internal/scheduler/place.go
+++ b/pollendockd/internal/scheduler/place.go
@@ -433,8 +433,8 @@
 		if knownI != knownJ {
 			return knownI
 		}
-		if candidates[i].used.MilliCPU != candidates[j].used.MilliCPU {
-			return candidates[i].used.MilliCPU < candidates[j].used.MilliCPU
+		if busyI, busyJ := candidates[i].busyMilliCPU(), candidates[j].busyMilliCPU(); busyI != busyJ {
+			return busyI < busyJ
 		}
 		return candidates[i].id < candidates[j].id
 	})
@@ -462,7 +462,7 @@
 		// is room.
 		return
 	}
-	l.ask(ws, candidates[:n], a, p.now)
+	l.ask(ws, candidates[:n], int64(need.Count)*need.Size.MilliCPU, a, p.now)
 }
 
 // known reports whether the step may run at the worker, once the ticket has
--- a/pollendockd/internal/scheduler/reserve.go
+++ b/pollendockd/internal/scheduler/reserve.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"sort"
 	"time"
 
 	"pollendock.example/cell/job"
@@ -10,8 +11,16 @@
 )
 
 const (
-	// heldGangs bounds the gangs for which a pass holds room back.
-	heldGangs = 6
+	// A pass holds room back for leastHeldGangs, or for one gang for every
+	// workersPerHeldGang workers.
+	leastHeldGangs     = 6
+	workersPerHeldGang = 24
+	// gangSpare widens the first query of a gang beyond what should just
+	// suffice.
+	gangSpare = 3
+	// A gang whose room among the workers that it knows is farther away than
+	// askMoreAfter asks about more.
+	askMoreAfter = time.Second
 	// estimateSlack widens the estimates of work that may run in held room
 	// until the gang takes it.
 	estimateSlack = 1.3
@@ -51,7 +60,7 @@
 // reserve holds room back for a gang that does not fit now, and asks for its
 // tickets in time for its start.
 func (l *leadership) reserve(p *pass, ws *waitingStep, need placement.Need, service string, a *site.Advice) {
-	if p.gangs >= heldGangs {
+	if p.gangs >= max(leastHeldGangs, len(p.usable[service])/workersPerHeldGang) {
 		return
 	}
 	spec := &ws.w.sub.Steps[ws.step]
@@ -71,12 +80,10 @@
 		}
 		outlooks = append(outlooks, l.outlook(p, at, ws))
 	}
-	if len(unknown) > 0 && !said.asking {
-		// Which workers are good never changes: it is asked once, of all.
-		l.ask(ws, unknown, a, p.now)
-		return
-	}
 	reserved, in, ok := placement.Reserve(need, outlooks)
+	if len(unknown) > 0 && !said.asking && (!ok || in > askMoreAfter) {
+		l.askForGang(p, ws, need, unknown, a)
+	}
 	if !ok {
 		return
 	}
@@ -91,8 +98,29 @@
 		p.held[at] = held{h.size.Add(size), max(h.in, in)}
 	}
 	if said != nil && !said.asking && in <= askLead+a.Base+time.Duration(len(chosen))*a.PerUpstream {
-		l.ask(ws, chosen, a, p.now)
+		l.ask(ws, chosen, 0, a, p.now)
+	}
+}
+
+// askForGang asks about workers that the step does not know, the emptiest first
+// and as many as should have the room. Each takes the advisor's time, and that
+// of a large gang's answer would else be a second or more.
+func (l *leadership) askForGang(p *pass, ws *waitingStep, need placement.Need, unknown []*worker, a *site.Advice) {
+	sort.Slice(unknown, func(i, j int) bool {
+		if busyI, busyJ := unknown[i].busyMilliCPU(), unknown[j].busyMilliCPU(); busyI != busyJ {
+			return busyI < busyJ
+		}
+		return unknown[i].id < unknown[j].id
+	})
+	part := l.learnedOf(ws.w.sub.Queue).part()
+	expected := 0.0
+	n := 0
+	for n < len(unknown) && (expected < gangSpare*float64(need.Count) || n < leastCandidates) {
+		room := placement.Room{Free: p.free(unknown[n], &ws.w.sub.Steps[ws.step])}
+		expected += part * float64(placement.Fit(need, &room))
+		n++
 	}
+	l.ask(ws, unknown[:n], int64(need.Count)*need.Size.MilliCPU, a, p.now)
 }
 
 // outlook returns what is free at a worker, and when the rest will be.
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -43,6 +43,9 @@
 
 		runs map[runKey]*run
 		used resource.Vector
+		// spoken is the processor time, in thousandths of a core, that steps
+		// with a query under way are expected to take.
+		spoken int64
 
 		holdBusy  bool
 		holdAt    time.Time
@@ -184,6 +187,12 @@
 		!now.Before(at.restUntil) && at.stuckSince.IsZero()
 }
 
+// busyMilliCPU is the processor time that runs hold and that queries under way
+// are expected to take.
+func (at *worker) busyMilliCPU() int64 {
+	return at.used.MilliCPU + at.spoken
+}
+
 func (at *worker) free() resource.Vector {
 	return at.up.Capacity.Sub(at.used)
 }
