One VM of each data centre passes the leader's records on

Cause: the leader offered each append to 36 (43) VMs itself, about 2,900 calls a second; answers of workers to a start took it 30 ms instead of 8 as soon as 700 tasks a second were to be started.

Now the leader calls the VMs of its own data centre and the strongest of each other with more than three, which passes the records on; one that fails is replaced and tried again. Two calls to a VM are 20 ms apart at least.

--- a/pollendockd/internal/helper/helper.go
+++ b/pollendockd/internal/helper/helper.go
@@ -45,6 +45,11 @@
 		Offer(entries []site.Entry)
 	}
 
+	// Relay passes records on within the data centre.
+	Relay interface {
+		Relay(entries []site.Entry)
+	}
+
 	// Server serves the calls of other entry VMs over net/rpc.
 	Server struct {
 		ctx     context.Context
@@ -52,13 +57,15 @@
 		desk    Desk
 		leader  Leader
 		book    Follower
+		relay   Relay
 	}
 
 	// Peers calls the other entry VMs.
 	Peers struct {
-		name    string
-		book    *job.Book
-		advisor Advisor
+		name       string
+		dataCentre string
+		book       *job.Book
+		advisor    Advisor
 
 		self   string
 		leader Leader
@@ -86,9 +93,17 @@
 	offer struct {
 		busy    bool
 		failing bool
+		// relays is set if the peer is to pass the records on.
+		relays  bool
 		waiting []site.Entry
 	}
 
+	// receiver is a VM to which the leader offers records.
+	receiver struct {
+		member job.Member
+		relays bool
+	}
+
 	conn struct {
 		incarnation string
 		client      *peer.Client
@@ -115,6 +130,8 @@
 	// OfferRequest carries records that are durable.
 	OfferRequest struct {
 		Entries []site.Entry
+		// Relay asks for them to be passed on within the data centre.
+		Relay bool
 	}
 
 	// OfferReply is empty.
@@ -152,10 +169,6 @@
 	passTimeout   = 1200 * time.Millisecond
 	acceptTimeout = 2 * time.Second
 	shunTime      = time.Second
-	offerTimeout  = 500 * time.Millisecond
-	// maxOffer bounds the records that wait for a peer, which reads the stream
-	// where it has missed some.
-	maxOffer = 2000
 	// passTries bounds the VMs that are tried for a request.
 	passTries = 3
 )
@@ -171,7 +184,7 @@
 // the VM itself, for the time in which it leads.
 func NewPeers(self *job.Member, book *job.Book, advisor Advisor, leader Leader, logger log.Logger) *Peers {
 	return &Peers{
-		name: self.Name, self: self.Incarnation, book: book, advisor: advisor, leader: leader, logger: logger,
+		name: self.Name, dataCentre: self.DataCentre, self: self.Incarnation, book: book, advisor: advisor, leader: leader, logger: logger,
 		conns: map[connKey]*conn{}, offers: map[string]*offer{}, shun: map[string]time.Time{},
 	}
 }
--- a/pollendockd/internal/helper/helper_test.go
+++ b/pollendockd/internal/helper/helper_test.go
@@ -74,7 +74,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server, err := peer.NewServerOf(ln, NewServer(t.Context(), nil, p.desk, p.leader, p.book))
+	server, err := peer.NewServerOf(ln, NewServer(t.Context(), nil, p.desk, p.leader, p.book, nil))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/pollendockd/internal/helper/offer.go
+++ b/pollendockd/internal/helper/offer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/go-kit/log/level"
 
@@ -9,17 +10,83 @@
 	"pollendock.example/cell/site"
 )
 
+const (
+	offerTimeout = 500 * time.Millisecond
+	// offerGap is the least time between two offers to a VM: each is a call, and
+	// with dozens of VMs the leader would do little else.
+	offerGap = 20 * time.Millisecond
+	// maxOffer bounds the records that wait for a peer, which reads the stream
+	// where it has missed some.
+	maxOffer = 2000
+	// directMembers is up to how many VMs of another data centre the leader
+	// offers records itself. Of more, one passes them on to the others.
+	directMembers = 3
+)
+
 // Offer passes records on to all other VMs, in order and one call at a time to
 // each. What a VM misses it reads from the stream.
 func (p *Peers) Offer(entries []site.Entry) {
+	for _, to := range p.receivers() {
+		p.offerTo(to.member, entries, to.relays)
+	}
+}
+
+// Relay passes records that the leader has offered on within the data centre.
+func (p *Peers) Relay(entries []site.Entry) {
+	for _, m := range p.book.Members() {
+		if m.Name != p.name && m.DataCentre == p.dataCentre {
+			p.offerTo(m, entries, false)
+		}
+	}
+}
+
+// receivers returns the VMs to which the leader offers records itself: those of
+// its own data centre, one of each other that passes them on, and those that
+// did not take the last offer and so cannot pass on any.
+func (p *Peers) receivers() []receiver {
+	byCentre := map[string][]job.Member{}
 	for _, m := range p.book.Members() {
 		if m.Name != p.name {
-			p.offerTo(m, entries)
+			byCentre[m.DataCentre] = append(byCentre[m.DataCentre], m)
+		}
+	}
+	var list []receiver
+	for centre, there := range byCentre {
+		relay := ""
+		if centre != p.dataCentre && len(there) > directMembers {
+			relay = p.relayOf(there)
+		}
+		for _, m := range there {
+			if relay == "" || m.Name == relay || p.isFailing(m.Name) {
+				list = append(list, receiver{m, m.Name == relay})
+			}
+		}
+	}
+	return list
+}
+
+// relayOf returns the strongest of the VMs that take offers, or "".
+func (p *Peers) relayOf(members []job.Member) string {
+	best := job.Member{}
+	for _, m := range members {
+		if p.isFailing(m.Name) {
+			continue
+		}
+		if best.Name == "" || m.Power > best.Power || m.Power == best.Power && m.Name < best.Name {
+			best = m
 		}
 	}
+	return best.Name
+}
+
+func (p *Peers) isFailing(name string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	o := p.offers[name]
+	return o != nil && o.failing
 }
 
-func (p *Peers) offerTo(m job.Member, entries []site.Entry) {
+func (p *Peers) offerTo(m job.Member, entries []site.Entry, relays bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	o := p.offers[m.Name]
@@ -27,6 +94,7 @@
 		o = &offer{}
 		p.offers[m.Name] = o
 	}
+	o.relays = relays
 	if len(o.waiting) < maxOffer {
 		o.waiting = append(o.waiting, entries...)
 	}
@@ -39,7 +107,7 @@
 func (p *Peers) sendOffers(m job.Member, o *offer) {
 	for {
 		p.mu.Lock()
-		entries := o.waiting
+		entries, relays := o.waiting, o.relays
 		o.waiting = nil
 		o.busy = len(entries) > 0
 		p.mu.Unlock()
@@ -47,9 +115,10 @@
 			return
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), offerTimeout)
-		err := p.client(&m, forOffers).Call(ctx, "Offer", &OfferRequest{Entries: entries}, &OfferReply{})
+		err := p.client(&m, forOffers).Call(ctx, "Offer", &OfferRequest{Entries: entries, Relay: relays}, &OfferReply{})
 		cancel()
 		p.noteOffer(m.Name, o, err)
+		time.Sleep(offerGap)
 	}
 }
 
--- a/pollendockd/internal/helper/server.go
+++ b/pollendockd/internal/helper/server.go
@@ -10,8 +10,8 @@
 
 // NewServer returns a server whose calls run under ctx. The advisor is nil where
 // there is none.
-func NewServer(ctx context.Context, advisor Advisor, desk Desk, leader Leader, book Follower) *Server {
-	return &Server{ctx: ctx, advisor: advisor, desk: desk, leader: leader, book: book}
+func NewServer(ctx context.Context, advisor Advisor, desk Desk, leader Leader, book Follower, relay Relay) *Server {
+	return &Server{ctx: ctx, advisor: advisor, desk: desk, leader: leader, book: book, relay: relay}
 }
 
 // Yield serves the call of that name.
@@ -22,6 +22,9 @@
 
 // Offer serves the call of that name.
 func (s *Server) Offer(r *OfferRequest, _ *OfferReply) error {
+	if r.Relay {
+		s.relay.Relay(r.Entries)
+	}
 	s.book.Offer(r.Entries)
 	return nil
 }
--- a/pollendockd/site.go
+++ b/pollendockd/site.go
@@ -162,7 +162,7 @@
 	if err != nil {
 		return err
 	}
-	peers, err := peer.NewServerOf(peerListener, helper.NewServer(ctx, s.advisor, s.desk, s.scheduler, s.follower))
+	peers, err := peer.NewServerOf(peerListener, helper.NewServer(ctx, s.advisor, s.desk, s.scheduler, s.follower, s.peers))
 	if err != nil {
 		return err
 	}
