Records are read page by page, and of ended jobs only an outline is kept

Weak VMs (0.19 of a core, 10 Mbit/s) never read the records after all processes were killed: 9,500 jobs in 40 pages took longer than the 3 s for all of them, and each attempt began anew, 44 VMs at a time on a store that sends 80 MB/s. Their status lines say "no other VM is known": the member list lies in the same records.

Ruled out: overdue steps (all jobs had ended), cuts (none at that time).

Now each page has its time and a failed one is repeated alone; the last record of a job that has ended replaces its submission by an outline (team, queue).

TestSlowPages fails with one time for all pages.

--- a/cell/job/book.go
+++ b/cell/job/book.go
@@ -115,14 +115,17 @@
 		return nil
 	}
 	j := b.job(id)
-	if j.Submission != nil {
-		// A caller sent the job again before this VM knew it.
+	if j.Submission != nil && j.Submission.Outline() {
 		return nil
 	}
 	s := &Submission{}
 	if err := cbor.Unmarshal(e.Value, s); err != nil {
 		return err
 	}
+	if j.Submission != nil && !s.Outline() {
+		// A caller sent the job again before this VM knew it.
+		return nil
+	}
 	j.Submission = s
 	j.Order = e.Offset
 	if j.State == nil {
--- a/cell/job/job_test.go
+++ b/cell/job/job_test.go
@@ -145,3 +145,34 @@
 		}
 	})
 }
+
+// TestOutline: of a job that has ended only an outline stays, whichever of its
+// records comes first, and a late repeat of the whole submission changes nothing.
+func TestOutline(t *testing.T) {
+	s := sub("x", Step{Count: 1})
+	done := NewState(s)
+	done.Phase, done.Steps = Completed, nil
+	entry := func(e site.Entry, err error) site.Entry { return mustEntry(t, e, err) }
+	whole, state, outline := entry(SubmissionEntry(s)), entry(StateEntry("x", done)), entry(SubmissionEntry(s.ToOutline()))
+	for _, c := range []struct {
+		name    string
+		entries []site.Entry
+	}{
+		{"in order", []site.Entry{whole, state, outline}},
+		{"repeat comes last", []site.Entry{whole, state, outline, whole}},
+		{"read by key", []site.Entry{outline, state}},
+		{"state first", []site.Entry{state, outline}},
+	} {
+		b := NewBook()
+		for i, e := range c.entries {
+			e.Offset = int64(i)
+			if _, err := b.Apply(&site.Page{Entries: []site.Entry{e}, Next: int64(i) + 1}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		j := b.Job("x")
+		if j == nil || j.Phase() != Completed || j.Submission.Team != "a" || !j.Submission.Outline() || b.Waiting("q") != 0 {
+			t.Errorf("%s: %+v, waiting %d", c.name, j, b.Waiting("q"))
+		}
+	}
+}
--- a/cell/job/submission.go
+++ b/cell/job/submission.go
@@ -90,6 +90,17 @@
 	return nil
 }
 
+// ToOutline returns what is kept of a job that has ended: who may ask for it, and
+// in which queue.
+func (s *Submission) ToOutline() *Submission {
+	return &Submission{ID: s.ID, Team: s.Team, Queue: s.Queue, AcceptedAt: s.AcceptedAt}
+}
+
+// Outline reports whether the submission is only an outline.
+func (s *Submission) Outline() bool {
+	return len(s.Steps) == 0
+}
+
 func (p *Step) validate(number int) error {
 	if p.Count < 1 {
 		return code.New(code.BadSize, "step %d has %d tasks", number, p.Count)
--- a/cell/site/stream.go
+++ b/cell/site/stream.go
@@ -29,6 +29,9 @@
 		Next int64
 		// End is the offset that the next entry of the stream will have.
 		End int64
+		// After is the key from which the newest entries of further keys follow;
+		// empty on the last page of them.
+		After string
 	}
 
 	// Change is what has changed in the lists that the deployment keeps of
--- a/pollendockd/internal/book/follower.go
+++ b/pollendockd/internal/book/follower.go
@@ -18,7 +18,9 @@
 	// Stream is where the records lie.
 	Stream interface {
 		Read(ctx context.Context, from int64, wait time.Duration) (*site.Page, error)
-		Newest(ctx context.Context) (*site.Page, error)
+		// Newest returns a page of the newest entry of each key, those after a
+		// key.
+		Newest(ctx context.Context, after string) (*site.Page, error)
 	}
 
 	// Follower reads the stream into the book.
@@ -29,6 +31,9 @@
 		changed func(ids []string)
 		start   time.Time
 
+		// reading is how far a reading of all keys has come. Only Run uses it.
+		reading reading
+
 		loaded atomic.Bool
 		// eager is set while this VM decides.
 		eager atomic.Bool
@@ -45,10 +50,20 @@
 	}
 )
 
+// reading is how far a reading of all keys has come.
+type reading struct {
+	// after is the last key that was read, next the offset to go on from.
+	after          string
+	next           int64
+	pages, records int
+}
+
 const (
 	readWait    = 500 * time.Millisecond
 	readTimeout = 1200 * time.Millisecond
-	loadTimeout = 3 * time.Second
+	// pageTimeout bounds one page of the newest records. All pages take longer
+	// than that at a VM with a slow link, while all VMs read at once.
+	pageTimeout = 3 * time.Second
 	retryGap    = 100 * time.Millisecond
 	// seriesGap ends a series of reads: a leader that could not append meanwhile
 	// gets its time anew.
@@ -159,20 +174,43 @@
 	return err
 }
 
-// load reads the newest record of every key.
+// load reads the newest record of every key, page by page. After a failure it
+// goes on with the page that failed.
 func (f *Follower) load(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
-	defer cancel()
-	p, err := f.stream.Newest(ctx)
-	if err != nil {
-		return err
+	r := &f.reading
+	for {
+		p, err := f.loadPage(ctx, r.after)
+		if err != nil {
+			return err
+		}
+		if r.pages == 0 {
+			// What is added meanwhile lies after the first page's end.
+			r.next = p.Next
+		}
+		r.pages++
+		r.records += len(p.Entries)
+		r.after = p.After
+		p.Next = 0
+		if p.After == "" {
+			p.Next = r.next
+		}
+		f.apply(p)
+		if p.After == "" {
+			break
+		}
 	}
-	f.apply(p)
+	_ = level.Info(f.logger).Log("msg", "book loaded", "records", r.records, "pages", r.pages, "next", r.next)
+	*r = reading{}
 	f.loaded.Store(true)
-	_ = level.Info(f.logger).Log("msg", "book loaded", "records", len(p.Entries), "next", p.Next)
 	return nil
 }
 
+func (f *Follower) loadPage(ctx context.Context, after string) (*site.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, pageTimeout)
+	defer cancel()
+	return f.stream.Newest(ctx, after)
+}
+
 func (f *Follower) read(ctx context.Context, wait time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
 	defer cancel()
@@ -207,7 +245,7 @@
 // holds all that was acknowledged before the call.
 func (f *Follower) Sync(ctx context.Context) error {
 	if !f.loaded.Load() {
-		return f.load(ctx)
+		return site.ErrRefused.New("the records are not read yet")
 	}
 	p, err := f.stream.Read(ctx, f.book.Next(), 0)
 	if err != nil {
--- a/pollendockd/internal/book/follower_test.go
+++ b/pollendockd/internal/book/follower_test.go
@@ -65,7 +65,7 @@
 // others between them out, and the book went on behind them.
 func TestOfferWithHoles(t *testing.T) {
 	inStream(t, func(ctx context.Context, store *fleet.Store, b *job.Book, f *Follower) {
-		if err := f.Sync(ctx); err != nil {
+		if err := f.load(ctx); err != nil {
 			t.Fatal(err)
 		}
 		first := add(ctx, t, store, "a")
@@ -83,7 +83,7 @@
 // is read at once.
 func TestOffers(t *testing.T) {
 	inStream(t, func(ctx context.Context, store *fleet.Store, b *job.Book, f *Follower) {
-		if err := f.Sync(ctx); err != nil {
+		if err := f.load(ctx); err != nil {
 			t.Fatal(err)
 		}
 		one := add(ctx, t, store, "1")
@@ -134,6 +134,29 @@
 	}
 }
 
+// TestSlowPages: a VM with a slow link needs longer for all pages than a call may
+// take. It used to begin anew after each time-out, and never knew the records.
+func TestSlowPages(t *testing.T) {
+	inStream(t, func(ctx context.Context, store *fleet.Store, b *job.Book, f *Follower) {
+		store.SetPage(2)
+		for i := range 20 {
+			add(ctx, t, store, fmt.Sprintf("early%02d", i))
+		}
+		store.SetDelay(time.Second)
+		go func() { _ = f.Run(ctx) }()
+		time.Sleep(4500 * time.Millisecond)
+		store.SetAway(true)
+		time.Sleep(2 * time.Second)
+		store.SetAway(false)
+		add(ctx, t, store, "aMeanwhile")
+		time.Sleep(10 * time.Second)
+		if !f.Loaded() {
+			t.Fatal("the records are not read")
+		}
+		expectJobs(t, b, "early00", "early19", "aMeanwhile")
+	})
+}
+
 // TestPagesTwice: pages that are read again, in any order, leave the same book.
 func TestPagesTwice(t *testing.T) {
 	b := job.NewBook()
--- a/pollendockd/internal/scheduler/flush.go
+++ b/pollendockd/internal/scheduler/flush.go
@@ -125,14 +125,14 @@
 	b.accepts, f.accepts = f.accepts[:n], f.accepts[n:]
 	n = 0
 	for n < len(f.dirty) && size < maxBatchBytes {
-		w := f.dirty[n]
-		e, err := job.StateEntry(w.id, w.state)
+		entries, err := f.dirty[n].entries()
 		if err != nil {
 			return nil, err
 		}
-		w.dirty = false
-		size += len(e.Value)
-		b.entries = append(b.entries, e)
+		for _, e := range entries {
+			size += len(e.Value)
+		}
+		b.entries = append(b.entries, entries...)
 		n++
 	}
 	f.dirty = f.dirty[n:]
@@ -165,6 +165,27 @@
 	return b, nil
 }
 
+// entries returns what makes the job's present state durable. Of a job that has
+// ended only an outline of the submission is kept: each VM reads all records at
+// its start, and after a loss of power all VMs do at once.
+func (w *work) entries() ([]site.Entry, error) {
+	state, err := job.StateEntry(w.id, w.state)
+	if err != nil {
+		return nil, err
+	}
+	w.dirty = false
+	entries := []site.Entry{state}
+	if w.outlined || !w.state.Phase.Final() || len(w.state.Steps) > 0 {
+		return entries, nil
+	}
+	w.outlined = true
+	outline, err := job.SubmissionEntry(w.sub.ToOutline())
+	if err != nil {
+		return nil, err
+	}
+	return append(entries, outline), nil
+}
+
 // ackable returns the number of the last end that may be acknowledged once what
 // is known is durable.
 func (at *worker) ackable() int64 {
--- a/pollendockd/internal/scheduler/hold.go
+++ b/pollendockd/internal/scheduler/hold.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"pollendock.example/cell/job"
 	"pollendock.example/cell/site"
 )
 
@@ -282,11 +283,16 @@
 	w := l.works[key.task.Job]
 	if w == nil {
 		j := l.s.deps.Book.Job(key.task.Job)
-		if j == nil || key.task.Step >= len(j.Submission.Steps) {
+		if j == nil {
 			_ = level.Error(l.s.deps.Logger).Log("msg", "worker runs a task of an unknown job", "worker", at.id, "job", key.task.Job)
 			return nil
 		}
-		w = &work{id: key.task.Job, sub: j.Submission, state: j.State.Clone()}
+		sub := *j.Submission
+		for len(sub.Steps) <= key.task.Step {
+			// Of a job that has ended the sizes are not kept.
+			sub.Steps = append(sub.Steps, job.Step{})
+		}
+		w = &work{id: key.task.Job, sub: &sub, state: j.State.Clone()}
 	}
 	r := &run{task: key.task, number: key.number, w: w, stage: running, decidedAt: time.Now(), stopWanted: true, confirmedAt: time.Now(), percentAt: time.Now()}
 	l.bind(r, at)
--- a/pollendockd/internal/scheduler/story_test.go
+++ b/pollendockd/internal/scheduler/story_test.go
@@ -344,3 +344,25 @@
 		expectPhase(c, a, "j1", 10*time.Second, job.Completed)
 	})
 }
+
+// TestEndedJobsAreOutlined: of a job that has ended the records keep no more than
+// answers need, and a new leader begins without it.
+func TestEndedJobsAreOutlined(t *testing.T) {
+	inCell(t, 2, func(c *cell) {
+		a := c.start("a")
+		time.Sleep(3 * time.Second)
+		c.submit("x", tasks(2, 1))
+		expectPhase(c, a, "x", 5*time.Second, job.Completed)
+		time.Sleep(time.Second)
+		b := c.start("b")
+		expectPhase(c, b, "x", time.Second, job.Completed)
+		if j := b.book.Job("x"); !j.Submission.Outline() || j.Submission.Spec != "" {
+			t.Errorf("the whole submission is kept: %+v", j.Submission)
+		}
+		a.kill()
+		c.submit("y", tasks(2, 1))
+		expectPhase(c, b, "y", 10*time.Second, job.Completed)
+		expectPhase(c, b, "x", time.Second, job.Completed)
+		expectStarts(c, "x", 0, 1)
+	})
+}
--- a/pollendockd/internal/scheduler/work.go
+++ b/pollendockd/internal/scheduler/work.go
@@ -33,6 +33,8 @@
 		// stills counts the runs of a task that were stopped as standing still.
 		stills map[site.TaskName]int
 		dirty  bool
+		// outlined is set once only an outline of the submission is kept.
+		outlined bool
 	}
 
 	// run is one start of a task, from the decision until its end is certain.
@@ -93,7 +95,7 @@
 	}
 	w := l.works[id]
 	if w == nil {
-		if j.State.Phase.Final() && !j.State.AnyDispatched() {
+		if j.Submission.Outline() || j.State.Phase.Final() && !j.State.AnyDispatched() {
 			return
 		}
 		w = &work{
--- a/standin/fleet/store.go
+++ b/standin/fleet/store.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"sort"
 	"sync"
 	"time"
 
@@ -24,11 +25,30 @@
 	away     bool
 	silent   bool
 	loseNext int
+	pageSize int
+	delay    time.Duration
 }
 
+// defaultPage is the number of entries on a page of the newest ones.
+const defaultPage = 500
+
 // NewStore returns an empty stream.
 func NewStore() *Store {
-	return &Store{wake: make(chan struct{})}
+	return &Store{wake: make(chan struct{}), pageSize: defaultPage}
+}
+
+// SetDelay has every answer take that long.
+func (s *Store) SetDelay(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = d
+}
+
+// SetPage bounds the entries on a page of the newest ones.
+func (s *Store) SetPage(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pageSize = n
 }
 
 // SetAway has the store refuse every call.
@@ -69,8 +89,13 @@
 // available blocks while the store is silent, and refuses while it is away.
 func (s *Store) available(ctx context.Context) error {
 	s.mu.Lock()
-	silent, away := s.silent, s.away
+	silent, away, delay := s.silent, s.away, s.delay
 	s.mu.Unlock()
+	select {
+	case <-time.After(delay):
+	case <-ctx.Done():
+		return site.ErrUnknown.Wrap(ctx.Err())
+	}
 	if silent {
 		<-ctx.Done()
 		return site.ErrUnknown.Wrap(ctx.Err())
@@ -159,8 +184,8 @@
 	}
 }
 
-// Newest returns the newest entry of each key.
-func (s *Store) Newest(ctx context.Context) (*site.Page, error) {
+// Newest returns a page of the newest entry of each key, those after a key.
+func (s *Store) Newest(ctx context.Context, after string) (*site.Page, error) {
 	if err := s.available(ctx); err != nil {
 		return nil, err
 	}
@@ -173,9 +198,14 @@
 	end := int64(len(s.entries))
 	p := &site.Page{Next: end, End: end}
 	for i := range s.entries {
-		if newest[s.entries[i].Key] == i && len(s.entries[i].Value) > 0 {
-			p.Entries = append(p.Entries, s.entries[i])
+		if e := s.entries[i]; newest[e.Key] == i && len(e.Value) > 0 && e.Key > after {
+			p.Entries = append(p.Entries, e)
 		}
 	}
+	sort.Slice(p.Entries, func(a, b int) bool { return p.Entries[a].Key < p.Entries[b].Key })
+	if len(p.Entries) > s.pageSize {
+		p.Entries = p.Entries[:s.pageSize]
+		p.After = p.Entries[s.pageSize-1].Key
+	}
 	return p, nil
 }
