Queries name the fullest workers that have room

Lookups and reconciliations asked about the emptiest workers and so took the rooms of 18 cores one by one; a worker that fails all it starts is empty, too, and drew them. Which workers to name is now a decision without I/O in cell/placement: known ones first, then the fullest that still have room beside what queries under way will take, doubtful and held ones last; large gangs name the emptiest.

--- /dev/null
+++ b/cell/placement/query_test.go
@@ -0,0 +1,35 @@
+package placement
+
+import (
+	"slices"
+	"testing"
+
+	"pollendock.example/cell/resource"
+)
+
+// candidate is a worker with free cores.
+func candidate(name string, cores int64) Candidate {
+	return Candidate{Room: Room{Worker: name, Free: resource.Vector{MilliCPU: cores * 1000, MemoryMB: 1000}}}
+}
+
+func TestAsk(t *testing.T) {
+	known, held, doubtful := candidate("known", 50), candidate("held", 12), candidate("doubtful", 11)
+	known.Known, held.Reserved, doubtful.Doubtful = true, true, true
+	all := []Candidate{candidate("wide", 60), candidate("narrow", 12), candidate("full", 3), doubtful, held, known, candidate("middle", 20)}
+	lookup := Need{Count: 2, Size: resource.Vector{MilliCPU: 10_000, MemoryMB: 10}}
+	for _, c := range []struct {
+		name string
+		q    Query
+		want []string
+	}{
+		{"the fullest that fit", Query{Part: 0.5, Spare: 2, Have: 2}, []string{"known"}},
+		{"as many as should suffice", Query{Part: 0.5, Spare: 2}, []string{"known", "narrow", "middle", "wide"}},
+		{"at least some", Query{Part: 1, Spare: 1, Least: 3}, []string{"known", "narrow", "middle"}},
+		{"the emptiest", Query{Part: 1, Spare: 1, Least: 3, Emptiest: true}, []string{"known", "wide", "middle"}},
+		{"held, doubtful and full ones last", Query{Part: 0.1, Spare: 50}, []string{"known", "narrow", "middle", "wide", "held", "doubtful", "full"}},
+	} {
+		if got, _ := Ask(lookup, c.q, all); !slices.Equal(got, c.want) {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/pollendockd/internal/scheduler/place.go
+++ b/pollendockd/internal/scheduler/place.go
@@ -423,46 +423,42 @@
 // considerAsking asks about as many workers as should suffice for the tasks
 // that are left, if they have the room.
 func (l *leadership) considerAsking(p *pass, ws *waitingStep, need placement.Need, candidates []*worker, rooms []placement.Room, a *site.Advice) {
-	said := ws.w.adviceOf(ws.step)
 	if len(candidates) == 0 {
 		return
 	}
-	part := l.learnedOf(ws.w.sub.Queue).part()
-	sort.Slice(candidates, func(i, j int) bool {
-		knownI, knownJ := said.known(candidates[i]), said.known(candidates[j])
-		if knownI != knownJ {
-			return knownI
-		}
-		if busyI, busyJ := candidates[i].busyMilliCPU(), candidates[j].busyMilliCPU(); busyI != busyJ {
-			return busyI < busyJ
-		}
-		return candidates[i].id < candidates[j].id
-	})
-	expected := 0.0
+	q := placement.Query{Part: l.learnedOf(ws.w.sub.Queue).part(), Spare: spareCandidates, Least: leastCandidates}
 	if need.Gang {
 		for i := range rooms {
-			expected += float64(placement.Fit(need, &rooms[i]))
+			q.Have += placement.Fit(need, &rooms[i])
 		}
 	}
-	wanted := float64(need.Count) * spareCandidates
-	n := 0
-	for n < len(candidates) && (expected < wanted || n < leastCandidates) {
-		at := candidates[n]
-		room := placement.Room{Free: p.free(at, &ws.w.sub.Steps[ws.step])}
-		fit := float64(placement.Fit(need, &room))
-		if said.known(at) {
-			expected += fit
-		} else {
-			expected += fit * part
-		}
-		n++
-	}
+	named, expected := placement.Ask(need, q, l.candidateRooms(p, ws, candidates))
 	if need.Gang && expected < float64(need.Count) {
 		// The gang would hardly fit, and its tickets would run out before there
 		// is room.
 		return
 	}
-	l.ask(ws, candidates[:n], int64(need.Count)*need.Size.MilliCPU, a, p.now)
+	l.ask(ws, l.workersOf(named), int64(need.Count)*need.Size.MilliCPU, a, p.now)
+}
+
+// candidateRooms returns what queries under way leave at workers.
+func (l *leadership) candidateRooms(p *pass, ws *waitingStep, workers []*worker) []placement.Candidate {
+	said := ws.w.adviceOf(ws.step)
+	candidates := make([]placement.Candidate, 0, len(workers))
+	for _, at := range workers {
+		free := p.free(at, &ws.w.sub.Steps[ws.step])
+		free.MilliCPU -= at.spoken
+		candidates = append(candidates, placement.Candidate{Room: l.room(ws, at, free), Known: said.known(at)})
+	}
+	return candidates
+}
+
+func (l *leadership) workersOf(ids []string) []*worker {
+	list := make([]*worker, 0, len(ids))
+	for _, id := range ids {
+		list = append(list, l.workers[id])
+	}
+	return list
 }
 
 // known reports whether the step may run at the worker, once the ticket has
--- a/pollendockd/internal/scheduler/reserve.go
+++ b/pollendockd/internal/scheduler/reserve.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"sort"
 	"time"
 
 	"pollendock.example/cell/job"
@@ -106,21 +105,9 @@
 // and as many as should have the room. Each takes the advisor's time, and that
 // of a large gang's answer would else be a second or more.
 func (l *leadership) askForGang(p *pass, ws *waitingStep, need placement.Need, unknown []*worker, a *site.Advice) {
-	sort.Slice(unknown, func(i, j int) bool {
-		if busyI, busyJ := unknown[i].busyMilliCPU(), unknown[j].busyMilliCPU(); busyI != busyJ {
-			return busyI < busyJ
-		}
-		return unknown[i].id < unknown[j].id
-	})
-	part := l.learnedOf(ws.w.sub.Queue).part()
-	expected := 0.0
-	n := 0
-	for n < len(unknown) && (expected < gangSpare*float64(need.Count) || n < leastCandidates) {
-		room := placement.Room{Free: p.free(unknown[n], &ws.w.sub.Steps[ws.step])}
-		expected += part * float64(placement.Fit(need, &room))
-		n++
-	}
-	l.ask(ws, unknown[:n], int64(need.Count)*need.Size.MilliCPU, a, p.now)
+	q := placement.Query{Part: l.learnedOf(ws.w.sub.Queue).part(), Spare: gangSpare, Least: leastCandidates, Emptiest: true}
+	named, _ := placement.Ask(need, q, l.candidateRooms(p, ws, unknown))
+	l.ask(ws, l.workersOf(named), int64(need.Count)*need.Size.MilliCPU, a, p.now)
 }
 
 // outlook returns what is free at a worker, and when the rest will be.
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -187,12 +187,6 @@
 		!now.Before(at.restUntil) && at.stuckSince.IsZero()
 }
 
-// busyMilliCPU is the processor time that runs hold and that queries under way
-// are expected to take.
-func (at *worker) busyMilliCPU() int64 {
-	return at.used.MilliCPU + at.spoken
-}
-
 func (at *worker) free() resource.Vector {
 	return at.up.Capacity.Sub(at.used)
 }
