Offers that come before the records that precede them are held

A VM that misses one offer reads what is missing; the next offer comes before the answer, is dropped, and leaves a hole again. So such a VM read all the time, was slow, took offers too late for the leader, and missed more.

Now early offers wait until what precedes them has been read.

Restarted VMs are still slower than the others (p90 268 ms in the worst two seconds): open.

--- a/pollendockd/internal/book/follower.go
+++ b/pollendockd/internal/book/follower.go
@@ -31,6 +31,9 @@
 		changed func(ids []string)
 		start   time.Time
 
+		// early holds offers that came before the records that precede them.
+		early early
+
 		// reading is how far a reading of all keys has come. Only Run uses it.
 		reading reading
 
@@ -134,27 +137,39 @@
 }
 
 // Offer takes records that are durable from another way than the stream. If
-// some before them are missing here, all are read at once.
+// some before them are missing here, these are read at once.
 func (f *Follower) Offer(entries []site.Entry) {
-	if len(entries) == 0 || !f.loaded.Load() {
+	if !f.loaded.Load() {
 		return
 	}
-	next := f.book.Next()
-	run := contiguous(entries)
-	if entries[0].Offset > next || run < len(entries) {
+	for len(entries) > 0 {
+		n := contiguous(entries)
+		f.early.add(entries[:n])
+		entries = entries[n:]
+	}
+	if f.takeEarly() {
+		f.offeredAt.Store(int64(time.Since(f.start)))
+	}
+	if !f.early.empty() {
 		select {
 		case f.hurry <- struct{}{}:
 		default:
 		}
 	}
-	if entries[0].Offset > next {
-		return
-	}
-	entries = entries[:run]
-	last := entries[run-1].Offset
-	f.offeredAt.Store(int64(time.Since(f.start)))
-	if last >= next {
-		f.apply(&site.Page{Entries: entries, Next: last + 1, End: last + 1})
+}
+
+// takeEarly applies the offers that follow what is known, and reports whether
+// there were any.
+func (f *Follower) takeEarly() bool {
+	taken := false
+	for {
+		run := f.early.take(f.book.Next())
+		if run == nil {
+			return taken
+		}
+		taken = true
+		last := run[len(run)-1].Offset
+		f.fold(&site.Page{Entries: run, Next: last + 1, End: last + 1})
 	}
 }
 
@@ -222,7 +237,13 @@
 	return nil
 }
 
+// apply folds a page that was read, and the offers that follow it.
 func (f *Follower) apply(p *site.Page) {
+	f.fold(p)
+	f.takeEarly()
+}
+
+func (f *Follower) fold(p *site.Page) {
 	now := int64(time.Since(f.start))
 	for i := range p.Entries {
 		if job.ByLeader(p.Entries[i].Key) {
--- a/pollendockd/internal/book/follower_test.go
+++ b/pollendockd/internal/book/follower_test.go
@@ -104,6 +104,28 @@
 	})
 }
 
+// TestCatchesUpWithOffers: a VM that has missed one offer reads what is missing
+// once, and goes on with the offers that came meanwhile. It used to drop these,
+// and read on for as long as the leader was busy.
+func TestCatchesUpWithOffers(t *testing.T) {
+	inStream(t, func(ctx context.Context, store *fleet.Store, b *job.Book, f *Follower) {
+		go func() { _ = f.Run(ctx) }()
+		time.Sleep(time.Second)
+		store.SetDelay(30 * time.Millisecond)
+		add(ctx, t, store, "missed")
+		before := store.Reads()
+		for i := range 100 {
+			f.Offer(add(ctx, t, store, fmt.Sprint(i)))
+			time.Sleep(5 * time.Millisecond)
+		}
+		time.Sleep(100 * time.Millisecond)
+		expectJobs(t, b, "missed", "0", "99")
+		if n := store.Reads() - before; n > 10 {
+			t.Errorf("%d reads for one missed offer", n)
+		}
+	})
+}
+
 // TestFollowerFaults: the book is whole after each fault of the store.
 func TestFollowerFaults(t *testing.T) {
 	for _, c := range []struct {
--- a/standin/fleet/store.go
+++ b/standin/fleet/store.go
@@ -27,6 +27,7 @@
 	loseNext int
 	pageSize int
 	delay    time.Duration
+	reads    int
 }
 
 // defaultPage is the number of entries on a page of the newest ones.
@@ -37,7 +38,14 @@
 	return &Store{wake: make(chan struct{}), pageSize: defaultPage}
 }
 
-// SetDelay has every answer take that long.
+// Reads returns the number of reads so far.
+func (s *Store) Reads() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads
+}
+
+// SetDelay has the answer to each read take that long on its way.
 func (s *Store) SetDelay(d time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -89,13 +97,8 @@
 // available blocks while the store is silent, and refuses while it is away.
 func (s *Store) available(ctx context.Context) error {
 	s.mu.Lock()
-	silent, away, delay := s.silent, s.away, s.delay
+	silent, away := s.silent, s.away
 	s.mu.Unlock()
-	select {
-	case <-time.After(delay):
-	case <-ctx.Done():
-		return site.ErrUnknown.Wrap(ctx.Err())
-	}
 	if silent {
 		<-ctx.Done()
 		return site.ErrUnknown.Wrap(ctx.Err())
@@ -156,9 +159,30 @@
 
 // Read returns entries from an offset on.
 func (s *Store) Read(ctx context.Context, from int64, wait time.Duration) (*site.Page, error) {
+	p, err := s.read(ctx, from, wait)
+	return p, s.travel(ctx, err)
+}
+
+// travel waits until an answer has arrived.
+func (s *Store) travel(ctx context.Context, err error) error {
+	s.mu.Lock()
+	delay := s.delay
+	s.mu.Unlock()
+	select {
+	case <-time.After(delay):
+		return err
+	case <-ctx.Done():
+		return site.ErrUnknown.Wrap(ctx.Err())
+	}
+}
+
+func (s *Store) read(ctx context.Context, from int64, wait time.Duration) (*site.Page, error) {
 	if err := s.available(ctx); err != nil {
 		return nil, err
 	}
+	s.mu.Lock()
+	s.reads++
+	s.mu.Unlock()
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -186,6 +210,11 @@
 
 // Newest returns a page of the newest entry of each key, those after a key.
 func (s *Store) Newest(ctx context.Context, after string) (*site.Page, error) {
+	p, err := s.newest(ctx, after)
+	return p, s.travel(ctx, err)
+}
+
+func (s *Store) newest(ctx context.Context, after string) (*site.Page, error) {
 	if err := s.available(ctx); err != nil {
 		return nil, err
 	}
