--- a/pollendockd/internal/scheduler/campaign.go
+++ b/pollendockd/internal/scheduler/campaign.go
@@ -28,10 +28,10 @@
 	// two VMs that stand at the same time rarely choose the same.
 	epochStep = 1 << 10
 	// silenceLimit is how long a leader may append nothing before others stand.
-	silenceLimit = 700 * time.Millisecond
+	silenceLimit = 450 * time.Millisecond
 	// resignedLimit is the same after the leader has stepped down and its
 	// successor has not begun.
-	resignedLimit = 400 * time.Millisecond
+	resignedLimit = 300 * time.Millisecond
 	// standGap parts the VMs that stand, so that one wins, up to standSlots.
 	standGap   = 100 * time.Millisecond
 	standSlots = 12
@@ -154,7 +154,10 @@
 		return false, err
 	}
 	call := time.Since(began)
-	if !gone && s.deps.Follower.LeaderSilence() < limit+slowTimes*call {
+	if call > slowCall {
+		limit += slowTimes * call
+	}
+	if !gone && s.deps.Follower.LeaderSilence() < limit {
 		return true, nil
 	}
 	if call > slowCall {
--- a/pollendockd/internal/scheduler/term.go
+++ b/pollendockd/internal/scheduler/term.go
@@ -55,7 +55,7 @@
 	strongerAfter = 2 * time.Second
 	strongerTimes = 1.3
 	// heartbeatGap is the longest time without an append of the leader.
-	heartbeatGap = 200 * time.Millisecond
+	heartbeatGap = 120 * time.Millisecond
 	// The state of a job that has ended is kept for keepTimes the time that
 	// callers may ask for it, at least leastKeep. forgetAtOnce bounds the jobs
 	// that are removed in one append.
