A VM reads all that it has missed without a pause, in small pages

A page of 1,024 records took longer than the 1.2 s that a read has, over a link of 10 Mbit/s beside the offers, and each page was followed by a pause of up to 0.7 s.

TestManyPages fails without the change.

--- a/pollendockd/internal/book/follower.go
+++ b/pollendockd/internal/book/follower.go
@@ -226,15 +226,26 @@
 	return f.stream.Newest(ctx, after)
 }
 
+// read reads up to the end. A VM that was cut off has thousands of records to
+// read, so pages follow each other without a pause.
 func (f *Follower) read(ctx context.Context, wait time.Duration) error {
+	for {
+		p, err := f.readPage(ctx, wait)
+		if err != nil {
+			return err
+		}
+		f.apply(p)
+		if len(p.Entries) == 0 || f.book.Next() >= p.End {
+			return nil
+		}
+		wait = 0
+	}
+}
+
+func (f *Follower) readPage(ctx context.Context, wait time.Duration) (*site.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
 	defer cancel()
-	p, err := f.stream.Read(ctx, f.book.Next(), wait)
-	if err != nil {
-		return err
-	}
-	f.apply(p)
-	return nil
+	return f.stream.Read(ctx, f.book.Next(), wait)
 }
 
 // apply folds a page that was read, and the offers that follow it.
@@ -268,18 +279,7 @@
 	if !f.loaded.Load() {
 		return site.ErrRefused.New("the records are not read yet")
 	}
-	p, err := f.stream.Read(ctx, f.book.Next(), 0)
-	if err != nil {
-		return err
-	}
-	f.apply(p)
-	for p.Next < p.End {
-		if p, err = f.stream.Read(ctx, p.Next, 0); err != nil {
-			return err
-		}
-		f.apply(p)
-	}
-	return nil
+	return f.read(ctx, 0)
 }
 
 // Loaded reports whether the book holds the records of all keys.
--- a/pollendockd/internal/book/follower_test.go
+++ b/pollendockd/internal/book/follower_test.go
@@ -126,6 +126,26 @@
 	})
 }
 
+// TestManyPages: a VM that was cut off for long reads all that it has missed at
+// once. It used to pause after each page, and was passed over meanwhile.
+func TestManyPages(t *testing.T) {
+	inStream(t, func(ctx context.Context, store *fleet.Store, b *job.Book, f *Follower) {
+		go func() { _ = f.Run(ctx) }()
+		time.Sleep(time.Second)
+		store.SetAway(true)
+		time.Sleep(time.Second)
+		store.SetAway(false)
+		store.SetPage(10)
+		var ids []string
+		for i := range 1000 {
+			ids = append(ids, fmt.Sprint(i))
+		}
+		add(ctx, t, store, ids...)
+		time.Sleep(time.Second)
+		expectJobs(t, b, ids...)
+	})
+}
+
 // TestFollowerFaults: the book is whole after each fault of the store.
 func TestFollowerFaults(t *testing.T) {
 	for _, c := range []struct {
--- a/standin/fleet/store.go
+++ b/standin/fleet/store.go
@@ -30,7 +30,7 @@
 	reads    int
 }
 
-// defaultPage is the number of entries on a page of the newest ones.
+// defaultPage is the most entries on a page.
 const defaultPage = 500
 
 // NewStore returns an empty stream.
@@ -52,7 +52,7 @@
 	s.delay = d
 }
 
-// SetPage bounds the entries on a page of the newest ones.
+// SetPage bounds the entries on a page.
 func (s *Store) SetPage(n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -193,7 +193,8 @@
 			return nil, site.ErrTrimmed.New("%d is before %d", from, s.first)
 		}
 		if end > from {
-			page := &site.Page{Entries: append([]site.Entry(nil), s.entries[from:]...), Next: end, End: end}
+			next := min(end, from+int64(s.pageSize))
+			page := &site.Page{Entries: append([]site.Entry(nil), s.entries[from:next]...), Next: next, End: end}
 			s.mu.Unlock()
 			return page, nil
 		}
