An append without an answer is repeated after 0.15 s

Campaigns whose own answer was lost waited for 6 s.

Now an append is repeated, under its own sequence number, after six times its usual time, twice as long each further time up to 0.8 s; one lost answer does not count as a stream that is away. A campaign looks into the records where its answer is missing.

TestLostAnswers: no job is done in time before.

--- a/pollendockd/internal/scheduler/campaign.go
+++ b/pollendockd/internal/scheduler/campaign.go
@@ -47,6 +47,8 @@
 	slowCall        = 60 * time.Millisecond
 	turnTimes       = 6
 	campaignTimeout = 6 * time.Second
+	// standTimeout bounds the append of a campaign; its answer may be lost.
+	standTimeout = time.Second
 )
 
 // considerCampaign stands for leadership if no leader is heard of.
@@ -134,9 +136,10 @@
 	if err != nil {
 		return false, err
 	}
-	if _, err := s.deps.Stream.AppendAs(ctx, site.Term{Epoch: epoch}, []site.Entry{e}); err != nil {
+	if err := s.appendCampaign(ctx, epoch, e); err != nil && !site.ErrUnknown.Has(err) {
 		return false, err
 	}
+	// Without an answer the record tells whether it was added.
 	if err := s.deps.Follower.Sync(ctx); err != nil {
 		return false, err
 	}
@@ -144,6 +147,13 @@
 	return l.Epoch == epoch && l.Incarnation == s.opt.Incarnation, nil
 }
 
+func (s *Scheduler) appendCampaign(ctx context.Context, epoch int64, e site.Entry) error {
+	ctx, cancel := context.WithTimeout(ctx, standTimeout)
+	defer cancel()
+	_, err := s.deps.Stream.AppendAs(ctx, site.Term{Epoch: epoch}, []site.Entry{e})
+	return err
+}
+
 // leaderMayLive reads on and reports whether a sign of a leader has come, or may
 // still come since the stream is slow: its records take long as well. With a
 // slow stream VMs wait longer for those before them, too, since a campaign that
--- a/pollendockd/internal/scheduler/flush.go
+++ b/pollendockd/internal/scheduler/flush.go
@@ -26,7 +26,11 @@
 		last    bool
 		sentAt  time.Time
 		ackedAt time.Time
-		failing bool
+		// usual is the mean time of an append of late.
+		usual time.Duration
+		// unanswered counts the attempts in a row that got no answer in time.
+		unanswered int
+		failing    bool
 		// refused counts quick refusals in a row.
 		refused int
 		// forget lists jobs whose records are to be removed.
@@ -61,9 +65,19 @@
 
 const (
 	// appendGap groups what happens meanwhile into one append.
-	appendGap     = 12 * time.Millisecond
-	appendTimeout = 800 * time.Millisecond
-	appendRetry   = 60 * time.Millisecond
+	appendGap = 12 * time.Millisecond
+	// An append without an answer is repeated after usualTimes its usual time,
+	// within these bounds, and after twice as long each further time. A repeat
+	// changes nothing if the first one was done.
+	leastAppendTimeout = 150 * time.Millisecond
+	appendTimeout      = 800 * time.Millisecond
+	usualTimes         = 6
+	// usualWeight is that of the past in the mean.
+	usualWeight = 7
+	// failingAfter is how many attempts without an answer mean that the stream
+	// is away, and not that one answer was lost.
+	failingAfter = 2
+	appendRetry  = 60 * time.Millisecond
 	// A leader whose appends are refused yieldAfter times in a row asks others
 	// to stand. Refusals that take longer than quickRefusal come from a stream
 	// that is slow for all.
@@ -200,9 +214,9 @@
 	f.busy = true
 	f.sent = b
 	f.sentAt = time.Now()
-	term := l.term
+	term, timeout := l.term, f.timeout()
 	l.spawn(func(ctx context.Context) event {
-		ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
 		first, err := l.s.deps.Stream.AppendAs(ctx, term, b.entries)
 		return appendDone{l, b, first, err}
@@ -222,6 +236,8 @@
 		f.busy = false
 		f.ackedAt = now
 		f.refused = 0
+		f.unanswered = 0
+		f.usual = (usualWeight*f.usual + now.Sub(f.sentAt)) / (usualWeight + 1)
 		l.term.Sequence++
 		if f.failing {
 			f.failing = false
@@ -231,25 +247,46 @@
 	case site.ErrFenced.Has(e.err):
 		s.endLeadership("a later term has begun")
 	default:
-		if !f.failing {
-			f.failing = true
-			_ = level.Warn(s.deps.Logger).Log("msg", "append failed, repeating it", "sequence", l.term.Sequence, "err", e.err)
-		}
-		s.deps.Counts.Count("append_failures", 1)
-		if site.ErrRefused.Has(e.err) && now.Sub(f.sentAt) < quickRefusal {
-			f.refused++
-		}
-		if f.refused == yieldAfter {
-			_ = level.Warn(s.deps.Logger).Log("msg", "the stream turns this VM away, asking others to lead", "epoch", l.term.Epoch)
-			s.deps.Peers.Yield(l.term.Epoch)
-		}
+		l.appendFailed(&e, now)
+	}
+}
+
+// appendFailed repeats an append that was refused or got no answer.
+func (l *leadership) appendFailed(e *appendDone, now time.Time) {
+	f := &l.flush
+	refused := site.ErrRefused.Has(e.err)
+	rest := time.Duration(0)
+	if refused {
+		rest = appendRetry
+	} else {
+		f.unanswered++
+	}
+	if !f.failing && (refused || f.unanswered >= failingAfter) {
+		f.failing = true
+		_ = level.Warn(l.s.deps.Logger).Log("msg", "append failed, repeating it", "sequence", l.term.Sequence, "err", e.err)
+	}
+	l.s.deps.Counts.Count("append_failures", 1)
+	if refused && now.Sub(f.sentAt) < quickRefusal {
+		f.refused++
+	}
+	if f.refused == yieldAfter {
+		_ = level.Warn(l.s.deps.Logger).Log("msg", "the stream turns this VM away, asking others to lead", "epoch", l.term.Epoch)
+		l.s.deps.Peers.Yield(l.term.Epoch)
+	}
+	if f.failing {
 		answer(f.accepts, site.ErrRefused.New("the stream does not answer the leader"))
 		f.accepts = nil
-		l.spawn(func(ctx context.Context) event {
-			pause.For(ctx, appendRetry)
-			return appendAgain{l, e.b}
-		})
 	}
+	l.spawn(func(ctx context.Context) event {
+		pause.For(ctx, rest)
+		return appendAgain{l, e.b}
+	})
+}
+
+// timeout is how long the next attempt may take.
+func (f *flushState) timeout() time.Duration {
+	first := max(leastAppendTimeout, usualTimes*f.usual)
+	return min(appendTimeout, first<<min(f.unanswered, failingAfter+1))
 }
 
 type appendAgain struct {
--- a/pollendockd/internal/scheduler/story_test.go
+++ b/pollendockd/internal/scheduler/story_test.go
@@ -244,6 +244,27 @@
 	})
 }
 
+// TestLostAnswers: while the stream loses the answers of every second append, the
+// leader goes on, and jobs are not late. It used to wait 0.8 s for each, and
+// others took over again and again.
+func TestLostAnswers(t *testing.T) {
+	inCell(t, 4, func(c *cell) {
+		a := c.start("a")
+		b := c.start("b")
+		time.Sleep(3 * time.Second)
+		began, _ := a.book.Leader()
+		c.store.LoseEvery(2)
+		for i := range 20 {
+			id := fmt.Sprintf("job%d", i)
+			c.submit(id, tasks(1, 1))
+			expectPhase(c, b, id, workTime+1500*time.Millisecond, job.Completed)
+		}
+		if now, _ := a.book.Leader(); now.Epoch != began.Epoch {
+			t.Errorf("leader %+v follows %+v", now, began)
+		}
+	})
+}
+
 // TestDoneBehindACut: a task ended well at a worker that was cut off, where
 // nothing else ran, and was begun elsewhere. Acknowledging the first end later
 // said that it was done twice.
--- a/standin/fleet/store.go
+++ b/standin/fleet/store.go
@@ -28,6 +28,8 @@
 	pageSize int
 	delay    time.Duration
 	reads    int
+	// Of every loseEvery appends one gets no answer until its caller gives up.
+	loseEvery, appends int
 }
 
 // defaultPage is the most entries on a page.
@@ -80,6 +82,13 @@
 	s.loseNext = n
 }
 
+// LoseEvery has one of every n appends done without an answer; 0 for none.
+func (s *Store) LoseEvery(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loseEvery = n
+}
+
 // Trim drops the history; the newest entry of each key stays.
 func (s *Store) Trim() {
 	s.mu.Lock()
@@ -124,6 +133,19 @@
 	if err := s.available(ctx); err != nil {
 		return 0, err
 	}
+	first, err := s.addAs(t, entries)
+	s.mu.Lock()
+	s.appends++
+	lost := s.loseEvery > 0 && s.appends%s.loseEvery == 0
+	s.mu.Unlock()
+	if lost {
+		<-ctx.Done()
+		return 0, site.ErrUnknown.Wrap(ctx.Err())
+	}
+	return first, err
+}
+
+func (s *Store) addAs(t site.Term, entries []site.Entry) (int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
