The state of the cell tells what steps in time wait for

Each second the leader logs how many of the steps that can still be in time wait for the advisor, room, their team's limit, those before them, or held room, and the free memory. placeStep is split on the way.

--- a/pollendockd/internal/scheduler/place.go
+++ b/pollendockd/internal/scheduler/place.go
@@ -35,6 +35,9 @@
 		gangs int
 	}
 
+	// obstacle is what a step waits for.
+	obstacle int
+
 	// held is room at a worker that a gang is expected to take.
 	held struct {
 		size resource.Vector
@@ -42,6 +45,22 @@
 	}
 )
 
+const (
+	// noObstacle steps have been started whole.
+	noObstacle obstacle = iota
+	// asking steps wait for the advisor.
+	asking
+	// noRoom steps find no worker with room.
+	noRoom
+	// teamLimit steps wait for other work of their team to end.
+	teamLimit
+	// behindOthers steps leave what is free to those before them.
+	behindOthers
+	// reserved gangs have room held back, unreserved ones wait for that.
+	reserved
+	unreserved
+)
+
 const (
 	// placeGap is the least time between two passes, and passShare the most of
 	// the time that passes may take: a deep queue must not keep the leader from
@@ -81,8 +100,12 @@
 	}
 	steps := l.waitingSteps(p)
 	timely := len(steps) - l.waiting[placement.Overdue]
+	l.obstacles = map[obstacle]int{}
 	for _, ws := range steps[:timely] {
-		l.placeStep(p, ws)
+		why := l.placeStep(p, ws)
+		if ws.turn.Rank == placement.InTime {
+			l.obstacles[why]++
+		}
 	}
 	l.placeOverdue(p, steps[timely:])
 	l.held = p.held
@@ -164,18 +187,13 @@
 	return tasks
 }
 
-func (l *leadership) placeStep(p *pass, ws *waitingStep) {
+// placeStep starts what it can of a step, and returns what the rest waits for.
+func (l *leadership) placeStep(p *pass, ws *waitingStep) obstacle {
 	w := ws.w
 	spec := &w.sub.Steps[ws.step]
-	service, advice := w.sub.Service, (*site.Advice)(nil)
-	if q := p.catalog.Queue(w.sub.Queue); q != nil {
-		service, advice = q.Service, q.Advice
-	}
-	if l.s.deps.Advisor == nil {
-		advice = nil
-	}
+	service, advice := l.serviceOf(p, w)
 	if !spec.Gang && p.isFull(service, spec.Size) {
-		return
+		return noRoom
 	}
 	var said *stepAdvice
 	if advice != nil {
@@ -183,7 +201,7 @@
 	}
 	if said != nil && !spec.Gang && said.asking && !said.anyValid(p.now) {
 		p.unspoken[service] -= said.spoken
-		return
+		return asking
 	}
 	ws.tasks = w.waitingTasks(ws.step)
 	need := placement.Need{
@@ -192,7 +210,7 @@
 	}
 	if need.Count == 0 || spec.Gang && need.Count < len(ws.tasks) {
 		l.limited++
-		return
+		return teamLimit
 	}
 	rooms := l.rooms(p, ws, need, service, said)
 	chosen := placement.Choose(need, rooms)
@@ -201,26 +219,49 @@
 	}
 	p.unspoken[service] -= int64(len(chosen)) * spec.Size.MilliCPU
 	if len(chosen) == need.Count {
-		return
+		return noObstacle
 	}
 	if p.isHeavy(service, need) && ws.turn.Rank == placement.InTime {
-		l.reserve(p, ws, need, service, advice)
-		return
+		return l.reserve(p, ws, need, service, advice)
 	}
 	if said == nil {
-		return
+		return noRoom
 	}
 	need.Count -= len(chosen)
-	// A step further back would ask in vain: what is free goes to those before
-	// it, and its tickets would run out meanwhile.
-	if p.unspoken[service] > 0 && !said.asking && l.advice.takes(ws.turn.Rank) {
+	return l.waitForAdvice(p, ws, need, rooms, service, advice)
+}
+
+// serviceOf returns the workers that run a job, and its queue's advice.
+func (l *leadership) serviceOf(p *pass, w *work) (string, *site.Advice) {
+	q := p.catalog.Queue(w.sub.Queue)
+	switch {
+	case q == nil:
+		return w.sub.Service, nil
+	case l.s.deps.Advisor == nil:
+		return q.Service, nil
+	}
+	return q.Service, q.Advice
+}
+
+// waitForAdvice asks for what is left of a step. A step further back would ask
+// in vain: what is free goes to those before it, and its tickets would run out
+// meanwhile.
+func (l *leadership) waitForAdvice(p *pass, ws *waitingStep, need placement.Need, rooms []placement.Room, service string, advice *site.Advice) obstacle {
+	said := ws.w.adviceOf(ws.step)
+	why := asking
+	switch {
+	case said.asking:
+	case p.unspoken[service] <= 0 || !l.advice.takes(ws.turn.Rank):
+		return behindOthers
+	default:
 		candidates := l.candidates(p, ws, need.Size, service, said)
-		l.considerAsking(p, ws, need, candidates, rooms, advice)
+		why = l.considerAsking(p, ws, need, candidates, rooms, advice)
 	}
 	if said.asking {
-		said.spoken = int64(need.Count) * spec.Size.MilliCPU
+		said.spoken = int64(need.Count) * need.Size.MilliCPU
 		p.unspoken[service] -= said.spoken
 	}
+	return why
 }
 
 // withinLimit returns how many of n tasks the team's limit allows. Work that is
@@ -422,9 +463,9 @@
 
 // considerAsking asks about as many workers as should suffice for the tasks
 // that are left, if they have the room.
-func (l *leadership) considerAsking(p *pass, ws *waitingStep, need placement.Need, candidates []*worker, rooms []placement.Room, a *site.Advice) {
+func (l *leadership) considerAsking(p *pass, ws *waitingStep, need placement.Need, candidates []*worker, rooms []placement.Room, a *site.Advice) obstacle {
 	if len(candidates) == 0 {
-		return
+		return noRoom
 	}
 	q := placement.Query{Part: l.learnedOf(ws.w.sub.Queue).part(), Spare: spareCandidates, Least: leastCandidates}
 	if need.Gang {
@@ -436,9 +477,10 @@
 	if need.Gang && expected < float64(need.Count) {
 		// The gang would hardly fit, and its tickets would run out before there
 		// is room.
-		return
+		return noRoom
 	}
 	l.ask(ws, l.workersOf(named), int64(need.Count)*need.Size.MilliCPU, a, p.now)
+	return asking
 }
 
 // candidateRooms returns what queries under way leave at workers.
--- a/pollendockd/internal/scheduler/reserve.go
+++ b/pollendockd/internal/scheduler/reserve.go
@@ -58,9 +58,9 @@
 
 // reserve holds room back for a gang that does not fit now, and asks for its
 // tickets in time for its start.
-func (l *leadership) reserve(p *pass, ws *waitingStep, need placement.Need, service string, a *site.Advice) {
+func (l *leadership) reserve(p *pass, ws *waitingStep, need placement.Need, service string, a *site.Advice) obstacle {
 	if p.gangs >= max(leastHeldGangs, len(p.usable[service])/workersPerHeldGang) {
-		return
+		return unreserved
 	}
 	spec := &ws.w.sub.Steps[ws.step]
 	var outlooks []placement.Outlook
@@ -79,16 +79,16 @@
 		}
 		outlooks = append(outlooks, l.outlook(p, at, ws))
 	}
-	reserved, in, ok := placement.Reserve(need, outlooks)
+	places, in, ok := placement.Reserve(need, outlooks)
 	if len(unknown) > 0 && !said.asking && (!ok || in > askMoreAfter) {
 		l.askForGang(p, ws, need, unknown, a)
 	}
 	if !ok {
-		return
+		return unreserved
 	}
 	p.gangs++
 	var chosen []*worker
-	for _, r := range reserved {
+	for _, r := range places {
 		at := l.workers[r.Worker]
 		chosen = append(chosen, at)
 		h := p.held[at]
@@ -99,6 +99,7 @@
 	if said != nil && !said.asking && in <= askLead+a.Base+time.Duration(len(chosen))*a.PerUpstream {
 		l.ask(ws, chosen, 0, a, p.now)
 	}
+	return reserved
 }
 
 // askForGang asks about workers that the step does not know, the emptiest first
--- a/pollendockd/internal/scheduler/term.go
+++ b/pollendockd/internal/scheduler/term.go
@@ -40,8 +40,10 @@
 		waiting map[placement.Rank]int
 		// overdueAt goes round the overdue steps.
 		overdueAt int
-		// limited counts those that their team's limit kept back.
+		// limited counts those that their team's limit kept back, obstacles what
+		// those that can be in time wait for.
 		limited    int
+		obstacles  map[obstacle]int
 		reportedAt time.Time
 		learned    map[string]*learned
 		// handedOver is closed once the leadership has been given up.
@@ -225,8 +227,10 @@
 	}
 	_ = level.Info(l.s.deps.Logger).Log("msg", "cell", "epoch", l.term.Epoch, "jobs", len(l.works), "inTime", l.waiting[placement.InTime],
 		"surplus", l.waiting[placement.Surplus], "late", l.waiting[placement.Late], "overdue", l.waiting[placement.Overdue],
-		"limited", l.limited, "held", len(l.held), "runs", runs, "workers", len(l.workers), "usable", usable, "freeMilliCpu", free.MilliCPU, "milliCpu", total.MilliCPU,
-		"queries", len(l.advice.queries), "asking", busy, "passMs", l.placeCost.Milliseconds())
+		"limited", l.limited, "held", len(l.held),
+		"asking", l.obstacles[asking], "noRoom", l.obstacles[noRoom], "teamLimit", l.obstacles[teamLimit], "behindOthers", l.obstacles[behindOthers],
+		"reserved", l.obstacles[reserved], "unreserved", l.obstacles[unreserved], "runs", runs, "workers", len(l.workers), "usable", usable, "freeMilliCpu", free.MilliCPU, "milliCpu", total.MilliCPU,
+		"freeMb", free.MemoryMB, "queries", len(l.advice.queries), "underWay", busy, "passMs", l.placeCost.Milliseconds())
 }
 
 // step decides after events.
