Appends wait as long as a slow stream needs; earlier campaigns count

Appends are done one at a time, 0.2 s each. One VM's campaign was added after it had given it up and stood again: for 2.5 s everybody took it for the leader but itself.

Now the time for an append follows the time of a read as well (twelve times), a VM leads by the newest record of any of its campaigns whose term it has not ended, a named successor stands before all others, and the others wait ten calls for each VM before them.

TestSlowStream and TestLateCampaign fail without it.

--- a/pollendockd/internal/scheduler/campaign.go
+++ b/pollendockd/internal/scheduler/campaign.go
@@ -45,9 +45,10 @@
 	// slowCall is a call of a slow stream; each VM then waits turnTimes calls
 	// for every VM before it.
 	slowCall        = 60 * time.Millisecond
-	turnTimes       = 6
+	turnTimes       = 10
 	campaignTimeout = 6 * time.Second
-	// standTimeout bounds the append of a campaign; its answer may be lost.
+	// standTimeout bounds the append of a campaign, whose answer may be lost, on
+	// a stream that is not slow.
 	standTimeout = time.Second
 )
 
@@ -57,8 +58,9 @@
 		return
 	}
 	l, _ := s.deps.Book.Leader()
-	if l.Incarnation == s.opt.Incarnation && l.Epoch == s.campaign && s.campaign > s.over {
-		// The record of a campaign without an answer has taken effect.
+	if l.Incarnation == s.opt.Incarnation && l.Epoch > s.over {
+		// The record of a campaign without an answer has taken effect, perhaps
+		// after this VM has stood again.
 		s.beginLeadership(l.Epoch)
 		return
 	}
@@ -85,8 +87,12 @@
 
 // succession returns where this VM stands in the order of those that may follow a
 // leader: one of them in each term is first, and the others wait for it. Strong
-// VMs come before weak ones, since the leader has the most to do.
+// VMs come before weak ones, since the leader has the most to do, and a successor
+// that the leader has named before all.
 func (s *Scheduler) succession(l *job.Leader) int {
+	if l.Successor == s.opt.Incarnation {
+		return 0
+	}
 	rank := func(incarnation string) uint64 {
 		return xxhash.Sum64String(fmt.Sprint(incarnation, l.Epoch))
 	}
@@ -96,7 +102,7 @@
 		if m.Incarnation == l.Incarnation || m.Incarnation == s.opt.Incarnation {
 			continue
 		}
-		if m.Power > s.opt.Power || m.Power == s.opt.Power && rank(m.Incarnation) < mine {
+		if m.Incarnation == l.Successor || m.Power > s.opt.Power || m.Power == s.opt.Power && rank(m.Incarnation) < mine {
 			place++
 		}
 	}
@@ -129,14 +135,15 @@
 }
 
 func (s *Scheduler) runCampaign(ctx context.Context, last job.Leader, epoch int64, limit time.Duration, gone bool) (bool, error) {
-	if slow, err := s.leaderMayLive(ctx, last, limit, gone); err != nil || slow {
+	call, slow, err := s.leaderMayLive(ctx, last, limit, gone)
+	if err != nil || slow {
 		return false, err
 	}
 	e, err := job.LeaderEntry(&job.Leader{Epoch: epoch, Incarnation: s.opt.Incarnation})
 	if err != nil {
 		return false, err
 	}
-	if err := s.appendCampaign(ctx, epoch, e); err != nil && !site.ErrUnknown.Has(err) {
+	if err := s.appendCampaign(ctx, epoch, e, max(standTimeout, slowTimes*call)); err != nil && !site.ErrUnknown.Has(err) {
 		return false, err
 	}
 	// Without an answer the record tells whether it was added.
@@ -147,37 +154,37 @@
 	return l.Epoch == epoch && l.Incarnation == s.opt.Incarnation, nil
 }
 
-func (s *Scheduler) appendCampaign(ctx context.Context, epoch int64, e site.Entry) error {
-	ctx, cancel := context.WithTimeout(ctx, standTimeout)
+func (s *Scheduler) appendCampaign(ctx context.Context, epoch int64, e site.Entry, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	_, err := s.deps.Stream.AppendAs(ctx, site.Term{Epoch: epoch}, []site.Entry{e})
 	return err
 }
 
-// leaderMayLive reads on and reports whether a sign of a leader has come, or may
+// leaderMayLive reads on and returns the time of a call, and whether a sign of a leader has come, or may
 // still come since the stream is slow: its records take long as well. With a
 // slow stream VMs wait longer for those before them, too, since a campaign that
 // follows another ends the term that has just begun.
-func (s *Scheduler) leaderMayLive(ctx context.Context, last job.Leader, limit time.Duration, gone bool) (bool, error) {
+func (s *Scheduler) leaderMayLive(ctx context.Context, last job.Leader, limit time.Duration, gone bool) (time.Duration, bool, error) {
 	began := time.Now()
 	if err := s.deps.Follower.Sync(ctx); err != nil {
-		return false, err
+		return 0, false, err
 	}
 	call := time.Since(began)
 	if call > slowCall {
 		limit += slowTimes * call
 	}
 	if !gone && s.deps.Follower.LeaderSilence() < limit {
-		return true, nil
+		return call, true, nil
 	}
 	if call > slowCall {
 		pause.For(ctx, time.Duration(s.succession(&last))*turnTimes*call)
 		if err := s.deps.Follower.Sync(ctx); err != nil {
-			return false, err
+			return call, false, err
 		}
 	}
 	now, _ := s.deps.Book.Leader()
-	return now != last, nil
+	return call, now != last, nil
 }
 
 func (e campaignDone) handle(s *Scheduler) {
--- a/pollendockd/internal/scheduler/flush.go
+++ b/pollendockd/internal/scheduler/flush.go
@@ -66,18 +66,21 @@
 const (
 	// appendGap groups what happens meanwhile into one append.
 	appendGap = 12 * time.Millisecond
-	// An append without an answer is repeated after usualTimes its usual time,
-	// within these bounds, and after twice as long each further time. A repeat
-	// changes nothing if the first one was done.
+	// An append without an answer is repeated after usualTimes its usual time or
+	// slowTimes the time of a read, within these bounds, and after twice as long
+	// each further time. A repeat changes nothing if the first one was done, but
+	// a slow stream gets slower by it.
 	leastAppendTimeout = 150 * time.Millisecond
-	appendTimeout      = 800 * time.Millisecond
+	appendTimeout      = 2500 * time.Millisecond
 	usualTimes         = 6
 	// usualWeight is that of the past in the mean.
 	usualWeight = 7
 	// failingAfter is how many attempts without an answer mean that the stream
 	// is away, and not that one answer was lost.
 	failingAfter = 2
-	appendRetry  = 60 * time.Millisecond
+	// maxDoubled bounds how often the time of an attempt is doubled.
+	maxDoubled  = 2
+	appendRetry = 60 * time.Millisecond
 	// A leader whose appends are refused yieldAfter times in a row asks others
 	// to stand. Refusals that take longer than quickRefusal come from a stream
 	// that is slow for all.
@@ -214,7 +217,7 @@
 	f.busy = true
 	f.sent = b
 	f.sentAt = time.Now()
-	term, timeout := l.term, f.timeout()
+	term, timeout := l.term, f.timeout(l.s.deps.Follower.CallTime())
 	l.spawn(func(ctx context.Context) event {
 		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
@@ -283,10 +286,11 @@
 	})
 }
 
-// timeout is how long the next attempt may take.
-func (f *flushState) timeout() time.Duration {
-	first := max(leastAppendTimeout, usualTimes*f.usual)
-	return min(appendTimeout, first<<min(f.unanswered, failingAfter+1))
+// timeout is how long the next attempt may take on a stream that takes call to
+// answer a read.
+func (f *flushState) timeout(call time.Duration) time.Duration {
+	first := max(leastAppendTimeout, usualTimes*f.usual, slowTimes*call)
+	return min(appendTimeout, first<<min(f.unanswered, maxDoubled))
 }
 
 type appendAgain struct {
--- a/pollendockd/internal/scheduler/scheduler.go
+++ b/pollendockd/internal/scheduler/scheduler.go
@@ -30,6 +30,8 @@
 		Loaded() bool
 		Fresh(within time.Duration) bool
 		LeaderSilence() time.Duration
+		// CallTime returns how long the stream takes to answer a read.
+		CallTime() time.Duration
 		SetEager(eager bool)
 		// Offer takes records that this VM has appended.
 		Offer(entries []site.Entry)
--- a/pollendockd/internal/scheduler/story_test.go
+++ b/pollendockd/internal/scheduler/story_test.go
@@ -265,6 +265,48 @@
 	})
 }
 
+// TestSlowStream: on a stream that takes 0.2 s for a read and as long for each
+// append, one at a time, the leader waits for its answers. Repeats that came too
+// soon kept the stream so busy that none was answered in time.
+func TestSlowStream(t *testing.T) {
+	inCell(t, 4, func(c *cell) {
+		a := c.start("a")
+		c.start("b")
+		c.start("d")
+		time.Sleep(3 * time.Second)
+		began, _ := a.book.Leader()
+		c.store.SetPace(200 * time.Millisecond)
+		c.store.SetDelay(200 * time.Millisecond)
+		time.Sleep(time.Second)
+		for i := range 5 {
+			id := fmt.Sprintf("job%d", i)
+			c.submit(id, tasks(1, 1))
+			expectPhase(c, a, id, workTime+1500*time.Millisecond, job.Completed)
+		}
+		if now, _ := a.book.Leader(); now.Epoch != began.Epoch {
+			t.Errorf("leader %+v follows %+v", now, began)
+		}
+	})
+}
+
+// TestLateCampaign: on a slow stream the record of a campaign was added after its
+// VM had given the campaign up and stood again. Everybody took that VM for the
+// leader, but itself.
+func TestLateCampaign(t *testing.T) {
+	inCell(t, 2, func(c *cell) {
+		c.store.SetDelay(170 * time.Millisecond)
+		c.store.SetLate(2500 * time.Millisecond)
+		a := c.start("a")
+		time.Sleep(2900 * time.Millisecond)
+		a.stream.refuses.Store(true)
+		time.Sleep(600 * time.Millisecond)
+		a.stream.refuses.Store(false)
+		c.store.SetLate(0)
+		c.submit("x", tasks(1, 1))
+		expectPhase(c, a, "x", workTime+1200*time.Millisecond, job.Completed)
+	})
+}
+
 // TestDoneBehindACut: a task ended well at a worker that was cut off, where
 // nothing else ran, and was begun elsewhere. Acknowledging the first end later
 // said that it was done twice.
--- a/standin/fleet/store.go
+++ b/standin/fleet/store.go
@@ -28,6 +28,12 @@
 	pageSize int
 	delay    time.Duration
 	reads    int
+	// pace is how long the store takes for an append, one at a time, and freeAt
+	// when it is done with the last.
+	pace   time.Duration
+	freeAt time.Time
+	// late is how much later an append in a term is done than it was sent.
+	late time.Duration
 	// Of every loseEvery appends one gets no answer until its caller gives up.
 	loseEvery, appends int
 }
@@ -89,6 +95,21 @@
 	s.loseEvery = n
 }
 
+// SetLate has appends in a term done later, also if their caller has given up.
+func (s *Store) SetLate(by time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.late = by
+}
+
+// SetPace has appends done one at a time, each in that time. One whose caller has
+// given up is done all the same.
+func (s *Store) SetPace(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pace = d
+}
+
 // Trim drops the history; the newest entry of each key stays.
 func (s *Store) Trim() {
 	s.mu.Lock()
@@ -133,6 +154,9 @@
 	if err := s.available(ctx); err != nil {
 		return 0, err
 	}
+	if wait := s.turn(); wait > 0 {
+		return s.addLate(ctx, t, entries, wait)
+	}
 	first, err := s.addAs(t, entries)
 	s.mu.Lock()
 	s.appends++
@@ -145,6 +169,40 @@
 	return first, err
 }
 
+// addLate adds entries after some time, also if the caller has given up.
+func (s *Store) addLate(ctx context.Context, t site.Term, entries []site.Entry, by time.Duration) (int64, error) {
+	type outcome struct {
+		first int64
+		err   error
+	}
+	done := make(chan outcome, 1)
+	time.AfterFunc(by, func() {
+		first, err := s.addAs(t, entries)
+		done <- outcome{first, err}
+	})
+	select {
+	case o := <-done:
+		return o.first, o.err
+	case <-ctx.Done():
+		return 0, site.ErrUnknown.Wrap(ctx.Err())
+	}
+}
+
+// turn returns how long an append has to wait until it is done.
+func (s *Store) turn() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.late > 0 || s.pace == 0 {
+		return s.late
+	}
+	now := time.Now()
+	if s.freeAt.Before(now) {
+		s.freeAt = now
+	}
+	s.freeAt = s.freeAt.Add(s.pace)
+	return s.freeAt.Sub(now)
+}
+
 func (s *Store) addAs(t site.Term, entries []site.Entry) (int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
