A list asked for in the instant of a start's answer tells nothing; files split

Cause, seen once in 30 repeats of the scheduler's tests and traced with their logs: a hold and the answer to a start carried the same time, the list lacked the run, and the run was taken for lapsed and begun again beside itself. The clock of a machine hardly gives two equal times; now such a list does not count. TestListsThatTell; 360 repeats of the tests concerned without a failure.

TestSlowStream failed in 11 of 30 repeats: a job there takes two reads and four appends of 0.2 s and the pauses between, 1.5 s, which was its bound.

--- a/pollendockd/internal/scheduler/advice.go
+++ b/pollendockd/internal/scheduler/advice.go
@@ -268,3 +268,67 @@
 	_ = level.Info(s.deps.Logger).Log("msg", "advised", "job", q.w.id, "step", q.step, "through", e.through,
 		"asked", len(q.workers), "good", len(e.tickets), "tookMs", now.Sub(q.askedAt).Milliseconds(), "callMs", now.Sub(q.sentAt).Milliseconds())
 }
+
+// anyValid reports whether a ticket can still be used.
+func (a *stepAdvice) anyValid(now time.Time) bool {
+	for _, t := range a.tickets {
+		if now.Before(t.until) {
+			return true
+		}
+	}
+	return false
+}
+
+func (a *stepAdvice) allows(at *worker, now time.Time) bool {
+	t, known := a.tickets[at.id]
+	return known && t.boot == at.boot && now.Before(t.until)
+}
+
+// considerAsking asks about as many workers as should suffice for the tasks
+// that are left, if they have the room.
+func (l *leadership) considerAsking(p *pass, ws *waitingStep, need placement.Need, candidates []*worker, rooms []placement.Room, a *site.Advice) obstacle {
+	if len(candidates) == 0 {
+		return noRoom
+	}
+	q := placement.Query{Part: l.learnedOf(ws.w.sub.Queue).part(), Spare: spareCandidates, Least: leastCandidates}
+	if need.Gang {
+		for i := range rooms {
+			q.Have += placement.Fit(need, &rooms[i])
+		}
+	}
+	named, expected := placement.Ask(need, q, l.candidateRooms(p, ws, candidates))
+	if need.Gang && expected < float64(need.Count) {
+		// The gang would hardly fit, and its tickets would run out before there
+		// is room.
+		return noRoom
+	}
+	l.ask(ws, l.workersOf(named), int64(need.Count)*need.Size.MilliCPU, a, p.now)
+	return asking
+}
+
+// candidateRooms returns what queries under way leave at workers.
+func (l *leadership) candidateRooms(p *pass, ws *waitingStep, workers []*worker) []placement.Candidate {
+	said := ws.w.adviceOf(ws.step)
+	candidates := make([]placement.Candidate, 0, len(workers))
+	for _, at := range workers {
+		free := p.free(at, &ws.w.sub.Steps[ws.step])
+		free.MilliCPU -= at.spoken
+		candidates = append(candidates, placement.Candidate{Room: l.room(ws, at, free), Known: said.known(at)})
+	}
+	return candidates
+}
+
+func (l *leadership) workersOf(ids []string) []*worker {
+	list := make([]*worker, 0, len(ids))
+	for _, id := range ids {
+		list = append(list, l.workers[id])
+	}
+	return list
+}
+
+// known reports whether the step may run at the worker, once the ticket has
+// been renewed.
+func (a *stepAdvice) known(at *worker) bool {
+	_, known := a.tickets[at.id]
+	return known
+}
--- a/pollendockd/internal/scheduler/hold.go
+++ b/pollendockd/internal/scheduler/hold.go
@@ -191,10 +191,7 @@
 			continue
 		}
 		if r.stage != running {
-			r.stage = running
-			r.confirmedAt = now
-			r.percentAt = now
-			r.settledAfter = now
+			r.confirm(now)
 			l.logRun(r, "run found at its worker")
 		}
 		l.keepCheckpoint(r, s.Checkpoint)
@@ -260,7 +257,7 @@
 // absent concludes that a run does not exist, if the list that lacks it is new
 // enough to tell.
 func (l *leadership) absent(r *run, sentAt, now time.Time) {
-	if r.settledAfter.IsZero() || sentAt.Before(r.settledAfter) {
+	if !r.toldBy(sentAt) {
 		if r.stage == unsettled && !r.stopWanted && sentAt.After(r.sentAt) {
 			// The order may be carried out late, unless it is barred.
 			r.stopWanted = true
--- a/pollendockd/internal/scheduler/order.go
+++ b/pollendockd/internal/scheduler/order.go
@@ -69,10 +69,7 @@
 	case e.err == nil:
 		l.logRun(r, "run started", "answerMs", now.Sub(r.sentAt).Milliseconds())
 		if r.stage == starting {
-			r.stage = running
-			r.confirmedAt = now
-			r.percentAt = now
-			r.settledAfter = now
+			r.confirm(now)
 		}
 		if !r.at.holdBusy {
 			r.at.holdAt = now
--- a/pollendockd/internal/scheduler/place.go
+++ b/pollendockd/internal/scheduler/place.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"sort"
 	"time"
 
 	"pollendock.example/cell/job"
@@ -11,14 +10,6 @@
 )
 
 type (
-	// waitingStep is a step of which tasks may be placed now.
-	waitingStep struct {
-		w     *work
-		step  int
-		tasks []int
-		turn  placement.Turn
-	}
-
 	// pass is what one round over the waiting steps has found out.
 	pass struct {
 		now     time.Time
@@ -130,63 +121,6 @@
 	}
 }
 
-func (l *leadership) waitingSteps(p *pass) []*waitingStep {
-	var steps []*waitingStep
-	l.waiting = map[placement.Rank]int{}
-	l.limited = 0
-	for _, w := range l.works {
-		if w.state.Phase.Final() {
-			continue
-		}
-		for step := range w.state.Steps {
-			if w.anyWaiting(step) && w.state.Ready(w.sub, step) {
-				ws := &waitingStep{w: w, step: step, turn: l.turnOf(p, w, step)}
-				l.waiting[ws.turn.Rank]++
-				steps = append(steps, ws)
-			}
-		}
-	}
-	sort.Slice(steps, func(a, b int) bool { return steps[a].turn.Before(&steps[b].turn) })
-	return steps
-}
-
-// turnOf works out when a step is to be served.
-func (l *leadership) turnOf(p *pass, w *work, step int) placement.Turn {
-	remaining := w.chains[step]
-	return placement.Turn{
-		Rank:        placement.RankAt(p.now, w.sub.AcceptedAt, w.allowed, remaining, w.beyond),
-		Priority:    w.sub.Priority,
-		LatestStart: w.sub.AcceptedAt.Add(w.allowed - remaining),
-		Order:       w.order,
-		Step:        step,
-	}
-}
-
-// anyWaiting reports whether a task of the step is to be started.
-func (w *work) anyWaiting(step int) bool {
-	for i := range w.state.Steps[step] {
-		if w.state.Steps[step][i].Status == job.Waiting {
-			return true
-		}
-	}
-	return false
-}
-
-// waitingTasks returns the tasks of a step that are to be started; of a gang
-// all or none.
-func (w *work) waitingTasks(step int) []int {
-	var tasks []int
-	for i := range w.state.Steps[step] {
-		if w.state.Steps[step][i].Status == job.Waiting {
-			tasks = append(tasks, i)
-		}
-	}
-	if w.sub.Steps[step].Gang && len(tasks) < len(w.state.Steps[step]) {
-		return nil
-	}
-	return tasks
-}
-
 // placeStep starts what it can of a step, and returns what the rest waits for.
 func (l *leadership) placeStep(p *pass, ws *waitingStep) obstacle {
 	w := ws.w
@@ -289,133 +223,6 @@
 	return n
 }
 
-// rooms returns the workers on which tasks of the step may be placed now. Of a
-// step that needs advice these are the few with a ticket, so that a pass does
-// not go through all workers for each of the steps that wait.
-func (l *leadership) rooms(p *pass, ws *waitingStep, need placement.Need, service string, said *stepAdvice) []placement.Room {
-	spec := &ws.w.sub.Steps[ws.step]
-	if said == nil {
-		return l.anyRooms(p, ws, need.Size, service)
-	}
-	var rooms []placement.Room
-	for id := range said.tickets {
-		at := l.workers[id]
-		if at == nil || at.up.Service != service || !at.usable(p.now) || !said.allows(at, p.now) {
-			continue
-		}
-		if free := p.free(at, spec); need.Size.Fits(free) {
-			rooms = append(rooms, l.room(ws, at, free))
-		}
-	}
-	return rooms
-}
-
-// anyRooms returns all workers with room for a step that needs no advice.
-func (l *leadership) anyRooms(p *pass, ws *waitingStep, size resource.Vector, service string) []placement.Room {
-	spec := &ws.w.sub.Steps[ws.step]
-	var rooms []placement.Room
-	fits := false
-	for _, at := range p.usable[service] {
-		free := p.free(at, spec)
-		if !size.Fits(free) {
-			continue
-		}
-		fits = true
-		if at.up.HasLabel(spec.Label) {
-			rooms = append(rooms, l.room(ws, at, free))
-		}
-	}
-	if !fits {
-		p.noteFull(service, size)
-	}
-	return rooms
-}
-
-func (l *leadership) room(ws *waitingStep, at *worker, free resource.Vector) placement.Room {
-	return placement.Room{
-		Worker: at.id, Rack: at.up.Rack, Free: free, Tasks: l.tasksThere(at, ws), Doubtful: l.doubtful(ws, at),
-		Reserved: l.held[at].size.MilliCPU > 0,
-	}
-}
-
-// candidates returns the workers with room about which the advisor has to be
-// asked.
-func (l *leadership) candidates(p *pass, ws *waitingStep, size resource.Vector, service string, said *stepAdvice) []*worker {
-	spec := &ws.w.sub.Steps[ws.step]
-	var list []*worker
-	fits := false
-	for _, at := range p.usable[service] {
-		if !size.Fits(p.free(at, spec)) {
-			continue
-		}
-		fits = true
-		if at.up.HasLabel(spec.Label) && !said.refused[at.id] && !said.allows(at, p.now) {
-			list = append(list, at)
-		}
-	}
-	if !fits {
-		p.noteFull(service, size)
-	}
-	return list
-}
-
-func (p *pass) noteFull(service string, size resource.Vector) {
-	p.full[service] = append(p.full[service], size)
-}
-
-// isFull reports whether a task at most as large has found no room in the pass.
-func (p *pass) isFull(service string, size resource.Vector) bool {
-	for _, full := range p.full[service] {
-		if full.Fits(size) {
-			return true
-		}
-	}
-	return false
-}
-
-// anyValid reports whether a ticket can still be used.
-func (a *stepAdvice) anyValid(now time.Time) bool {
-	for _, t := range a.tickets {
-		if now.Before(t.until) {
-			return true
-		}
-	}
-	return false
-}
-
-func (a *stepAdvice) allows(at *worker, now time.Time) bool {
-	t, known := a.tickets[at.id]
-	return known && t.boot == at.boot && now.Before(t.until)
-}
-
-// tasksThere counts the tasks of the step that a worker has, where that matters.
-func (l *leadership) tasksThere(at *worker, ws *waitingStep) int {
-	if ws.w.sub.Steps[ws.step].PerWorker == 0 {
-		return 0
-	}
-	n := 0
-	for key := range at.runs {
-		if key.task.Job == ws.w.id && key.task.Step == ws.step {
-			n++
-		}
-	}
-	return n
-}
-
-// doubtful reports whether a task of the step has failed at the worker, or the
-// worker's last run failed.
-func (l *leadership) doubtful(ws *waitingStep, at *worker) bool {
-	if at.failures > 0 {
-		return true
-	}
-	for name, id := range ws.w.avoid {
-		if id == at.id && name.Step == ws.step {
-			return true
-		}
-	}
-	return false
-}
-
 // plan binds a task to a worker. The order follows once that is durable.
 func (l *leadership) plan(ws *waitingStep, index int, at *worker, now time.Time) {
 	w := ws.w
@@ -460,52 +267,3 @@
 	}
 	return highest + 1
 }
-
-// considerAsking asks about as many workers as should suffice for the tasks
-// that are left, if they have the room.
-func (l *leadership) considerAsking(p *pass, ws *waitingStep, need placement.Need, candidates []*worker, rooms []placement.Room, a *site.Advice) obstacle {
-	if len(candidates) == 0 {
-		return noRoom
-	}
-	q := placement.Query{Part: l.learnedOf(ws.w.sub.Queue).part(), Spare: spareCandidates, Least: leastCandidates}
-	if need.Gang {
-		for i := range rooms {
-			q.Have += placement.Fit(need, &rooms[i])
-		}
-	}
-	named, expected := placement.Ask(need, q, l.candidateRooms(p, ws, candidates))
-	if need.Gang && expected < float64(need.Count) {
-		// The gang would hardly fit, and its tickets would run out before there
-		// is room.
-		return noRoom
-	}
-	l.ask(ws, l.workersOf(named), int64(need.Count)*need.Size.MilliCPU, a, p.now)
-	return asking
-}
-
-// candidateRooms returns what queries under way leave at workers.
-func (l *leadership) candidateRooms(p *pass, ws *waitingStep, workers []*worker) []placement.Candidate {
-	said := ws.w.adviceOf(ws.step)
-	candidates := make([]placement.Candidate, 0, len(workers))
-	for _, at := range workers {
-		free := p.free(at, &ws.w.sub.Steps[ws.step])
-		free.MilliCPU -= at.spoken
-		candidates = append(candidates, placement.Candidate{Room: l.room(ws, at, free), Known: said.known(at)})
-	}
-	return candidates
-}
-
-func (l *leadership) workersOf(ids []string) []*worker {
-	list := make([]*worker, 0, len(ids))
-	for _, id := range ids {
-		list = append(list, l.workers[id])
-	}
-	return list
-}
-
-// known reports whether the step may run at the worker, once the ticket has
-// been renewed.
-func (a *stepAdvice) known(at *worker) bool {
-	_, known := a.tickets[at.id]
-	return known
-}
--- /dev/null
+++ b/pollendockd/internal/scheduler/rooms.go
@@ -0,0 +1,118 @@
+package scheduler
+
+import (
+	"pollendock.example/cell/placement"
+	"pollendock.example/cell/resource"
+)
+
+// rooms returns the workers on which tasks of the step may be placed now. Of a
+// step that needs advice these are the few with a ticket, so that a pass does
+// not go through all workers for each of the steps that wait.
+func (l *leadership) rooms(p *pass, ws *waitingStep, need placement.Need, service string, said *stepAdvice) []placement.Room {
+	spec := &ws.w.sub.Steps[ws.step]
+	if said == nil {
+		return l.anyRooms(p, ws, need.Size, service)
+	}
+	var rooms []placement.Room
+	for id := range said.tickets {
+		at := l.workers[id]
+		if at == nil || at.up.Service != service || !at.usable(p.now) || !said.allows(at, p.now) {
+			continue
+		}
+		if free := p.free(at, spec); need.Size.Fits(free) {
+			rooms = append(rooms, l.room(ws, at, free))
+		}
+	}
+	return rooms
+}
+
+// anyRooms returns all workers with room for a step that needs no advice.
+func (l *leadership) anyRooms(p *pass, ws *waitingStep, size resource.Vector, service string) []placement.Room {
+	spec := &ws.w.sub.Steps[ws.step]
+	var rooms []placement.Room
+	fits := false
+	for _, at := range p.usable[service] {
+		free := p.free(at, spec)
+		if !size.Fits(free) {
+			continue
+		}
+		fits = true
+		if at.up.HasLabel(spec.Label) {
+			rooms = append(rooms, l.room(ws, at, free))
+		}
+	}
+	if !fits {
+		p.noteFull(service, size)
+	}
+	return rooms
+}
+
+func (l *leadership) room(ws *waitingStep, at *worker, free resource.Vector) placement.Room {
+	return placement.Room{
+		Worker: at.id, Rack: at.up.Rack, Free: free, Tasks: l.tasksThere(at, ws), Doubtful: l.doubtful(ws, at),
+		Reserved: l.held[at].size.MilliCPU > 0,
+	}
+}
+
+// candidates returns the workers with room about which the advisor has to be
+// asked.
+func (l *leadership) candidates(p *pass, ws *waitingStep, size resource.Vector, service string, said *stepAdvice) []*worker {
+	spec := &ws.w.sub.Steps[ws.step]
+	var list []*worker
+	fits := false
+	for _, at := range p.usable[service] {
+		if !size.Fits(p.free(at, spec)) {
+			continue
+		}
+		fits = true
+		if at.up.HasLabel(spec.Label) && !said.refused[at.id] && !said.allows(at, p.now) {
+			list = append(list, at)
+		}
+	}
+	if !fits {
+		p.noteFull(service, size)
+	}
+	return list
+}
+
+func (p *pass) noteFull(service string, size resource.Vector) {
+	p.full[service] = append(p.full[service], size)
+}
+
+// isFull reports whether a task at most as large has found no room in the pass.
+func (p *pass) isFull(service string, size resource.Vector) bool {
+	for _, full := range p.full[service] {
+		if full.Fits(size) {
+			return true
+		}
+	}
+	return false
+}
+
+// tasksThere counts the tasks of the step that a worker has, where that matters.
+func (l *leadership) tasksThere(at *worker, ws *waitingStep) int {
+	if ws.w.sub.Steps[ws.step].PerWorker == 0 {
+		return 0
+	}
+	n := 0
+	for key := range at.runs {
+		if key.task.Job == ws.w.id && key.task.Step == ws.step {
+			n++
+		}
+	}
+	return n
+}
+
+// doubtful reports whether a task of the step has failed at the worker, or the
+// worker's last run failed.
+func (l *leadership) doubtful(ws *waitingStep, at *worker) bool {
+	if at.failures > 0 {
+		return true
+	}
+	for name, id := range ws.w.avoid {
+		if id == at.id && name.Step == ws.step {
+			return true
+		}
+	}
+	return false
+}
--- a/pollendockd/internal/scheduler/story_test.go
+++ b/pollendockd/internal/scheduler/story_test.go
@@ -252,19 +252,26 @@
 		a := c.start("a")
 		b := c.start("b")
 		time.Sleep(3 * time.Second)
-		began, _ := a.book.Leader()
-		c.store.LoseEvery(2)
-		for i := range 20 {
-			id := fmt.Sprintf("job%d", i)
-			c.submit(id, tasks(1, 1))
-			expectPhase(c, b, id, workTime+1500*time.Millisecond, job.Completed)
-		}
-		if now, _ := a.book.Leader(); now.Epoch != began.Epoch {
-			t.Errorf("leader %+v follows %+v", now, began)
-		}
+		expectSteady(c, a, b, 20, 1500*time.Millisecond, func() { c.store.LoseEvery(2) })
 	})
 }
 
+// expectSteady checks that jobs, one after the other, are done with at most some
+// slack, as seen by another VM, and that the leader stays, while a fault lasts.
+func expectSteady(c *cell, leader, other *vm, jobs int, slack time.Duration, fault func()) {
+	c.t.Helper()
+	began, _ := leader.book.Leader()
+	fault()
+	for i := range jobs {
+		id := fmt.Sprintf("job%d", i)
+		c.submit(id, tasks(1, 1))
+		expectPhase(c, other, id, workTime+slack, job.Completed)
+	}
+	if now, _ := leader.book.Leader(); now.Epoch != began.Epoch {
+		c.t.Errorf("leader %+v follows %+v", now, began)
+	}
+}
+
 // TestSlowStream: on a stream that takes 0.2 s for a read and as long for each
 // append, one at a time, the leader waits for its answers. Repeats that came too
 // soon kept the stream so busy that none was answered in time.
@@ -274,21 +281,42 @@
 		c.start("b")
 		c.start("d")
 		time.Sleep(3 * time.Second)
-		began, _ := a.book.Leader()
-		c.store.SetPace(200 * time.Millisecond)
-		c.store.SetDelay(200 * time.Millisecond)
-		time.Sleep(time.Second)
-		for i := range 5 {
-			id := fmt.Sprintf("job%d", i)
-			c.submit(id, tasks(1, 1))
-			expectPhase(c, a, id, workTime+1500*time.Millisecond, job.Completed)
-		}
-		if now, _ := a.book.Leader(); now.Epoch != began.Epoch {
-			t.Errorf("leader %+v follows %+v", now, began)
+		// A job takes two reads and four appends with those under way, and the
+		// pauses between: 1.5 s. Ten calls are 2 s.
+		expectSteady(c, a, a, 5, 2*time.Second, func() {
+			c.store.SetPace(200 * time.Millisecond)
+			c.store.SetDelay(200 * time.Millisecond)
+			time.Sleep(time.Second)
+		})
+		if n := c.store.Repeats(); n > 2 {
+			t.Errorf("%d appends were repeated", n)
 		}
 	})
 }
 
+// TestListsThatTell: a list that was asked for before a start was confirmed, or in
+// the same instant, does not tell that the run is gone.
+func TestListsThatTell(t *testing.T) {
+	now := time.Now()
+	confirmed, unknown := &run{}, &run{}
+	confirmed.confirm(now)
+	for _, c := range []struct {
+		name   string
+		r      *run
+		sentAt time.Time
+		want   bool
+	}{
+		{"asked for before", confirmed, now.Add(-time.Millisecond), false},
+		{"asked for in the same instant", confirmed, now, false},
+		{"asked for after", confirmed, now.Add(time.Millisecond), true},
+		{"nothing is known of the run", unknown, now, false},
+	} {
+		if got := c.r.toldBy(c.sentAt); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
 // TestLateCampaign: on a slow stream the record of a campaign was added after its
 // VM had given the campaign up and stood again. Everybody took that VM for the
 // leader, but itself.
--- a/pollendockd/internal/scheduler/work.go
+++ b/pollendockd/internal/scheduler/work.go
@@ -291,6 +291,21 @@
 	return at.runs[runKey{name, t.Run}]
 }
 
+// confirm notes that the worker has said that it has the run.
+func (r *run) confirm(now time.Time) {
+	r.stage = running
+	r.confirmedAt = now
+	r.percentAt = now
+	// A list that was asked for in this instant may not have the run yet.
+	r.settledAfter = now.Add(time.Nanosecond)
+}
+
+// toldBy reports whether a list that was asked for at a time tells if the run
+// exists.
+func (r *run) toldBy(sentAt time.Time) bool {
+	return !r.settledAfter.IsZero() && !sentAt.Before(r.settledAfter)
+}
+
 func (r *run) key() runKey {
 	return runKey{r.task, r.number}
 }
--- a/standin/fleet/store.go
+++ b/standin/fleet/store.go
@@ -28,6 +28,7 @@
 	pageSize int
 	delay    time.Duration
 	reads    int
+	repeats  int
 	// pace is how long the store takes for an append, one at a time, and freeAt
 	// when it is done with the last.
 	pace   time.Duration
@@ -53,61 +54,59 @@
 	return s.reads
 }
 
-// SetDelay has the answer to each read take that long on its way.
-func (s *Store) SetDelay(d time.Duration) {
+// Repeats returns the number of appends that had been done before.
+func (s *Store) Repeats() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.delay = d
+	return s.repeats
+}
+
+// SetDelay has the answer to each read take that long on its way.
+func (s *Store) SetDelay(d time.Duration) {
+	s.set(func() { s.delay = d })
 }
 
 // SetPage bounds the entries on a page.
 func (s *Store) SetPage(n int) {
+	s.set(func() { s.pageSize = n })
+}
+
+// set changes a fault.
+func (s *Store) set(change func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.pageSize = n
+	change()
 }
 
 // SetAway has the store refuse every call.
 func (s *Store) SetAway(away bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.away = away
+	s.set(func() { s.away = away })
 }
 
 // SetSilent has the store leave every call without an answer.
 func (s *Store) SetSilent(silent bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.silent = silent
+	s.set(func() { s.silent = silent })
 }
 
 // LoseAnswers has the next n appends done without an answer.
 func (s *Store) LoseAnswers(n int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.loseNext = n
+	s.set(func() { s.loseNext = n })
 }
 
 // LoseEvery has one of every n appends done without an answer; 0 for none.
 func (s *Store) LoseEvery(n int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.loseEvery = n
+	s.set(func() { s.loseEvery = n })
 }
 
 // SetLate has appends in a term done later, also if their caller has given up.
 func (s *Store) SetLate(by time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.late = by
+	s.set(func() { s.late = by })
 }
 
 // SetPace has appends done one at a time, each in that time. One whose caller has
 // given up is done all the same.
 func (s *Store) SetPace(d time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.pace = d
+	s.set(func() { s.pace = d })
 }
 
 // Trim drops the history; the newest entry of each key stays.
@@ -213,6 +212,7 @@
 		s.epoch = t.Epoch
 		s.sequence = t.Sequence
 	case t.Sequence == s.sequence-1:
+		s.repeats++
 		return s.last, nil
 	case t.Sequence != s.sequence:
 		return 0, site.ErrRefused.New("sequence %d, not %d", t.Sequence, s.sequence)
