Only answered reads tell that the stream is slow

A read without an answer counted as a slow one, so an append waited up to 2.5 s for a store that was away.

TestCallTime fails without the change.

--- a/pollendockd/internal/book/follower.go
+++ b/pollendockd/internal/book/follower.go
@@ -48,10 +48,8 @@
 		// stream, and of the last records that a leader appended.
 		readAt   atomic.Int64
 		leaderAt atomic.Int64
-		// callTime is that of the last read that did not wait for records, and
-		// callBegan when the one under way was sent, 0 for none.
-		callTime  atomic.Int64
-		callBegan atomic.Int64
+		// callTime is that of the last answered read that did not wait for records.
+		callTime atomic.Int64
 		// freshSince is when the reads of the present series began to succeed.
 		freshSince atomic.Int64
 	}
@@ -252,22 +250,19 @@
 	if wait > 0 {
 		return f.stream.Read(ctx, f.book.Next(), wait)
 	}
-	began := time.Since(f.start)
-	f.callBegan.Store(int64(began))
+	began := time.Now()
 	p, err := f.stream.Read(ctx, f.book.Next(), 0)
-	f.callTime.Store(int64(time.Since(f.start) - began))
-	f.callBegan.Store(0)
+	if err == nil {
+		f.callTime.Store(int64(time.Since(began)))
+	}
 	return p, err
 }
 
-// CallTime returns how long the stream takes to answer a read, by the last one
-// or the one under way.
+// CallTime returns how long the stream took for the last read that it answered.
+// Reads without an answer do not count: the stream is away then and not slow,
+// and is to be tried again soon.
 func (f *Follower) CallTime() time.Duration {
-	last := time.Duration(f.callTime.Load())
-	if began := f.callBegan.Load(); began > 0 {
-		last = max(last, time.Since(f.start)-time.Duration(began))
-	}
-	return last
+	return time.Duration(f.callTime.Load())
 }
 
 // apply folds a page that was read, and the offers that follow it.
--- a/pollendockd/internal/book/follower_test.go
+++ b/pollendockd/internal/book/follower_test.go
@@ -146,6 +146,27 @@
 	})
 }
 
+// TestCallTime: a slow stream is told from one that is away.
+func TestCallTime(t *testing.T) {
+	inStream(t, func(ctx context.Context, store *fleet.Store, _ *job.Book, f *Follower) {
+		if err := f.load(ctx); err != nil {
+			t.Fatal(err)
+		}
+		store.SetDelay(200 * time.Millisecond)
+		if err := f.Sync(ctx); err != nil || f.CallTime() != 200*time.Millisecond {
+			t.Errorf("slow: %v, %v", f.CallTime(), err)
+		}
+		store.SetDelay(7 * time.Millisecond)
+		if err := f.Sync(ctx); err != nil || f.CallTime() != 7*time.Millisecond {
+			t.Errorf("quick again: %v, %v", f.CallTime(), err)
+		}
+		store.SetSilent(true)
+		if err := f.Sync(ctx); err == nil || f.CallTime() != 7*time.Millisecond {
+			t.Errorf("away: %v, %v", f.CallTime(), err)
+		}
+	})
+}
+
 // TestFollowerFaults: the book is whole after each fault of the store.
 func TestFollowerFaults(t *testing.T) {
 	for _, c := range []struct {
