--- a/pollendockd/internal/scheduler/campaign.go
+++ b/pollendockd/internal/scheduler/campaign.go
@@ -161,10 +161,10 @@
 	return err
 }
 
-// leaderMayLive reads on and returns the time of a call, and whether a sign of a leader has come, or may
-// still come since the stream is slow: its records take long as well. With a
-// slow stream VMs wait longer for those before them, too, since a campaign that
-// follows another ends the term that has just begun.
+// leaderMayLive reads on. It returns the time of a call, and whether a sign of a
+// leader has come, or may still come since the stream is slow: its records take
+// long as well. With a slow stream VMs wait longer for those before them, too,
+// since a campaign that follows another ends the term that has just begun.
 func (s *Scheduler) leaderMayLive(ctx context.Context, last job.Leader, limit time.Duration, gone bool) (time.Duration, bool, error) {
 	began := time.Now()
 	if err := s.deps.Follower.Sync(ctx); err != nil {
