One scan for workers with room; a field that nothing reads is gone

Found on reading the whole change: anyRooms and candidates went through the workers with the same loop, now withRoom; the epoch of the newest campaign was kept though only terms that were ended are compared since earlier campaigns count. No decision changes.

--- a/pollendockd/internal/scheduler/campaign.go
+++ b/pollendockd/internal/scheduler/campaign.go
@@ -121,7 +121,6 @@
 // to have won once the book shows it.
 func (s *Scheduler) stand(l job.Leader, silence, limit time.Duration, gone bool) {
 	epoch := (l.Epoch/epochStep+1)*epochStep + rand.Int64N(epochStep)
-	s.campaign = epoch
 	s.campaigning = true
 	s.stoodAt = time.Now()
 	_ = level.Info(s.deps.Logger).Log("msg", "standing for leadership", "epoch", epoch,
--- a/pollendockd/internal/scheduler/rooms.go
+++ b/pollendockd/internal/scheduler/rooms.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"pollendock.example/cell/job"
 	"pollendock.example/cell/placement"
 	"pollendock.example/cell/resource"
 )
@@ -30,21 +31,30 @@
 func (l *leadership) anyRooms(p *pass, ws *waitingStep, size resource.Vector, service string) []placement.Room {
 	spec := &ws.w.sub.Steps[ws.step]
 	var rooms []placement.Room
+	for _, at := range p.withRoom(spec, size, service) {
+		rooms = append(rooms, l.room(ws, at, p.free(at, spec)))
+	}
+	return rooms
+}
+
+// withRoom returns the workers that have the step's label and room for a task,
+// and notes a size for which no worker has.
+func (p *pass) withRoom(spec *job.Step, size resource.Vector, service string) []*worker {
+	var list []*worker
 	fits := false
 	for _, at := range p.usable[service] {
-		free := p.free(at, spec)
-		if !size.Fits(free) {
+		if !size.Fits(p.free(at, spec)) {
 			continue
 		}
 		fits = true
 		if at.up.HasLabel(spec.Label) {
-			rooms = append(rooms, l.room(ws, at, free))
+			list = append(list, at)
 		}
 	}
 	if !fits {
-		p.noteFull(service, size)
+		p.full[service] = append(p.full[service], size)
 	}
-	return rooms
+	return list
 }
 
 func (l *leadership) room(ws *waitingStep, at *worker, free resource.Vector) placement.Room {
@@ -57,28 +67,15 @@
 // candidates returns the workers with room about which the advisor has to be
 // asked.
 func (l *leadership) candidates(p *pass, ws *waitingStep, size resource.Vector, service string, said *stepAdvice) []*worker {
-	spec := &ws.w.sub.Steps[ws.step]
 	var list []*worker
-	fits := false
-	for _, at := range p.usable[service] {
-		if !size.Fits(p.free(at, spec)) {
-			continue
-		}
-		fits = true
-		if at.up.HasLabel(spec.Label) && !said.refused[at.id] && !said.allows(at, p.now) {
+	for _, at := range p.withRoom(&ws.w.sub.Steps[ws.step], size, service) {
+		if !said.refused[at.id] && !said.allows(at, p.now) {
 			list = append(list, at)
 		}
 	}
-	if !fits {
-		p.noteFull(service, size)
-	}
 	return list
 }
 
-func (p *pass) noteFull(service string, size resource.Vector) {
-	p.full[service] = append(p.full[service], size)
-}
-
 // isFull reports whether a task at most as large has found no room in the pass.
 func (p *pass) isFull(service string, size resource.Vector) bool {
 	for _, full := range p.full[service] {
--- a/pollendockd/internal/scheduler/scheduler.go
+++ b/pollendockd/internal/scheduler/scheduler.go
@@ -114,9 +114,7 @@
 		ended chan struct{}
 
 		// lead is nil while another VM decides.
-		lead *leadership
-		// campaign is the newest epoch for which this VM stood.
-		campaign    int64
+		lead        *leadership
 		campaigning bool
 		stoodAt     time.Time
 		// over is the epoch of the last term that this VM has ended; it never
