Nothing fits nowhere while a listed worker's size is unknown

A gang of six came while one of four workers had a home; feasible counted the four slots of that one and answered 5001 for good. Ruled out: the team's limit (12 slots); a lost worker (none was lost). Conclusion: an Accept record says how many listed workers the log has no size of; until that is 0 only the team's limit refuses for good.

--- a/cell/ledger/jobs.go
+++ b/cell/ledger/jobs.go
@@ -95,7 +95,7 @@
 			return e
 		}
 	}
-	if e := s.feasible(a.Team, &a.Spec); e.Code != code.OK {
+	if e := s.feasible(a); e.Code != code.OK {
 		return e
 	}
 	q := s.queueOf(a.Team)
@@ -133,9 +133,11 @@
 	return team + "/" + key
 }
 
-// feasible refuses work that can never start.
-func (s *State) feasible(team string, spec *Spec) Effect {
-	limit := s.Document.Teams[team].Limit
+// feasible refuses work that can never start. As long as the capacity of a
+// listed worker is unknown, only the team's limit can tell.
+func (s *State) feasible(a *Accept) Effect {
+	spec := &a.Spec
+	limit := s.Document.Teams[a.Team].Limit
 	need := spec.Size
 	if spec.Kind == config.Gang {
 		need = spec.Size.Scale(int64(spec.Count))
@@ -143,7 +145,7 @@
 	if !need.Fits(limit) {
 		return refuse(code.NeverFits, "%s is beyond the team's limit %s", need, limit)
 	}
-	if len(s.Workers) == 0 {
+	if len(s.Workers) == 0 || a.Unsized > 0 {
 		return ok("")
 	}
 	wanted := int64(1)
--- a/cell/ledger/ledger_test.go
+++ b/cell/ledger/ledger_test.go
@@ -251,6 +251,32 @@
 	}
 }
 
+// TestNeverFitsNeedsEveryWorker: while a listed worker's capacity is not in the
+// log yet, nothing is known to fit nowhere. Seen while a cell came up: a gang of
+// six met the first of four workers with four slots each, and was refused for
+// good.
+func TestNeverFitsNeedsEveryWorker(t *testing.T) {
+	f := newFold(t)
+	small := resource.Vector{MilliCPU: 2000, MemoryMB: 2000, Slots: 2}
+	f.add("a", Record{Home: &Home{Worker: "w", Boot: "1", Epoch: 2, Capacity: small}}, code.OK)
+	gang := Spec{Kind: config.Gang, Count: 3, Size: size1}
+	cases := []struct {
+		job     string
+		unsized int
+		want    code.Code
+	}{
+		{"while others come up", 1, code.OK},
+		{"once all are known", 0, code.NeverFits},
+	}
+	for _, tc := range cases {
+		a := &Accept{Job: tc.job, Team: "atlas", KeyName: "k", Spec: gang, Unsized: tc.unsized}
+		f.add("a", Record{Accept: a}, tc.want)
+	}
+	beyond := &Accept{Job: "beyond the limit", Team: "atlas", KeyName: "k", Spec: gang, Unsized: 1}
+	beyond.Spec.Count = 5
+	f.add("a", Record{Accept: beyond}, code.NeverFits)
+}
+
 // TestSnapshotIsTheSameState: a state that went through a snapshot in the log
 // answers further records like the one that did not.
 func TestSnapshotIsTheSameState(t *testing.T) {
--- a/cell/ledger/record.go
+++ b/cell/ledger/record.go
@@ -124,6 +124,9 @@
 		Spec    Spec   `json:"spec"`
 		// Version is the configuration version under which the key was good.
 		Version int64 `json:"version"`
+		// Unsized is the number of listed workers whose capacity the log had
+		// not got yet, as seen by the VM that wrote the record.
+		Unsized int `json:"unsized,omitempty"`
 	}
 
 	// Dispatch binds queued tasks to workers.
--- a/pollendockd/internal/entry/admit.go
+++ b/pollendockd/internal/entry/admit.go
@@ -10,6 +10,7 @@
 	"pollendock.example/cell/code"
 	"pollendock.example/cell/config"
 	"pollendock.example/cell/ledger"
+	"pollendock.example/cell/platform"
 	"pollendock.example/cell/resource"
 	"pollendock.example/pollendockd/internal/peer"
 )
@@ -176,13 +177,28 @@
 	r := c.newRecord()
 	r.Accept = &ledger.Accept{
 		Job: newJobID(), Team: m.order.Team, KeyName: m.order.KeyName,
-		Spec: m.order.Spec, Version: m.order.Version,
+		Spec: m.order.Spec, Version: m.order.Version, Unsized: c.unsized(),
 	}
 	c.submit(r, true, func(_ int64, effect ledger.Effect) {
 		m.reply <- acceptAnswer(effect)
 	})
 }
 
+// unsized counts the listed workers that no home has recorded yet. A VM that
+// has not read the list knows of at least one that it can't name.
+func (c *control) unsized() int {
+	if len(c.listed) == 0 {
+		return 1
+	}
+	n := 0
+	for _, vm := range c.listed {
+		if vm.Role == platform.WorkerRole && !vm.Leaving && c.state.Workers[vm.ID] == nil {
+			n++
+		}
+	}
+	return n
+}
+
 func acceptAnswer(effect ledger.Effect) api.Answer {
 	switch effect.Code {
 	case code.OK:
--- a/pollendockd/internal/entry/control.go
+++ b/pollendockd/internal/entry/control.go
@@ -51,6 +51,8 @@
 		lastHeard map[string]time.Time
 		seen      map[string]seenMember
 
+		// listed is the last list of VMs that was read.
+		listed      []platform.VM
 		upstreams   map[string]*upstream
 		wanted      map[string]string
 		wantedKey   string
--- a/pollendockd/internal/entry/member.go
+++ b/pollendockd/internal/entry/member.go
@@ -286,6 +286,7 @@
 
 func (m vmsListed) handle(c *control) {
 	now := time.Now()
+	c.listed = m.vms
 	for _, vm := range m.vms {
 		switch vm.Role {
 		case platform.EntryRole:
