Times in records to the microsecond; run times learned from past work

Cause: the record library writes times as whole seconds unless told otherwise, so a lookup accepted late in a second came back as up to 1 s old; of its half second of slack nothing was left, it counted as late at once and then waited behind the gangs' held room. Found by a new log line, 'job cannot be in time any more', whose ages followed the fraction of the second. Second cause, seen in the same logs: estimates are rough (a lookup with an estimate of 274 ms takes 661, one with 2318 takes 1899; slope 0.45 on a log scale), and the objective also allows for failed runs and one query a step. Ruled out: the accepting VM (late ones came through all alike), the team, the advisor (first query after 13 s). Before: TestTimesInRecords fails by 0.966 s.

--- a/cell/job/job_test.go
+++ b/cell/job/job_test.go
@@ -47,13 +47,14 @@
 
 func TestChains(t *testing.T) {
 	s := sub("x",
-		Step{Count: 1, Estimate: time.Second},
-		Step{Count: 1, Estimate: 5 * time.Second},
-		Step{Count: 1, Estimate: 2 * time.Second, After: []int{0}},
-		Step{Count: 1, Estimate: 3 * time.Second, After: []int{2}},
+		Step{Count: 1},
+		Step{Count: 1},
+		Step{Count: 1, After: []int{0}},
+		Step{Count: 1, After: []int{2}},
 	)
+	chains := s.Chains([]time.Duration{time.Second, 5 * time.Second, 2 * time.Second, 3 * time.Second})
 	for step, want := range []time.Duration{6 * time.Second, 5 * time.Second, 5 * time.Second, 3 * time.Second} {
-		if got := s.ChainFrom(step); got != want {
+		if got := chains[step]; got != want {
 			t.Errorf("chain from %d is %v, want %v", step, got, want)
 		}
 	}
@@ -176,3 +177,43 @@
 		}
 	}
 }
+
+// TestTimesInRecords: a lookup has a few hundred milliseconds to start in, so
+// that a time of acceptance that comes back as a whole second makes most of them
+// look late.
+func TestTimesInRecords(t *testing.T) {
+	s := sub("x", Step{Count: 1})
+	s.AcceptedAt = time.Date(2026, 1, 28, 1, 0, 1, 966_123_456, time.UTC)
+	done := NewState(s)
+	done.Phase, done.EndedAt = Completed, s.AcceptedAt.Add(1234567*time.Microsecond)
+	b := NewBook()
+	for i, e := range []site.Entry{mustSubmission(t, s), mustState(t, "x", done)} {
+		e.Offset = int64(i)
+		if _, err := b.Apply(&site.Page{Entries: []site.Entry{e}, Next: int64(i) + 1}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	j := b.Job("x")
+	expectSameTime(t, "accepted", j.Submission.AcceptedAt, s.AcceptedAt)
+	expectSameTime(t, "ended", j.State.EndedAt, done.EndedAt)
+}
+
+func mustSubmission(t *testing.T, s *Submission) site.Entry {
+	t.Helper()
+	e, err := SubmissionEntry(s)
+	return mustEntry(t, e, err)
+}
+
+func mustState(t *testing.T, id string, s *State) site.Entry {
+	t.Helper()
+	e, err := StateEntry(id, s)
+	return mustEntry(t, e, err)
+}
+
+// expectSameTime compares to the millisecond.
+func expectSameTime(t *testing.T, what string, got, want time.Time) {
+	t.Helper()
+	if got.Sub(want).Abs() >= time.Millisecond {
+		t.Errorf("%s: %v, want %v", what, got.UTC(), want)
+	}
+}
--- a/cell/job/record.go
+++ b/cell/job/record.go
@@ -43,8 +43,24 @@
 	leaderKey     = "leader"
 )
 
-// Class wraps the errors of this package.
-var Class = errs.Class("job")
+var (
+	// Class wraps the errors of this package.
+	Class = errs.Class("job")
+
+	encoding = newEncoding()
+)
+
+// newEncoding returns how records are written. The library's own way rounds
+// times down to seconds, which makes a lookup that was accepted late in a second
+// look as if it had waited for most of it.
+func newEncoding() cbor.EncMode {
+	mode, err := cbor.EncOptions{Time: cbor.TimeUnixMicro}.EncMode()
+	if err != nil {
+		// The options are constants.
+		panic(err)
+	}
+	return mode
+}
 
 // SubmissionEntry makes a job durable.
 func SubmissionEntry(s *Submission) (site.Entry, error) {
@@ -87,7 +103,7 @@
 }
 
 func encode(key string, v any) (site.Entry, error) {
-	value, err := cbor.Marshal(v)
+	value, err := encoding.Marshal(v)
 	if err != nil {
 		return site.Entry{}, Class.Wrap(err)
 	}
--- a/cell/job/submission.go
+++ b/cell/job/submission.go
@@ -116,14 +116,18 @@
 	return nil
 }
 
-// ChainFrom returns the estimated time of the longest chain that begins with a
-// step.
-func (s *Submission) ChainFrom(step int) time.Duration {
-	longest := time.Duration(0)
-	for next := step + 1; next < len(s.Steps); next++ {
-		if slices.Contains(s.Steps[next].After, step) {
-			longest = max(longest, s.ChainFrom(next))
+// Chains returns the time of the longest chain of work that begins with each
+// step, given what each step takes.
+func (s *Submission) Chains(takes []time.Duration) []time.Duration {
+	chains := slices.Clone(takes)
+	for step := len(s.Steps) - 1; step >= 0; step-- {
+		longest := time.Duration(0)
+		for next := step + 1; next < len(s.Steps); next++ {
+			if slices.Contains(s.Steps[next].After, step) {
+				longest = max(longest, chains[next])
+			}
 		}
+		chains[step] += longest
 	}
-	return s.Steps[step].Estimate + longest
+	return chains
 }
--- /dev/null
+++ b/cell/placement/runtimes_test.go
@@ -0,0 +1,52 @@
+package placement
+
+import (
+	"math"
+	"math/rand"
+	"testing"
+	"time"
+)
+
+// expectNear fails unless got is within a part of want.
+func expectNear(t *testing.T, what string, got, want time.Duration, part float64) {
+	t.Helper()
+	if math.Abs(float64(got-want)) > part*float64(want) {
+		t.Errorf("%s: %v, want %v within %.0f %%", what, got, want, part*100)
+	}
+}
+
+// TestRunTimes plays work whose estimates are as rough as those of a dispatcher's
+// lookups: half of their spread is error.
+func TestRunTimes(t *testing.T) {
+	r := rand.New(rand.NewSource(1))
+	const spread = 0.5
+	mean := float64(900 * time.Millisecond)
+	var times RunTimes
+	for range 2000 {
+		took := mean * math.Exp(spread*r.NormFloat64())
+		estimate := took * math.Exp(spread*r.NormFloat64())
+		times.Note(time.Duration(estimate), time.Duration(took))
+	}
+	// With errors as large as the spread the best guess is the mean between the
+	// estimate and the usual time, on a logarithmic scale.
+	for _, estimate := range []time.Duration{300 * time.Millisecond, 900 * time.Millisecond, 2700 * time.Millisecond} {
+		want := time.Duration(math.Sqrt(float64(estimate) * mean))
+		expectNear(t, estimate.String(), times.Expect(estimate), want, 0.1)
+	}
+	if got, want := times.Spread(), math.Exp(spread/math.Sqrt2); math.Abs(got-want) > 0.1 {
+		t.Errorf("spread %.2f, want %.2f", got, want)
+	}
+}
+
+func TestRunTimesWithLittle(t *testing.T) {
+	var times RunTimes
+	expectNear(t, "nothing seen", times.Expect(time.Second), time.Second, 0)
+	if got := times.Expect(0); got != 0 {
+		t.Errorf("no estimate: %v", got)
+	}
+	times.Note(time.Second, time.Hour)
+	times.Note(0, time.Second)
+	if got := times.Expect(time.Second); got > 2*time.Second {
+		t.Errorf("one run that hung makes a second %v", got)
+	}
+}
--- a/pollendockd/internal/scheduler/advice.go
+++ b/pollendockd/internal/scheduler/advice.go
@@ -70,11 +70,6 @@
 		tickets []site.Ticket
 		err     error
 	}
-
-	// learned is what past queries of a queue have shown.
-	learned struct {
-		asked, good float64
-	}
 )
 
 const (
@@ -92,12 +87,6 @@
 	maxAdviceRest = 20 * time.Second
 	// maxNamed bounds the workers in a query.
 	maxNamed = 100
-	// likelyGood is taken as the part of workers that may run a step before a
-	// queue has shown its own, counted as likelyWeight workers.
-	likelyGood   = 0.5
-	likelyWeight = 8
-	// learnedLimit bounds the workers that the past counts as.
-	learnedLimit = 400
 )
 
 func (d *adviceDesk) init() {
@@ -110,20 +99,6 @@
 	return c == nil || !now.Before(c.restUntil)
 }
 
-// part is the expected part of workers that may run a step of the queue.
-func (k *learned) part() float64 {
-	return (k.good + likelyGood*likelyWeight) / (k.asked + likelyWeight)
-}
-
-func (l *leadership) learnedOf(queue string) *learned {
-	k := l.learned[queue]
-	if k == nil {
-		k = &learned{}
-		l.learned[queue] = k
-	}
-	return k
-}
-
 func (w *work) adviceOf(step int) *stepAdvice {
 	if w.advice[step] == nil {
 		w.advice[step] = &stepAdvice{tickets: map[string]ticket{}, refused: map[string]bool{}}
@@ -257,13 +232,7 @@
 		delete(advice.refused, t.Upstream)
 		advice.tickets[t.Upstream] = ticket{t.Ticket, q.boots[t.Upstream], now.Add(q.valid - ticketMargin)}
 	}
-	k := l.learnedOf(q.w.sub.Queue)
-	k.asked += float64(len(q.workers))
-	k.good += float64(len(e.tickets))
-	if k.asked > learnedLimit {
-		k.good *= learnedLimit / k.asked
-		k.asked = learnedLimit
-	}
+	l.learnedOf(q.w.sub.Queue).noteAdvice(len(q.workers), len(e.tickets))
 	s.deps.Counts.Time("advice", now.Sub(q.askedAt))
 	_ = level.Info(s.deps.Logger).Log("msg", "advised", "job", q.w.id, "step", q.step, "through", e.through,
 		"asked", len(q.workers), "good", len(e.tickets), "tookMs", now.Sub(q.askedAt).Milliseconds(), "callMs", now.Sub(q.sentAt).Milliseconds())
@@ -311,7 +280,7 @@
 	said := ws.w.adviceOf(ws.step)
 	candidates := make([]placement.Candidate, 0, len(workers))
 	for _, at := range workers {
-		free := p.free(at, &ws.w.sub.Steps[ws.step])
+		free := p.free(at, ws)
 		free.MilliCPU -= at.spoken
 		candidates = append(candidates, placement.Candidate{Room: l.room(ws, at, free), Known: said.known(at)})
 	}
--- a/pollendockd/internal/scheduler/place.go
+++ b/pollendockd/internal/scheduler/place.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"pollendock.example/cell/job"
 	"pollendock.example/cell/placement"
 	"pollendock.example/cell/resource"
@@ -52,6 +54,25 @@
 	unreserved
 )
 
+// String returns the name in log lines.
+func (o obstacle) String() string {
+	switch o {
+	case asking:
+		return "advice"
+	case noRoom:
+		return "room"
+	case teamLimit:
+		return "team limit"
+	case behindOthers:
+		return "earlier steps"
+	case reserved:
+		return "held room"
+	case unreserved:
+		return "room to hold"
+	}
+	return "nothing"
+}
+
 const (
 	// placeGap is the least time between two passes, and passShare the most of
 	// the time that passes may take: a deep queue must not keep the leader from
@@ -97,12 +118,31 @@
 		if ws.turn.Rank == placement.InTime {
 			l.obstacles[why]++
 		}
+		l.noteWait(ws, why)
 	}
 	l.placeOverdue(p, steps[timely:])
 	l.held = p.held
 	l.placeCost = time.Since(now)
 }
 
+// noteWait keeps what a step waits for, and logs it when the job can no longer
+// be in time.
+func (l *leadership) noteWait(ws *waitingStep, why obstacle) {
+	w := ws.w
+	if ws.turn.Rank < placement.Late {
+		w.waitsFor = why
+		return
+	}
+	if w.missed {
+		return
+	}
+	w.missed = true
+	spec := &w.sub.Steps[ws.step]
+	_ = level.Info(l.s.deps.Logger).Log("msg", "job cannot be in time any more", "job", w.id, "step", ws.step, "queue", w.sub.Queue,
+		"waitedFor", w.waitsFor, "tasks", spec.Count, "gang", spec.Gang, "size", spec.Size,
+		"ageMs", time.Since(w.sub.AcceptedAt).Milliseconds(), "allowedMs", w.allowed.Milliseconds())
+}
+
 // placeOverdue looks at the overdue steps that have tickets, which would run
 // out before their next turn. Of the others it looks at some, and at the next
 // ones in the next pass: the first ones may be such that can never run.
--- a/pollendockd/internal/scheduler/reserve.go
+++ b/pollendockd/internal/scheduler/reserve.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"pollendock.example/cell/job"
 	"pollendock.example/cell/placement"
 	"pollendock.example/cell/resource"
 	"pollendock.example/cell/site"
@@ -47,10 +46,11 @@
 
 // free returns the room at a worker for tasks of a step: what is held for a
 // gang may be used by work that should end before.
-func (p *pass) free(at *worker, spec *job.Step) resource.Vector {
+func (p *pass) free(at *worker, ws *waitingStep) resource.Vector {
 	free := at.free()
 	h, isHeld := p.held[at]
-	if !isHeld || time.Duration(estimateSlack*float64(spec.Estimate)) <= h.in && !spec.Endless {
+	takes := ws.w.forecast.tasks[ws.step]
+	if !isHeld || time.Duration(estimateSlack*float64(takes)) <= h.in && !ws.w.sub.Steps[ws.step].Endless {
 		return free
 	}
 	return free.Sub(h.size)
@@ -121,11 +121,20 @@
 		if step.Endless {
 			continue
 		}
-		o.Releases = append(o.Releases, placement.Release{Worker: at.id, In: r.remaining(p.now, step.Estimate), Size: step.Size})
+		o.Releases = append(o.Releases, placement.Release{Worker: at.id, In: r.remaining(p.now, r.expected()), Size: step.Size})
 	}
 	return o
 }
 
+// expected is the time that the run should take.
+func (r *run) expected() time.Duration {
+	if r.task.Step < len(r.w.forecast.tasks) {
+		return r.w.forecast.tasks[r.task.Step]
+	}
+	// A stray run, of a job that is not in the records any more.
+	return 0
+}
+
 // remaining works out when a run should end, from its progress if it has some.
 func (r *run) remaining(now time.Time, estimate time.Duration) time.Duration {
 	began := r.confirmedAt
--- a/pollendockd/internal/scheduler/rooms.go
+++ b/pollendockd/internal/scheduler/rooms.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"pollendock.example/cell/job"
 	"pollendock.example/cell/placement"
 	"pollendock.example/cell/resource"
 )
@@ -10,7 +9,6 @@
 // step that needs advice these are the few with a ticket, so that a pass does
 // not go through all workers for each of the steps that wait.
 func (l *leadership) rooms(p *pass, ws *waitingStep, need placement.Need, service string, said *stepAdvice) []placement.Room {
-	spec := &ws.w.sub.Steps[ws.step]
 	if said == nil {
 		return l.anyRooms(p, ws, need.Size, service)
 	}
@@ -20,7 +18,7 @@
 		if at == nil || at.up.Service != service || !at.usable(p.now) || !said.allows(at, p.now) {
 			continue
 		}
-		if free := p.free(at, spec); need.Size.Fits(free) {
+		if free := p.free(at, ws); need.Size.Fits(free) {
 			rooms = append(rooms, l.room(ws, at, free))
 		}
 	}
@@ -29,25 +27,25 @@
 
 // anyRooms returns all workers with room for a step that needs no advice.
 func (l *leadership) anyRooms(p *pass, ws *waitingStep, size resource.Vector, service string) []placement.Room {
-	spec := &ws.w.sub.Steps[ws.step]
 	var rooms []placement.Room
-	for _, at := range p.withRoom(spec, size, service) {
-		rooms = append(rooms, l.room(ws, at, p.free(at, spec)))
+	for _, at := range p.withRoom(ws, size, service) {
+		rooms = append(rooms, l.room(ws, at, p.free(at, ws)))
 	}
 	return rooms
 }
 
 // withRoom returns the workers that have the step's label and room for a task,
 // and notes a size for which no worker has.
-func (p *pass) withRoom(spec *job.Step, size resource.Vector, service string) []*worker {
+func (p *pass) withRoom(ws *waitingStep, size resource.Vector, service string) []*worker {
+	label := ws.w.sub.Steps[ws.step].Label
 	var list []*worker
 	fits := false
 	for _, at := range p.usable[service] {
-		if !size.Fits(p.free(at, spec)) {
+		if !size.Fits(p.free(at, ws)) {
 			continue
 		}
 		fits = true
-		if at.up.HasLabel(spec.Label) {
+		if at.up.HasLabel(label) {
 			list = append(list, at)
 		}
 	}
@@ -68,7 +66,7 @@
 // asked.
 func (l *leadership) candidates(p *pass, ws *waitingStep, size resource.Vector, service string, said *stepAdvice) []*worker {
 	var list []*worker
-	for _, at := range p.withRoom(&ws.w.sub.Steps[ws.step], size, service) {
+	for _, at := range p.withRoom(ws, size, service) {
 		if !said.refused[at.id] && !said.allows(at, p.now) {
 			list = append(list, at)
 		}
--- a/pollendockd/internal/scheduler/scheduler.go
+++ b/pollendockd/internal/scheduler/scheduler.go
@@ -124,6 +124,9 @@
 		yielded  int64
 		stopping bool
 
+		// learned is what past work has shown, by queue; it outlasts terms.
+		learned map[string]*learned
+
 		// upstreams is the newest list of workers, current at listedAt.
 		upstreams []site.Upstream
 		listedAt  time.Time
@@ -165,7 +168,7 @@
 
 // New returns a scheduler that does nothing until Run.
 func New(opt Options, deps Deps) *Scheduler {
-	return &Scheduler{opt: opt, deps: deps, events: make(chan event, eventBuffer), ended: make(chan struct{})}
+	return &Scheduler{opt: opt, deps: deps, events: make(chan event, eventBuffer), ended: make(chan struct{}), learned: map[string]*learned{}}
 }
 
 // Run decides whenever this VM leads, until ctx ends.
--- a/pollendockd/internal/scheduler/term.go
+++ b/pollendockd/internal/scheduler/term.go
@@ -45,7 +45,6 @@
 		limited    int
 		obstacles  map[obstacle]int
 		reportedAt time.Time
-		learned    map[string]*learned
 		// handedOver is closed once the leadership has been given up.
 		handedOver chan struct{}
 	}
@@ -82,7 +81,6 @@
 		works:   map[string]*work{},
 		workers: map[string]*worker{},
 		teamUse: map[string]resource.Vector{},
-		learned: map[string]*learned{},
 		meters:  map[string]*placement.Meter{},
 		place:   true,
 	}
--- a/pollendockd/internal/scheduler/waiting.go
+++ b/pollendockd/internal/scheduler/waiting.go
@@ -38,7 +38,10 @@
 
 // turnOf works out when a step is to be served.
 func (l *leadership) turnOf(p *pass, w *work, step int) placement.Turn {
-	remaining := w.chains[step]
+	if p.now.Sub(w.forecast.at) > forecastAge {
+		l.foresee(w, p.now)
+	}
+	remaining := w.forecast.chains[step]
 	return placement.Turn{
 		Rank:        placement.RankAt(p.now, w.sub.AcceptedAt, w.allowed, remaining, w.beyond),
 		Priority:    w.sub.Priority,
--- a/pollendockd/internal/scheduler/work.go
+++ b/pollendockd/internal/scheduler/work.go
@@ -17,10 +17,15 @@
 		sub   *job.Submission
 		state *job.State
 		order int64
-		// allowed is the time that the job may take, chains that of the longest
-		// chain of work that begins with each step.
-		allowed time.Duration
-		chains  []time.Duration
+		// allowed is the time that the job may take.
+		allowed  time.Duration
+		forecast forecast
+		// past is what the runs of each step have shown in this term.
+		past []stepPast
+		// waitsFor is what the job's last step that was not placed waits for, and
+		// missed is set once the job cannot be in time any more.
+		waitsFor obstacle
+		missed   bool
 		// beyond is set for a job beyond what its team is owed.
 		beyond bool
 		// advice holds what the advisor said of each step.
@@ -101,6 +106,7 @@
 		w = &work{
 			id: id, sub: j.Submission, state: j.State.Clone(), order: j.Order,
 			advice:      make([]*stepAdvice, len(j.Submission.Steps)),
+			past:        make([]stepPast, len(j.Submission.Steps)),
 			checkpoints: map[site.TaskName]string{},
 			avoid:       map[site.TaskName]string{},
 			stills:      map[site.TaskName]int{},
@@ -122,19 +128,11 @@
 
 // assess notes what the catalog says of the job's queue and team now.
 func (l *leadership) assess(w *work) {
-	longest := time.Duration(0)
-	for step := range w.sub.Steps {
-		w.chains = append(w.chains, w.sub.ChainFrom(step))
-		longest = max(longest, w.chains[step])
-	}
-	w.allowed = longest
+	l.foresee(w, time.Now())
 	catalog := l.s.deps.Catalog()
 	if catalog == nil {
 		return
 	}
-	if q := catalog.Queue(w.sub.Queue); q != nil {
-		w.allowed = time.Duration(q.Stretch*float64(longest)) + q.Objective
-	}
 	if team := catalog.Team(w.sub.Team); team != nil {
 		m := l.meters[team.Name]
 		if m == nil {
@@ -201,6 +199,7 @@
 	if t.Status != job.Dispatched || t.Run != r.number {
 		return
 	}
+	l.noteRun(r, how, time.Now())
 	l.touch(w)
 	t.Worker = ""
 	t.Boot = 0
@@ -217,6 +216,9 @@
 	} else {
 		l.concludeTask(w, r, t, how)
 	}
+	if how == site.Done && w.state.StepDone(r.task.Step) {
+		l.noteStep(w, r.task.Step)
+	}
 	l.afterEnd(w)
 }
 
