--- a/pollendockd/internal/scheduler/place.go
+++ b/pollendockd/internal/scheduler/place.go
@@ -26,6 +26,8 @@
 		// held is room that is held back for gangs earlier in turn.
 		held  map[*worker]held
 		gangs int
+		// saved is what gangs wait for within their team's limit, by team.
+		saved map[string][]saving
 	}
 
 	// obstacle is what a step waits for.
@@ -85,9 +87,6 @@
 	// bookLimit is how old the last reading of the records may be for new
 	// starts, so that a cancel is known.
 	bookLimit = 1500 * time.Millisecond
-	// batchPart is the part of a team's limit that work of a later priority may
-	// take beside other work.
-	batchPart = 0.9
 	// spareCandidates widens queries beyond what should just suffice.
 	spareCandidates = 1.6
 	leastCandidates = 4
@@ -103,7 +102,7 @@
 	if catalog == nil {
 		return
 	}
-	p := &pass{now: now, catalog: catalog, usable: map[string][]*worker{}, full: map[string][]resource.Vector{}, unspoken: map[string]int64{}, held: map[*worker]held{}}
+	p := &pass{now: now, catalog: catalog, usable: map[string][]*worker{}, full: map[string][]resource.Vector{}, unspoken: map[string]int64{}, held: map[*worker]held{}, saved: map[string][]saving{}}
 	for _, at := range l.workers {
 		if at.usable(now) {
 			p.usable[at.up.Service] = append(p.usable[at.up.Service], at)
@@ -179,11 +178,12 @@
 	}
 	ws.tasks = w.waitingTasks(ws.step)
 	need := placement.Need{
-		Count: l.withinLimit(p, w, spec.Size, len(ws.tasks)),
+		Count: l.withinLimit(p, ws, spec.Size, len(ws.tasks)),
 		Size:  spec.Size, Gang: spec.Gang, OneRack: spec.OneRack, Rack: spec.Rack, PerWorker: spec.PerWorker,
 	}
 	if need.Count == 0 || spec.Gang && need.Count < len(ws.tasks) {
 		l.limited++
+		p.save(ws, need.Size)
 		return teamLimit
 	}
 	rooms := l.rooms(p, ws, need, service, said)
@@ -238,31 +238,6 @@
 	return why
 }
 
-// withinLimit returns how many of n tasks the team's limit allows. Work that is
-// not of the first priority leaves a part of the limit to work that is: a lookup
-// would else wait for a batch task of its own team to end.
-func (l *leadership) withinLimit(p *pass, w *work, size resource.Vector, n int) int {
-	team := p.catalog.Team(w.sub.Team)
-	if team == nil {
-		return n
-	}
-	use := l.teamUse[w.sub.Team]
-	part := 1.0
-	if w.sub.Priority > 0 && use.MilliCPU > 0 {
-		part = batchPart
-	}
-	for _, c := range []struct{ limit, use, size int64 }{
-		{team.Limit.MilliCPU, use.MilliCPU, size.MilliCPU},
-		{team.Limit.MemoryMB, use.MemoryMB, size.MemoryMB},
-		{team.Limit.Accelerators, use.Accelerators, size.Accelerators},
-	} {
-		if c.limit > 0 && c.size > 0 {
-			n = min(n, int(max(0, int64(part*float64(c.limit))-c.use)/c.size))
-		}
-	}
-	return n
-}
-
 // plan binds a task to a worker. The order follows once that is durable.
 func (l *leadership) plan(ws *waitingStep, index int, at *worker, now time.Time) {
 	w := ws.w
--- a/pollendockd/internal/scheduler/story_test.go
+++ b/pollendockd/internal/scheduler/story_test.go
@@ -457,3 +457,39 @@
 		expectStarts(c, "x", 0, 1)
 	})
 }
+
+// TestGangAtTheTeamLimit: small tasks of the same team, which can wait, leave a
+// gang what becomes free within the team's limit.
+func TestGangAtTheTeamLimit(t *testing.T) {
+	inCell(t, 8, func(c *cell) {
+		c.catalog = (&site.Catalog{
+			Version:  2,
+			Queues:   []site.Queue{{Name: "q", Service: "s", MaxAttempts: 2, Stretch: 6}},
+			Teams:    []site.Team{{Name: "team", Limit: resource.Vector{MilliCPU: 24_000}}},
+			Services: map[string]site.Service{"s": {}},
+		}).Index()
+		c.outcome = func(t site.TaskName, _ int64, _ string) (time.Duration, site.EndKind) {
+			// The small tasks end at different times, so that there is never much
+			// room at once.
+			spread := time.Duration(t.Index+2*int(t.Job[len(t.Job)-1])) % 7
+			return workTime * (7 + spread) / 10, site.Done
+		}
+		a := c.start("a")
+		time.Sleep(time.Second)
+		small := 0
+		submitSmall := func() {
+			c.submit(fmt.Sprintf("small%d", small), tasks(2, 2))
+			small++
+		}
+		for range 6 {
+			submitSmall()
+		}
+		c.submit("gang", gang(5, 4))
+		at := time.Now()
+		for time.Since(at) < 4*workTime {
+			submitSmall()
+			time.Sleep(workTime / 17)
+		}
+		expectPhase(c, a, "gang", 0, job.Completed)
+	})
+}
