Slow workers are learned and left to work that can wait

Cause: at Dar Melh a third of the workers takes 1.3 times as long (seen when the tasks of each step are compared with one another; the Consortium's are alike). A lookup, with half its length to spare, is late there, and a gang waits as a whole for its slowest member. Ruled out: that estimates, sizes or the data centre explain the difference.

--- a/cell/placement/placement.go
+++ b/cell/placement/placement.go
@@ -20,6 +20,8 @@
 		// Reserved workers have room that is held back for a gang; they are
 		// taken after the others.
 		Reserved bool
+		// Slow workers take longer for the same work than others.
+		Slow bool
 		// Doubtful workers are taken last.
 		Doubtful bool
 	}
@@ -34,6 +36,9 @@
 		OneRack bool
 		// Rack is preferred; empty for any.
 		Rack string
+		// Patient steps take slow workers before others, which they leave to work
+		// that has to be done soon; other steps take slow ones last.
+		Patient bool
 		// PerWorker bounds the tasks of the step on one worker; 0 for any.
 		PerWorker int
 	}
@@ -90,7 +95,7 @@
 }
 
 // before orders rooms: sound workers first, then those that nobody waits for,
-// then those near the data, then the fullest.
+// then those near the data, then those of the better pace, then the fullest.
 func before(n Need, a, b *Room) bool {
 	if a.Doubtful != b.Doubtful {
 		return b.Doubtful
@@ -101,6 +106,9 @@
 	if nearA, nearB := n.Rack == a.Rack, n.Rack == b.Rack; n.Rack != "" && nearA != nearB {
 		return nearA
 	}
+	if a.Slow != b.Slow {
+		return a.Slow == n.Patient
+	}
 	if a.Free.MilliCPU != b.Free.MilliCPU {
 		return a.Free.MilliCPU < b.Free.MilliCPU
 	}
--- a/cell/placement/placement_test.go
+++ b/cell/placement/placement_test.go
@@ -42,6 +42,28 @@
 	expectChoice(t, "spread beside earlier tasks", Need{Count: 4, Size: cores(5), PerWorker: 1}, rooms, []string{"b", "c", "d"})
 }
 
+// TestSlowWorkers: work that has to be done soon goes to slow workers last, work
+// that can wait goes there first.
+func TestSlowWorkers(t *testing.T) {
+	rooms := []Room{
+		{Worker: "a", Rack: "r1", Free: cores(60)},
+		{Worker: "b", Rack: "r1", Free: cores(20), Slow: true},
+		{Worker: "c", Rack: "r2", Free: cores(40)},
+	}
+	expectChoice(t, "soon", Need{Count: 1, Size: cores(5)}, rooms, []string{"c"})
+	expectChoice(t, "patient", Need{Count: 1, Size: cores(5), Patient: true}, rooms, []string{"b"})
+	expectChoice(t, "near the data first", Need{Count: 1, Size: cores(5), Rack: "r2", Patient: true}, rooms, []string{"c"})
+	expectChoice(t, "slow if need be", Need{Count: 3, Size: cores(20), Gang: true}, rooms[1:], []string{"b", "c", "c"})
+	var candidates []Candidate
+	for _, r := range rooms {
+		candidates = append(candidates, Candidate{Room: r})
+	}
+	named, _ := Ask(Need{Count: 1, Size: cores(5)}, Query{Part: 1, Spare: 1}, candidates)
+	if !slices.Equal(named, []string{"c"}) {
+		t.Errorf("asked about %v, want c", named)
+	}
+}
+
 // FuzzChoose: no choice goes beyond a room, the count or the spread, and a gang
 // is placed whole or not at all.
 func FuzzChoose(f *testing.F) {
--- a/cell/placement/query.go
+++ b/cell/placement/query.go
@@ -36,7 +36,7 @@
 	for i := range order {
 		fits[order[i].Worker] = Fit(n, &order[i].Room)
 	}
-	sort.Slice(order, func(a, b int) bool { return askBefore(&q, fits, &order[a], &order[b]) })
+	sort.Slice(order, func(a, b int) bool { return askBefore(n, &q, fits, &order[a], &order[b]) })
 	expected := float64(q.Have)
 	wanted := q.Spare * float64(n.Count)
 	var named []string
@@ -55,8 +55,8 @@
 }
 
 // askBefore orders candidates: known ones first, then those with room, sound
-// ones, and those at which no room is held back.
-func askBefore(q *Query, fits map[string]int, a, b *Candidate) bool {
+// ones, those at which no room is held back, and those of the better pace.
+func askBefore(n Need, q *Query, fits map[string]int, a, b *Candidate) bool {
 	if a.Known != b.Known {
 		return a.Known
 	}
@@ -69,6 +69,9 @@
 	if a.Reserved != b.Reserved {
 		return b.Reserved
 	}
+	if a.Slow != b.Slow {
+		return a.Slow == n.Patient
+	}
 	if a.Free.MilliCPU != b.Free.MilliCPU {
 		return (a.Free.MilliCPU > b.Free.MilliCPU) == q.Emptiest
 	}
--- a/pollendockd/internal/scheduler/learn.go
+++ b/pollendockd/internal/scheduler/learn.go
@@ -36,6 +36,7 @@
 		longest time.Duration
 		lost    time.Duration
 		marred  bool
+		timings []timing
 	}
 )
 
@@ -94,15 +95,22 @@
 		return
 	}
 	past.longest = max(past.longest, took)
+	past.timings = append(past.timings, timing{r.at.id, r.at.boot, took})
 	l.learnedOf(w.sub.Queue).tasks.Note(w.sub.Steps[r.task.Step].Estimate, took)
 }
 
 // noteStep takes in a step that is done.
 func (l *leadership) noteStep(w *work, step int) {
-	if w.past == nil || w.past[step].marred || w.past[step].longest == 0 {
+	if w.past == nil {
 		return
 	}
-	l.learnedOf(w.sub.Queue).steps.Note(w.sub.Steps[step].Estimate, w.past[step].longest)
+	past := &w.past[step]
+	l.s.notePaces(past.timings)
+	past.timings = nil
+	if past.marred || past.longest == 0 {
+		return
+	}
+	l.learnedOf(w.sub.Queue).steps.Note(w.sub.Steps[step].Estimate, past.longest)
 }
 
 // foresee works out anew how long a job should take, and what it may take.
--- a/pollendockd/internal/scheduler/reserve.go
+++ b/pollendockd/internal/scheduler/reserve.go
@@ -29,6 +29,9 @@
 	// askLead is how long before its start a gang asks for tickets, besides the
 	// time that the answer takes.
 	askLead = 250 * time.Millisecond
+	// slowCosts is the part of its time by which a gang with a slow worker takes
+	// longer.
+	slowCosts = 0.25
 )
 
 // isHeavy reports whether a gang takes more than one worker can hold.
@@ -79,7 +82,7 @@
 		}
 		outlooks = append(outlooks, l.outlook(p, at, ws))
 	}
-	places, in, ok := placement.Reserve(need, outlooks)
+	places, in, ok := l.reserveBest(ws, need, outlooks)
 	if len(unknown) > 0 && !said.asking && (!ok || in > askMoreAfter) {
 		l.askForGang(p, ws, need, unknown, a)
 	}
@@ -102,6 +105,27 @@
 	return reserved
 }
 
+// reserveBest keeps a gang off slow workers, at which all of it would wait for
+// the slowest member, unless that takes longer than it saves.
+func (l *leadership) reserveBest(ws *waitingStep, need placement.Need, outlooks []placement.Outlook) ([]placement.Reservation, time.Duration, bool) {
+	places, in, ok := placement.Reserve(need, outlooks)
+	var sound []placement.Outlook
+	for i := range outlooks {
+		if !outlooks[i].Slow {
+			sound = append(sound, outlooks[i])
+		}
+	}
+	if !ok || len(sound) == len(outlooks) {
+		return places, in, ok
+	}
+	soundPlaces, soundIn, soundOK := placement.Reserve(need, sound)
+	saves := time.Duration(slowCosts * float64(ws.w.forecast.tasks[ws.step]))
+	if soundOK && soundIn <= in+saves {
+		return soundPlaces, soundIn, true
+	}
+	return places, in, ok
+}
+
 // askForGang asks about workers that the step does not know, the emptiest first
 // and as many as should have the room. Each takes the advisor's time, and that
 // of a large gang's answer would else be a second or more.
@@ -114,7 +138,7 @@
 // outlook returns what is free at a worker, and when the rest will be.
 func (l *leadership) outlook(p *pass, at *worker, ws *waitingStep) placement.Outlook {
 	o := placement.Outlook{Room: placement.Room{
-		Worker: at.id, Rack: at.up.Rack, Free: at.free().Sub(p.held[at].size), Tasks: l.tasksThere(at, ws),
+		Worker: at.id, Rack: at.up.Rack, Free: at.free().Sub(p.held[at].size), Tasks: l.tasksThere(at, ws), Slow: l.slow(at),
 	}}
 	for _, r := range at.runs {
 		step := &r.w.sub.Steps[r.task.Step]
--- a/pollendockd/internal/scheduler/scheduler.go
+++ b/pollendockd/internal/scheduler/scheduler.go
@@ -126,6 +126,8 @@
 
 		// learned is what past work has shown, by queue; it outlasts terms.
 		learned map[string]*learned
+		// paces is how workers compare, by worker.
+		paces map[string]*pace
 
 		// upstreams is the newest list of workers, current at listedAt.
 		upstreams []site.Upstream
@@ -168,7 +170,7 @@
 
 // New returns a scheduler that does nothing until Run.
 func New(opt Options, deps Deps) *Scheduler {
-	return &Scheduler{opt: opt, deps: deps, events: make(chan event, eventBuffer), ended: make(chan struct{}), learned: map[string]*learned{}}
+	return &Scheduler{opt: opt, deps: deps, events: make(chan event, eventBuffer), ended: make(chan struct{}), learned: map[string]*learned{}, paces: map[string]*pace{}}
 }
 
 // Run decides whenever this VM leads, until ctx ends.
--- a/pollendockd/internal/scheduler/waiting.go
+++ b/pollendockd/internal/scheduler/waiting.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"time"
 
 	"pollendock.example/cell/job"
 	"pollendock.example/cell/placement"
@@ -15,6 +16,9 @@
 	turn  placement.Turn
 }
 
+// patientTimes is how many times its own time a patient step can wait.
+const patientTimes = 1.8
+
 // waitingSteps returns the steps to be served, in the order of their turns.
 func (l *leadership) waitingSteps(p *pass) []*waitingStep {
 	var steps []*waitingStep
@@ -51,6 +55,17 @@
 	}
 }
 
+// patient reports whether the step can wait for a good while, against the time
+// that its job takes from there on. A gang is never: all of it would take as long
+// as its slowest member.
+func (ws *waitingStep) patient(now time.Time) bool {
+	if ws.w.sub.Steps[ws.step].Gang {
+		return false
+	}
+	slack := ws.turn.LatestStart.Sub(now)
+	return slack > time.Duration(patientTimes*float64(ws.w.forecast.chains[ws.step]))
+}
+
 // anyWaiting reports whether a task of the step is to be started.
 func (w *work) anyWaiting(step int) bool {
 	for i := range w.state.Steps[step] {
