--- a/cell/placement/query.go
+++ b/cell/placement/query.go
@@ -27,40 +27,57 @@
 	}
 )
 
+// asked is a candidate with the number of tasks for which it has room.
+type asked struct {
+	*Candidate
+	fit int
+}
+
 // Ask returns the workers to name in a query, and how many tasks are expected to
 // find room. It answers the load of lookups that asked about the emptiest
 // workers, and so took the rooms for which gangs of large tasks waited.
 func Ask(n Need, q Query, candidates []Candidate) ([]string, float64) {
-	order := append([]Candidate(nil), candidates...)
-	fits := make(map[string]int, len(order))
-	for i := range order {
-		fits[order[i].Worker] = Fit(n, &order[i].Room)
+	// Known workers come first, then those with room. In a full cell these are
+	// few, and the many others are not even sorted.
+	var groups [3][]asked
+	for i := range candidates {
+		a := asked{&candidates[i], Fit(n, &candidates[i].Room)}
+		switch {
+		case a.Known:
+			groups[0] = append(groups[0], a)
+		case a.fit > 0:
+			groups[1] = append(groups[1], a)
+		default:
+			groups[2] = append(groups[2], a)
+		}
 	}
-	sort.Slice(order, func(a, b int) bool { return askBefore(n, &q, fits, &order[a], &order[b]) })
 	expected := float64(q.Have)
 	wanted := q.Spare * float64(n.Count)
 	var named []string
-	for i := range order {
+	for _, group := range groups {
 		if expected >= wanted && len(named) >= q.Least {
 			break
 		}
-		named = append(named, order[i].Worker)
-		part := q.Part
-		if order[i].Known {
-			part = 1
+		sort.Slice(group, func(a, b int) bool { return askBefore(n, &q, &group[a], &group[b]) })
+		for i := range group {
+			if expected >= wanted && len(named) >= q.Least {
+				break
+			}
+			named = append(named, group[i].Worker)
+			part := q.Part
+			if group[i].Known {
+				part = 1
+			}
+			expected += part * float64(group[i].fit)
 		}
-		expected += part * float64(fits[order[i].Worker])
 	}
 	return named, expected
 }
 
-// askBefore orders candidates: known ones first, then those with room, sound
+// askBefore orders candidates of a group: those with room first, then sound
 // ones, those at which no room is held back, and those of the better pace.
-func askBefore(n Need, q *Query, fits map[string]int, a, b *Candidate) bool {
-	if a.Known != b.Known {
-		return a.Known
-	}
-	if roomA, roomB := fits[a.Worker] > 0, fits[b.Worker] > 0; roomA != roomB {
+func askBefore(n Need, q *Query, a, b *asked) bool {
+	if roomA, roomB := a.fit > 0, b.fit > 0; roomA != roomB {
 		return roomA
 	}
 	if a.Doubtful != b.Doubtful {
--- a/pollendockd/internal/scheduler/advice.go
+++ b/pollendockd/internal/scheduler/advice.go
@@ -225,6 +225,7 @@
 	c.rest = 0
 	l.closeQuery(q)
 	advice := q.w.adviceOf(q.step)
+	q.w.reservation = nil
 	for _, id := range q.workers {
 		advice.refused[id] = true
 	}
--- a/pollendockd/internal/scheduler/reserve.go
+++ b/pollendockd/internal/scheduler/reserve.go
@@ -8,7 +8,18 @@
 	"pollendock.example/cell/site"
 )
 
+// reservation is where a gang was found to start soonest.
+type reservation struct {
+	step   int
+	at     time.Time
+	places []placement.Reservation
+	in     time.Duration
+}
+
 const (
+	// reservationAge is for how long a reservation is kept: to work them out
+	// anew takes most of a pass in a full cell.
+	reservationAge = 80 * time.Millisecond
 	// A pass holds room back for leastHeldGangs, or for one gang for every
 	// workersPerHeldGang workers.
 	leastHeldGangs     = 6
@@ -65,6 +76,25 @@
 	if p.gangs >= max(leastHeldGangs, len(p.usable[service])/workersPerHeldGang) {
 		return unreserved
 	}
+	r := ws.w.reservation
+	if r == nil || r.step != ws.step || p.now.Sub(r.at) >= reservationAge {
+		r = l.findReservation(p, ws, need, service, a)
+		ws.w.reservation = r
+	}
+	if len(r.places) == 0 {
+		return unreserved
+	}
+	p.gangs++
+	in := max(0, r.in-p.now.Sub(r.at))
+	chosen := l.holdRoom(p, need, service, r.places, in)
+	if a != nil && !ws.w.adviceOf(ws.step).asking && in <= askLead+a.Base+time.Duration(len(chosen))*a.PerUpstream {
+		l.ask(ws, chosen, 0, a, p.now)
+	}
+	return reserved
+}
+
+// findReservation works out where a gang can start soonest.
+func (l *leadership) findReservation(p *pass, ws *waitingStep, need placement.Need, service string, a *site.Advice) *reservation {
 	spec := &ws.w.sub.Steps[ws.step]
 	var outlooks []placement.Outlook
 	var unknown []*worker
@@ -87,22 +117,26 @@
 		l.askForGang(p, ws, need, unknown, a)
 	}
 	if !ok {
-		return unreserved
+		places = nil
 	}
-	p.gangs++
+	return &reservation{step: ws.step, at: p.now, places: places, in: in}
+}
+
+// holdRoom holds back what a gang is expected to take.
+func (l *leadership) holdRoom(p *pass, need placement.Need, service string, places []placement.Reservation, in time.Duration) []*worker {
 	var chosen []*worker
 	for _, r := range places {
 		at := l.workers[r.Worker]
+		if at == nil || !at.usable(p.now) {
+			continue
+		}
 		chosen = append(chosen, at)
 		h := p.held[at]
 		size := need.Size.Scale(int64(r.Tasks))
 		p.unspoken[service] -= min(size.MilliCPU, max(0, at.free().MilliCPU))
 		p.held[at] = held{h.size.Add(size), max(h.in, in)}
 	}
-	if said != nil && !said.asking && in <= askLead+a.Base+time.Duration(len(chosen))*a.PerUpstream {
-		l.ask(ws, chosen, 0, a, p.now)
-	}
-	return reserved
+	return chosen
 }
 
 // reserveBest keeps a gang off slow workers, at which all of it would wait for
--- a/pollendockd/internal/scheduler/work.go
+++ b/pollendockd/internal/scheduler/work.go
@@ -28,6 +28,8 @@
 		missed   bool
 		// beyond is set for a job beyond what its team is owed.
 		beyond bool
+		// reservation is the room that was last held for a gang of the job.
+		reservation *reservation
 		// advice holds what the advisor said of each step.
 		advice []*stepAdvice
 		// checkpoints holds the newest one of each task; gangs use that of
