A new leader waits for most workers before it places gangs

The names of the VMs were copied and sorted, and all queries sorted, for each new query. Ruled out: passes (1 ms), lost answers of the advisor. TestNewLeaderAsksOnce: two queries before, one now.

--- a/pollendockd/internal/scheduler/advice.go
+++ b/pollendockd/internal/scheduler/advice.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"time"
 
@@ -16,6 +17,9 @@
 	// through each, since the advisor serves a VM's calls in turn.
 	adviceDesk struct {
 		queries []*query
+		// names are the entry VMs, as of namedAt.
+		names   []string
+		namedAt time.Time
 		through map[string]*channel
 	}
 
@@ -82,8 +86,10 @@
 	slowQuery = 300 * time.Millisecond
 	// One in slowPart VMs at most has a slow query: after a change of leader all
 	// waiting gangs ask at once, for a second and more each.
-	slowPart      = 2
-	adviceRest    = time.Second
+	slowPart   = 2
+	adviceRest = time.Second
+	// namesAge is how old the list of VMs to ask through may be.
+	namesAge      = 200 * time.Millisecond
 	maxAdviceRest = 20 * time.Second
 	// maxNamed bounds the workers in a query.
 	maxNamed = 100
@@ -136,20 +142,34 @@
 		at.spoken += q.share
 	}
 	w.adviceOf(ws.step).asking = true
-	l.advice.queries = append(l.advice.queries, q)
-	sort.SliceStable(l.advice.queries, func(a, b int) bool {
-		return l.advice.queries[a].turn.Before(&l.advice.queries[b].turn)
-	})
+	d := &l.advice
+	i := sort.Search(len(d.queries), func(i int) bool { return q.turn.Before(&d.queries[i].turn) })
+	d.queries = slices.Insert(d.queries, i, q)
 	l.sendQueries(now)
 }
 
+// memberNames returns the names of the entry VMs, which seldom change.
+func (l *leadership) memberNames(now time.Time) []string {
+	d := &l.advice
+	if len(d.names) > 0 && now.Sub(d.namedAt) < namesAge {
+		return d.names
+	}
+	members := l.s.deps.Book.Members()
+	d.names = make([]string, 0, len(members))
+	d.namedAt = now
+	for name := range members {
+		d.names = append(d.names, name)
+	}
+	sort.Strings(d.names)
+	return d.names
+}
+
 // sendQueries gives waiting queries to the VMs that are free.
 func (l *leadership) sendQueries(now time.Time) {
 	d := &l.advice
-	members := l.s.deps.Book.Members()
-	names := make([]string, 0, len(members))
+	var names []string
 	slow := 0
-	for name := range members {
+	for _, name := range l.memberNames(now) {
 		c := d.through[name]
 		if c == nil {
 			c = &channel{}
@@ -162,14 +182,13 @@
 			names = append(names, name)
 		}
 	}
-	sort.Strings(names)
 	var waiting []*query
 	for _, q := range d.queries {
 		isSlow := q.takes >= slowQuery
 		switch {
 		case q.w.state.Phase.Final():
 			l.closeQuery(q)
-		case len(names) == 0 || isSlow && slow >= max(1, len(members)/slowPart):
+		case len(names) == 0 || isSlow && slow >= max(1, len(d.names)/slowPart):
 			waiting = append(waiting, q)
 		default:
 			if isSlow {
--- a/pollendockd/internal/scheduler/advice_test.go
+++ b/pollendockd/internal/scheduler/advice_test.go
@@ -58,3 +58,24 @@
 		}
 	})
 }
+
+// TestNewLeaderAsksOnce: a new leader hears of its workers one after the other. A
+// gang used to ask about the first few, and then about others.
+func TestNewLeaderAsksOnce(t *testing.T) {
+	inCell(t, 10, func(c *cell) {
+		c.advise(site.Advice{Base: 500 * time.Millisecond, PerUpstream: time.Millisecond, Valid: 2 * time.Second}, 1)
+		a := c.start("a")
+		time.Sleep(2 * time.Second)
+		b := c.start("b")
+		time.Sleep(2 * time.Second)
+		for i := range 10 {
+			c.fleet.Worker(fmt.Sprintf("w%d", i)).SetDelay(time.Duration(i) * 8 * time.Millisecond)
+		}
+		a.kill()
+		c.submit("gang", gang(8, 6))
+		expectPhase(c, b, "gang", 6*time.Second, job.Completed)
+		if n := c.advisor.Calls(); n != 1 {
+			t.Errorf("%d queries for one gang", n)
+		}
+	})
+}
--- a/pollendockd/internal/scheduler/place.go
+++ b/pollendockd/internal/scheduler/place.go
@@ -84,6 +84,10 @@
 	// overduePerPass bounds the steps of jobs that nobody waits for any more
 	// that a pass looks at. There may be a thousand after a burst.
 	overduePerPass = 16
+	// A new leader places no gangs until settledPart of the workers have answered
+	// it, for settleLimit at most.
+	settledPart = 0.8
+	settleLimit = 300 * time.Millisecond
 	// bookLimit is how old the last reading of the records may be for new
 	// starts, so that a cancel is known.
 	bookLimit = 1500 * time.Millisecond
@@ -142,6 +146,27 @@
 		"ageMs", time.Since(w.sub.AcceptedAt).Milliseconds(), "allowedMs", w.allowed.Milliseconds())
 }
 
+// settled reports whether a new leader has heard of most workers. Before that
+// gangs would ask about the few that have answered, in vain, and keep the VMs that
+// ask from serving lookups.
+func (l *leadership) settled(now time.Time) bool {
+	if l.settledOnce || now.Sub(l.since) >= settleLimit {
+		return true
+	}
+	listed, answered := 0, 0
+	for _, at := range l.workers {
+		if !at.listed {
+			continue
+		}
+		listed++
+		if at.boot != 0 {
+			answered++
+		}
+	}
+	l.settledOnce = listed > 0 && float64(answered) >= settledPart*float64(listed)
+	return l.settledOnce
+}
+
 // placeOverdue looks at the overdue steps that have tickets, which would run
 // out before their next turn. Of the others it looks at some, and at the next
 // ones in the next pass: the first ones may be such that can never run.
@@ -176,6 +201,9 @@
 		p.unspoken[service] -= said.spoken
 		return asking
 	}
+	if spec.Gang && !l.settled(p.now) {
+		return noRoom
+	}
 	ws.tasks = w.waitingTasks(ws.step)
 	need := placement.Need{
 		Count: l.withinLimit(p, ws, spec.Size, len(ws.tasks)),
--- a/pollendockd/internal/scheduler/term.go
+++ b/pollendockd/internal/scheduler/term.go
@@ -34,6 +34,8 @@
 		placeCost time.Duration
 		place     bool
 		meters    map[string]*placement.Meter
+		// settledOnce is set once most workers have answered.
+		settledOnce bool
 		// held is the room that the last pass held back for gangs.
 		held map[*worker]held
 		// waiting counts the steps of the last pass by rank.
--- a/standin/fleet/worker.go
+++ b/standin/fleet/worker.go
@@ -26,8 +26,10 @@
 		wake     chan struct{}
 
 		// gone workers run nothing; silent ones run on but cannot be reached.
-		gone      bool
-		silent    bool
+		gone   bool
+		silent bool
+		// delay is added to each call.
+		delay     time.Duration
 		listed    bool
 		loseNext  int
 		lateNext  int
@@ -155,6 +157,13 @@
 	w.silent = silent
 }
 
+// SetDelay has each call take that much longer on its way.
+func (w *Worker) SetDelay(d time.Duration) {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	w.delay = d
+}
+
 // Reboot kills the worker's process and starts it under the same id.
 func (w *Worker) Reboot() {
 	w.fleet.mu.Lock()
@@ -188,12 +197,21 @@
 func (w *Worker) reach(ctx context.Context) error {
 	w.fleet.mu.Lock()
 	gone := w.gone || w.silent
+	delay := w.delay
 	w.fleet.mu.Unlock()
 	if gone {
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	return nil
+	if delay == 0 {
+		return nil
+	}
+	select {
+	case <-time.After(delay):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
 
 // Start implements the order.
