Jobs whose decided runs were all refused wait again

The store had been silent for 4 s; runs decided before were ordered after, with tickets that had run out, and were refused. Their jobs kept the mark that they had begun, which is set with the decision. Ruled out: a copy that is behind (the records were read, accepts of that time known). Before: TestRefusedJobsWait fails, 0 jobs wait in place of 1. After: it passes. Conclusion: such a job is queued again, also if the next leader finds that its first runs never began. Paces of workers that are gone are dropped.

--- a/cell/job/job_test.go
+++ b/cell/job/job_test.go
@@ -217,3 +217,26 @@
 		t.Errorf("%s: %v, want %v", what, got.UTC(), want)
 	}
 }
+
+// TestMayHaveBegun: of a decided first run nobody knows yet whether it begins.
+func TestMayHaveBegun(t *testing.T) {
+	cases := []struct {
+		name  string
+		begun bool
+		tasks []Task
+		want  bool
+	}{
+		{"nothing decided", false, []Task{{Status: Waiting}}, false},
+		{"first runs decided", true, []Task{{Status: Dispatched, Run: 1}, {Status: Waiting}}, false},
+		{"a second run decided", true, []Task{{Status: Dispatched, Run: 2}}, true},
+		{"a first run ended", true, []Task{{Status: Waiting, Run: 1}}, true},
+		{"one done", true, []Task{{Status: DoneTask, Run: 1}, {Status: Waiting}}, true},
+		{"first runs certainly not begun", false, []Task{{Status: Waiting, Run: 1}}, false},
+	}
+	for _, tc := range cases {
+		s := &State{Phase: Running, Begun: tc.begun, Steps: [][]Task{tc.tasks}}
+		if got := s.MayHaveBegun(); got != tc.want {
+			t.Errorf("%s: %v, want %v", tc.name, got, tc.want)
+		}
+	}
+}
--- a/cell/job/state.go
+++ b/cell/job/state.go
@@ -117,6 +117,24 @@
 	return true
 }
 
+// MayHaveBegun reports whether a run of the job has begun, or ended in a way that
+// the state does not tell. Of first runs that are still dispatched it is not known
+// whether they begin.
+func (s *State) MayHaveBegun() bool {
+	if !s.Begun {
+		return false
+	}
+	for _, tasks := range s.Steps {
+		for i := range tasks {
+			t := &tasks[i]
+			if t.Run > 1 || t.Run == 1 && t.Status != Dispatched {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // AnyDispatched reports whether a task may still run somewhere.
 func (s *State) AnyDispatched() bool {
 	for _, tasks := range s.Steps {
--- a/pollendockd/internal/scheduler/hold.go
+++ b/pollendockd/internal/scheduler/hold.go
@@ -192,6 +192,7 @@
 		}
 		if r.stage != running {
 			r.confirm(now)
+			r.w.begun = true
 			l.logRun(r, "run found at its worker")
 		}
 		l.keepCheckpoint(r, s.Checkpoint)
--- a/pollendockd/internal/scheduler/learn.go
+++ b/pollendockd/internal/scheduler/learn.go
@@ -33,10 +33,10 @@
 		// longest is the time of the longest task that is done, and lost that of
 		// the runs that failed. Only a step whose tasks were all done by their
 		// first run tells how long a step takes.
-		longest time.Duration
-		lost    time.Duration
-		marred  bool
-		timings []timing
+		longest   time.Duration
+		lost      time.Duration
+		disturbed bool
+		timings   []timing
 	}
 )
 
@@ -91,7 +91,7 @@
 		past.lost = max(past.lost, took)
 	}
 	if how != site.Done || r.number > 1 {
-		past.marred = true
+		past.disturbed = true
 		return
 	}
 	past.longest = max(past.longest, took)
@@ -107,7 +107,7 @@
 	past := &w.past[step]
 	l.s.notePaces(past.timings)
 	past.timings = nil
-	if past.marred || past.longest == 0 {
+	if past.disturbed || past.longest == 0 {
 		return
 	}
 	l.learnedOf(w.sub.Queue).steps.Note(w.sub.Steps[step].Estimate, past.longest)
--- a/pollendockd/internal/scheduler/order.go
+++ b/pollendockd/internal/scheduler/order.go
@@ -70,6 +70,7 @@
 		l.logRun(r, "run started", "answerMs", now.Sub(r.sentAt).Milliseconds())
 		if r.stage == starting {
 			r.confirm(now)
+			r.w.begun = true
 		}
 		if !r.at.holdBusy {
 			r.at.holdAt = now
--- a/pollendockd/internal/scheduler/story_test.go
+++ b/pollendockd/internal/scheduler/story_test.go
@@ -493,3 +493,35 @@
 		expectPhase(c, a, "gang", 0, job.Completed)
 	})
 }
+
+// TestRefusedJobsWait: a job of which no run has begun after all counts as waiting
+// again. Seen after the store had been away for 4 s: 30 of 37 jobs that waited were
+// not counted, as their runs had been decided before.
+func TestRefusedJobsWait(t *testing.T) {
+	inCell(t, 1, func(c *cell) {
+		a := c.start("a")
+		time.Sleep(2 * time.Second)
+		b := c.start("b")
+		time.Sleep(2 * time.Second)
+		c.fleet.Worker("w0").RefuseStarts(2)
+		c.submit("refused", tasks(2, 2))
+		time.Sleep(300 * time.Millisecond)
+		expectWaiting(t, b, "refused", 1)
+		// A later leader counts it as well.
+		a.kill()
+		time.Sleep(10 * time.Second)
+		expectPhase(c, b, "refused", 0, job.Completed)
+		expectWaiting(t, b, "refused", 0)
+	})
+}
+
+// expectWaiting checks how many jobs of the queue wait, and the state of one.
+func expectWaiting(t *testing.T, v *vm, id string, want int) {
+	t.Helper()
+	if n := v.book.Waiting("q"); n != want {
+		t.Errorf("%d jobs wait, want %d", n, want)
+	}
+	if j := v.book.Job(id); (j.Phase() == job.Queued) != (want > 0) {
+		t.Errorf("job %s is %v while %d wait", id, j.Phase(), want)
+	}
+}
--- a/pollendockd/internal/scheduler/work.go
+++ b/pollendockd/internal/scheduler/work.go
@@ -26,6 +26,9 @@
 		// missed is set once the job cannot be in time any more.
 		waitsFor obstacle
 		missed   bool
+		// begun is set once a run of the job has begun, or may have in an earlier
+		// term. The state says so from the decision on.
+		begun bool
 		// beyond is set for a job beyond what its team is owed.
 		beyond bool
 		// reservation is the room that was last held for a gang of the job.
@@ -112,6 +115,7 @@
 			checkpoints: map[site.TaskName]string{},
 			avoid:       map[site.TaskName]string{},
 			stills:      map[site.TaskName]int{},
+			begun:       j.State.MayHaveBegun(),
 		}
 		l.works[id] = w
 		l.assess(w)
@@ -218,12 +222,27 @@
 	} else {
 		l.concludeTask(w, r, t, how)
 	}
+	if how != site.NotRun {
+		w.begun = true
+	}
+	w.backToQueue()
 	if how == site.Done && w.state.StepDone(r.task.Step) {
 		l.noteStep(w, r.task.Step)
 	}
 	l.afterEnd(w)
 }
 
+// backToQueue makes a job a waiting one again of which no run has begun after
+// all. While the stream is away tickets run out, and a hundred decided runs may be
+// refused at once.
+func (w *work) backToQueue() {
+	if w.begun || w.state.Phase != job.Running || w.state.AnyDispatched() {
+		return
+	}
+	w.state.Begun = false
+	w.state.Phase = job.Queued
+}
+
 func (l *leadership) concludeTask(w *work, r *run, t *job.Task, how site.EndKind) {
 	endless := w.sub.Steps[r.task.Step].Endless
 	switch {
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -150,6 +150,7 @@
 		at.listed = false
 		if len(at.runs) == 0 && !at.holdBusy {
 			delete(l.workers, id)
+			delete(l.s.paces, id)
 		}
 	}
 }
--- a/standin/fleet/worker.go
+++ b/standin/fleet/worker.go
@@ -29,11 +29,12 @@
 		gone   bool
 		silent bool
 		// delay is added to each call.
-		delay     time.Duration
-		listed    bool
-		loseNext  int
-		lateNext  int
-		lateAfter time.Duration
+		delay      time.Duration
+		listed     bool
+		loseNext   int
+		refuseNext int
+		lateNext   int
+		lateAfter  time.Duration
 	}
 
 	// ending is the end of a run that was not acknowledged yet.
@@ -178,6 +179,13 @@
 	w.loseNext = n
 }
 
+// RefuseStarts has the next n starts refused, as by a worker that is unwell.
+func (w *Worker) RefuseStarts(n int) {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	w.refuseNext = n
+}
+
 // DelayStarts has the next n starts carried out later, without an answer.
 func (w *Worker) DelayStarts(n int, by time.Duration) {
 	w.fleet.mu.Lock()
@@ -261,6 +269,9 @@
 		return &site.OrderError{Reason: site.RefusedOld}
 	case o.LeaseEnd <= w.clock(now):
 		return &site.OrderError{Reason: site.RefusedLate}
+	case w.refuseNext > 0:
+		w.refuseNext--
+		return &site.OrderError{Reason: site.RefusedUnwell}
 	}
 	w.token = o.Token
 	w.leaseEnd = max(w.leaseEnd, o.LeaseEnd)
