VMs that stand after the same leader begin one term between them

Cause: each chose a random epoch above the last, so the second record, 0.1 s after the first or less, ended the term that had just begun (terms of 15 and 17 ms were seen on the large site), and the workers were asked anew. Change: the next epoch is the last one plus one, for all. The stream takes one first append of an epoch; a second is a repeat or out of sequence. Test: TestOneTermFollows, which fails before (delay of 200 ms: two leaders follow).

--- a/pollendockd/internal/scheduler/campaign.go
+++ b/pollendockd/internal/scheduler/campaign.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"strings"
 	"time"
 
@@ -24,9 +23,6 @@
 )
 
 const (
-	// epochStep parts the epochs of terms; the rest is drawn at random, so that
-	// two VMs that stand at the same time rarely choose the same.
-	epochStep = 1 << 10
 	// silenceLimit is how long a leader may append nothing before others stand.
 	silenceLimit = 450 * time.Millisecond
 	// resignedLimit is the same after the leader has stepped down and its
@@ -117,10 +113,12 @@
 	return listed && m.Incarnation != incarnation
 }
 
-// stand appends the record of a new term. The highest epoch wins; it is known
-// to have won once the book shows it.
+// stand appends the record of a new term. All VMs that stand after the same leader
+// choose the same epoch, of which the stream takes only one first append: the
+// second VM, 0.1 s later, would else end the term that has just begun. Who has won
+// is known once the book shows it.
 func (s *Scheduler) stand(l job.Leader, silence, limit time.Duration, gone bool) {
-	epoch := (l.Epoch/epochStep+1)*epochStep + rand.Int64N(epochStep)
+	epoch := l.Epoch + 1
 	s.campaigning = true
 	s.stoodAt = time.Now()
 	_ = level.Info(s.deps.Logger).Log("msg", "standing for leadership", "epoch", epoch,
--- a/pollendockd/internal/scheduler/story_test.go
+++ b/pollendockd/internal/scheduler/story_test.go
@@ -460,3 +460,42 @@
 		t.Errorf("job %s is %v while %d wait", id, j.Phase(), want)
 	}
 }
+
+// TestOneTermFollows: VMs that stand at the same time begin one term between them.
+// The second used to end the term of the first after 15 ms, with all that this had
+// learned from the workers.
+func TestOneTermFollows(t *testing.T) {
+	for _, delay := range []time.Duration{0, 40 * time.Millisecond, 200 * time.Millisecond} {
+		inCell(t, 2, func(c *cell) {
+			c.start("a")
+			time.Sleep(3 * time.Second)
+			vms := []*vm{c.start("b"), c.start("d"), c.start("e")}
+			time.Sleep(2 * time.Second)
+			before := len(leaders(c))
+			c.store.SetDelay(delay)
+			c.vms["a"].kill()
+			time.Sleep(10 * time.Second)
+			if after := leaders(c); len(after) != before+1 {
+				t.Errorf("delay %v: leaders are %v, want one more than %d", delay, after, before)
+			}
+			c.submit("j1", tasks(2, 4))
+			expectPhase(c, vms[0], "j1", 5*time.Second, job.Completed)
+		})
+	}
+}
+
+// leaders returns the incarnations that have led, one after the other.
+func leaders(c *cell) []string {
+	var list []string
+	b := job.NewBook()
+	for _, e := range c.store.Entries() {
+		if _, err := b.Apply(&site.Page{Entries: []site.Entry{e}, Next: e.Offset + 1}); err != nil {
+			c.t.Fatal(err)
+		}
+		l, _ := b.Leader()
+		if l.Incarnation != "" && (len(list) == 0 || list[len(list)-1] != l.Incarnation) {
+			list = append(list, l.Incarnation)
+		}
+	}
+	return list
+}
