Jobs' ages rest on the steady clock of the VM that reads their records

Cause: turns went by the time of day at the VM that took a job. Lookups of a VM 4 s ahead were served last, those of one 4 s behind counted as late at once; clocks jump on the large site. Change: the reader of a record works out when the job was accepted by its own clock: not in the future, and not before it last held all records. Only of records that were there when the process started the time of day is all there is.

--- a/cell/job/book.go
+++ b/cell/job/book.go
@@ -36,6 +36,9 @@
 		State      *State
 		// Order is the offset at which the job was accepted.
 		Order int64
+		// AcceptedAt is when the job was accepted, by the clock of this VM, which is
+		// steady.
+		AcceptedAt time.Time
 		// Canceled is set once a cancel came. It has no effect on a job that
 		// has ended before the leader read it.
 		Canceled bool
@@ -65,7 +68,7 @@
 		if last, seen := b.offsets[e.Key]; seen && e.Offset <= last {
 			continue
 		}
-		id, err := b.applyOne(e)
+		id, err := b.applyOne(e, p.Since)
 		if err != nil && firstErr == nil {
 			firstErr = Class.New("entry %q at %d: %v", e.Key, e.Offset, err)
 		}
@@ -77,12 +80,12 @@
 	return changed, firstErr
 }
 
-func (b *Book) applyOne(e *site.Entry) (string, error) {
+func (b *Book) applyOne(e *site.Entry, since time.Time) (string, error) {
 	b.offsets[e.Key] = e.Offset
 	kind, name, _ := strings.Cut(e.Key, "/")
 	switch kind + "/" {
 	case submissionKey:
-		return name, b.applySubmission(name, e)
+		return name, b.applySubmission(name, e, since)
 	case stateKey:
 		return name, b.applyState(name, e)
 	case cancelKey:
@@ -109,7 +112,7 @@
 	return j
 }
 
-func (b *Book) applySubmission(id string, e *site.Entry) error {
+func (b *Book) applySubmission(id string, e *site.Entry, since time.Time) error {
 	if len(e.Value) == 0 {
 		b.forget(id)
 		return nil
@@ -128,6 +131,9 @@
 	}
 	j.Submission = s
 	j.Order = e.Offset
+	if j.AcceptedAt.IsZero() {
+		j.AcceptedAt = acceptedAt(time.Now(), s.AcceptedAt, since)
+	}
 	if j.State == nil {
 		j.State = NewState(s)
 	}
@@ -135,6 +141,17 @@
 	return nil
 }
 
+// acceptedAt returns by the clock of this VM when a job was accepted at a time of
+// another VM's clock, which may be seconds off. It was not in the future, nor
+// before since, when its record was not there yet.
+func acceptedAt(now, there, since time.Time) time.Time {
+	age := max(0, now.Round(0).Sub(there))
+	if !since.IsZero() {
+		age = min(age, now.Sub(since))
+	}
+	return now.Add(-age)
+}
+
 func (b *Book) applyState(id string, e *site.Entry) error {
 	if len(e.Value) == 0 {
 		return nil
--- a/cell/job/job_test.go
+++ b/cell/job/job_test.go
@@ -240,3 +240,29 @@
 		}
 	}
 }
+
+// TestAcceptedAt: the age of a job rests on the steady clock of the VM that reads
+// its record, as far as that can tell.
+func TestAcceptedAt(t *testing.T) {
+	now := time.Now()
+	for _, c := range []struct {
+		name         string
+		there, since time.Duration // before now
+		want         time.Duration
+	}{
+		{"clocks agree", 300 * time.Millisecond, time.Second, 300 * time.Millisecond},
+		{"the other is ahead", -4 * time.Second, time.Second, 0},
+		{"the other is behind", 4 * time.Second, 200 * time.Millisecond, 200 * time.Millisecond},
+		{"an old record at the start", time.Minute, 0, time.Minute},
+		{"a record from the future at the start", -time.Minute, 0, 0},
+	} {
+		since := time.Time{}
+		if c.since > 0 {
+			since = now.Add(-c.since)
+		}
+		got := now.Sub(acceptedAt(now, now.Add(-c.there).Round(0), since))
+		if (got - c.want).Abs() > time.Microsecond {
+			t.Errorf("%s: age %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/cell/job/submission.go
+++ b/cell/job/submission.go
@@ -24,7 +24,8 @@
 		Priority int
 		// MaxAttempts bounds the failed runs of a task.
 		MaxAttempts int
-		// AcceptedAt is the time at the VM that took the job.
+		// AcceptedAt is the time of day at the VM that took the job. Clocks of VMs
+		// differ and jump: see Job.AcceptedAt.
 		AcceptedAt time.Time
 		// Spec is handed to the workers as it is.
 		Spec  string
--- a/cell/site/stream.go
+++ b/cell/site/stream.go
@@ -1,6 +1,8 @@
 package site
 
 import (
+	"time"
+
 	"github.com/zeebo/errs"
 )
 
@@ -32,6 +34,9 @@
 		// After is the key from which the newest entries of further keys follow;
 		// empty on the last page of them.
 		After string
+		// Since is a time at which the reader knew all entries before these, by its
+		// own clock; zero if there is none.
+		Since time.Time
 	}
 
 	// Change is what has changed in the lists that the deployment keeps of
--- a/pollendockd/internal/book/follower.go
+++ b/pollendockd/internal/book/follower.go
@@ -48,6 +48,9 @@
 		// stream, and of the last records that a leader appended.
 		readAt   atomic.Int64
 		leaderAt atomic.Int64
+		// currentAt is the time since start at which the book last held all
+		// records; 0 before.
+		currentAt atomic.Int64
 		// callTime is that of the last answered read that did not wait for records.
 		callTime atomic.Int64
 		// freshSince is when the reads of the present series began to succeed.
@@ -278,10 +281,16 @@
 			f.leaderAt.Store(now)
 		}
 	}
+	if at := f.currentAt.Load(); at > 0 {
+		p.Since = f.start.Add(time.Duration(at))
+	}
 	ids, err := f.book.Apply(p)
 	if err != nil {
 		_ = level.Error(f.logger).Log("msg", "record cannot be read", "err", err)
 	}
+	if p.After == "" && p.Next >= p.End {
+		f.currentAt.Store(now)
+	}
 	if time.Duration(now-f.readAt.Swap(now)) > seriesGap {
 		f.freshSince.Store(now)
 	}
--- a/pollendockd/internal/scheduler/place.go
+++ b/pollendockd/internal/scheduler/place.go
@@ -145,7 +145,7 @@
 	spec := &w.sub.Steps[ws.step]
 	_ = level.Info(l.s.deps.Logger).Log("msg", "job cannot be in time any more", "job", w.id, "step", ws.step, "queue", w.sub.Queue,
 		"waitedFor", w.waitsFor, "tasks", spec.Count, "gang", spec.Gang, "size", spec.Size,
-		"ageMs", time.Since(w.sub.AcceptedAt).Milliseconds(), "allowedMs", w.allowed.Milliseconds())
+		"ageMs", time.Since(w.acceptedAt).Milliseconds(), "allowedMs", w.allowed.Milliseconds())
 }
 
 // settled reports whether a new leader has heard of most workers. Before that
@@ -286,7 +286,7 @@
 	l.bind(r, at)
 	if !w.state.Begun {
 		w.state.Begun = true
-		l.s.deps.Counts.Time("wait_"+w.sub.Queue, now.Sub(w.sub.AcceptedAt))
+		l.s.deps.Counts.Time("wait_"+w.sub.Queue, now.Sub(w.acceptedAt))
 	}
 	if w.state.Phase == job.Queued {
 		w.state.Phase = job.Running
--- a/pollendockd/internal/scheduler/waiting.go
+++ b/pollendockd/internal/scheduler/waiting.go
@@ -47,9 +47,9 @@
 	}
 	remaining := w.forecast.chains[step]
 	return placement.Turn{
-		Rank:        placement.RankAt(p.now, w.sub.AcceptedAt, w.allowed, remaining, w.beyond),
+		Rank:        placement.RankAt(p.now, w.acceptedAt, w.allowed, remaining, w.beyond),
 		Priority:    w.sub.Priority,
-		LatestStart: w.sub.AcceptedAt.Add(w.allowed - remaining),
+		LatestStart: w.acceptedAt.Add(w.allowed - remaining),
 		Order:       w.order,
 		Step:        step,
 	}
--- a/pollendockd/internal/scheduler/work.go
+++ b/pollendockd/internal/scheduler/work.go
@@ -17,6 +17,8 @@
 		sub   *job.Submission
 		state *job.State
 		order int64
+		// acceptedAt is by the clock of this VM.
+		acceptedAt time.Time
 		// allowed is the time that the job may take.
 		allowed  time.Duration
 		forecast forecast
@@ -100,7 +102,7 @@
 // newWork returns the leader's copy of a job in the book.
 func newWork(id string, sub *job.Submission, j *job.Job) *work {
 	return &work{
-		id: id, sub: sub, state: j.State.Clone(), order: j.Order,
+		id: id, sub: sub, state: j.State.Clone(), order: j.Order, acceptedAt: j.AcceptedAt,
 		advice:      make([]*stepAdvice, len(sub.Steps)),
 		past:        make([]stepPast, len(sub.Steps)),
 		checkpoints: map[site.TaskName]string{},
@@ -150,7 +152,7 @@
 			m = &placement.Meter{}
 			l.meters[team.Name] = m
 		}
-		w.beyond = m.Take(w.sub.AcceptedAt, team.Weight)
+		w.beyond = m.Take(w.acceptedAt, team.Weight)
 	}
 }
 
@@ -352,9 +354,9 @@
 	w.state.EndedAt = time.Now()
 	l.touch(w)
 	_ = level.Info(l.s.deps.Logger).Log("msg", "job ended", "job", w.id, "team", w.sub.Team, "phase", p, "why", why,
-		"ageMs", time.Since(w.sub.AcceptedAt).Milliseconds(), "allowedMs", w.allowed.Milliseconds(), "queue", w.sub.Queue)
+		"ageMs", time.Since(w.acceptedAt).Milliseconds(), "allowedMs", w.allowed.Milliseconds(), "queue", w.sub.Queue)
 	l.s.deps.Counts.Count("jobs_"+p.String(), 1)
-	l.s.deps.Counts.Time("job_"+w.sub.Queue, time.Since(w.sub.AcceptedAt))
+	l.s.deps.Counts.Time("job_"+w.sub.Queue, time.Since(w.acceptedAt))
 	for step, tasks := range w.state.Steps {
 		for i := range tasks {
 			t := &tasks[i]
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -88,6 +88,13 @@
 	return f.starts[t]
 }
 
+// StartedAt returns when the newest run of a task began.
+func (f *Fleet) StartedAt(t site.TaskName) time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.startedAt[t]
+}
+
 // Started returns the ids of the jobs of which a task was begun.
 func (f *Fleet) Started() map[string]bool {
 	f.mu.Lock()
