A store that is back is noticed within a quarter of a second

Cause: after a silent outage each VM learned of the store's return only when the read that it had sent to the silent store ran out: 1.7 s for the records, 1.6 s for the configuration, 1 s for the list of workers. Change: while the stream or the configuration is lost, short reads are sent beside those that hang, four a second at a VM (probe.Until); the list of workers is read by up to four calls at a time. Tables of the store are safe for that.

--- a/pollendockd/internal/book/follower.go
+++ b/pollendockd/internal/book/follower.go
@@ -11,7 +11,7 @@
 
 	"pollendock.example/cell/job"
 	"pollendock.example/cell/site"
-	"pollendock.example/pollendockd/internal/pause"
+	"pollendock.example/pollendockd/internal/probe"
 )
 
 type (
@@ -72,7 +72,6 @@
 	// pageTimeout bounds one page of the newest records. All pages take longer
 	// than that at a VM with a slow link, while all VMs read at once.
 	pageTimeout = 3 * time.Second
-	retryGap    = 100 * time.Millisecond
 	// seriesGap ends a series of reads: a leader that could not append meanwhile
 	// gets its time anew.
 	seriesGap = time.Second
@@ -96,27 +95,39 @@
 
 // Run reads until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
-	failing := false
 	for ctx.Err() == nil {
-		err := f.readOnce(ctx)
-		switch {
-		case ctx.Err() != nil:
-			return ctx.Err()
-		case err != nil:
-			if !failing {
-				_ = level.Warn(f.logger).Log("msg", "stream lost", "next", f.book.Next(), "err", err)
-			}
-			failing = true
-			pause.For(ctx, retryGap)
-		case failing:
-			failing = false
-			_ = level.Info(f.logger).Log("msg", "stream regained", "next", f.book.Next())
+		if err := f.readOnce(ctx); err != nil && ctx.Err() == nil {
+			f.regain(ctx, err)
+			continue
 		}
 		f.rest(ctx)
 	}
 	return ctx.Err()
 }
 
+// regain waits until the stream answers again. A long read would notice that only
+// once it has run out itself.
+func (f *Follower) regain(ctx context.Context, lost error) {
+	began := time.Now()
+	_ = level.Warn(f.logger).Log("msg", "stream lost", "next", f.book.Next(), "err", lost)
+	var page atomic.Pointer[site.Page]
+	err := probe.Until(ctx, func(ctx context.Context) error {
+		p, err := f.stream.Read(ctx, f.book.Next(), 0)
+		if site.ErrTrimmed.Has(err) {
+			return nil
+		}
+		page.CompareAndSwap(nil, p)
+		return err
+	})
+	if err != nil {
+		return
+	}
+	if p := page.Load(); p != nil && f.loaded.Load() {
+		f.apply(p)
+	}
+	_ = level.Info(f.logger).Log("msg", "stream regained", "next", f.book.Next(), "awayMs", time.Since(began).Milliseconds())
+}
+
 // offered reports whether the leader has offered records of late.
 func (f *Follower) offered() bool {
 	last := f.offeredAt.Load()
--- a/pollendockd/internal/book/follower_test.go
+++ b/pollendockd/internal/book/follower_test.go
@@ -197,6 +197,41 @@
 	}
 }
 
+// TestRegain: a stream that is back is read again within a third of a second. A
+// read that had been sent to a silent stream used to be waited for until it ran
+// out, for 1.7 s.
+func TestRegain(t *testing.T) {
+	for _, away := range []struct {
+		name  string
+		fault func(store *fleet.Store, on bool)
+	}{
+		{"silent", (*fleet.Store).SetSilent},
+		{"refuses", (*fleet.Store).SetAway},
+	} {
+		for _, wasLoaded := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, loaded %v", away.name, wasLoaded), func(t *testing.T) {
+				inStream(t, func(ctx context.Context, store *fleet.Store, b *job.Book, f *Follower) {
+					away.fault(store, !wasLoaded)
+					go func() { _ = f.Run(ctx) }()
+					time.Sleep(time.Second)
+					for range 5 {
+						away.fault(store, true)
+						time.Sleep(3500 * time.Millisecond)
+						away.fault(store, false)
+						add(ctx, t, store, "back")
+						time.Sleep(330 * time.Millisecond)
+						if !f.Fresh(330 * time.Millisecond) {
+							t.Error("the stream is not read again")
+						}
+						expectJobs(t, b, "back")
+						time.Sleep(1300 * time.Millisecond)
+					}
+				})
+			})
+		}
+	}
+}
+
 // TestSlowPages: a VM with a slow link needs longer for all pages than a call may
 // take. It used to begin anew after each time-out, and never knew the records.
 func TestSlowPages(t *testing.T) {
--- a/pollendockd/internal/desk/catalog.go
+++ b/pollendockd/internal/desk/catalog.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -9,7 +10,7 @@
 	"github.com/go-kit/log/level"
 
 	"pollendock.example/cell/site"
-	"pollendock.example/pollendockd/internal/pause"
+	"pollendock.example/pollendockd/internal/probe"
 )
 
 type (
@@ -26,6 +27,7 @@
 		source CatalogSource
 		logger log.Logger
 		start  time.Time
+		mu     sync.Mutex
 		// current is nil before the first catalog.
 		current atomic.Pointer[site.Catalog]
 		readAt  atomic.Int64
@@ -35,7 +37,6 @@
 const (
 	catalogWait    = time.Second
 	catalogTimeout = 600 * time.Millisecond
-	catalogRetry   = 100 * time.Millisecond
 )
 
 // NewCatalogWatch returns a watch without a catalog yet.
@@ -45,30 +46,39 @@
 
 // Run follows the source until ctx ends.
 func (w *CatalogWatch) Run(ctx context.Context) error {
-	failing := false
 	for ctx.Err() == nil {
-		err := w.next(ctx)
-		switch {
-		case err == nil && failing:
-			_ = level.Info(w.logger).Log("msg", "catalog source regained")
-		case err != nil && !failing && ctx.Err() == nil:
-			_ = level.Warn(w.logger).Log("msg", "catalog source lost", "err", err)
-		}
-		failing = err != nil
-		if failing {
-			pause.For(ctx, catalogRetry)
+		if err := w.await(ctx); err != nil && ctx.Err() == nil {
+			w.regain(ctx, err)
 		}
 	}
 	return ctx.Err()
 }
 
-func (w *CatalogWatch) next(ctx context.Context) error {
+// await waits for a change, for a while.
+func (w *CatalogWatch) await(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, catalogWait+catalogTimeout)
 	defer cancel()
-	c, err := w.source.Next(ctx, catalogWait)
+	return w.next(ctx, catalogWait)
+}
+
+// regain waits until the source answers again.
+func (w *CatalogWatch) regain(ctx context.Context, lost error) {
+	began := time.Now()
+	_ = level.Warn(w.logger).Log("msg", "catalog source lost", "err", lost)
+	if err := probe.Until(ctx, func(ctx context.Context) error { return w.next(ctx, 0) }); err != nil {
+		return
+	}
+	_ = level.Info(w.logger).Log("msg", "catalog source regained", "awayMs", time.Since(began).Milliseconds())
+}
+
+// next reads the source once. Several calls may run at the same time.
+func (w *CatalogWatch) next(ctx context.Context, wait time.Duration) error {
+	c, err := w.source.Next(ctx, wait)
 	if err != nil {
 		return err
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.readAt.Store(int64(time.Since(w.start)))
 	old := w.current.Load()
 	if c == nil || old != nil && c.Version <= old.Version {
--- a/pollendockd/internal/scheduler/scheduler.go
+++ b/pollendockd/internal/scheduler/scheduler.go
@@ -133,7 +133,8 @@
 		upstreams []site.Upstream
 		listedAt  time.Time
 		pollAt    time.Time
-		polling   bool
+		// polls counts the readings of the list that are under way.
+		polls int
 	}
 
 	// event is handled by the goroutine that owns the state.
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -74,6 +74,9 @@
 const (
 	pollGap     = 250 * time.Millisecond
 	pollTimeout = time.Second
+	// maxPolls bounds the readings of the list that are under way: one may hang on
+	// a connection that was lost.
+	maxPolls = 4
 	// listLimit is how old the list of workers may be for new starts: a worker
 	// that leaves gets no work once its entry could have been read.
 	listLimit = 1500 * time.Millisecond
@@ -99,10 +102,10 @@
 
 // pollUpstreams reads the platform's list of workers.
 func (s *Scheduler) pollUpstreams(now time.Time) {
-	if s.polling || now.Sub(s.pollAt) < pollGap {
+	if s.polls >= maxPolls || now.Sub(s.pollAt) < pollGap {
 		return
 	}
-	s.polling = true
+	s.polls++
 	s.pollAt = now
 	go func() {
 		ctx, cancel := context.WithTimeout(s.ctx, pollTimeout)
@@ -113,12 +116,12 @@
 }
 
 func (e upstreamsDone) handle(s *Scheduler) {
-	s.polling = false
+	s.polls--
 	if e.err != nil {
 		_ = level.Warn(s.deps.Logger).Log("msg", "list of workers not read", "ageMs", time.Since(s.listedAt).Milliseconds(), "err", e.err)
 		return
 	}
-	s.listedAt = e.at
+	s.listedAt = later(s.listedAt, e.at)
 	if e.list == nil {
 		return
 	}
