The end of the leader's process is told from its connection

After a silent outage the old leader's append was repeated too late (after 0.6 s), and another VM took over for nothing. Change: each VM keeps a call open to the leader. When its connection breaks and the next one is refused, or answered by another process, the VM stands at once. Appends without an answer are repeated after 0.3 s at the latest. A hold that ran out is sent again at once.

--- a/pollendockd/internal/helper/helper.go
+++ b/pollendockd/internal/helper/helper.go
@@ -52,7 +52,9 @@
 
 	// Server serves the calls of other entry VMs over net/rpc.
 	Server struct {
-		ctx     context.Context
+		ctx         context.Context
+		incarnation string
+
 		advisor Advisor
 		desk    Desk
 		leader  Leader
@@ -178,6 +180,7 @@
 	forRequests
 	forAccepts
 	forOffers
+	forWatches
 )
 
 // NewPeers returns the peers of an entry VM, as the book lists them. Leader is
--- a/pollendockd/internal/helper/helper_test.go
+++ b/pollendockd/internal/helper/helper_test.go
@@ -62,6 +62,7 @@
 // pair is this VM's peers and one other VM, which leads.
 type pair struct {
 	peers  *Peers
+	server *peer.Server
 	desk   *otherDesk
 	leader *otherLeader
 	book   *otherBook
@@ -74,12 +75,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server, err := peer.NewServerOf(ln, NewServer(t.Context(), nil, p.desk, p.leader, p.book, nil))
+	server, err := peer.NewServerOf(ln, NewServer(t.Context(), "b/1", nil, p.desk, p.leader, p.book, nil))
 	if err != nil {
 		t.Fatal(err)
 	}
 	go func() { _ = server.Serve() }()
 	t.Cleanup(server.Close)
+	p.server = server
 	b := job.NewBook()
 	member, err := job.MemberEntry(&job.Member{Name: "b", Incarnation: "b/1", PeerAddr: netip.MustParseAddrPort(ln.Addr().String())})
 	if err != nil {
--- a/pollendockd/internal/helper/server.go
+++ b/pollendockd/internal/helper/server.go
@@ -8,10 +8,10 @@
 	"pollendock.example/pollendockd/internal/scheduler"
 )
 
-// NewServer returns a server whose calls run under ctx. The advisor is nil where
-// there is none.
-func NewServer(ctx context.Context, advisor Advisor, desk Desk, leader Leader, book Follower, relay Relay) *Server {
-	return &Server{ctx: ctx, advisor: advisor, desk: desk, leader: leader, book: book, relay: relay}
+// NewServer returns the server of a process, whose calls run under ctx. The advisor
+// is nil where there is none.
+func NewServer(ctx context.Context, incarnation string, advisor Advisor, desk Desk, leader Leader, book Follower, relay Relay) *Server {
+	return &Server{ctx: ctx, incarnation: incarnation, advisor: advisor, desk: desk, leader: leader, book: book, relay: relay}
 }
 
 // Yield serves the call of that name.
--- a/pollendockd/internal/scheduler/campaign.go
+++ b/pollendockd/internal/scheduler/campaign.go
@@ -61,7 +61,7 @@
 		return
 	}
 	silence := s.deps.Follower.LeaderSilence()
-	gone := l.Incarnation == "" || s.restarted(l.Incarnation) || l.Epoch > 0 && l.Epoch == s.yielded
+	gone := l.Incarnation == "" || l.Incarnation == s.endedLeader || s.restarted(l.Incarnation) || l.Epoch > 0 && l.Epoch == s.yielded
 	slot := time.Duration(s.succession(&l)) * standGap
 	limit := silenceLimit + slot
 	if l.Incarnation == "" {
--- a/pollendockd/internal/scheduler/flush.go
+++ b/pollendockd/internal/scheduler/flush.go
@@ -79,7 +79,7 @@
 	// is away, and not that one answer was lost.
 	failingAfter = 2
 	// maxDoubled bounds how often the time of an attempt is doubled.
-	maxDoubled  = 2
+	maxDoubled  = 1
 	appendRetry = 60 * time.Millisecond
 	// A leader whose appends are refused yieldAfter times in a row asks others
 	// to stand. Refusals that take longer than quickRefusal come from a stream
--- a/pollendockd/internal/scheduler/hold.go
+++ b/pollendockd/internal/scheduler/hold.go
@@ -88,7 +88,7 @@
 		at.holdBusy = false
 	}
 	if e.err != nil {
-		l.holdFailed(at, now, e.err)
+		l.holdFailed(at, e.sentAt, e.err)
 		return
 	}
 	if at.lost {
@@ -113,14 +113,15 @@
 	l.readRuns(at, e.reply, e.sentAt, now)
 }
 
-func (l *leadership) holdFailed(at *worker, now time.Time, err error) {
+// holdFailed has a hold without an answer sent again; holdRetry bounds how often.
+func (l *leadership) holdFailed(at *worker, sentAt time.Time, err error) {
 	var refusal *site.OrderError
 	if errors.As(err, &refusal) && refusal.Reason == site.RefusedFenced {
 		l.s.endLeadership("a worker has orders of a later term")
 		return
 	}
 	at.holdFails++
-	at.holdAt = now.Add(holdRetry)
+	at.holdAt = sentAt.Add(holdRetry)
 	if !at.lost && at.holdFails > 1 {
 		at.lost = true
 		_ = level.Warn(l.s.deps.Logger).Log("msg", "worker lost", "worker", at.id, "runs", len(at.runs), "err", err)
--- a/pollendockd/internal/scheduler/scheduler.go
+++ b/pollendockd/internal/scheduler/scheduler.go
@@ -121,8 +121,10 @@
 		// leads in it again.
 		over int64
 		// yielded is the newest term whose leader has asked others to stand.
-		yielded  int64
-		stopping bool
+		yielded int64
+		// endedLeader is the last leader whose process is known to have ended.
+		endedLeader string
+		stopping    bool
 
 		// learned is what past work has shown, by queue; it outlasts terms.
 		learned map[string]*learned
@@ -154,6 +156,10 @@
 		epoch int64
 	}
 
+	leaderEnded struct {
+		incarnation string
+	}
+
 	// acceptAsked asks the leader to make entries durable with its own.
 	acceptAsked struct {
 		entries []site.Entry
@@ -270,6 +276,18 @@
 	}
 }
 
+// LeaderEnded tells that the process of a leader has ended.
+func (s *Scheduler) LeaderEnded(incarnation string) {
+	s.post(leaderEnded{incarnation})
+}
+
+func (e leaderEnded) handle(s *Scheduler) {
+	s.endedLeader = e.incarnation
+	if s.lead == nil {
+		s.considerCampaign()
+	}
+}
+
 // Stop hands the leadership over, if this VM has it.
 func (s *Scheduler) Stop(ctx context.Context) {
 	m := stopAsked{make(chan struct{})}
--- a/pollendockd/internal/scheduler/story_test.go
+++ b/pollendockd/internal/scheduler/story_test.go
@@ -499,3 +499,41 @@
 	}
 	return list
 }
+
+// TestLeaderEnded: when the process of the leader is known to have ended, another VM
+// stands at once. Its silence told that after 0.6 s and more.
+func TestLeaderEnded(t *testing.T) {
+	inCell(t, 2, func(c *cell) {
+		c.start("a")
+		time.Sleep(3 * time.Second)
+		b := c.start("b")
+		time.Sleep(time.Second)
+		c.vms["a"].kill()
+		b.scheduler.LeaderEnded("a/1")
+		time.Sleep(150 * time.Millisecond)
+		if l, _ := b.book.Leader(); l.Incarnation != "b/1" {
+			t.Errorf("%q leads", l.Incarnation)
+		}
+	})
+}
+
+// TestLeaderStaysOverAnOutage: the leader's append gets through soon enough after
+// the store was silent that nobody else stands.
+func TestLeaderStaysOverAnOutage(t *testing.T) {
+	for away := 2 * time.Second; away < 4*time.Second; away += 70 * time.Millisecond {
+		inCell(t, 2, func(c *cell) {
+			c.start("a")
+			time.Sleep(3 * time.Second)
+			c.start("b")
+			c.start("d")
+			time.Sleep(time.Second)
+			c.store.SetSilent(true)
+			time.Sleep(away)
+			c.store.SetSilent(false)
+			time.Sleep(2 * time.Second)
+			if list := leaders(c); len(list) != 1 {
+				t.Errorf("away for %v: leaders are %v", away, list)
+			}
+		})
+	}
+}
--- a/pollendockd/site.go
+++ b/pollendockd/site.go
@@ -154,7 +154,7 @@
 	defer cancel()
 	var g run.Group
 	for _, part := range []func(context.Context) error{
-		s.scheduler.Run, s.follower.Run, s.catalog.Run, s.desk.Run, s.join,
+		s.scheduler.Run, s.follower.Run, s.catalog.Run, s.desk.Run, s.join, s.watchLeader,
 	} {
 		g.Add(func() error { return part(ctx) }, func(error) { cancel() })
 	}
@@ -162,7 +162,7 @@
 	if err != nil {
 		return err
 	}
-	peers, err := peer.NewServerOf(peerListener, helper.NewServer(ctx, s.advisor, s.desk, s.scheduler, s.follower, s.peers))
+	peers, err := peer.NewServerOf(peerListener, helper.NewServer(ctx, s.member.Incarnation, s.advisor, s.desk, s.scheduler, s.follower, s.peers))
 	if err != nil {
 		return err
 	}
@@ -231,6 +231,11 @@
 	return server, nil
 }
 
+// watchLeader has this VM stand as soon as the leader's process has ended.
+func (s *siteProcess) watchLeader(ctx context.Context) error {
+	return s.peers.WatchLeader(ctx, s.scheduler.LeaderEnded)
+}
+
 // join lists this VM for the others.
 func (s *siteProcess) join(ctx context.Context) error {
 	e, err := job.MemberEntry(&s.member)
