Jobs are placed while their records wait to be appended

Change: the leader takes jobs up as they are handed to it. The decision goes with the job's record or after it, never before. Jobs whose callers are refused are dropped with what was decided on them.

--- a/cell/job/record.go
+++ b/cell/job/record.go
@@ -67,6 +67,16 @@
 	return encode(submissionKey+s.ID, s)
 }
 
+// SubmissionOf returns the job that an entry makes durable, or nil if it is an entry
+// of another kind.
+func SubmissionOf(e *site.Entry) (*Submission, error) {
+	if !strings.HasPrefix(e.Key, submissionKey) || len(e.Value) == 0 {
+		return nil, nil
+	}
+	s := &Submission{}
+	return s, cbor.Unmarshal(e.Value, s)
+}
+
 // StateEntry makes the progress of a job durable.
 func StateEntry(id string, s *State) (site.Entry, error) {
 	return encode(stateKey+id, s)
--- /dev/null
+++ b/pollendockd/internal/scheduler/admit_test.go
@@ -0,0 +1,86 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pollendock.example/cell/job"
+	"pollendock.example/cell/site"
+)
+
+// accept hands a job to the leader, as a desk does, and returns the outcome.
+func (c *cell) accept(v *vm, id string, steps ...job.Step) error {
+	c.t.Helper()
+	return v.scheduler.Accept(c.ctx, []site.Entry{c.entry(time.Now(), id, steps...)})
+}
+
+// TestAcceptedAndDispatchedTogether: on a slow stream a job begins with the append
+// that accepts it, if that has to wait for another one. It took an append more.
+func TestAcceptedAndDispatchedTogether(t *testing.T) {
+	inCell(t, 4, func(c *cell) {
+		a := c.start("a")
+		time.Sleep(3 * time.Second)
+		c.store.SetPace(200 * time.Millisecond)
+		time.Sleep(time.Second)
+		for i := range 10 {
+			id := fmt.Sprintf("job%d", i)
+			at := time.Now()
+			if err := c.accept(a, id, tasks(1, 1)); err != nil {
+				t.Fatal(err)
+			}
+			expectPhase(c, a, id, 5*time.Second, job.Completed)
+			// The append under way, the job's own, and the pauses between.
+			if wait := c.fleet.StartedAt(site.TaskName{Job: id}).Sub(at); wait > 450*time.Millisecond {
+				t.Errorf("%s began after %v", id, wait)
+			}
+			time.Sleep(37 * time.Millisecond)
+		}
+	})
+}
+
+// TestRefusedIsNotRun: a job whose caller was told that it was not accepted never
+// runs, and holds no room.
+func TestRefusedIsNotRun(t *testing.T) {
+	for _, fault := range []string{"refuses", "silent"} {
+		t.Run(fault, func(t *testing.T) {
+			inCell(t, 2, func(c *cell) {
+				a := c.start("a")
+				time.Sleep(3 * time.Second)
+				set := c.store.SetAway
+				if fault == "silent" {
+					set = c.store.SetSilent
+				}
+				const jobs = 40
+				outcomes := make([]error, jobs)
+				for i := range jobs {
+					if i == 5 {
+						set(true)
+					}
+					go func() { outcomes[i] = c.accept(a, fmt.Sprintf("job%d", i), tasks(1, 1)) }()
+					time.Sleep(11 * time.Millisecond)
+				}
+				time.Sleep(3 * time.Second)
+				set(false)
+				time.Sleep(8 * time.Second)
+				refused := 0
+				for i, err := range outcomes {
+					if site.ErrRefused.Has(err) {
+						refused++
+						expectStarts(c, fmt.Sprintf("job%d", i), 0, 0)
+					}
+					if err == nil {
+						expectStarts(c, fmt.Sprintf("job%d", i), 0, 1)
+					}
+				}
+				if refused == 0 {
+					t.Error("none was refused")
+				}
+				if err := c.accept(a, "all", tasks(2, 10)); err != nil {
+					t.Fatal(err)
+				}
+				expectPhase(c, a, "all", 4*time.Second, job.Completed)
+			})
+		})
+	}
+}
--- a/pollendockd/internal/scheduler/cell_test.go
+++ b/pollendockd/internal/scheduler/cell_test.go
@@ -195,6 +195,14 @@
 
 // submitAt makes a job durable that was accepted at another time.
 func (c *cell) submitAt(accepted time.Time, id string, steps ...job.Step) {
+	c.t.Helper()
+	if _, err := c.store.Append(c.ctx, []site.Entry{c.entry(accepted, id, steps...)}); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// entry returns the record of a job that was accepted at a time.
+func (c *cell) entry(accepted time.Time, id string, steps ...job.Step) site.Entry {
 	c.t.Helper()
 	s := &job.Submission{
 		ID: id, Team: "team", Queue: "q", Service: "s", MaxAttempts: 2, AcceptedAt: accepted, Spec: "x", Steps: steps,
@@ -206,9 +214,7 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	if _, err := c.store.Append(c.ctx, []site.Entry{e}); err != nil {
-		c.t.Fatal(err)
-	}
+	return e
 }
 
 func (c *cell) cancel(id string) {
--- a/pollendockd/internal/scheduler/flush.go
+++ b/pollendockd/internal/scheduler/flush.go
@@ -277,8 +277,7 @@
 		l.s.deps.Peers.Yield(l.term.Epoch)
 	}
 	if f.failing {
-		answer(f.accepts, site.ErrRefused.New("the stream does not answer the leader"))
-		f.accepts = nil
+		l.refuse(site.ErrRefused.New("the stream does not answer the leader"))
 	}
 	l.spawn(func(ctx context.Context) event {
 		pause.For(ctx, rest)
--- a/pollendockd/internal/scheduler/scheduler.go
+++ b/pollendockd/internal/scheduler/scheduler.go
@@ -262,6 +262,7 @@
 		return
 	}
 	s.lead.flush.accepts = append(s.lead.flush.accepts, e)
+	s.lead.admit(e.entries)
 }
 
 // Yield tells that the leader of a term cannot append, and asks this VM to stand.
--- a/pollendockd/internal/scheduler/work.go
+++ b/pollendockd/internal/scheduler/work.go
@@ -31,6 +31,8 @@
 		// begun is set once a run of the job has begun, or may have in an earlier
 		// term. The state says so from the decision on.
 		begun bool
+		// pending is set until the job's record has been read back.
+		pending bool
 		// beyond is set for a job beyond what its team is owed.
 		beyond bool
 		// reservation is the room that was last held for a gang of the job.
@@ -131,6 +133,10 @@
 		l.inherit(w)
 		l.place = true
 	}
+	if w.pending {
+		w.pending = false
+		w.order = j.Order
+	}
 	if j.State.Phase.Final() && !j.State.AnyDispatched() && !w.dirty {
 		// What ended here has been read back: the job can be left to the book.
 		delete(l.works, id)
