A slow store is left to the leader's appends, which are not given up

Change: a repeat goes beside the first attempt, which is not cut off; the first answer counts, and its time is believed at once. Callers are refused only once reads are not answered either, or after 2.5 s. The time of a call is known from reads that wait, too.

--- a/pollendockd/internal/book/follower.go
+++ b/pollendockd/internal/book/follower.go
@@ -51,7 +51,7 @@
 		// currentAt is the time since start at which the book last held all
 		// records; 0 before.
 		currentAt atomic.Int64
-		// callTime is that of the last answered read that did not wait for records.
+		// callTime is that of the last answered read, without its wait for records.
 		callTime atomic.Int64
 		// freshSince is when the reads of the present series began to succeed.
 		freshSince atomic.Int64
@@ -261,17 +261,27 @@
 func (f *Follower) readPage(ctx context.Context, wait time.Duration) (*site.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
 	defer cancel()
-	if wait > 0 {
-		return f.stream.Read(ctx, f.book.Next(), wait)
-	}
 	began := time.Now()
-	p, err := f.stream.Read(ctx, f.book.Next(), 0)
+	p, err := f.stream.Read(ctx, f.book.Next(), wait)
 	if err == nil {
-		f.callTime.Store(int64(time.Since(began)))
+		f.noteCall(time.Since(began), wait, len(p.Entries) == 0)
 	}
 	return p, err
 }
 
+// noteCall keeps how long a read took besides its wait for records. Of one that
+// found some while it could wait only the most that it can have been is known.
+func (f *Follower) noteCall(took, wait time.Duration, empty bool) {
+	switch {
+	case wait == 0:
+	case empty:
+		took = max(0, took-wait)
+	default:
+		took = min(took, f.CallTime())
+	}
+	f.callTime.Store(int64(took))
+}
+
 // CallTime returns how long the stream took for the last read that it answered.
 // Reads without an answer do not count: the stream is away then and not slow,
 // and is to be tried again soon.
--- a/pollendockd/internal/book/follower_test.go
+++ b/pollendockd/internal/book/follower_test.go
@@ -273,3 +273,18 @@
 		t.Errorf("waiting %d, next %d, want 5 and 5", b.Waiting("q"), b.Next())
 	}
 }
+
+// TestCallTimeOfWaits: reads that wait for records tell how long a call takes, too,
+// so that a VM without offers knows that the stream is slow, and when no longer.
+func TestCallTimeOfWaits(t *testing.T) {
+	inStream(t, func(ctx context.Context, store *fleet.Store, _ *job.Book, f *Follower) {
+		go func() { _ = f.Run(ctx) }()
+		for _, delay := range []time.Duration{7 * time.Millisecond, 300 * time.Millisecond, 7 * time.Millisecond} {
+			store.SetDelay(delay)
+			time.Sleep(3 * time.Second)
+			if f.CallTime() != delay {
+				t.Errorf("%v, want %v", f.CallTime(), delay)
+			}
+		}
+	})
+}
--- a/pollendockd/internal/desk/desk.go
+++ b/pollendockd/internal/desk/desk.go
@@ -21,6 +21,8 @@
 		Sync(ctx context.Context) error
 		Loaded() bool
 		Fresh(within time.Duration) bool
+		// CallTime returns how long the stream takes to answer a read.
+		CallTime() time.Duration
 	}
 
 	// Leader makes entries durable together with its own.
@@ -75,6 +77,9 @@
 	catalogLimit = 1700 * time.Millisecond
 	// directLimit is the same for an append of this VM's own.
 	directLimit = 700 * time.Millisecond
+	// slowCall is a call of a slow stream, which takes one append at a time: those
+	// of all VMs would leave none to the leader.
+	slowCall    = 100 * time.Millisecond
 	syncTimeout = 700 * time.Millisecond
 	// requestLimit bounds a request within this VM.
 	requestLimit = 2500 * time.Millisecond
@@ -197,6 +202,9 @@
 	if byLeader == nil {
 		return nil
 	}
+	if site.ErrRefused.Has(byLeader) && d.deps.Follower.CallTime() > slowCall {
+		return code.New(code.LogDown, "the stream is slow; by the leader: %v", byLeader)
+	}
 	if site.ErrRefused.Has(byLeader) && !d.deps.Follower.Fresh(directLimit) {
 		// An append would likely get no answer, and then nobody could tell the
 		// caller whether the job runs.
--- a/pollendockd/internal/desk/desk_test.go
+++ b/pollendockd/internal/desk/desk_test.go
@@ -242,6 +242,28 @@
 	}
 }
 
+// TestSlowStreamIsLeftToTheLeader: appends of all VMs beside the leader's kept a slow
+// stream so busy that it took none of the leader's in time.
+func TestSlowStreamIsLeftToTheLeader(t *testing.T) {
+	inShop(t, func(s *shop) {
+		s.store.SetDelay(200 * time.Millisecond)
+		time.Sleep(3 * time.Second)
+		s.leader.err = site.ErrRefused.New("x")
+		before := len(s.store.Entries())
+		began := time.Now()
+		expectCode(t, "submit", s.desk.Submit(s.ctx, at("/q/"+goodID, "ka"), draft()), code.LogDown)
+		if took := time.Since(began); took > 100*time.Millisecond {
+			t.Errorf("the refusal took %v", took)
+		}
+		if after := len(s.store.Entries()); after != before {
+			t.Errorf("%d entries were appended", after-before)
+		}
+		s.store.SetDelay(5 * time.Millisecond)
+		time.Sleep(2 * time.Second)
+		expectCode(t, "submit", s.desk.Submit(s.ctx, at("/q/"+goodID, "ka"), draft()), code.OK)
+	})
+}
+
 // TestStoreAway: with the stream silent, requests are passed on, and refused at
 // once where nobody takes them.
 func TestStoreAway(t *testing.T) {
--- a/pollendockd/internal/scheduler/flush.go
+++ b/pollendockd/internal/scheduler/flush.go
@@ -19,18 +19,19 @@
 		accepts []acceptAsked
 		// starts are planned runs whose order follows the append.
 		starts []*run
-		busy   bool
-		// sent is the append under way.
+		// sent is the append under way, nil if there is none.
 		sent *batch
 		// last is set for the append that ends the term.
 		last    bool
 		sentAt  time.Time
 		ackedAt time.Time
-		// usual is the mean time of an append of late.
+		// usual is the time of an append of late.
 		usual time.Duration
-		// unanswered counts the attempts in a row that got no answer in time.
-		unanswered int
-		failing    bool
+		// attempts counts how often the append under way was sent, the last time at
+		// triedAt.
+		attempts int
+		triedAt  time.Time
+		failing  bool
 		// refused counts quick refusals in a row.
 		refused int
 		// forget lists jobs whose records are to be removed.
@@ -57,6 +58,8 @@
 	appendDone struct {
 		l *leadership
 		b *batch
+		// sentAt is when the attempt was made that this is the answer to.
+		sentAt time.Time
 		// first is the offset of the batch's first entry.
 		first int64
 		err   error
@@ -66,21 +69,23 @@
 const (
 	// appendGap groups what happens meanwhile into one append.
 	appendGap = 12 * time.Millisecond
-	// An append without an answer is repeated after usualTimes its usual time or
-	// slowTimes the time of a read, within these bounds, and after twice as long
-	// each further time. A repeat changes nothing if the first one was done, but
-	// a slow stream gets slower by it.
-	leastAppendTimeout = 150 * time.Millisecond
-	appendTimeout      = 2500 * time.Millisecond
-	usualTimes         = 6
+	// An append without an answer is sent again beside the first attempt after
+	// usualTimes its usual time or slowTimes that of a read, within these bounds,
+	// and after twice as long from then on. A repeat changes nothing if the first
+	// one was done, but a slow stream gets slower by it.
+	leastRepeatGap = 150 * time.Millisecond
+	mostRepeatGap  = 2500 * time.Millisecond
+	usualTimes     = 6
+	// appendTimeout is how long an attempt may take, and attemptGaps the same in
+	// gaps between attempts where that is longer.
+	appendTimeout = 1200 * time.Millisecond
+	attemptGaps   = 2
 	// usualWeight is that of the past in the mean.
 	usualWeight = 7
-	// failingAfter is how many attempts without an answer mean that the stream
-	// is away, and not that one answer was lost.
-	failingAfter = 2
-	// maxDoubled bounds how often the time of an attempt is doubled.
-	maxDoubled  = 1
-	appendRetry = 60 * time.Millisecond
+	// failingAfter is how long an append may go without an answer, on a stream
+	// that answers reads.
+	failingAfter = 2500 * time.Millisecond
+	appendRetry  = 60 * time.Millisecond
 	// A leader whose appends are refused yieldAfter times in a row asks others
 	// to stand. Refusals that take longer than quickRefusal come from a stream
 	// that is slow for all.
@@ -101,13 +106,13 @@
 // streamAway reports whether an append has failed, or is likely to.
 func (l *leadership) streamAway(now time.Time) bool {
 	f := &l.flush
-	return f.failing || f.busy && now.Sub(f.sentAt) > doubtAfter && !l.s.deps.Follower.Fresh(doubtFresh)
+	return f.failing || f.sent != nil && now.Sub(f.sentAt) > doubtAfter && !l.s.deps.Follower.Fresh(doubtFresh)
 }
 
 // flushIfDue appends what has changed, or a sign of life.
 func (l *leadership) flushIfDue(now time.Time) {
 	f := &l.flush
-	if f.busy || f.last {
+	if f.sent != nil || f.last {
 		return
 	}
 	work := len(f.dirty) > 0 || len(f.forget) > 0 || len(f.accepts) > 0
@@ -214,33 +219,70 @@
 
 func (l *leadership) send(b *batch) {
 	f := &l.flush
-	f.busy = true
 	f.sent = b
 	f.sentAt = time.Now()
-	term, timeout := l.term, f.timeout(l.s.deps.Follower.CallTime())
+	f.attempts = 0
+	l.attempt(b)
+}
+
+// attempt sends the append under way, for the first time or again. The stream takes
+// it once, by its sequence number, and the first answer counts.
+func (l *leadership) attempt(b *batch) {
+	f := &l.flush
+	f.attempts++
+	sentAt := time.Now()
+	f.triedAt = sentAt
+	term := l.term
+	gap := f.repeatGap(l.s.deps.Follower.CallTime())
 	l.spawn(func(ctx context.Context) event {
-		ctx, cancel := context.WithTimeout(ctx, timeout)
+		ctx, cancel := context.WithTimeout(ctx, max(appendTimeout, attemptGaps*gap))
 		defer cancel()
 		first, err := l.s.deps.Stream.AppendAs(ctx, term, b.entries)
-		return appendDone{l, b, first, err}
+		return appendDone{l, b, sentAt, first, err}
+	})
+	l.attemptAfter(b, gap)
+}
+
+// attemptAfter has the append sent again after a time, if nothing else has come of
+// it until then.
+func (l *leadership) attemptAfter(b *batch, d time.Duration) {
+	n := l.flush.attempts
+	l.spawn(func(ctx context.Context) event {
+		pause.For(ctx, d)
+		return appendAgain{l, b, n}
 	})
 }
 
+// repeatGap is the time until the next attempt on a stream that takes call to
+// answer a read.
+func (f *flushState) repeatGap(call time.Duration) time.Duration {
+	gap := max(leastRepeatGap, usualTimes*f.usual, slowTimes*call)
+	if f.attempts > 1 {
+		gap *= 2
+	}
+	return min(mostRepeatGap, gap)
+}
+
+// noteTime takes in how long the stream took to answer. It is believed at once that
+// the stream has become slow, and by and by that it is quick again.
+func (f *flushState) noteTime(took time.Duration) {
+	f.usual = max(took, (usualWeight*f.usual+took)/(usualWeight+1))
+}
+
 func (e appendDone) handle(s *Scheduler) {
 	l := e.l
-	if !l.current() {
+	f := &l.flush
+	if !l.current() || f.sent != e.b {
 		return
 	}
-	f := &l.flush
 	now := time.Now()
 	switch {
 	case e.err == nil:
 		s.deps.Counts.Time("append", now.Sub(f.sentAt))
-		f.busy = false
+		f.sent = nil
 		f.ackedAt = now
 		f.refused = 0
-		f.unanswered = 0
-		f.usual = (usualWeight*f.usual + now.Sub(f.sentAt)) / (usualWeight + 1)
+		f.noteTime(now.Sub(e.sentAt))
 		l.term.Sequence++
 		if f.failing {
 			f.failing = false
@@ -249,60 +291,57 @@
 		l.durable(e.b, e.first)
 	case site.ErrFenced.Has(e.err):
 		s.endLeadership("a later term has begun")
+	case site.ErrRefused.Has(e.err):
+		l.appendRefused(&e, now)
 	default:
-		l.appendFailed(&e, now)
+		l.s.deps.Counts.Count("append_failures", 1)
 	}
 }
 
-// appendFailed repeats an append that was refused or got no answer.
-func (l *leadership) appendFailed(e *appendDone, now time.Time) {
+// appendRefused sends an append again that the stream has turned away.
+func (l *leadership) appendRefused(e *appendDone, now time.Time) {
 	f := &l.flush
-	refused := site.ErrRefused.Has(e.err)
-	rest := time.Duration(0)
-	if refused {
-		rest = appendRetry
-	} else {
-		f.unanswered++
-	}
-	if !f.failing && (refused || f.unanswered >= failingAfter) {
-		f.failing = true
-		_ = level.Warn(l.s.deps.Logger).Log("msg", "append failed, repeating it", "sequence", l.term.Sequence, "err", e.err)
-	}
 	l.s.deps.Counts.Count("append_failures", 1)
-	if refused && now.Sub(f.sentAt) < quickRefusal {
+	l.appendFails(e.err)
+	if now.Sub(f.triedAt) < quickRefusal {
 		f.refused++
 	}
 	if f.refused == yieldAfter {
 		_ = level.Warn(l.s.deps.Logger).Log("msg", "the stream turns this VM away, asking others to lead", "epoch", l.term.Epoch)
 		l.s.deps.Peers.Yield(l.term.Epoch)
 	}
-	if f.failing {
-		l.refuse(site.ErrRefused.New("the stream does not answer the leader"))
-	}
-	l.spawn(func(ctx context.Context) event {
-		pause.For(ctx, rest)
-		return appendAgain{l, e.b}
-	})
+	l.attemptAfter(e.b, appendRetry)
 }
 
-// timeout is how long the next attempt may take on a stream that takes call to
-// answer a read.
-func (f *flushState) timeout(call time.Duration) time.Duration {
-	first := max(leastAppendTimeout, usualTimes*f.usual, slowTimes*call)
-	return min(appendTimeout, first<<min(f.unanswered, maxDoubled))
+// appendFails refuses callers from now on, until an append gets through.
+func (l *leadership) appendFails(why error) {
+	f := &l.flush
+	if !f.failing {
+		f.failing = true
+		_ = level.Warn(l.s.deps.Logger).Log("msg", "append fails, repeating it", "sequence", l.term.Sequence,
+			"attempts", f.attempts, "err", why)
+	}
+	l.refuse(site.ErrRefused.New("the stream does not answer the leader"))
 }
 
 type appendAgain struct {
 	l *leadership
 	b *batch
+	// attempt is the last one before.
+	attempt int
 }
 
-// handle repeats an append as it was, under its own sequence number, so that it
-// takes effect once whether or not an earlier one did.
 func (e appendAgain) handle(*Scheduler) {
-	if e.l.current() {
-		e.l.send(e.b)
+	l := e.l
+	f := &l.flush
+	if !l.current() || f.sent != e.b || f.attempts != e.attempt {
+		return
+	}
+	now := time.Now()
+	if l.streamAway(now) || now.Sub(f.sentAt) > failingAfter {
+		l.appendFails(site.ErrUnknown.New("for %v", now.Sub(f.sentAt)))
 	}
+	l.attempt(e.b)
 }
 
 // durable does what waited for the append.
@@ -343,7 +382,7 @@
 // abandon answers callers at the end of the term: what was not sent is refused,
 // of the rest it is not known.
 func (f *flushState) abandon() {
-	if f.busy {
+	if f.sent != nil {
 		answer(f.sent.accepts, site.ErrUnknown.New("the term has ended"))
 	}
 	answer(f.accepts, site.ErrRefused.New("the term has ended"))
--- a/pollendockd/internal/scheduler/flush_test.go
+++ b/pollendockd/internal/scheduler/flush_test.go
@@ -5,25 +5,25 @@
 	"time"
 )
 
-// TestAppendTimeout: an append is repeated soon where only its answer was lost, but
+// TestRepeatGap: an append is repeated soon where only its answer was lost, but
 // not on a stream that is slow: the repeats would keep it so busy that nothing is
 // answered in time.
-func TestAppendTimeout(t *testing.T) {
+func TestRepeatGap(t *testing.T) {
 	for _, c := range []struct {
 		name        string
 		usual, call time.Duration
-		unanswered  int
+		attempts    int
 		want        time.Duration
 	}{
-		{"quick stream", 8 * time.Millisecond, 7 * time.Millisecond, 0, 150 * time.Millisecond},
-		{"quick stream, second time", 8 * time.Millisecond, 7 * time.Millisecond, 1, 300 * time.Millisecond},
-		{"appends take long", 60 * time.Millisecond, 7 * time.Millisecond, 0, 360 * time.Millisecond},
-		{"slow of late", 8 * time.Millisecond, 200 * time.Millisecond, 0, 2400 * time.Millisecond},
-		{"slow, second time", 8 * time.Millisecond, 200 * time.Millisecond, 1, 2500 * time.Millisecond},
-		{"nothing known", 0, 0, 0, 150 * time.Millisecond},
+		{"quick stream", 8 * time.Millisecond, 7 * time.Millisecond, 1, 150 * time.Millisecond},
+		{"quick stream, second time", 8 * time.Millisecond, 7 * time.Millisecond, 2, 300 * time.Millisecond},
+		{"appends take long", 60 * time.Millisecond, 7 * time.Millisecond, 1, 360 * time.Millisecond},
+		{"slow of late", 8 * time.Millisecond, 200 * time.Millisecond, 1, 2400 * time.Millisecond},
+		{"slow, second time", 8 * time.Millisecond, 200 * time.Millisecond, 2, 2500 * time.Millisecond},
+		{"nothing known", 0, 0, 1, 150 * time.Millisecond},
 	} {
-		f := flushState{usual: c.usual, unanswered: c.unanswered}
-		if got := f.timeout(c.call); got != c.want {
+		f := flushState{usual: c.usual, attempts: c.attempts}
+		if got := f.repeatGap(c.call); got != c.want {
 			t.Errorf("%s: %v, want %v", c.name, got, c.want)
 		}
 	}
