Callers are refused at once when the stream is too slow to tell them in time

Cause: on a store 80 times slower the leader's appends took 1.5 s and more. Callers' calls to the leader ran out after 2 s, which closed the connection that they share, so that all others were in doubt, too, and each VM appended for them by itself; the store then turned the leader away with 503. Change: the leader works out how long a record would wait and refuses what would take over 2.2 s; it answers "not known yet" itself before the call runs out. On a slow stream a desk never appends beside the leader. Tests: TestExpectedWait, TestTooSlowToAccept.

--- a/pollendockd/internal/desk/desk.go
+++ b/pollendockd/internal/desk/desk.go
@@ -202,8 +202,8 @@
 	if byLeader == nil {
 		return nil
 	}
-	if site.ErrRefused.Has(byLeader) && d.deps.Follower.CallTime() > slowCall {
-		return code.New(code.LogDown, "the stream is slow; by the leader: %v", byLeader)
+	if d.deps.Follower.CallTime() > slowCall {
+		return code.New(outcomeOf(byLeader), "the stream is slow; by the leader: %v", byLeader)
 	}
 	if site.ErrRefused.Has(byLeader) && !d.deps.Follower.Fresh(directLimit) {
 		// An append would likely get no answer, and then nobody could tell the
@@ -220,6 +220,14 @@
 	return code.New(code.AcceptUnknown, "%v; by the leader: %v", err, byLeader)
 }
 
+// outcomeOf names the outcome of an append that was refused or got no answer.
+func outcomeOf(err error) code.Code {
+	if site.ErrRefused.Has(err) {
+		return code.LogDown
+	}
+	return code.AcceptUnknown
+}
+
 // least is the oldest catalog version by which callers of this VM may be
 // served.
 func (d *Desk) least() int64 {
--- a/pollendockd/internal/helper/helper.go
+++ b/pollendockd/internal/helper/helper.go
@@ -167,9 +167,13 @@
 )
 
 const (
-	serveTimeout  = 2 * time.Second
-	passTimeout   = 1200 * time.Millisecond
-	acceptTimeout = 2 * time.Second
+	serveTimeout = 2 * time.Second
+	passTimeout  = 1200 * time.Millisecond
+	// A leader says after acceptServe that it does not know the outcome yet. One
+	// that has not answered after acceptTimeout is silent: that ends the
+	// connection, and with it the calls of other callers.
+	acceptServe   = 2250 * time.Millisecond
+	acceptTimeout = 2400 * time.Millisecond
 	shunTime      = time.Second
 	// passTries bounds the VMs that are tried for a request.
 	passTries = 3
--- a/pollendockd/internal/helper/server.go
+++ b/pollendockd/internal/helper/server.go
@@ -31,7 +31,7 @@
 
 // Accept serves the call of that name.
 func (s *Server) Accept(r *AcceptRequest, reply *AcceptReply) error {
-	ctx, cancel := context.WithTimeout(s.ctx, serveTimeout)
+	ctx, cancel := context.WithTimeout(s.ctx, acceptServe)
 	defer cancel()
 	err := s.leader.Accept(ctx, r.Entries)
 	reply.Done = err == nil
--- a/pollendockd/internal/scheduler/admit_test.go
+++ b/pollendockd/internal/scheduler/admit_test.go
@@ -84,3 +84,34 @@
 		})
 	}
 }
+
+// TestTooSlowToAccept: on a stream that takes longer for an append than a caller
+// waits, callers are refused at once, and those that were taken are told so in time.
+func TestTooSlowToAccept(t *testing.T) {
+	for _, pace := range []time.Duration{400 * time.Millisecond, 1900 * time.Millisecond} {
+		inCell(t, 4, func(c *cell) {
+			a := c.start("a")
+			time.Sleep(3 * time.Second)
+			c.store.SetPace(pace)
+			time.Sleep(5 * time.Second)
+			ok, refused := 0, 0
+			for i := range 20 {
+				at := time.Now()
+				err := c.accept(a, fmt.Sprintf("job%d", i), tasks(1, 1))
+				took := time.Since(at)
+				switch {
+				case err == nil && took <= acceptLimit+100*time.Millisecond:
+					ok++
+				case site.ErrRefused.Has(err) && took < 50*time.Millisecond:
+					refused++
+				default:
+					t.Errorf("pace %v: %v after %v", pace, err, took)
+				}
+				time.Sleep(170 * time.Millisecond)
+			}
+			if wantAll := pace < time.Second; wantAll && refused > 0 || !wantAll && refused == 0 {
+				t.Errorf("pace %v: %d accepted, %d refused", pace, ok, refused)
+			}
+		})
+	}
+}
--- a/pollendockd/internal/scheduler/flush.go
+++ b/pollendockd/internal/scheduler/flush.go
@@ -86,6 +86,9 @@
 	// that answers reads.
 	failingAfter = 2500 * time.Millisecond
 	appendRetry  = 60 * time.Millisecond
+	// acceptLimit is how long a caller's record may be expected to wait: its caller
+	// would have given up, not knowing whether the job runs.
+	acceptLimit = 2200 * time.Millisecond
 	// A leader whose appends are refused yieldAfter times in a row asks others
 	// to stand. Refusals that take longer than quickRefusal come from a stream
 	// that is slow for all.
@@ -269,6 +272,15 @@
 	f.usual = max(took, (usualWeight*f.usual+took)/(usualWeight+1))
 }
 
+// expectedWait is how long a record that comes now should take to become durable:
+// the rest of the append under way, and the next one.
+func (f *flushState) expectedWait(now time.Time) time.Duration {
+	if f.sent == nil {
+		return f.usual
+	}
+	return max(0, f.usual-now.Sub(f.sentAt)) + f.usual
+}
+
 func (e appendDone) handle(s *Scheduler) {
 	l := e.l
 	f := &l.flush
--- a/pollendockd/internal/scheduler/flush_test.go
+++ b/pollendockd/internal/scheduler/flush_test.go
@@ -28,3 +28,28 @@
 		}
 	}
 }
+
+// TestExpectedWait: a record waits for the append under way and for its own.
+func TestExpectedWait(t *testing.T) {
+	now := time.Now()
+	for _, c := range []struct {
+		name  string
+		usual time.Duration
+		busy  bool
+		age   time.Duration
+		want  time.Duration
+	}{
+		{"idle", 10 * time.Millisecond, false, 0, 10 * time.Millisecond},
+		{"just sent", time.Second, true, 0, 2 * time.Second},
+		{"nearly done", time.Second, true, 900 * time.Millisecond, 1100 * time.Millisecond},
+		{"later than usual", time.Second, true, 3 * time.Second, time.Second},
+	} {
+		f := flushState{usual: c.usual, sentAt: now.Add(-c.age)}
+		if c.busy {
+			f.sent = &batch{}
+		}
+		if got := f.expectedWait(now); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/pollendockd/internal/scheduler/scheduler.go
+++ b/pollendockd/internal/scheduler/scheduler.go
@@ -261,6 +261,10 @@
 		e.reply <- site.ErrRefused.New("the stream does not answer the leader")
 		return
 	}
+	if wait := s.lead.flush.expectedWait(time.Now()); wait > acceptLimit {
+		e.reply <- site.ErrRefused.New("the stream is so slow that an append takes %v", wait)
+		return
+	}
 	s.lead.flush.accepts = append(s.lead.flush.accepts, e)
 	s.lead.admit(e.entries)
 }
