The end of a run follows from the progress made since it was found

A new leader finds runs halfway through; it divided the time since then by all of their progress, and so took them for nearly done. Change: progress counts from what it was when the run was found.

--- a/pollendockd/internal/scheduler/cell_test.go
+++ b/pollendockd/internal/scheduler/cell_test.go
@@ -201,11 +201,25 @@
 	}
 }
 
+// submitTo makes a job of another queue durable.
+func (c *cell) submitTo(queue, id string, steps ...job.Step) {
+	c.t.Helper()
+	e := c.entryIn(queue, time.Now(), id, steps...)
+	if _, err := c.store.Append(c.ctx, []site.Entry{e}); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
 // entry returns the record of a job that was accepted at a time.
 func (c *cell) entry(accepted time.Time, id string, steps ...job.Step) site.Entry {
+	c.t.Helper()
+	return c.entryIn("q", accepted, id, steps...)
+}
+
+func (c *cell) entryIn(queue string, accepted time.Time, id string, steps ...job.Step) site.Entry {
 	c.t.Helper()
 	s := &job.Submission{
-		ID: id, Team: "team", Queue: "q", Service: "s", MaxAttempts: 2, AcceptedAt: accepted, Spec: "x", Steps: steps,
+		ID: id, Team: "team", Queue: queue, Service: "s", MaxAttempts: 2, AcceptedAt: accepted, Spec: "x", Steps: steps,
 	}
 	c.mu.Lock()
 	c.subs[id] = s
--- a/pollendockd/internal/scheduler/hold.go
+++ b/pollendockd/internal/scheduler/hold.go
@@ -195,6 +195,8 @@
 		}
 		if r.stage != running {
 			r.confirm(now)
+			r.percent = s.Percent
+			r.foundAt = s.Percent
 			r.w.begun = true
 			l.logRun(r, "run found at its worker")
 		}
@@ -252,8 +254,8 @@
 // takes a hundred times its estimate comes to its end all the same.
 func (r *run) patience() time.Duration {
 	p := max(stillLimit, time.Duration(float64(r.w.sub.Steps[r.task.Step].Estimate)*stillPart))
-	if r.percent > 0 && r.percentAt.After(r.confirmedAt) {
-		p = max(p, stillPaces*r.percentAt.Sub(r.confirmedAt)/time.Duration(r.percent))
+	if made := r.percent - r.foundAt; made > 0 && r.percentAt.After(r.confirmedAt) {
+		p = max(p, stillPaces*r.percentAt.Sub(r.confirmedAt)/time.Duration(made))
 	}
 	return p << min(r.w.stills[r.task], maxStills)
 }
--- a/pollendockd/internal/scheduler/reserve.go
+++ b/pollendockd/internal/scheduler/reserve.go
@@ -193,15 +193,18 @@
 	return 0
 }
 
-// remaining works out when a run should end, from its progress if it has some.
+// remaining works out when a run should end, from the progress that it has made
+// while it was watched, if that is enough. A new leader finds runs that are halfway
+// through, and would else take them for twice as fast as they are.
 func (r *run) remaining(now time.Time, estimate time.Duration) time.Duration {
-	began := r.confirmedAt
-	if began.IsZero() {
-		began = r.decidedAt
+	if made := r.percent - r.foundAt; made >= leastPercent && r.percentAt.After(r.confirmedAt) {
+		left := r.percentAt.Sub(r.confirmedAt) * time.Duration(allDone-r.percent) / time.Duration(made)
+		return max(leastRemaining, left-now.Sub(r.percentAt))
 	}
-	total := estimate
-	if r.percent >= leastPercent && r.percentAt.After(began) {
-		total = r.percentAt.Sub(began) * 100 / time.Duration(r.percent)
+	since := r.confirmedAt
+	if since.IsZero() {
+		since = r.decidedAt
 	}
-	return max(leastRemaining, total-now.Sub(began))
+	left := estimate * time.Duration(allDone-r.foundAt) / allDone
+	return max(leastRemaining, left-now.Sub(since))
 }
--- a/pollendockd/internal/scheduler/work.go
+++ b/pollendockd/internal/scheduler/work.go
@@ -77,6 +77,8 @@
 		// percent and percentAt are the newest progress and when it changed.
 		percent   int
 		percentAt time.Time
+		// foundAt is the progress at which the run was found at its worker.
+		foundAt int
 	}
 
 	// runKey names a run.
