Members of a gang are expected to end together

Cause: of a gang that runs, members that were done with their part counted as about to become free (in 0.2 s), though all keep their room until the slowest is done. Change: a gang's room is expected at the end of its slowest member. Test: TestGangsEndTogether (0.2 s before, 4.5 s expected). TestSlowStream failed 13 times in 200 since VMs choose the same epoch: traced, the losers of the first campaign, before the stream is slow, were counted as repeats. It counts from the fault on; 200 runs since without a failure.

--- a/pollendockd/internal/scheduler/place.go
+++ b/pollendockd/internal/scheduler/place.go
@@ -28,10 +28,18 @@
 		// held is room that is held back for gangs earlier in turn.
 		held  map[*worker]held
 		gangs int
+		// gangEnds is when running gangs should end, from now.
+		gangEnds map[gangKey]time.Duration
 		// saved is what gangs wait for within their team's limit, by team.
 		saved map[string][]saving
 	}
 
+	// gangKey names the gang of a step.
+	gangKey struct {
+		w    *work
+		step int
+	}
+
 	// obstacle is what a step waits for.
 	obstacle int
 
@@ -108,7 +116,7 @@
 	if catalog == nil {
 		return
 	}
-	p := &pass{now: now, catalog: catalog, settled: l.settled(now), usable: map[string][]*worker{}, full: map[string][]resource.Vector{}, unspoken: map[string]int64{}, held: map[*worker]held{}, saved: map[string][]saving{}}
+	p := &pass{now: now, catalog: catalog, settled: l.settled(now), usable: map[string][]*worker{}, full: map[string][]resource.Vector{}, unspoken: map[string]int64{}, held: map[*worker]held{}, gangEnds: map[gangKey]time.Duration{}, saved: map[string][]saving{}}
 	for _, at := range l.workers {
 		if at.usable(now) {
 			p.usable[at.up.Service] = append(p.usable[at.up.Service], at)
--- a/pollendockd/internal/scheduler/reserve.go
+++ b/pollendockd/internal/scheduler/reserve.go
@@ -179,11 +179,33 @@
 		if step.Endless {
 			continue
 		}
-		o.Releases = append(o.Releases, placement.Release{Worker: at.id, In: r.remaining(p.now, r.expected()), Size: step.Size})
+		o.Releases = append(o.Releases, placement.Release{Worker: at.id, In: l.releaseOf(p, r), Size: step.Size})
 	}
 	return o
 }
 
+// releaseOf returns when the room of a run should become free. Members of a gang
+// end together, with the slowest: those that are done with their part keep their
+// room until then.
+func (l *leadership) releaseOf(p *pass, r *run) time.Duration {
+	if !r.w.sub.Steps[r.task.Step].Gang || len(r.w.state.Steps) == 0 {
+		return r.remaining(p.now, r.expected())
+	}
+	key := gangKey{r.w, r.task.Step}
+	if in, known := p.gangEnds[key]; known {
+		return in
+	}
+	in := leastRemaining
+	for i := range r.w.state.Steps[key.step] {
+		name := site.TaskName{Job: r.w.id, Step: key.step, Index: i}
+		if member := l.findRun(&r.w.state.Steps[key.step][i], name); member != nil {
+			in = max(in, member.remaining(p.now, member.expected()))
+		}
+	}
+	p.gangEnds[key] = in
+	return in
+}
+
 // expected is the time that the run should take.
 func (r *run) expected() time.Duration {
 	if r.task.Step < len(r.w.forecast.tasks) {
--- a/pollendockd/internal/scheduler/reserve_test.go
+++ b/pollendockd/internal/scheduler/reserve_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"pollendock.example/cell/site"
 )
 
 // TestRemaining: the end of a run follows from the progress that it has made since
@@ -35,3 +37,37 @@
 		}
 	}
 }
+
+// TestGangsEndTogether: the room of a gang's member that has done its part is not
+// about to become free while another is halfway through. Rooms were held for gangs
+// that were to start at once, again and again.
+func TestGangsEndTogether(t *testing.T) {
+	inCell(t, 3, func(c *cell) {
+		c.outcome = func(n site.TaskName, _ int64, _ string) (time.Duration, site.EndKind) {
+			return time.Duration(1+3*n.Index) * time.Second, site.Done
+		}
+		a := c.start("a")
+		time.Sleep(time.Second)
+		c.submit("j1", gang(3, 6))
+		time.Sleep(2500 * time.Millisecond)
+		// The members take 1, 4 and 7 s.
+		done := make(chan bool)
+		a.scheduler.post(inspect(func(s *Scheduler) {
+			p := &pass{now: time.Now(), gangEnds: map[gangKey]time.Duration{}}
+			for _, at := range s.lead.workers {
+				for _, r := range at.runs {
+					if in := s.lead.releaseOf(p, r); in < 3500*time.Millisecond || in > 5500*time.Millisecond {
+						t.Errorf("member %d should be free in %v, want 4.5 s", r.task.Index, in)
+					}
+				}
+			}
+			close(done)
+		}))
+		<-done
+	})
+}
+
+// inspect looks at the state on the goroutine that owns it.
+type inspect func(s *Scheduler)
+
+func (f inspect) handle(s *Scheduler) { f(s) }
--- a/pollendockd/internal/scheduler/story_test.go
+++ b/pollendockd/internal/scheduler/story_test.go
@@ -252,6 +252,8 @@
 		c.start("b")
 		c.start("d")
 		time.Sleep(3 * time.Second)
+		// Those who lost the first campaign have repeated its record.
+		before := c.store.Repeats()
 		// A job takes two reads and four appends with those under way, and the
 		// pauses between: 1.5 s. Ten calls are 2 s.
 		expectSteady(c, a, a, 5, 2*time.Second, func() {
@@ -259,7 +261,7 @@
 			c.store.SetDelay(200 * time.Millisecond)
 			time.Sleep(time.Second)
 		})
-		if n := c.store.Repeats(); n > 2 {
+		if n := c.store.Repeats() - before; n > 2 {
 			t.Errorf("%d appends were repeated", n)
 		}
 	})
