A queue is found without going through all queues

Change: queues are indexed by name, and by host and prefix; a path is tried with each length that a prefix of its host has.

--- a/cell/site/catalog.go
+++ b/cell/site/catalog.go
@@ -5,7 +5,7 @@
 package site
 
 import (
-	"strings"
+	"slices"
 	"time"
 
 	"pollendock.example/cell/resource"
@@ -21,8 +21,17 @@
 		// Services maps the name of each service to its properties.
 		Services map[string]Service
 
-		teamByKey  map[string]*Team
-		teamByName map[string]*Team
+		teamByKey   map[string]*Team
+		teamByName  map[string]*Team
+		queueByName map[string]*Queue
+		queuesAt    map[string]*hostQueues
+	}
+
+	// hostQueues holds the queues of one host.
+	hostQueues struct {
+		byPrefix map[string]*Queue
+		// lengths are those of the prefixes, longest first, each once.
+		lengths []int
 	}
 
 	// Queue is where callers hand jobs in.
@@ -87,9 +96,35 @@
 			c.teamByKey[k] = t
 		}
 	}
+	c.queueByName = map[string]*Queue{}
+	c.queuesAt = map[string]*hostQueues{}
+	for i := range c.Queues {
+		c.indexQueue(&c.Queues[i])
+	}
 	return c
 }
 
+// indexQueue adds a queue to the lookups. Of two alike the first one counts.
+func (c *Catalog) indexQueue(q *Queue) {
+	if c.queueByName[q.Name] == nil {
+		c.queueByName[q.Name] = q
+	}
+	at := c.queuesAt[q.Host]
+	if at == nil {
+		at = &hostQueues{byPrefix: map[string]*Queue{}}
+		c.queuesAt[q.Host] = at
+	}
+	if at.byPrefix[q.PathPrefix] != nil {
+		return
+	}
+	at.byPrefix[q.PathPrefix] = q
+	n := len(q.PathPrefix)
+	i, known := slices.BinarySearchFunc(at.lengths, n, func(a, b int) int { return b - a })
+	if !known {
+		at.lengths = slices.Insert(at.lengths, i, n)
+	}
+}
+
 // TeamOfKey returns the team that a key belongs to, or nil.
 func (c *Catalog) TeamOfKey(key string) *Team {
 	return c.teamByKey[key]
@@ -102,29 +137,23 @@
 
 // Queue returns the queue of that name, or nil.
 func (c *Catalog) Queue(name string) *Queue {
-	for i := range c.Queues {
-		if c.Queues[i].Name == name {
-			return &c.Queues[i]
-		}
-	}
-	return nil
+	return c.queueByName[name]
 }
 
 // QueueFor returns the queue with the longest prefix that path begins with, and
 // the rest of the path; nil if there is none.
 func (c *Catalog) QueueFor(host, path string) (*Queue, string) {
-	var best *Queue
-	for i := range c.Queues {
-		q := &c.Queues[i]
-		if q.Host != host || !strings.HasPrefix(path, q.PathPrefix) {
+	at := c.queuesAt[host]
+	if at == nil {
+		return nil, ""
+	}
+	for _, n := range at.lengths {
+		if n > len(path) {
 			continue
 		}
-		if best == nil || len(q.PathPrefix) > len(best.PathPrefix) {
-			best = q
+		if q := at.byPrefix[path[:n]]; q != nil {
+			return q, path[n:]
 		}
 	}
-	if best == nil {
-		return nil, ""
-	}
-	return best, path[len(best.PathPrefix):]
+	return nil, ""
 }
