Slow queries may take three quarters of the VMs

Change: three quarters. Quick queries come first in turn and need two VMs of nine. Test: TestSlowQueriesAtOnce (two gangs of six late before). The list of workers is logged as lost and regained, not with each reading.

--- a/pollendockd/internal/scheduler/advice.go
+++ b/pollendockd/internal/scheduler/advice.go
@@ -84,9 +84,10 @@
 	// slowQuery marks queries that may not take all VMs, so that quick ones
 	// need not wait behind them.
 	slowQuery = 300 * time.Millisecond
-	// One in slowPart VMs at most has a slow query: after a change of leader all
-	// waiting gangs ask at once, for a second and more each.
-	slowPart   = 2
+	// slowPart is the part of the VMs that may have a slow query: after a change
+	// of leader all waiting gangs ask at once, for a second and more each, and
+	// quick queries, which come first, need little time of the others.
+	slowPart   = 0.75
 	adviceRest = time.Second
 	// namesAge is how old the list of VMs to ask through may be.
 	namesAge      = 200 * time.Millisecond
@@ -188,7 +189,7 @@
 		switch {
 		case q.w.state.Phase.Final():
 			l.closeQuery(q)
-		case len(names) == 0 || isSlow && slow >= max(1, len(d.names)/slowPart):
+		case len(names) == 0 || isSlow && slow >= max(1, int(slowPart*float64(len(d.names)))):
 			waiting = append(waiting, q)
 		default:
 			if isSlow {
--- a/pollendockd/internal/scheduler/advice_test.go
+++ b/pollendockd/internal/scheduler/advice_test.go
@@ -79,3 +79,25 @@
 		}
 	})
 }
+
+// TestSlowQueriesAtOnce: with eight VMs six slow queries are under way at once. Two
+// of six gangs used to wait for the answers of the first four while VMs were idle.
+func TestSlowQueriesAtOnce(t *testing.T) {
+	inCell(t, 40, func(c *cell) {
+		advice := site.Advice{Base: 600 * time.Millisecond, PerUpstream: time.Millisecond, Valid: 2 * time.Second}
+		c.advise(advice, 1)
+		a := c.start("a")
+		for i := range 7 {
+			c.join(fmt.Sprintf("vm%d", i))
+		}
+		time.Sleep(3 * time.Second)
+		at := time.Now()
+		for i := range 6 {
+			c.submit(fmt.Sprintf("job%d", i), gang(3, 6))
+		}
+		for i := range 6 {
+			left := workTime + advice.Base + 400*time.Millisecond - time.Since(at)
+			expectPhase(c, a, fmt.Sprintf("job%d", i), left, job.Completed)
+		}
+	})
+}
--- a/pollendockd/internal/scheduler/scheduler.go
+++ b/pollendockd/internal/scheduler/scheduler.go
@@ -137,6 +137,8 @@
 		pollAt    time.Time
 		// polls counts the readings of the list that are under way.
 		polls int
+		// listLost is set while readings of the list fail.
+		listLost bool
 	}
 
 	// event is handled by the goroutine that owns the state.
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -118,9 +118,16 @@
 func (e upstreamsDone) handle(s *Scheduler) {
 	s.polls--
 	if e.err != nil {
-		_ = level.Warn(s.deps.Logger).Log("msg", "list of workers not read", "ageMs", time.Since(s.listedAt).Milliseconds(), "err", e.err)
+		if !s.listLost {
+			s.listLost = true
+			_ = level.Warn(s.deps.Logger).Log("msg", "list of workers lost", "ageMs", time.Since(s.listedAt).Milliseconds(), "err", e.err)
+		}
 		return
 	}
+	if s.listLost {
+		s.listLost = false
+		_ = level.Info(s.deps.Logger).Log("msg", "list of workers regained", "awayMs", time.Since(s.listedAt).Milliseconds())
+	}
 	s.listedAt = later(s.listedAt, e.at)
 	if e.list == nil {
 		return
