A caller that leaves no longer ends the calls of others

When one caller gave up, the connection was closed, and some 200 others were told that it is not known whether their jobs run (504), which they cannot send again. Change: a connection is closed only if nothing at all was answered on it for 0.25 s since a call that ended without an answer.

--- a/pollendockd/internal/peer/client.go
+++ b/pollendockd/internal/peer/client.go
@@ -22,20 +22,27 @@
 		State(ctx context.Context, r *StateRequest) (*StateReply, error)
 	}
 
-	// Client is a Handler at another entry VM. A call that gets no reply in
-	// time closes the connection, which may have gone silent; the next call
-	// opens a new one.
+	// Client is a Handler at another entry VM. Its calls share a connection. One
+	// on which nothing is answered for a while may have gone silent and is closed;
+	// the next call opens a new one.
 	Client struct {
 		addr netip.AddrPort
 
 		mu   sync.Mutex
 		conn *rpc.Client
+		// answeredAt is when a call was answered last, and silentFrom when the first
+		// call since then began that has ended without an answer.
+		answeredAt time.Time
+		silentFrom time.Time
 	}
 )
 
 const (
 	dialTimeout = 500 * time.Millisecond
 	callTimeout = 2 * time.Second
+	// silentAfter is how long a connection may leave calls without an answer.
+	// Callers that leave sooner say nothing of it.
+	silentAfter = 250 * time.Millisecond
 
 	traceHeader = "traceparent"
 	methodStem  = "Peer."
@@ -91,19 +98,44 @@
 	if err != nil {
 		return NotSent.Wrap(err)
 	}
+	began := time.Now()
 	call := conn.Go(methodStem+method, in, out, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 		if call.Error == rpc.ErrShutdown {
 			c.discard(conn)
 		}
+		c.noteAnswer()
 		return Class.Wrap(call.Error)
 	case <-ctx.Done():
-		c.discard(conn)
+		if c.silent(began) {
+			c.discard(conn)
+		}
 		return Class.Wrap(ctx.Err())
 	}
 }
 
+func (c *Client) noteAnswer() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answeredAt = time.Now()
+	c.silentFrom = time.Time{}
+}
+
+// silent takes in a call that began at a time and got no answer, and reports whether
+// the connection has been silent for too long.
+func (c *Client) silent(began time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.answeredAt.After(began) {
+		return false
+	}
+	if c.silentFrom.IsZero() {
+		c.silentFrom = began
+	}
+	return time.Since(c.silentFrom) >= silentAfter
+}
+
 func (c *Client) connect(ctx context.Context) (*rpc.Client, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -116,6 +148,7 @@
 		return nil, err
 	}
 	c.conn = rpc.NewClient(conn)
+	c.silentFrom = time.Time{}
 	return c.conn, nil
 }
 
