While quick queries wait, slow ones take half of the VMs again

Change: three quarters only while no more quick queries are in line than VMs are free, else half. Test: TestSlowLimit.

--- a/pollendockd/internal/scheduler/advice.go
+++ b/pollendockd/internal/scheduler/advice.go
@@ -84,11 +84,12 @@
 	// slowQuery marks queries that may not take all VMs, so that quick ones
 	// need not wait behind them.
 	slowQuery = 300 * time.Millisecond
-	// slowPart is the part of the VMs that may have a slow query: after a change
-	// of leader all waiting gangs ask at once, for a second and more each, and
-	// quick queries, which come first, need little time of the others.
-	slowPart   = 0.75
-	adviceRest = time.Second
+	// slowPart is the part of the VMs that may have a slow query, and
+	// slowPartBeside the same while quick queries wait: after a change of leader
+	// all waiting gangs ask at once, for a second and more each.
+	slowPart       = 0.75
+	slowPartBeside = 0.5
+	adviceRest     = time.Second
 	// namesAge is how old the list of VMs to ask through may be.
 	namesAge      = 200 * time.Millisecond
 	maxAdviceRest = 20 * time.Second
@@ -183,13 +184,14 @@
 			names = append(names, name)
 		}
 	}
+	limit := slowLimit(len(d.names), d.quick() > len(names))
 	var waiting []*query
 	for _, q := range d.queries {
-		isSlow := q.takes >= slowQuery
+		isSlow := q.isSlow()
 		switch {
 		case q.w.state.Phase.Final():
 			l.closeQuery(q)
-		case len(names) == 0 || isSlow && slow >= max(1, int(slowPart*float64(len(d.names)))):
+		case len(names) == 0 || isSlow && slow >= limit:
 			waiting = append(waiting, q)
 		default:
 			if isSlow {
@@ -202,6 +204,31 @@
 	d.queries = waiting
 }
 
+// slowLimit returns how many of the VMs may have a slow query.
+func slowLimit(vms int, quickWait bool) int {
+	part := slowPart
+	if quickWait {
+		part = slowPartBeside
+	}
+	return max(1, int(part*float64(vms)))
+}
+
+// isSlow reports whether the answer takes long.
+func (q *query) isSlow() bool {
+	return q.takes >= slowQuery
+}
+
+// quick counts the queries in line that are not slow.
+func (d *adviceDesk) quick() int {
+	n := 0
+	for _, q := range d.queries {
+		if !q.isSlow() {
+			n++
+		}
+	}
+	return n
+}
+
 // closeQuery frees what a query held.
 func (l *leadership) closeQuery(q *query) {
 	q.w.adviceOf(q.step).asking = false
--- a/pollendockd/internal/scheduler/advice_test.go
+++ b/pollendockd/internal/scheduler/advice_test.go
@@ -101,3 +101,23 @@
 		}
 	})
 }
+
+// TestSlowLimit: while quick queries wait, slow ones take no more than half of the
+// VMs. Lookups of a hot team, five times as many as usual, waited behind gangs.
+func TestSlowLimit(t *testing.T) {
+	for _, c := range []struct {
+		vms       int
+		quickWait bool
+		want      int
+	}{
+		{30, false, 22}, {30, true, 15}, {9, false, 6}, {9, true, 4}, {1, false, 1}, {1, true, 1},
+	} {
+		if got := slowLimit(c.vms, c.quickWait); got != c.want {
+			t.Errorf("%d VMs, quick ones wait %v: %d, want %d", c.vms, c.quickWait, got, c.want)
+		}
+	}
+	d := &adviceDesk{queries: []*query{{takes: slowQuery}, {takes: slowQuery / 2}, {takes: 2 * slowQuery}}}
+	if n := d.quick(); n != 1 {
+		t.Errorf("%d quick queries, want 1", n)
+	}
+}
