--- a/pollendockd/internal/scheduler/advice.go
+++ b/pollendockd/internal/scheduler/advice.go
@@ -84,12 +84,10 @@
 	// slowQuery marks queries that may not take all VMs, so that quick ones
 	// need not wait behind them.
 	slowQuery = 300 * time.Millisecond
-	// slowPart is the part of the VMs that may have a slow query, and
-	// slowPartBeside the same while quick queries wait: after a change of leader
-	// all waiting gangs ask at once, for a second and more each.
-	slowPart       = 0.75
-	slowPartBeside = 0.5
-	adviceRest     = time.Second
+	// One in slowPart VMs at most has a slow query: after a change of leader all
+	// waiting gangs ask at once, for a second and more each.
+	slowPart   = 2
+	adviceRest = time.Second
 	// namesAge is how old the list of VMs to ask through may be.
 	namesAge      = 200 * time.Millisecond
 	maxAdviceRest = 20 * time.Second
@@ -184,14 +182,13 @@
 			names = append(names, name)
 		}
 	}
-	limit := slowLimit(len(d.names), d.quick() > len(names))
 	var waiting []*query
 	for _, q := range d.queries {
-		isSlow := q.isSlow()
+		isSlow := q.takes >= slowQuery
 		switch {
 		case q.w.state.Phase.Final():
 			l.closeQuery(q)
-		case len(names) == 0 || isSlow && slow >= limit:
+		case len(names) == 0 || isSlow && slow >= max(1, len(d.names)/slowPart):
 			waiting = append(waiting, q)
 		default:
 			if isSlow {
@@ -204,31 +201,6 @@
 	d.queries = waiting
 }
 
-// slowLimit returns how many of the VMs may have a slow query.
-func slowLimit(vms int, quickWait bool) int {
-	part := slowPart
-	if quickWait {
-		part = slowPartBeside
-	}
-	return max(1, int(part*float64(vms)))
-}
-
-// isSlow reports whether the answer takes long.
-func (q *query) isSlow() bool {
-	return q.takes >= slowQuery
-}
-
-// quick counts the queries in line that are not slow.
-func (d *adviceDesk) quick() int {
-	n := 0
-	for _, q := range d.queries {
-		if !q.isSlow() {
-			n++
-		}
-	}
-	return n
-}
-
 // closeQuery frees what a query held.
 func (l *leadership) closeQuery(q *query) {
 	q.w.adviceOf(q.step).asking = false
