One decoding of submissions; why an unreadable one is passed over

The book decoded submissions beside job.SubmissionOf, which the leader uses. It calls it now. A comment says where an unreadable record was logged. Behaviour is the same.

--- a/cell/job/book.go
+++ b/cell/job/book.go
@@ -121,8 +121,8 @@
 	if j.Submission != nil && j.Submission.Outline() {
 		return nil
 	}
-	s := &Submission{}
-	if err := cbor.Unmarshal(e.Value, s); err != nil {
+	s, err := SubmissionOf(e)
+	if err != nil {
 		return err
 	}
 	if j.Submission != nil && !s.Outline() {
--- a/pollendockd/internal/scheduler/admit.go
+++ b/pollendockd/internal/scheduler/admit.go
@@ -40,6 +40,7 @@
 	f.accepts = nil
 	for _, a := range accepts {
 		for i := range a.entries {
+			// One that cannot be read was logged and not admitted.
 			if sub, _ := job.SubmissionOf(&a.entries[i]); sub != nil {
 				l.drop(sub.ID)
 			}
