Who has not confirmed a version is asked before it is named

Cause of the known red TestSessions/first: config show at one VM named another as not having confirmed a version that a third VM had just said to be in force everywhere. Each VM answered from the last heartbeats it had, up to 0.5 s old. The suspicion of peer.Client was wrong: the calls all worked.

Now a VM that is asked sends a heartbeat to those that are missing and answers once they have said so themselves, or after the silence that marks a VM as dead (1.6 s).

Before: TestConfirmedEverywhere (a VM whose heartbeats fall between those of the others) named VMs after every patch. TestUnreachableIsNamed bounds the wait for a cut off VM.

--- a/pollendockd/internal/entry/control.go
+++ b/pollendockd/internal/entry/control.go
@@ -73,6 +73,7 @@
 		stopAsked    map[string]bool
 		followers    map[string][]*jobWaiter
 		publishing   []*publishWaiter
+		confirming   []*confirmWaiter
 		holds        []*hold
 		gathering    bool
 		gatheredAt   time.Time
@@ -173,6 +174,7 @@
 	c.tickShares()
 	c.tickJobs(now)
 	c.tickPublishing(now)
+	c.tickConfirming(now)
 	c.tickStop(now)
 	c.tickMetrics(now)
 	c.publish()
--- a/pollendockd/internal/entry/member.go
+++ b/pollendockd/internal/entry/member.go
@@ -22,6 +22,8 @@
 		heard   time.Time
 		asked   time.Time
 		busy    bool
+		// toldAt is when the newest heartbeat that was answered had been sent.
+		toldAt time.Time
 	}
 
 	// vmsListed is an answer of the list of VMs.
@@ -129,8 +131,14 @@
 }
 
 func (c *control) sendExchanges(now time.Time) {
+	c.sendExchangesTo(now, func(p *peerView) bool { return now.Sub(p.asked) >= exchangeEvery })
+}
+
+// sendExchangesTo sends a heartbeat to each of the chosen peers that has answered
+// the last one.
+func (c *control) sendExchangesTo(now time.Time, chosen func(*peerView) bool) {
 	for _, p := range c.peers {
-		if p.busy || now.Sub(p.asked) < exchangeEvery {
+		if p.busy || !chosen(p) {
 			continue
 		}
 		p.busy = true
@@ -158,6 +166,7 @@
 	if len(m.reply.Records) > 0 {
 		recordsRelayed{m.reply.First, m.reply.Records}.handle(c)
 	}
+	p.toldAt = p.asked
 	c.noteView(p, m.reply.View)
 }
 
--- a/pollendockd/internal/entry/promise_test.go
+++ b/pollendockd/internal/entry/promise_test.go
@@ -237,6 +237,50 @@
 	})
 }
 
+// TestConfirmedEverywhere: once one entry VM has said that a version is in force
+// everywhere, no other one names a VM that has not confirmed it, at whatever
+// point between two heartbeats it is asked.
+func TestConfirmedEverywhere(t *testing.T) {
+	const rounds = 20
+	runCell(t, 3, 2, func(c *testCell) {
+		// The heartbeats of this one come between those of the others.
+		c.settle(exchangeEvery / 2)
+		c.startEntry("entry-4", 3)
+		c.settle(5 * time.Second)
+		for i := range rounds {
+			a := c.publish("entry-4", int64(i+1), fmt.Sprintf(`{"teams":{%q:{"share":%d}}}`, testTeam, i+2))
+			if a.Code != code.OK {
+				t.Fatalf("patch %d: %+v", i, a)
+			}
+			for _, e := range c.all() {
+				if missing := e.Unconfirmed(); len(missing) > 0 {
+					t.Errorf("patch %d: %s says that %v have not confirmed it", i, e.id, missing)
+				}
+			}
+			c.settle(exchangeEvery + 37*time.Millisecond)
+		}
+	})
+}
+
+// TestUnreachableIsNamed: a VM that cannot be asked is named as not having
+// confirmed, and the operator is not kept waiting for it.
+func TestUnreachableIsNamed(t *testing.T) {
+	runCell(t, 4, 2, func(c *testCell) {
+		c.wires.cut("entry-3", "", 20*time.Second)
+		c.wires.cut("", "entry-3", 20*time.Second)
+		go c.publish("entry-1", 1, fmt.Sprintf(`{"teams":{%q:{"share":3}}}`, testTeam))
+		c.settle(time.Second)
+		asked := time.Now()
+		missing := c.entry("entry-2").Unconfirmed()
+		if len(missing) != 1 || !strings.HasPrefix(missing[0], "entry-3") {
+			t.Errorf("not confirmed by %v, want entry-3", missing)
+		}
+		if took := time.Since(asked); took > 2*peerAlive {
+			t.Errorf("answered after %v", took)
+		}
+	})
+}
+
 // TestRepeatsThroughAnyEntry: a repeat of a non-idempotent request gets the
 // first one's outcome, and another request under its key is refused.
 func TestRepeatsThroughAnyEntry(t *testing.T) {
--- a/pollendockd/internal/entry/publish.go
+++ b/pollendockd/internal/entry/publish.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"pollendock.example/cell/api"
@@ -45,6 +46,14 @@
 	unconfirmedAsked struct {
 		reply chan []string
 	}
+
+	// confirmWaiter waits for heartbeats that were sent after it asked. Those
+	// before may be half a second old, and would name VMs that another VM knows to
+	// have confirmed.
+	confirmWaiter struct {
+		askedAt time.Time
+		reply   chan []string
+	}
 )
 
 // inForceWait is how long an operator waits for the confirmation of all.
@@ -151,7 +160,41 @@
 }
 
 func (m unconfirmedAsked) handle(c *control) {
-	m.reply <- c.unconfirmed(c.publishedAt)
+	missing := c.unconfirmed(c.publishedAt)
+	if len(missing) == 0 {
+		m.reply <- nil
+		return
+	}
+	now := time.Now()
+	c.confirming = append(c.confirming, &confirmWaiter{now, m.reply})
+	c.sendExchangesTo(now, func(p *peerView) bool { return slices.Contains(missing, p.view.Incarnation) })
+}
+
+// tickConfirming answers those who ask which VMs have not confirmed, once each
+// of these has said so itself or has not answered.
+func (c *control) tickConfirming(now time.Time) {
+	kept := c.confirming[:0]
+	for _, w := range c.confirming {
+		missing := c.unconfirmed(c.publishedAt)
+		if now.Sub(w.askedAt) < peerAlive && c.anyUnheardSince(missing, w.askedAt) {
+			kept = append(kept, w)
+			continue
+		}
+		w.reply <- missing
+	}
+	clear(c.confirming[len(kept):])
+	c.confirming = kept
+}
+
+// anyUnheardSince reports whether a heartbeat that was sent to one of the
+// incarnations since a time may still be answered.
+func (c *control) anyUnheardSince(incarnations []string, at time.Time) bool {
+	for _, p := range c.peers {
+		if slices.Contains(incarnations, p.view.Incarnation) && p.toldAt.Before(at) {
+			return true
+		}
+	}
+	return false
 }
 
 // History returns the versions from a number on, oldest first.
