Offers only to VMs that keep up; the other VMs are read first at a start

The leader sent 0.3 to 0.6 MB/s of records to each VM, also while it read all records (3.4 MB, 2.7 s), and up to 2000 records again after each offer that was not answered in 0.5 s; each of these took the link's time from the reading that it waited for.

Now a VM says in its answer whether it keeps up. One that does not, or does not answer, is left to read the stream for 0.2 s and longer; a call carries 64 KB at most; for a VM for which 256 KB wait nothing is kept.

A starting VM reads the members and the leader with the first page, and passes callers on to the leader first, which holds all records. Before it knew no other VM until it had read most records.

--- a/cell/job/record.go
+++ b/cell/job/record.go
@@ -43,6 +43,10 @@
 	leaderKey     = "leader"
 )
 
+// BeforeMembers is a key that sorts before those of the leader and of the members,
+// and after those of the submissions.
+const BeforeMembers = "k"
+
 var (
 	// Class wraps the errors of this package.
 	Class = errs.Class("job")
@@ -107,6 +111,12 @@
 	return []site.Entry{{Key: submissionKey + id}, {Key: stateKey + id}, {Key: cancelKey + id}}
 }
 
+// BeforeCell reports whether a key sorts before those of the leader and of the
+// members.
+func BeforeCell(key string) bool {
+	return key < BeforeMembers
+}
+
 // ByLeader reports whether only a leader appends entries of that key.
 func ByLeader(key string) bool {
 	return key == leaderKey || strings.HasPrefix(key, stateKey)
--- a/pollendockd/internal/book/follower.go
+++ b/pollendockd/internal/book/follower.go
@@ -64,6 +64,12 @@
 	after          string
 	next           int64
 	pages, records int
+	// wrapped is set once the last key was reached, done once all were read.
+	wrapped, done bool
+}
+
+func newReading() reading {
+	return reading{after: job.BeforeMembers}
 }
 
 const (
@@ -81,6 +87,9 @@
 	// offerLimit is how old the last offer may be for reads not to wait for
 	// records: each append would end the wait, though its records are offered.
 	offerLimit = 600 * time.Millisecond
+	// A VM that lacks records for behindAfter, though it reads at once, does not
+	// keep up.
+	behindAfter = 300 * time.Millisecond
 	// checkGap parts the reads beside offers, eagerGap those at the VM that
 	// decides.
 	checkGap = 700 * time.Millisecond
@@ -90,7 +99,7 @@
 // NewFollower returns a follower that calls changed with the ids of jobs whose
 // records are new.
 func NewFollower(stream Stream, b *job.Book, logger log.Logger, changed func(ids []string)) *Follower {
-	return &Follower{stream: stream, book: b, logger: logger, changed: changed, start: time.Now(), hurry: make(chan struct{}, 1)}
+	return &Follower{stream: stream, book: b, logger: logger, changed: changed, start: time.Now(), hurry: make(chan struct{}, 1), reading: newReading()}
 }
 
 // Run reads until ctx ends.
@@ -153,10 +162,12 @@
 }
 
 // Offer takes records that are durable from another way than the stream. If
-// some before them are missing here, these are read at once.
-func (f *Follower) Offer(entries []site.Entry) {
+// some before them are missing here, these are read at once. It reports whether
+// this VM keeps up; to one that does not, offers only take the link's time from
+// what it reads.
+func (f *Follower) Offer(entries []site.Entry) bool {
 	if !f.loaded.Load() {
-		return
+		return false
 	}
 	for len(entries) > 0 {
 		n := contiguous(entries)
@@ -166,12 +177,15 @@
 	if f.takeEarly() {
 		f.offeredAt.Store(int64(time.Since(f.start)))
 	}
-	if !f.early.empty() {
-		select {
-		case f.hurry <- struct{}{}:
-		default:
-		}
+	held, since := f.early.held()
+	if !held {
+		return true
+	}
+	select {
+	case f.hurry <- struct{}{}:
+	default:
 	}
+	return time.Since(since) < behindAfter
 }
 
 // takeEarly applies the offers that follow what is known, and reports whether
@@ -191,7 +205,10 @@
 
 func (f *Follower) readOnce(ctx context.Context) error {
 	if !f.loaded.Load() {
-		return f.load(ctx)
+		if err := f.load(ctx); err != nil {
+			return err
+		}
+		return f.read(ctx, 0)
 	}
 	wait := readWait
 	if f.offered() {
@@ -206,36 +223,50 @@
 }
 
 // load reads the newest record of every key, page by page. After a failure it
-// goes on with the page that failed.
+// goes on with the page that failed. It begins with the other VMs and the leader,
+// which can serve this VM's callers until it has read all, and with the keys that
+// follow them; then it reads those before.
 func (f *Follower) load(ctx context.Context) error {
 	r := &f.reading
-	for {
+	for !r.done {
 		p, err := f.loadPage(ctx, r.after)
 		if err != nil {
 			return err
 		}
-		if r.pages == 0 {
-			// What is added meanwhile lies after the first page's end.
-			r.next = p.Next
-		}
-		r.pages++
-		r.records += len(p.Entries)
-		r.after = p.After
-		p.Next = 0
-		if p.After == "" {
-			p.Next = r.next
-		}
-		f.apply(p)
-		if p.After == "" {
-			break
-		}
+		f.noteLoaded(p)
 	}
 	_ = level.Info(f.logger).Log("msg", "book loaded", "records", r.records, "pages", r.pages, "next", r.next)
-	*r = reading{}
+	f.reading = newReading()
 	f.loaded.Store(true)
 	return nil
 }
 
+// noteLoaded folds a page of the newest records and sets what is read next.
+func (f *Follower) noteLoaded(p *site.Page) {
+	r := &f.reading
+	if r.pages == 0 {
+		// What is added meanwhile lies after the first page's end.
+		r.next = p.Next
+	}
+	r.pages++
+	r.records += len(p.Entries)
+	switch {
+	case r.wrapped:
+		r.after = p.After
+		r.done = p.After == "" || !job.BeforeCell(p.After)
+	case p.After != "":
+		r.after = p.After
+	default:
+		r.after = ""
+		r.wrapped = true
+	}
+	p.Next = 0
+	if r.done {
+		p.Next = r.next
+	}
+	f.apply(p)
+}
+
 func (f *Follower) loadPage(ctx context.Context, after string) (*site.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, pageTimeout)
 	defer cancel()
@@ -309,7 +340,7 @@
 	if err != nil {
 		_ = level.Error(f.logger).Log("msg", "record cannot be read", "err", err)
 	}
-	if p.After == "" && p.Next >= p.End {
+	if f.loaded.Load() && p.Next >= p.End {
 		f.currentAt.Store(now)
 	}
 	if time.Duration(now-f.readAt.Swap(now)) > seriesGap {
--- a/pollendockd/internal/book/follower_test.go
+++ b/pollendockd/internal/book/follower_test.go
@@ -288,3 +288,73 @@
 		}
 	})
 }
+
+// TestKeepsUp: a VM says whether it keeps up with what it is offered: not while it
+// reads all records, and not with a hole that a read does not fill.
+func TestKeepsUp(t *testing.T) {
+	inStream(t, func(ctx context.Context, store *fleet.Store, _ *job.Book, f *Follower) {
+		one := add(ctx, t, store, "1")
+		if f.Offer(one) {
+			t.Error("keeps up before it has read the records")
+		}
+		if err := f.load(ctx); err != nil {
+			t.Fatal(err)
+		}
+		if !f.Offer(add(ctx, t, store, "2")) {
+			t.Error("does not keep up")
+		}
+		add(ctx, t, store, "missed")
+		if !f.Offer(add(ctx, t, store, "3")) {
+			t.Error("does not keep up as soon as a record is missing")
+		}
+		time.Sleep(behindAfter)
+		if f.Offer(add(ctx, t, store, "4")) {
+			t.Error("keeps up with a hole that stays")
+		}
+		if err := f.Sync(ctx); err != nil {
+			t.Fatal(err)
+		}
+		if !f.Offer(add(ctx, t, store, "5")) {
+			t.Error("does not keep up once the hole is filled")
+		}
+	})
+}
+
+// TestMembersFirst: a VM that starts knows the leader and the other VMs after the
+// first page, so that they can serve its callers while it reads the rest.
+func TestMembersFirst(t *testing.T) {
+	inStream(t, func(ctx context.Context, store *fleet.Store, b *job.Book, f *Follower) {
+		var ids []string
+		for i := range 100 {
+			ids = append(ids, fmt.Sprint(i))
+		}
+		add(ctx, t, store, ids...)
+		member, err := job.MemberEntry(&job.Member{Name: "a", Incarnation: "a/1"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		leader, err := job.LeaderEntry(&job.Leader{Epoch: 1, Incarnation: "a/1"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := store.Append(ctx, []site.Entry{member, leader}); err != nil {
+			t.Fatal(err)
+		}
+		store.SetPage(10)
+		p, err := f.loadPage(ctx, f.reading.after)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.noteLoaded(p)
+		if l, _ := b.Leader(); l.Epoch != 1 || len(b.Members()) != 1 {
+			t.Errorf("leader %+v and %d members after a page", l, len(b.Members()))
+		}
+		if err := f.load(ctx); err != nil {
+			t.Fatal(err)
+		}
+		expectJobs(t, b, ids...)
+		if b.Next() != 102 {
+			t.Errorf("read up to %d, want 102", b.Next())
+		}
+	})
+}
--- a/pollendockd/internal/helper/helper.go
+++ b/pollendockd/internal/helper/helper.go
@@ -42,7 +42,8 @@
 
 	// Follower takes records that the leader has appended.
 	Follower interface {
-		Offer(entries []site.Entry)
+		// Offer reports whether this VM keeps up with the records.
+		Offer(entries []site.Entry) bool
 	}
 
 	// Relay passes records on within the data centre.
@@ -93,11 +94,18 @@
 
 	// offer is what waits for one peer while a call to it is under way.
 	offer struct {
-		busy    bool
+		busy bool
+		// failing is set while the peer does not answer, or lags behind.
 		failing bool
 		// relays is set if the peer is to pass the records on.
 		relays  bool
 		waiting []site.Entry
+		// bytes is the size of what waits.
+		bytes int
+		// restUntil is until when the peer is left to read the stream, and rest
+		// how long that was the last time.
+		restUntil time.Time
+		rest      time.Duration
 	}
 
 	// receiver is a VM to which the leader offers records.
@@ -136,8 +144,11 @@
 		Relay bool
 	}
 
-	// OfferReply is empty.
-	OfferReply struct{}
+	// OfferReply answers an offer.
+	OfferReply struct {
+		// Behind is set if the VM lacks records before those offered.
+		Behind bool
+	}
 
 	// YieldRequest names the term of a leader that cannot append.
 	YieldRequest struct {
@@ -327,8 +338,10 @@
 	return p.client(m, forRequests).Call(ctx, method, r, out)
 }
 
-// others returns some other VMs in no order.
+// others returns some other VMs: the leader, which holds all records, then others
+// in no order.
 func (p *Peers) others() []job.Member {
+	l, _ := p.book.Leader()
 	var list []job.Member
 	for name, m := range p.book.Members() {
 		if name != p.name {
@@ -336,5 +349,10 @@
 		}
 	}
 	rand.Shuffle(len(list), func(a, b int) { list[a], list[b] = list[b], list[a] })
+	for i := range list {
+		if list[i].Incarnation == l.Incarnation {
+			list[0], list[i] = list[i], list[0]
+		}
+	}
 	return list[:min(passTries, len(list))]
 }
--- a/pollendockd/internal/helper/helper_test.go
+++ b/pollendockd/internal/helper/helper_test.go
@@ -31,9 +31,11 @@
 		yielded atomic.Int64
 	}
 
-	// otherBook counts what it is offered.
+	// otherBook counts what it is offered, and answers as it is told.
 	otherBook struct {
 		offered chan int
+		behind  atomic.Bool
+		takes   time.Duration
 	}
 )
 
@@ -57,7 +59,11 @@
 
 func (l *otherLeader) Yield(epoch int64) { l.yielded.Store(epoch) }
 
-func (b *otherBook) Offer(entries []site.Entry) { b.offered <- len(entries) }
+func (b *otherBook) Offer(entries []site.Entry) bool {
+	b.offered <- len(entries)
+	time.Sleep(b.takes)
+	return !b.behind.Load()
+}
 
 // pair is this VM's peers and one other VM, which leads.
 type pair struct {
@@ -70,7 +76,7 @@
 
 func newPair(t *testing.T) *pair {
 	t.Helper()
-	p := &pair{desk: &otherDesk{version: 7}, leader: &otherLeader{}, book: &otherBook{make(chan int, 8)}}
+	p := &pair{desk: &otherDesk{version: 7}, leader: &otherLeader{}, book: &otherBook{offered: make(chan int, 1000)}}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/pollendockd/internal/helper/offer.go
+++ b/pollendockd/internal/helper/offer.go
@@ -15,9 +15,18 @@
 	// offerGap is the least time between two offers to a VM: each is a call, and
 	// with dozens of VMs the leader would do little else.
 	offerGap = 20 * time.Millisecond
-	// maxOffer bounds the records that wait for a peer, which reads the stream
-	// where it has missed some.
-	maxOffer = 2000
+	// maxCallBytes bounds one offer, so that it arrives in time over a link of
+	// 10 Mbit/s that carries other things as well.
+	maxCallBytes = 64 << 10
+	// maxWaitingBytes bounds what waits for a peer. One for which more waits takes
+	// less than there is, and reads the stream instead.
+	maxWaitingBytes = 256 << 10
+	// A peer that lags behind is left alone for behindRest. One that does not answer
+	// is so for leastRest, and for twice as long each time, up to mostRest: what is
+	// sent to it only delays what it reads.
+	behindRest = 200 * time.Millisecond
+	leastRest  = 250 * time.Millisecond
+	mostRest   = 2 * time.Second
 	// directMembers is up to how many VMs of another data centre the leader
 	// offers records itself. Of more, one passes them on to the others.
 	directMembers = 3
@@ -95,8 +104,14 @@
 		p.offers[m.Name] = o
 	}
 	o.relays = relays
-	if len(o.waiting) < maxOffer {
-		o.waiting = append(o.waiting, entries...)
+	now := time.Now()
+	if now.Before(o.restUntil) {
+		return
+	}
+	o.add(entries)
+	if o.bytes > maxWaitingBytes {
+		o.leave(now, behindRest)
+		return
 	}
 	if !o.busy {
 		o.busy = true
@@ -104,35 +119,77 @@
 	}
 }
 
+func (o *offer) add(entries []site.Entry) {
+	o.waiting = append(o.waiting, entries...)
+	for i := range entries {
+		o.bytes += sizeOf(&entries[i])
+	}
+}
+
+// take removes what one call carries.
+func (o *offer) take() []site.Entry {
+	n, size := 0, 0
+	for n < len(o.waiting) && size < maxCallBytes {
+		size += sizeOf(&o.waiting[n])
+		n++
+	}
+	taken := o.waiting[:n]
+	o.waiting = o.waiting[n:]
+	o.bytes -= size
+	return taken
+}
+
+// leave drops what waits, which the peer will read from the stream.
+func (o *offer) leave(now time.Time, rest time.Duration) {
+	o.waiting, o.bytes = nil, 0
+	o.restUntil = now.Add(rest)
+}
+
+func sizeOf(e *site.Entry) int {
+	return len(e.Key) + len(e.Value)
+}
+
 func (p *Peers) sendOffers(m job.Member, o *offer) {
 	for {
 		p.mu.Lock()
-		entries, relays := o.waiting, o.relays
-		o.waiting = nil
+		entries, relays := o.take(), o.relays
 		o.busy = len(entries) > 0
 		p.mu.Unlock()
 		if len(entries) == 0 {
 			return
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), offerTimeout)
-		err := p.client(&m, forOffers).Call(ctx, "Offer", &OfferRequest{Entries: entries, Relay: relays}, &OfferReply{})
+		var reply OfferReply
+		err := p.client(&m, forOffers).Call(ctx, "Offer", &OfferRequest{Entries: entries, Relay: relays}, &reply)
 		cancel()
-		p.noteOffer(m.Name, o, err)
+		p.noteOffer(m.Name, o, reply.Behind, err)
 		time.Sleep(offerGap)
 	}
 }
 
-// noteOffer logs when offers to a peer begin to fail, and when they succeed
-// again. A VM that misses one reads the stream, so nothing else has to be done.
-func (p *Peers) noteOffer(name string, o *offer, err error) {
+// noteOffer takes in how an offer went, and logs when a peer is lost and when it is
+// back. What a peer misses it reads from the stream.
+func (p *Peers) noteOffer(name string, o *offer, behind bool, err error) {
 	p.mu.Lock()
-	changed := o.failing != (err != nil)
-	o.failing = err != nil
+	failing := behind || err != nil
+	changed := o.failing != failing
+	o.failing = failing
+	now := time.Now()
+	switch {
+	case err != nil:
+		o.rest = min(max(2*o.rest, leastRest), mostRest)
+		o.leave(now, o.rest)
+	case behind:
+		o.rest = 0
+		o.leave(now, behindRest)
+	default:
+		o.rest = 0
+	}
 	p.mu.Unlock()
 	switch {
 	case !changed:
-	case err != nil:
-		_ = level.Warn(p.logger).Log("msg", "peer lost", "peer", name, "err", err)
+	case failing:
+		_ = level.Warn(p.logger).Log("msg", "peer lost", "peer", name, "behind", behind, "err", err)
 	default:
 		_ = level.Info(p.logger).Log("msg", "peer regained", "peer", name)
 	}
--- a/pollendockd/internal/helper/offer_test.go
+++ b/pollendockd/internal/helper/offer_test.go
@@ -56,7 +56,7 @@
 	for i, m := range members {
 		peers := NewPeers(m, b, nil, &otherLeader{}, log.NewNopLogger())
 		c.peers[m.Name] = peers
-		c.books[m.Name] = &otherBook{make(chan int, 64)}
+		c.books[m.Name] = &otherBook{offered: make(chan int, 64)}
 		server, err := peer.NewServerOf(listeners[i], NewServer(t.Context(), "b/1", nil, &otherDesk{}, &otherLeader{}, c.books[m.Name], peers))
 		if err != nil {
 			t.Fatal(err)
@@ -128,3 +128,80 @@
 		expectOffered(c, name)
 	}
 }
+
+// offerFor offers records of a size again and again for a time, and returns how
+// many bytes were offered and how many reached the other VM.
+func offerFor(p *pair, d time.Duration, size int) (offered, arrived int) {
+	value := make([]byte, size)
+	for began := time.Now(); time.Since(began) < d; time.Sleep(5 * time.Millisecond) {
+		p.peers.Offer([]site.Entry{{Key: "k", Value: value, Offset: int64(offered)}})
+		offered += size
+	}
+	for {
+		select {
+		case n := <-p.book.offered:
+			arrived += n * size
+		case <-time.After(2 * offerGap):
+			return offered, arrived
+		}
+	}
+}
+
+// TestOffersLeaveLaggingVMsAlone: a restarted VM with a slow link was sent all that
+// the leader appended while it read the records, again and again after offers that
+// it could not take in time, so that it had no link left to catch up with.
+func TestOffersLeaveLaggingVMsAlone(t *testing.T) {
+	const size, least = 1000, 3 // of the bytes offered, one in least at most
+	for _, c := range []struct {
+		name   string
+		behind bool
+		takes  time.Duration
+	}{
+		{"lags behind", true, 0},
+		{"does not answer in time", false, 2 * offerTimeout},
+	} {
+		p := newPair(t)
+		p.book.behind.Store(c.behind)
+		p.book.takes = c.takes
+		offered, arrived := offerFor(p, time.Second, size)
+		if arrived == 0 || arrived > offered/least {
+			t.Errorf("%s: %d of %d bytes reached it", c.name, arrived, offered)
+		}
+		p.book.behind.Store(false)
+		p.book.takes = 0
+		time.Sleep(mostRest)
+		for len(p.book.offered) > 0 {
+			<-p.book.offered
+		}
+		if offered, arrived := offerFor(p, 200*time.Millisecond, size); arrived < offered/2 {
+			t.Errorf("%s: once it keeps up, %d of %d bytes reached it", c.name, arrived, offered)
+		}
+	}
+}
+
+// TestOffersAreBounded: one call carries what a slow link takes in time, and a VM
+// for which too much waits reads the stream.
+func TestOffersAreBounded(t *testing.T) {
+	var o offer
+	entry := site.Entry{Key: "k", Value: make([]byte, 1023)}
+	for range 100 {
+		o.add([]site.Entry{entry})
+	}
+	if n := len(o.take()); n != maxCallBytes>>10 {
+		t.Errorf("%d KB in a call", n)
+	}
+	if want := 100<<10 - maxCallBytes; o.bytes != want || len(o.waiting) != want>>10 {
+		t.Errorf("%d bytes wait in %d records, want %d", o.bytes, len(o.waiting), want)
+	}
+	p := newPair(t)
+	p.book.takes = offerTimeout / 2
+	p.peers.Offer([]site.Entry{entry})
+	for range 2 * maxWaitingBytes >> 10 {
+		p.peers.Offer([]site.Entry{entry})
+	}
+	p.peers.mu.Lock()
+	defer p.peers.mu.Unlock()
+	if bytes := p.peers.offers["b"].bytes; bytes > maxWaitingBytes {
+		t.Errorf("%d bytes wait", bytes)
+	}
+}
--- a/pollendockd/internal/helper/server.go
+++ b/pollendockd/internal/helper/server.go
@@ -21,11 +21,11 @@
 }
 
 // Offer serves the call of that name.
-func (s *Server) Offer(r *OfferRequest, _ *OfferReply) error {
+func (s *Server) Offer(r *OfferRequest, reply *OfferReply) error {
 	if r.Relay {
 		s.relay.Relay(r.Entries)
 	}
-	s.book.Offer(r.Entries)
+	reply.Behind = !s.book.Offer(r.Entries)
 	return nil
 }
 
--- a/pollendockd/internal/scheduler/scheduler.go
+++ b/pollendockd/internal/scheduler/scheduler.go
@@ -33,8 +33,9 @@
 		// CallTime returns how long the stream takes to answer a read.
 		CallTime() time.Duration
 		SetEager(eager bool)
-		// Offer takes records that this VM has appended.
-		Offer(entries []site.Entry)
+		// Offer takes records that this VM has appended, and reports whether it
+		// keeps up with the stream.
+		Offer(entries []site.Entry) bool
 	}
 
 	// Peers passes records on to the other entry VMs.
