Records come from the VMs' memory, at the pace of each; accepts follow the leader

Each answer to an offer names the record that the VM lacks, and the next offer begins there, unless the VM reads the stream itself. Without the second part a restarted VM got what it read twice.

Cause: a request that was at a leader which lost its power waited for 2.4 s, though another VM led after 0.7 s. Now it goes to the new leader as soon as the book names it; what cannot be known of the first stays unknown. The watch of the leader follows as well.

--- a/cell/site/stream.go
+++ b/cell/site/stream.go
@@ -60,3 +60,8 @@
 	// may still be done.
 	ErrUnknown = errs.Class("no answer")
 )
+
+// Size returns the bytes of the entry's key and value.
+func (e *Entry) Size() int {
+	return len(e.Key) + len(e.Value)
+}
--- a/pollendockd/internal/book/early.go
+++ b/pollendockd/internal/book/early.go
@@ -3,7 +3,6 @@
 import (
 	"sort"
 	"sync"
-	"time"
 
 	"pollendock.example/cell/site"
 )
@@ -15,8 +14,6 @@
 	mu      sync.Mutex
 	runs    [][]site.Entry
 	records int
-	// since is when the present runs began to be held.
-	since time.Time
 }
 
 // maxEarly bounds the records that are held; beyond it they are read.
@@ -29,9 +26,6 @@
 	if e.records+len(run) > maxEarly {
 		e.runs, e.records = nil, 0
 	}
-	if len(e.runs) == 0 {
-		e.since = time.Now()
-	}
 	e.runs = append(e.runs, run)
 	e.records += len(run)
 	sort.SliceStable(e.runs, func(a, b int) bool { return e.runs[a][0].Offset < e.runs[b][0].Offset })
@@ -53,9 +47,8 @@
 	return nil
 }
 
-// held reports whether runs are held, and since when.
-func (e *early) held() (bool, time.Time) {
+func (e *early) empty() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return len(e.runs) > 0, e.since
+	return len(e.runs) == 0
 }
--- a/pollendockd/internal/book/follower.go
+++ b/pollendockd/internal/book/follower.go
@@ -33,6 +33,8 @@
 
 		// early holds offers that came before the records that precede them.
 		early early
+		// recent holds the newest records for VMs that lack them.
+		recent recent
 
 		// reading is how far a reading of all keys has come. Only Run uses it.
 		reading reading
@@ -87,15 +89,17 @@
 	// offerLimit is how old the last offer may be for reads not to wait for
 	// records: each append would end the wait, though its records are offered.
 	offerLimit = 600 * time.Millisecond
-	// A VM that lacks records for behindAfter, though it reads at once, does not
-	// keep up.
-	behindAfter = 300 * time.Millisecond
+	// readsLimit is how old the last answer of the stream may be if this VM reads.
+	readsLimit = checkGap + 300*time.Millisecond
 	// checkGap parts the reads beside offers, eagerGap those at the VM that
 	// decides.
 	checkGap = 700 * time.Millisecond
 	eagerGap = 200 * time.Millisecond
 )
 
+// StillLoading is in place of an offset while this VM reads all records.
+const StillLoading = -1
+
 // NewFollower returns a follower that calls changed with the ids of jobs whose
 // records are new.
 func NewFollower(stream Stream, b *job.Book, logger log.Logger, changed func(ids []string)) *Follower {
@@ -162,12 +166,12 @@
 }
 
 // Offer takes records that are durable from another way than the stream. If
-// some before them are missing here, these are read at once. It reports whether
-// this VM keeps up; to one that does not, offers only take the link's time from
-// what it reads.
-func (f *Follower) Offer(entries []site.Entry) bool {
+// some before them are missing here, these are read at once. It returns the offset
+// from which on this VM lacks records, or StillLoading, and whether the stream
+// answers this VM, so that it can read what it lacks.
+func (f *Follower) Offer(entries []site.Entry) (int64, bool) {
 	if !f.loaded.Load() {
-		return false
+		return StillLoading, true
 	}
 	for len(entries) > 0 {
 		n := contiguous(entries)
@@ -177,15 +181,19 @@
 	if f.takeEarly() {
 		f.offeredAt.Store(int64(time.Since(f.start)))
 	}
-	held, since := f.early.held()
-	if !held {
-		return true
-	}
-	select {
-	case f.hurry <- struct{}{}:
-	default:
+	if !f.early.empty() {
+		select {
+		case f.hurry <- struct{}{}:
+		default:
+		}
 	}
-	return time.Since(since) < behindAfter
+	return f.book.Next(), f.Fresh(readsLimit)
+}
+
+// Recent returns records from an offset on, of up to most bytes and one more. It
+// reports false if they are not at hand any more.
+func (f *Follower) Recent(next int64, most int) ([]site.Entry, bool) {
+	return f.recent.from(next, most)
 }
 
 // takeEarly applies the offers that follow what is known, and reports whether
@@ -336,6 +344,9 @@
 	if at := f.currentAt.Load(); at > 0 {
 		p.Since = f.start.Add(time.Duration(at))
 	}
+	if n := len(p.Entries); n > 0 && contiguous(p.Entries) == n && p.Entries[n-1].Offset+1 == p.Next {
+		f.recent.add(p.Entries)
+	}
 	ids, err := f.book.Apply(p)
 	if err != nil {
 		_ = level.Error(f.logger).Log("msg", "record cannot be read", "err", err)
--- a/pollendockd/internal/book/follower_test.go
+++ b/pollendockd/internal/book/follower_test.go
@@ -289,35 +289,69 @@
 	})
 }
 
-// TestKeepsUp: a VM says whether it keeps up with what it is offered: not while it
-// reads all records, and not with a hole that a read does not fill.
-func TestKeepsUp(t *testing.T) {
+// TestOfferAnswers: a VM says in its answer which record it lacks: none in particular
+// while it reads all records, the first one of a hole until that is filled.
+func TestOfferAnswers(t *testing.T) {
 	inStream(t, func(ctx context.Context, store *fleet.Store, _ *job.Book, f *Follower) {
-		one := add(ctx, t, store, "1")
-		if f.Offer(one) {
-			t.Error("keeps up before it has read the records")
+		expectNext := func(what string, entries []site.Entry, want int64, wantReads bool) {
+			t.Helper()
+			if got, reads := f.Offer(entries); got != want || reads != wantReads {
+				t.Errorf("%s: lacks the records from %d on, reads %v; want %d, %v", what, got, reads, want, wantReads)
+			}
 		}
+		expectNext("before all are read", add(ctx, t, store, "0"), StillLoading, true)
 		if err := f.load(ctx); err != nil {
 			t.Fatal(err)
 		}
-		if !f.Offer(add(ctx, t, store, "2")) {
-			t.Error("does not keep up")
-		}
-		add(ctx, t, store, "missed")
-		if !f.Offer(add(ctx, t, store, "3")) {
-			t.Error("does not keep up as soon as a record is missing")
+		expectNext("in step", add(ctx, t, store, "1"), 2, true)
+		missed := add(ctx, t, store, "2")
+		expectNext("with a hole", add(ctx, t, store, "3"), 2, true)
+		time.Sleep(readsLimit + time.Millisecond)
+		expectNext("with a hole, and no answer of the stream", add(ctx, t, store, "4"), 2, false)
+		expectNext("filled", missed, 5, true)
+	})
+}
+
+// TestRecent: a VM holds the newest records, however it came to have them, up to a
+// size.
+func TestRecent(t *testing.T) {
+	inStream(t, func(ctx context.Context, store *fleet.Store, _ *job.Book, f *Follower) {
+		if err := f.load(ctx); err != nil {
+			t.Fatal(err)
 		}
-		time.Sleep(behindAfter)
-		if f.Offer(add(ctx, t, store, "4")) {
-			t.Error("keeps up with a hole that stays")
+		add(ctx, t, store, "0", "1")
+		if err := f.Sync(ctx); err != nil {
+			t.Fatal(err)
 		}
+		f.Offer(add(ctx, t, store, "2"))
+		add(ctx, t, store, "3")
 		if err := f.Sync(ctx); err != nil {
 			t.Fatal(err)
 		}
-		if !f.Offer(add(ctx, t, store, "5")) {
-			t.Error("does not keep up once the hole is filled")
+		for _, c := range []struct {
+			next int64
+			want int
+		}{{0, 4}, {2, 2}, {4, 0}, {9, 0}} {
+			if got, held := f.Recent(c.next, maxRecentBytes); !held || len(got) != c.want || c.want > 0 && got[0].Offset != c.next {
+				t.Errorf("from %d: %d records, held %v; want %d", c.next, len(got), held, c.want)
+			}
+		}
+		if got, _ := f.Recent(0, 1); len(got) != 1 {
+			t.Errorf("%d records in one byte", len(got))
 		}
 	})
+	var r recent
+	large := make([]byte, maxRecentBytes/4)
+	for i := range int64(10) {
+		r.add([]site.Entry{{Key: "k", Value: large, Offset: i}})
+	}
+	if _, held := r.from(2, 1); held || r.bytes > maxRecentBytes {
+		t.Errorf("%d bytes are held", r.bytes)
+	}
+	r.add([]site.Entry{{Key: "k", Offset: 20}})
+	if got, held := r.from(9, maxRecentBytes); held {
+		t.Errorf("records across a hole: %d", len(got))
+	}
 }
 
 // TestMembersFirst: a VM that starts knows the leader and the other VMs after the
--- /dev/null
+++ b/pollendockd/internal/helper/accept.go
@@ -0,0 +1,135 @@
+package helper
+
+import (
+	"context"
+	"time"
+
+	"pollendock.example/cell/job"
+	"pollendock.example/cell/site"
+	"pollendock.example/pollendockd/internal/peer"
+)
+
+const (
+	// A leader says after acceptServe that it does not know the outcome yet. One
+	// that has not answered after acceptTimeout is silent: that ends the
+	// connection, and with it the calls of other callers.
+	acceptServe   = 2250 * time.Millisecond
+	acceptTimeout = 2400 * time.Millisecond
+	shunTime      = time.Second
+	// turnGap parts the looks for a new leader.
+	turnGap = 40 * time.Millisecond
+)
+
+// Accept asks the leader to make entries durable with its own, so that the
+// stream takes few appends. If another VM leads before there is an answer, that one
+// is asked: a leader without power never answers, and its callers would wait for
+// longer than they can. An error of class site.ErrRefused means that the entries are
+// not durable and never will be by this call.
+func (p *Peers) Accept(ctx context.Context, entries []site.Entry) error {
+	unknown := false
+	for {
+		turned := p.nextTurn()
+		err := p.acceptByLeader(ctx, turned, entries)
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+		unknown = unknown || site.ErrUnknown.Has(err)
+		select {
+		case <-turned:
+			continue
+		default:
+		}
+		if unknown && site.ErrRefused.Has(err) {
+			return site.ErrUnknown.New("an earlier leader did not answer; then: %v", err)
+		}
+		return err
+	}
+}
+
+// acceptByLeader asks the leader of now, until the next one leads.
+func (p *Peers) acceptByLeader(ctx context.Context, turned <-chan struct{}, entries []site.Entry) error {
+	l, _ := p.book.Leader()
+	if l.Incarnation == p.self {
+		return p.leader.Accept(ctx, entries)
+	}
+	m := p.memberOf(l.Incarnation)
+	if m == nil || p.shunned(l.Incarnation) {
+		return site.ErrRefused.New("no leader is known to answer")
+	}
+	ctx, cancel := untilTurned(ctx, turned, acceptTimeout)
+	defer cancel()
+	var reply AcceptReply
+	err := p.client(m, forAccepts).Call(ctx, "Accept", &AcceptRequest{Entries: entries}, &reply)
+	switch {
+	case err == nil && reply.Done:
+		return nil
+	case err == nil && reply.Refused:
+		return site.ErrRefused.New("%s", reply.Detail)
+	case err == nil:
+		return site.ErrUnknown.New("%s", reply.Detail)
+	}
+	p.shunLeader(l.Incarnation)
+	if peer.NotSent.Has(err) {
+		return site.ErrRefused.Wrap(err)
+	}
+	return site.ErrUnknown.Wrap(err)
+}
+
+// untilTurned returns a context that ends after a time or once another VM leads.
+func untilTurned(ctx context.Context, turned <-chan struct{}, d time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(ctx, d)
+	go func() {
+		select {
+		case <-turned:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
+
+// FollowLeader notices when the book names another leader, until ctx ends.
+func (p *Peers) FollowLeader(ctx context.Context) error {
+	ticker := time.NewTicker(turnGap)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			l, _ := p.book.Leader()
+			p.noteLeader(&l)
+		}
+	}
+}
+
+// noteLeader ends the calls to the leader before.
+func (p *Peers) noteLeader(l *job.Leader) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l.Incarnation == p.turnedTo || l.Incarnation == "" {
+		return
+	}
+	p.turnedTo = l.Incarnation
+	close(p.turned)
+	p.turned = make(chan struct{})
+}
+
+// nextTurn returns a channel that is closed once another VM leads.
+func (p *Peers) nextTurn() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.turned
+}
+
+func (p *Peers) shunned(incarnation string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Now().Before(p.shun[incarnation])
+}
+
+func (p *Peers) shunLeader(incarnation string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.shun = map[string]time.Time{incarnation: time.Now().Add(shunTime)}
+}
--- /dev/null
+++ b/pollendockd/internal/helper/accept_test.go
@@ -0,0 +1,101 @@
+package helper
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"testing"
+
+	"pollendock.example/cell/job"
+	"pollendock.example/cell/site"
+	"pollendock.example/pollendockd/internal/peer"
+)
+
+// silentLeader takes entries and never answers.
+type silentLeader struct {
+	otherLeader
+	asked chan struct{}
+}
+
+func (l *silentLeader) Accept(ctx context.Context, _ []site.Entry) error {
+	l.asked <- struct{}{}
+	<-ctx.Done()
+	return site.ErrUnknown.Wrap(ctx.Err())
+}
+
+// serveLeader starts another VM that answers as leader does, and returns its records.
+func serveLeader(t *testing.T, name string, leader Leader) []site.Entry {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server, err := peer.NewServerOf(ln, NewServer(t.Context(), name+"/1", nil, &otherDesk{}, leader, &otherBook{}, nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = server.Serve() }()
+	t.Cleanup(server.Close)
+	member, err := job.MemberEntry(&job.Member{Name: name, Incarnation: name + "/1", PeerAddr: netip.MustParseAddrPort(ln.Addr().String())})
+	if err != nil {
+		t.Fatal(err)
+	}
+	leads, err := job.LeaderEntry(&job.Leader{Epoch: 10, Incarnation: name + "/1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return []site.Entry{member, leads}
+}
+
+// lead has the book say that a VM leads from an offset on.
+func lead(t *testing.T, p *Peers, records []site.Entry, offset int64) {
+	t.Helper()
+	for i := range records {
+		records[i].Offset = offset + int64(i)
+	}
+	if _, err := p.book.Apply(&site.Page{Entries: records, Next: offset + int64(len(records))}); err != nil {
+		t.Fatal(err)
+	}
+	l, _ := p.book.Leader()
+	p.noteLeader(&l)
+}
+
+// TestAcceptFollowsTheLeader: callers whose request was at a leader that lost its
+// power waited for 2.4 s, though another one led after 0.7 s. The new one is asked,
+// and what it says is told with the doubt that the first one leaves.
+func TestAcceptFollowsTheLeader(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		says  error
+		check func(error) bool
+	}{
+		{"accepts", nil, func(err error) bool { return err == nil }},
+		{"refuses", site.ErrRefused.New("x"), site.ErrUnknown.Has},
+	} {
+		p := newPair(t).peers
+		silent := &silentLeader{asked: make(chan struct{}, 1)}
+		lead(t, p, serveLeader(t, "c", silent), 10)
+		next := &otherLeader{err: c.says}
+		records := serveLeader(t, "d", next)
+		done := make(chan error, 1)
+		go func() { done <- p.Accept(t.Context(), []site.Entry{{Key: "k", Value: []byte("v")}}) }()
+		<-silent.asked
+		lead(t, p, records, 20)
+		if err := <-done; !c.check(err) || next.entries != 1 {
+			t.Errorf("%s: %v, %d entries at the new leader", c.name, err, next.entries)
+		}
+	}
+}
+
+// TestWatchFollowsTheLeader: the watch of a leader without power is given up once
+// another VM leads, so that the end of that one's process is told.
+func TestWatchFollowsTheLeader(t *testing.T) {
+	p := newPair(t).peers
+	turned := make(chan struct{})
+	close(turned)
+	leader, _ := p.book.Leader()
+	if ended, err := p.watch(t.Context(), turned, p.memberOf(leader.Incarnation)); ended || !errors.Is(err, context.Canceled) {
+		t.Errorf("ended %v, %v", ended, err)
+	}
+}
--- a/pollendockd/internal/helper/helper.go
+++ b/pollendockd/internal/helper/helper.go
@@ -42,13 +42,23 @@
 
 	// Follower takes records that the leader has appended.
 	Follower interface {
-		// Offer reports whether this VM keeps up with the records.
-		Offer(entries []site.Entry) bool
+		// Offer returns the offset from which on this VM lacks records; it is
+		// negative while the VM cannot take any. It also returns whether the VM
+		// can read them from the stream.
+		Offer(entries []site.Entry) (next int64, reads bool)
+	}
+
+	// Records holds the newest records.
+	Records interface {
+		// Recent returns records from an offset on, of about most bytes. It
+		// reports false if they are not at hand any more.
+		Recent(next int64, most int) ([]site.Entry, bool)
 	}
 
 	// Relay passes records on within the data centre.
 	Relay interface {
-		Relay(entries []site.Entry)
+		// Relay passes on those from an offset on.
+		Relay(first int64)
 	}
 
 	// Server serves the calls of other entry VMs over net/rpc.
@@ -68,6 +78,7 @@
 		name       string
 		dataCentre string
 		book       *job.Book
+		records    Records
 		advisor    Advisor
 
 		self   string
@@ -81,6 +92,10 @@
 		offers map[string]*offer
 		// shun is until when a leader that did not answer is not asked.
 		shun map[string]time.Time
+		// turned is closed, and replaced, when the book names another leader than
+		// turnedTo.
+		turned   chan struct{}
+		turnedTo string
 	}
 
 	// connKey parts the connections of one peer by use: a call without an
@@ -92,16 +107,19 @@
 
 	connUse int
 
-	// offer is what waits for one peer while a call to it is under way.
+	// offer is how far one peer has got with the records.
 	offer struct {
 		busy bool
-		// failing is set while the peer does not answer, or lags behind.
+		// failing is set while the peer does not answer, or lacks records that are
+		// not at hand here.
 		failing bool
 		// relays is set if the peer is to pass the records on.
-		relays  bool
-		waiting []site.Entry
-		// bytes is the size of what waits.
-		bytes int
+		relays bool
+		// next is the offset of the next record that the peer needs, if known.
+		next  int64
+		known bool
+		// resuming is set while it is not known what the peer has read meanwhile.
+		resuming bool
 		// restUntil is until when the peer is left to read the stream, and rest
 		// how long that was the last time.
 		restUntil time.Time
@@ -146,8 +164,10 @@
 
 	// OfferReply answers an offer.
 	OfferReply struct {
-		// Behind is set if the VM lacks records before those offered.
-		Behind bool
+		// Next is the offset from which on the VM lacks records, or negative.
+		Next int64
+		// Reads is set if the VM reads them from the stream.
+		Reads bool
 	}
 
 	// YieldRequest names the term of a leader that cannot append.
@@ -180,12 +200,6 @@
 const (
 	serveTimeout = 2 * time.Second
 	passTimeout  = 1200 * time.Millisecond
-	// A leader says after acceptServe that it does not know the outcome yet. One
-	// that has not answered after acceptTimeout is silent: that ends the
-	// connection, and with it the calls of other callers.
-	acceptServe   = 2250 * time.Millisecond
-	acceptTimeout = 2400 * time.Millisecond
-	shunTime      = time.Second
 	// passTries bounds the VMs that are tried for a request.
 	passTries = 3
 )
@@ -200,10 +214,10 @@
 
 // NewPeers returns the peers of an entry VM, as the book lists them. Leader is
 // the VM itself, for the time in which it leads.
-func NewPeers(self *job.Member, book *job.Book, advisor Advisor, leader Leader, logger log.Logger) *Peers {
+func NewPeers(self *job.Member, book *job.Book, records Records, advisor Advisor, leader Leader, logger log.Logger) *Peers {
 	return &Peers{
-		name: self.Name, dataCentre: self.DataCentre, self: self.Incarnation, book: book, advisor: advisor, leader: leader, logger: logger,
-		conns: map[connKey]*conn{}, offers: map[string]*offer{}, shun: map[string]time.Time{},
+		name: self.Name, dataCentre: self.DataCentre, self: self.Incarnation, book: book, records: records, advisor: advisor, leader: leader, logger: logger,
+		conns: map[connKey]*conn{}, offers: map[string]*offer{}, shun: map[string]time.Time{}, turned: make(chan struct{}),
 	}
 }
 
@@ -224,37 +238,6 @@
 	return c.client
 }
 
-// Accept asks the leader to make entries durable with its own, so that the
-// stream takes few appends. An error of class site.ErrRefused means that they
-// are not and never will be by this call.
-func (p *Peers) Accept(ctx context.Context, entries []site.Entry) error {
-	l, _ := p.book.Leader()
-	if l.Incarnation == p.self {
-		return p.leader.Accept(ctx, entries)
-	}
-	m := p.memberOf(l.Incarnation)
-	if m == nil || p.shunned(l.Incarnation) {
-		return site.ErrRefused.New("no leader is known to answer")
-	}
-	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
-	defer cancel()
-	var reply AcceptReply
-	err := p.client(m, forAccepts).Call(ctx, "Accept", &AcceptRequest{Entries: entries}, &reply)
-	switch {
-	case err == nil && reply.Done:
-		return nil
-	case err == nil && reply.Refused:
-		return site.ErrRefused.New("%s", reply.Detail)
-	case err == nil:
-		return site.ErrUnknown.New("%s", reply.Detail)
-	}
-	p.shunLeader(l.Incarnation)
-	if peer.NotSent.Has(err) {
-		return site.ErrRefused.Wrap(err)
-	}
-	return site.ErrUnknown.Wrap(err)
-}
-
 // memberOf returns the member of that incarnation, or nil.
 func (p *Peers) memberOf(incarnation string) *job.Member {
 	for _, m := range p.book.Members() {
@@ -265,18 +248,6 @@
 	return nil
 }
 
-func (p *Peers) shunned(incarnation string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return time.Now().Before(p.shun[incarnation])
-}
-
-func (p *Peers) shunLeader(incarnation string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.shun = map[string]time.Time{incarnation: time.Now().Add(shunTime)}
-}
-
 // Advise asks the advisor by way of the VM of that name.
 func (p *Peers) Advise(ctx context.Context, through string, q *scheduler.AdviceQuery) ([]site.Ticket, error) {
 	if through == p.name {
--- a/pollendockd/internal/helper/helper_test.go
+++ b/pollendockd/internal/helper/helper_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -31,12 +32,22 @@
 		yielded atomic.Int64
 	}
 
-	// otherBook counts what it is offered, and answers as it is told.
+	// otherBook counts what it is offered, and takes it unless it is told that it
+	// still reads all records.
 	otherBook struct {
 		offered chan int
-		behind  atomic.Bool
+		loading atomic.Bool
+		next    atomic.Int64
+		reads   atomic.Bool
 		takes   time.Duration
 	}
+
+	// heldRecords are the newest records, from an offset on.
+	heldRecords struct {
+		mu      sync.Mutex
+		first   int64
+		entries []site.Entry
+	}
 )
 
 func (d *otherDesk) SubmitHere(context.Context, site.Address, *job.Submission) error {
@@ -59,10 +70,40 @@
 
 func (l *otherLeader) Yield(epoch int64) { l.yielded.Store(epoch) }
 
-func (b *otherBook) Offer(entries []site.Entry) bool {
+func (b *otherBook) Offer(entries []site.Entry) (int64, bool) {
 	b.offered <- len(entries)
 	time.Sleep(b.takes)
-	return !b.behind.Load()
+	if b.loading.Load() {
+		return -1, true
+	}
+	if entries[0].Offset <= b.next.Load() {
+		b.next.Store(max(b.next.Load(), entries[len(entries)-1].Offset+1))
+	}
+	return b.next.Load(), b.reads.Load()
+}
+
+// add appends a record with a value of a size, and returns its offset.
+func (h *heldRecords) add(size int) int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	offset := h.first + int64(len(h.entries))
+	h.entries = append(h.entries, site.Entry{Key: "k", Value: make([]byte, size-1), Offset: offset})
+	return offset
+}
+
+func (h *heldRecords) Recent(next int64, most int) ([]site.Entry, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if next < h.first {
+		return nil, false
+	}
+	var list []site.Entry
+	for size := 0; next < h.first+int64(len(h.entries)) && size < most; next++ {
+		e := h.entries[next-h.first]
+		list = append(list, e)
+		size += e.Size()
+	}
+	return list, true
 }
 
 // pair is this VM's peers and one other VM, which leads.
@@ -72,11 +113,12 @@
 	desk   *otherDesk
 	leader *otherLeader
 	book   *otherBook
+	held   *heldRecords
 }
 
 func newPair(t *testing.T) *pair {
 	t.Helper()
-	p := &pair{desk: &otherDesk{version: 7}, leader: &otherLeader{}, book: &otherBook{offered: make(chan int, 1000)}}
+	p := &pair{desk: &otherDesk{version: 7}, leader: &otherLeader{}, book: &otherBook{offered: make(chan int, 1000)}, held: &heldRecords{}}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -101,7 +143,7 @@
 	if _, err := b.Apply(&site.Page{Entries: []site.Entry{member, leader}, Next: 2}); err != nil {
 		t.Fatal(err)
 	}
-	p.peers = NewPeers(&job.Member{Name: "a", Incarnation: "a/1"}, b, nil, &otherLeader{}, log.NewNopLogger())
+	p.peers = NewPeers(&job.Member{Name: "a", Incarnation: "a/1"}, b, p.held, nil, &otherLeader{}, log.NewNopLogger())
 	return p
 }
 
@@ -158,7 +200,9 @@
 
 func TestOffersAndYields(t *testing.T) {
 	p := newPair(t)
-	p.peers.Offer([]site.Entry{{Key: "k", Offset: 1}, {Key: "k", Offset: 2}})
+	p.held.add(1)
+	p.held.add(1)
+	p.peers.Offer(0)
 	select {
 	case n := <-p.book.offered:
 		if n != 2 {
--- a/pollendockd/internal/helper/offer.go
+++ b/pollendockd/internal/helper/offer.go
@@ -18,10 +18,8 @@
 	// maxCallBytes bounds one offer, so that it arrives in time over a link of
 	// 10 Mbit/s that carries other things as well.
 	maxCallBytes = 64 << 10
-	// maxWaitingBytes bounds what waits for a peer. One for which more waits takes
-	// less than there is, and reads the stream instead.
-	maxWaitingBytes = 256 << 10
-	// A peer that lags behind is left alone for behindRest. One that does not answer
+	// A peer that lacks records and reads the stream, or lacks some which are not at
+	// hand here, is left alone for behindRest. One that does not answer
 	// is so for leastRest, and for twice as long each time, up to mostRest: what is
 	// sent to it only delays what it reads.
 	behindRest = 200 * time.Millisecond
@@ -32,19 +30,19 @@
 	directMembers = 3
 )
 
-// Offer passes records on to all other VMs, in order and one call at a time to
-// each. What a VM misses it reads from the stream.
-func (p *Peers) Offer(entries []site.Entry) {
+// Offer passes the records from an offset on to all other VMs, one call at a time
+// to each, beginning with what each lacks.
+func (p *Peers) Offer(first int64) {
 	for _, to := range p.receivers() {
-		p.offerTo(to.member, entries, to.relays)
+		p.offerTo(to.member, first, to.relays)
 	}
 }
 
 // Relay passes records that the leader has offered on within the data centre.
-func (p *Peers) Relay(entries []site.Entry) {
+func (p *Peers) Relay(first int64) {
 	for _, m := range p.book.Members() {
 		if m.Name != p.name && m.DataCentre == p.dataCentre {
-			p.offerTo(m, entries, false)
+			p.offerTo(m, first, false)
 		}
 	}
 }
@@ -95,7 +93,7 @@
 	return o != nil && o.failing
 }
 
-func (p *Peers) offerTo(m job.Member, entries []site.Entry, relays bool) {
+func (p *Peers) offerTo(m job.Member, first int64, relays bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	o := p.offers[m.Name]
@@ -104,57 +102,21 @@
 		p.offers[m.Name] = o
 	}
 	o.relays = relays
-	now := time.Now()
-	if now.Before(o.restUntil) {
+	if o.busy || time.Now().Before(o.restUntil) {
 		return
 	}
-	o.add(entries)
-	if o.bytes > maxWaitingBytes {
-		o.leave(now, behindRest)
-		return
-	}
-	if !o.busy {
-		o.busy = true
-		go p.sendOffers(m, o)
-	}
-}
-
-func (o *offer) add(entries []site.Entry) {
-	o.waiting = append(o.waiting, entries...)
-	for i := range entries {
-		o.bytes += sizeOf(&entries[i])
+	if !o.known {
+		o.next, o.known = first, true
 	}
+	o.busy = true
+	go p.sendOffers(m, o)
 }
 
-// take removes what one call carries.
-func (o *offer) take() []site.Entry {
-	n, size := 0, 0
-	for n < len(o.waiting) && size < maxCallBytes {
-		size += sizeOf(&o.waiting[n])
-		n++
-	}
-	taken := o.waiting[:n]
-	o.waiting = o.waiting[n:]
-	o.bytes -= size
-	return taken
-}
-
-// leave drops what waits, which the peer will read from the stream.
-func (o *offer) leave(now time.Time, rest time.Duration) {
-	o.waiting, o.bytes = nil, 0
-	o.restUntil = now.Add(rest)
-}
-
-func sizeOf(e *site.Entry) int {
-	return len(e.Key) + len(e.Value)
-}
-
+// sendOffers sends a peer what it lacks, until it lacks nothing or has to be left
+// alone.
 func (p *Peers) sendOffers(m job.Member, o *offer) {
 	for {
-		p.mu.Lock()
-		entries, relays := o.take(), o.relays
-		o.busy = len(entries) > 0
-		p.mu.Unlock()
+		entries, relays := p.nextOffer(m.Name, o)
 		if len(entries) == 0 {
 			return
 		}
@@ -162,37 +124,82 @@
 		var reply OfferReply
 		err := p.client(&m, forOffers).Call(ctx, "Offer", &OfferRequest{Entries: entries, Relay: relays}, &reply)
 		cancel()
-		p.noteOffer(m.Name, o, reply.Behind, err)
+		p.noteOffer(m.Name, o, entries[0].Offset, &reply, err)
 		time.Sleep(offerGap)
 	}
 }
 
-// noteOffer takes in how an offer went, and logs when a peer is lost and when it is
-// back. What a peer misses it reads from the stream.
-func (p *Peers) noteOffer(name string, o *offer, behind bool, err error) {
+// nextOffer returns what to send to a peer, or nothing.
+func (p *Peers) nextOffer(name string, o *offer) ([]site.Entry, bool) {
 	p.mu.Lock()
-	failing := behind || err != nil
-	changed := o.failing != failing
-	o.failing = failing
-	now := time.Now()
+	defer p.mu.Unlock()
+	if time.Now().Before(o.restUntil) {
+		o.busy = false
+		return nil, false
+	}
+	most := maxCallBytes
+	if o.resuming {
+		most = 1
+	}
+	entries, held := p.records.Recent(o.next, most)
+	if !held {
+		o.leave(behindRest)
+		p.mark(name, o, true, "the records that it lacks are not at hand")
+	}
+	o.busy = len(entries) > 0
+	return entries, o.relays
+}
+
+// noteOffer takes in how an offer went that began with the record at first.
+func (p *Peers) noteOffer(name string, o *offer, first int64, r *OfferReply, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	switch {
 	case err != nil:
 		o.rest = min(max(2*o.rest, leastRest), mostRest)
-		o.leave(now, o.rest)
-	case behind:
-		o.rest = 0
-		o.leave(now, behindRest)
+		o.leave(o.rest)
+		p.mark(name, o, true, err.Error())
+	case r.Next < 0:
+		o.leave(behindRest)
+		p.mark(name, o, true, "it reads all records")
+	case r.Next == first:
+		o.leave(behindRest)
+		p.mark(name, o, true, "it takes no records")
+	case r.Next < first && r.Reads:
+		// To send what it reads as well would take its link's time twice.
+		o.resume(r.Next)
+		p.mark(name, o, true, "it reads what it lacks")
 	default:
 		o.rest = 0
+		o.next, o.resuming = r.Next, false
+		p.mark(name, o, false, "")
 	}
-	p.mu.Unlock()
-	switch {
-	case !changed:
-	case failing:
-		_ = level.Warn(p.logger).Log("msg", "peer lost", "peer", name, "behind", behind, "err", err)
-	default:
-		_ = level.Info(p.logger).Log("msg", "peer regained", "peer", name)
+}
+
+// resume leaves a peer alone for a time, and then asks it first what it still lacks.
+func (o *offer) resume(next int64) {
+	o.next, o.resuming = next, true
+	o.restUntil = time.Now().Add(behindRest)
+}
+
+// leave has a peer read the stream for a time.
+func (o *offer) leave(rest time.Duration) {
+	o.known, o.resuming = false, false
+	o.restUntil = time.Now().Add(rest)
+}
+
+// mark logs when offers to a peer begin to fail, and when they succeed again. What
+// a peer misses it reads from the stream, so nothing else has to be done.
+func (p *Peers) mark(name string, o *offer, failing bool, why string) {
+	if o.failing == failing {
+		return
+	}
+	o.failing = failing
+	if failing {
+		_ = level.Warn(p.logger).Log("msg", "peer lost", "peer", name, "next", o.next, "why", why)
+		return
 	}
+	_ = level.Info(p.logger).Log("msg", "peer regained", "peer", name, "next", o.next)
 }
 
 // Yield tells all other VMs that the leader of a term cannot append.
--- a/pollendockd/internal/helper/offer_test.go
+++ b/pollendockd/internal/helper/offer_test.go
@@ -20,13 +20,14 @@
 	peers   map[string]*Peers
 	books   map[string]*otherBook
 	servers map[string]*peer.Server
+	held    *heldRecords
 }
 
 // newCrowd brings up n VMs in each of two data centres, named x0 and y0 on. The
 // first ones are the strongest.
 func newCrowd(t *testing.T, n int) *crowd {
 	t.Helper()
-	c := &crowd{t: t, peers: map[string]*Peers{}, books: map[string]*otherBook{}, servers: map[string]*peer.Server{}}
+	c := &crowd{t: t, peers: map[string]*Peers{}, books: map[string]*otherBook{}, servers: map[string]*peer.Server{}, held: &heldRecords{}}
 	b := job.NewBook()
 	var members []*job.Member
 	var listeners []net.Listener
@@ -54,7 +55,7 @@
 		}
 	}
 	for i, m := range members {
-		peers := NewPeers(m, b, nil, &otherLeader{}, log.NewNopLogger())
+		peers := NewPeers(m, b, c.held, nil, &otherLeader{}, log.NewNopLogger())
 		c.peers[m.Name] = peers
 		c.books[m.Name] = &otherBook{offered: make(chan int, 64)}
 		server, err := peer.NewServerOf(listeners[i], NewServer(t.Context(), "b/1", nil, &otherDesk{}, &otherLeader{}, c.books[m.Name], peers))
@@ -95,7 +96,7 @@
 	if len(receivers) != 5 || len(far) != 1 || far[0] != "y0" {
 		t.Errorf("%d receivers, in the other data centre %v", len(receivers), far)
 	}
-	c.peers["x0"].Offer([]site.Entry{{Key: "k", Offset: 1}})
+	c.peers["x0"].Offer(c.held.add(1))
 	for _, name := range []string{"x1", "x2", "x3", "x4", "y0", "y1", "y2", "y3", "y4"} {
 		expectOffered(c, name)
 	}
@@ -106,7 +107,7 @@
 func TestRelayIsReplaced(t *testing.T) {
 	c := newCrowd(t, 5)
 	c.servers["y0"].Close()
-	c.peers["x0"].Offer([]site.Entry{{Key: "k", Offset: 1}})
+	c.peers["x0"].Offer(c.held.add(1))
 	deadline := time.Now().Add(10 * time.Second)
 	for !c.peers["x0"].isFailing("y0") {
 		if time.Now().After(deadline) {
@@ -123,26 +124,25 @@
 	if len(names) != 1 || names[0] != "y1" {
 		t.Errorf("records are passed on by %v", names)
 	}
-	c.peers["x0"].Offer([]site.Entry{{Key: "k", Offset: 2}})
+	c.peers["x0"].Offer(c.held.add(1))
 	for _, name := range []string{"y1", "y2", "y3", "y4"} {
 		expectOffered(c, name)
 	}
 }
 
-// offerFor offers records of a size again and again for a time, and returns how
-// many bytes were offered and how many reached the other VM.
-func offerFor(p *pair, d time.Duration, size int) (offered, arrived int) {
-	value := make([]byte, size)
+// offerFor adds and offers records of a size again and again for a time, and returns
+// how many bytes were added and how many reached the other VM.
+func offerFor(p *pair, d time.Duration, size int) (added, arrived int) {
 	for began := time.Now(); time.Since(began) < d; time.Sleep(5 * time.Millisecond) {
-		p.peers.Offer([]site.Entry{{Key: "k", Value: value, Offset: int64(offered)}})
-		offered += size
+		p.peers.Offer(p.held.add(size))
+		added += size
 	}
 	for {
 		select {
 		case n := <-p.book.offered:
 			arrived += n * size
-		case <-time.After(2 * offerGap):
-			return offered, arrived
+		case <-time.After(4 * offerGap):
+			return added, arrived
 		}
 	}
 }
@@ -151,57 +151,98 @@
 // the leader appended while it read the records, again and again after offers that
 // it could not take in time, so that it had no link left to catch up with.
 func TestOffersLeaveLaggingVMsAlone(t *testing.T) {
-	const size, least = 1000, 3 // of the bytes offered, one in least at most
+	const size, least = 1000, 3 // of the bytes added, one in least at most
 	for _, c := range []struct {
-		name   string
-		behind bool
-		takes  time.Duration
+		name    string
+		loading bool
+		takes   time.Duration
 	}{
-		{"lags behind", true, 0},
+		{"reads all records", true, 0},
 		{"does not answer in time", false, 2 * offerTimeout},
 	} {
 		p := newPair(t)
-		p.book.behind.Store(c.behind)
+		p.book.loading.Store(c.loading)
 		p.book.takes = c.takes
-		offered, arrived := offerFor(p, time.Second, size)
-		if arrived == 0 || arrived > offered/least {
-			t.Errorf("%s: %d of %d bytes reached it", c.name, arrived, offered)
+		added, arrived := offerFor(p, time.Second, size)
+		if arrived == 0 || arrived > added/least {
+			t.Errorf("%s: %d of %d bytes reached it", c.name, arrived, added)
 		}
-		p.book.behind.Store(false)
-		p.book.takes = 0
-		time.Sleep(mostRest)
-		for len(p.book.offered) > 0 {
-			<-p.book.offered
+	}
+}
+
+// TestOffersFillHoles: a VM that lacks records which the stream does not give it
+// gets them from the VM that offers, in calls of a bounded size.
+func TestOffersFillHoles(t *testing.T) {
+	const size, records = 1024, 200
+	p := newPair(t)
+	last := int64(0)
+	for range records {
+		last = p.held.add(size)
+	}
+	p.peers.Offer(last)
+	deadline := time.Now().Add(10 * time.Second)
+	for p.book.next.Load() <= last {
+		if time.Now().After(deadline) {
+			t.Fatalf("it has the records up to %d of %d", p.book.next.Load(), last)
 		}
-		if offered, arrived := offerFor(p, 200*time.Millisecond, size); arrived < offered/2 {
-			t.Errorf("%s: once it keeps up, %d of %d bytes reached it", c.name, arrived, offered)
+		time.Sleep(time.Millisecond)
+	}
+	for len(p.book.offered) > 0 {
+		if n := <-p.book.offered; n*size > maxCallBytes {
+			t.Errorf("%d bytes in a call", n*size)
 		}
 	}
 }
 
-// TestOffersAreBounded: one call carries what a slow link takes in time, and a VM
-// for which too much waits reads the stream.
-func TestOffersAreBounded(t *testing.T) {
-	var o offer
-	entry := site.Entry{Key: "k", Value: make([]byte, 1023)}
-	for range 100 {
-		o.add([]site.Entry{entry})
+// TestReadersAreNotSentTwice: a VM that reads what it lacks is not sent it as well; it
+// is asked what it lacks, and gets the rest.
+func TestReadersAreNotSentTwice(t *testing.T) {
+	const size, records = 1024, 200
+	p := newPair(t)
+	p.book.reads.Store(true)
+	last := int64(0)
+	for range records {
+		last = p.held.add(size)
+	}
+	p.peers.Offer(last)
+	arrived := <-p.book.offered
+	// By the time it is asked again it has read all but the last record.
+	p.book.next.Store(last)
+	deadline := time.Now().Add(10 * time.Second)
+	for p.book.next.Load() <= last {
+		if time.Now().After(deadline) {
+			t.Fatalf("it has the records up to %d of %d", p.book.next.Load(), last)
+		}
+		time.Sleep(offerGap)
+		p.peers.Offer(last)
 	}
-	if n := len(o.take()); n != maxCallBytes>>10 {
-		t.Errorf("%d KB in a call", n)
+	for len(p.book.offered) > 0 {
+		arrived += <-p.book.offered
 	}
-	if want := 100<<10 - maxCallBytes; o.bytes != want || len(o.waiting) != want>>10 {
-		t.Errorf("%d bytes wait in %d records, want %d", o.bytes, len(o.waiting), want)
+	if arrived > 4 {
+		t.Errorf("%d records were sent to a VM that reads them", arrived)
 	}
+}
+
+// TestOffersFromTheStream: what is not at hand any more is left to be read.
+func TestOffersFromTheStream(t *testing.T) {
 	p := newPair(t)
-	p.book.takes = offerTimeout / 2
-	p.peers.Offer([]site.Entry{entry})
-	for range 2 * maxWaitingBytes >> 10 {
-		p.peers.Offer([]site.Entry{entry})
-	}
-	p.peers.mu.Lock()
-	defer p.peers.mu.Unlock()
-	if bytes := p.peers.offers["b"].bytes; bytes > maxWaitingBytes {
-		t.Errorf("%d bytes wait", bytes)
+	p.held.first = 5
+	p.peers.Offer(p.held.add(1))
+	deadline := time.Now().Add(10 * time.Second)
+	for !p.peers.isFailing("b") {
+		if time.Now().After(deadline) {
+			t.Fatal("it is not said to lag behind")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	p.book.next.Store(6)
+	time.Sleep(behindRest)
+	p.peers.Offer(p.held.add(1))
+	for p.book.next.Load() != 7 {
+		if time.Now().After(deadline) {
+			t.Fatal("it is offered nothing once it has caught up")
+		}
+		time.Sleep(time.Millisecond)
 	}
 }
--- a/pollendockd/internal/helper/server.go
+++ b/pollendockd/internal/helper/server.go
@@ -22,10 +22,10 @@
 
 // Offer serves the call of that name.
 func (s *Server) Offer(r *OfferRequest, reply *OfferReply) error {
-	if r.Relay {
-		s.relay.Relay(r.Entries)
+	reply.Next, reply.Reads = s.book.Offer(r.Entries)
+	if r.Relay && len(r.Entries) > 0 {
+		s.relay.Relay(r.Entries[0].Offset)
 	}
-	reply.Behind = !s.book.Offer(r.Entries)
 	return nil
 }
 
--- a/pollendockd/internal/helper/watch.go
+++ b/pollendockd/internal/helper/watch.go
@@ -37,13 +37,14 @@
 func (p *Peers) WatchLeader(ctx context.Context, gone func(incarnation string)) error {
 	told := ""
 	for ctx.Err() == nil {
+		turned := p.nextTurn()
 		l, _ := p.book.Leader()
 		m := p.memberOf(l.Incarnation)
 		if m == nil || l.Incarnation == p.self || l.Incarnation == told {
 			pause.For(ctx, watchGap)
 			continue
 		}
-		ended, err := p.watch(ctx, m)
+		ended, err := p.watch(ctx, turned, m)
 		if ended {
 			told = l.Incarnation
 			_ = level.Info(p.logger).Log("msg", "the leader's process has ended", "leader", l.Incarnation, "epoch", l.Epoch, "err", err)
@@ -55,10 +56,10 @@
 	return ctx.Err()
 }
 
-// watch waits until the process of a member has ended, or for a while. Whether a
-// connection that broke means its end is known with the next one.
-func (p *Peers) watch(ctx context.Context, m *job.Member) (bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+// watch waits until the process of a member has ended, for a while, or until another
+// VM leads. Whether a connection that broke means its end is known with the next one.
+func (p *Peers) watch(ctx context.Context, turned <-chan struct{}, m *job.Member) (bool, error) {
+	ctx, cancel := untilTurned(ctx, turned, watchTimeout)
 	defer cancel()
 	var reply WatchReply
 	err := p.client(m, forWatches).Call(ctx, "Watch", &WatchRequest{}, &reply)
--- a/pollendockd/internal/scheduler/cell_test.go
+++ b/pollendockd/internal/scheduler/cell_test.go
@@ -72,7 +72,7 @@
 	return a.Advisor.Advise(ctx, through, q.Job, q.Step, q.Workers)
 }
 
-func (o otherVMs) Offer([]site.Entry) {}
+func (o otherVMs) Offer(int64) {}
 
 func (o otherVMs) Yield(epoch int64) {
 	for name, v := range o.c.vms {
--- a/pollendockd/internal/scheduler/flush.go
+++ b/pollendockd/internal/scheduler/flush.go
@@ -178,7 +178,6 @@
 	for i := range b.entries {
 		b.entries[i].Offset = first + int64(i)
 	}
-	l.s.deps.Peers.Offer(b.entries)
 	l.offer(b.entries)
 	for at, n := range b.noted {
 		if at.boot == n.boot {
@@ -196,10 +195,15 @@
 	}
 }
 
-// offer gives the entries to this VM's book. That calls back for the jobs that
-// changed, which must not wait for the goroutine that is here.
+// offer gives the entries to this VM's book, from which they are passed on to the
+// others. The book calls back for the jobs that changed, which must not wait for the
+// goroutine that is here.
 func (l *leadership) offer(entries []site.Entry) {
-	go l.s.deps.Follower.Offer(entries)
+	deps := &l.s.deps
+	go func() {
+		deps.Follower.Offer(entries)
+		deps.Peers.Offer(entries[0].Offset)
+	}()
 }
 
 func answer(accepts []acceptAsked, err error) {
--- a/pollendockd/internal/scheduler/scheduler.go
+++ b/pollendockd/internal/scheduler/scheduler.go
@@ -33,14 +33,15 @@
 		// CallTime returns how long the stream takes to answer a read.
 		CallTime() time.Duration
 		SetEager(eager bool)
-		// Offer takes records that this VM has appended, and reports whether it
-		// keeps up with the stream.
-		Offer(entries []site.Entry) bool
+		// Offer takes records that this VM has appended, and returns up to which
+		// offset it has all of them, and whether the stream answers it.
+		Offer(entries []site.Entry) (next int64, reads bool)
 	}
 
 	// Peers passes records on to the other entry VMs.
 	Peers interface {
-		Offer(entries []site.Entry)
+		// Offer passes on the records from an offset on.
+		Offer(first int64)
 		// Yield tells them that the leader of a term cannot append.
 		Yield(epoch int64)
 	}
--- a/pollendockd/site.go
+++ b/pollendockd/site.go
@@ -125,7 +125,7 @@
 	if s.platform.Advisor != nil {
 		s.advisor = s.platform.Advisor
 	}
-	s.peers = helper.NewPeers(&s.member, s.book, s.advisor, leaderHere{s}, s.logger)
+	s.peers = helper.NewPeers(&s.member, s.book, s.follower, s.advisor, leaderHere{s}, s.logger)
 	deps.Peers = s.peers
 	if s.advisor != nil {
 		deps.Advisor = s.peers
@@ -154,7 +154,7 @@
 	defer cancel()
 	var g run.Group
 	for _, part := range []func(context.Context) error{
-		s.scheduler.Run, s.follower.Run, s.catalog.Run, s.desk.Run, s.join, s.watchLeader,
+		s.scheduler.Run, s.follower.Run, s.catalog.Run, s.desk.Run, s.join, s.watchLeader, s.peers.FollowLeader,
 	} {
 		g.Add(func() error { return part(ctx) }, func(error) { cancel() })
 	}
