Silence of a worker is no standstill of its tasks

Here a worker that was paused for 2.5 s or longer and then answered with the progress of before had its tasks stopped and run elsewhere. Only time since it answers again counts now.

--- a/pollendockd/internal/scheduler/hold.go
+++ b/pollendockd/internal/scheduler/hold.go
@@ -95,7 +95,7 @@
 		at.lost = false
 		_ = level.Info(s.deps.Logger).Log("msg", "worker regained", "worker", at.id, "boot", e.reply.Boot)
 	}
-	at.holdFails = 0
+	at.noteAnswer(now)
 	at.holdAt = now.Add(holdGap)
 	if len(at.runs) == 0 {
 		at.holdAt = now.Add(idleHoldGap)
@@ -108,11 +108,19 @@
 		at.holdAt = now
 	}
 	at.clock = e.reply.Clock
-	at.clockAt = now
 	l.readEnds(at, e.reply)
 	l.readRuns(at, e.reply, e.sentAt, now)
 }
 
+// noteAnswer keeps since when the worker has not been lost.
+func (at *worker) noteAnswer(now time.Time) {
+	if at.holdFails > 1 {
+		at.answersSince = now
+	}
+	at.holdFails = 0
+	at.clockAt = now
+}
+
 // holdFailed has a hold without an answer sent again; holdRetry bounds how often.
 func (l *leadership) holdFailed(at *worker, sentAt time.Time, err error) {
 	var refusal *site.OrderError
@@ -219,7 +227,8 @@
 }
 
 // watchProgress looks for tasks that stand still. They are stopped to run
-// elsewhere, and a worker whose tasks all stand still gets no more.
+// elsewhere, and a worker whose tasks all stand still gets no more. Time in which the
+// worker did not answer tells nothing: it may have been paused, and its tasks go on.
 func (l *leadership) watchProgress(at *worker, now time.Time) {
 	progressAt := time.Time{}
 	moving := false
@@ -232,7 +241,7 @@
 			moving = true
 			continue
 		}
-		last := later(r.percentAt, r.confirmedAt)
+		last := later(later(r.percentAt, r.confirmedAt), at.answersSince)
 		progressAt = later(progressAt, last)
 		patience := r.patience()
 		moving = moving || now.Sub(last) < patience*stuckPart/stuckWhole
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -26,6 +26,8 @@
 		// clock was read at the worker shortly before clockAt.
 		clock   time.Duration
 		clockAt time.Time
+		// answersSince is when it answered again after it was lost.
+		answersSince time.Time
 		// leaseEnd is the latest end of a lease that was sent, on the worker's
 		// clock. Nothing that was ordered in this term runs after it.
 		leaseEnd time.Duration
