--- a/pollendockd/internal/helper/accept_test.go
+++ b/pollendockd/internal/helper/accept_test.go
@@ -7,6 +7,8 @@
 	"net/netip"
 	"testing"
 
+	"github.com/go-kit/log"
+
 	"pollendock.example/cell/job"
 	"pollendock.example/cell/site"
 	"pollendock.example/pollendockd/internal/peer"
@@ -31,7 +33,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server, err := peer.NewServerOf(ln, NewServer(t.Context(), name+"/1", nil, &otherDesk{}, leader, &otherBook{}, nil))
+	server, err := peer.NewServerOf(ln, NewServer(t.Context(), name+"/1", nil, &otherDesk{}, leader, &otherBook{}, nil, log.NewNopLogger()))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/pollendockd/internal/helper/helper.go
+++ b/pollendockd/internal/helper/helper.go
@@ -71,6 +71,7 @@
 		leader  Leader
 		book    Follower
 		relay   Relay
+		logger  log.Logger
 	}
 
 	// Peers calls the other entry VMs.
--- a/pollendockd/internal/helper/helper_test.go
+++ b/pollendockd/internal/helper/helper_test.go
@@ -118,12 +118,21 @@
 
 func newPair(t *testing.T) *pair {
 	t.Helper()
-	p := &pair{desk: &otherDesk{version: 7}, leader: &otherLeader{}, book: &otherBook{offered: make(chan int, 1000)}, held: &heldRecords{}}
+	desk := &otherDesk{version: 7}
+	p := newPairOf(t, desk)
+	p.desk = desk
+	return p
+}
+
+// newPairOf is a pair whose other VM has that desk.
+func newPairOf(t *testing.T, desk Desk) *pair {
+	t.Helper()
+	p := &pair{leader: &otherLeader{}, book: &otherBook{offered: make(chan int, 1000)}, held: &heldRecords{}}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	server, err := peer.NewServerOf(ln, NewServer(t.Context(), "b/1", nil, p.desk, p.leader, p.book, nil))
+	server, err := peer.NewServerOf(ln, NewServer(t.Context(), "b/1", nil, desk, p.leader, p.book, nil, log.NewNopLogger()))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/pollendockd/internal/helper/offer_test.go
+++ b/pollendockd/internal/helper/offer_test.go
@@ -58,7 +58,7 @@
 		peers := NewPeers(m, b, c.held, nil, &otherLeader{}, log.NewNopLogger())
 		c.peers[m.Name] = peers
 		c.books[m.Name] = &otherBook{offered: make(chan int, 64)}
-		server, err := peer.NewServerOf(listeners[i], NewServer(t.Context(), "b/1", nil, &otherDesk{}, &otherLeader{}, c.books[m.Name], peers))
+		server, err := peer.NewServerOf(listeners[i], NewServer(t.Context(), "b/1", nil, &otherDesk{}, &otherLeader{}, c.books[m.Name], peers, log.NewNopLogger()))
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/pollendockd/site.go
+++ b/pollendockd/site.go
@@ -162,7 +162,7 @@
 	if err != nil {
 		return err
 	}
-	peers, err := peer.NewServerOf(peerListener, helper.NewServer(ctx, s.member.Incarnation, s.advisor, s.desk, s.scheduler, s.follower, s.peers))
+	peers, err := peer.NewServerOf(peerListener, helper.NewServer(ctx, s.member.Incarnation, s.advisor, s.desk, s.scheduler, s.follower, s.peers, s.logger))
 	if err != nil {
 		return err
 	}
