A refusal by the second leader never hides that the first one may have accepted

Read while reviewing: a request whose time ran out while the second leader refused it was told to be refused, though the first leader had not answered. And what a step waits for is named in the log by what it is: room that others ask about, where earlier steps was also said of jobs with one step.

--- a/pollendockd/internal/helper/accept.go
+++ b/pollendockd/internal/helper/accept.go
@@ -30,19 +30,25 @@
 	for {
 		turned := p.nextTurn()
 		err := p.acceptByLeader(ctx, turned, entries)
-		if err == nil || ctx.Err() != nil {
-			return err
-		}
-		unknown = unknown || site.ErrUnknown.Has(err)
-		select {
-		case <-turned:
-			continue
-		default:
+		if err == nil {
+			return nil
 		}
 		if unknown && site.ErrRefused.Has(err) {
-			return site.ErrUnknown.New("an earlier leader did not answer; then: %v", err)
+			err = site.ErrUnknown.New("an earlier leader did not answer; then: %v", err)
 		}
-		return err
+		unknown = site.ErrUnknown.Has(err)
+		if ctx.Err() != nil || !isClosed(turned) {
+			return err
+		}
+	}
+}
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
 	}
 }
 
--- a/pollendockd/internal/scheduler/place.go
+++ b/pollendockd/internal/scheduler/place.go
@@ -76,7 +76,7 @@
 	case teamLimit:
 		return "team limit"
 	case behindOthers:
-		return "earlier steps"
+		return "room that others ask about"
 	case reserved:
 		return "held room"
 	case unreserved:
