--- a/pollendockd/internal/helper/accept.go
+++ b/pollendockd/internal/helper/accept.go
@@ -16,8 +16,8 @@
 	acceptServe   = 2250 * time.Millisecond
 	acceptTimeout = 2400 * time.Millisecond
 	shunTime      = time.Second
-	// turnGap parts the looks for a new leader.
-	turnGap = 40 * time.Millisecond
+	// leaderGap parts the looks for a new leader.
+	leaderGap = 40 * time.Millisecond
 )
 
 // Accept asks the leader to make entries durable with its own, so that the
@@ -28,8 +28,8 @@
 func (p *Peers) Accept(ctx context.Context, entries []site.Entry) error {
 	unknown := false
 	for {
-		turned := p.nextTurn()
-		err := p.acceptByLeader(ctx, turned, entries)
+		changed := p.leaderChange()
+		err := p.acceptByLeader(ctx, changed, entries)
 		if err == nil {
 			return nil
 		}
@@ -37,7 +37,7 @@
 			err = site.ErrUnknown.New("an earlier leader did not answer; then: %v", err)
 		}
 		unknown = site.ErrUnknown.Has(err)
-		if ctx.Err() != nil || !isClosed(turned) {
+		if ctx.Err() != nil || !isClosed(changed) {
 			return err
 		}
 	}
@@ -53,7 +53,7 @@
 }
 
 // acceptByLeader asks the leader of now, until the next one leads.
-func (p *Peers) acceptByLeader(ctx context.Context, turned <-chan struct{}, entries []site.Entry) error {
+func (p *Peers) acceptByLeader(ctx context.Context, changed <-chan struct{}, entries []site.Entry) error {
 	l, _ := p.book.Leader()
 	if l.Incarnation == p.self {
 		return p.leader.Accept(ctx, entries)
@@ -62,7 +62,7 @@
 	if m == nil || p.shunned(l.Incarnation) {
 		return site.ErrRefused.New("no leader is known to answer")
 	}
-	ctx, cancel := untilTurned(ctx, turned, acceptTimeout)
+	ctx, cancel := untilChange(ctx, changed, acceptTimeout)
 	defer cancel()
 	var reply AcceptReply
 	err := p.client(m, forAccepts).Call(ctx, "Accept", &AcceptRequest{Entries: entries}, &reply)
@@ -81,12 +81,12 @@
 	return site.ErrUnknown.Wrap(err)
 }
 
-// untilTurned returns a context that ends after a time or once another VM leads.
-func untilTurned(ctx context.Context, turned <-chan struct{}, d time.Duration) (context.Context, context.CancelFunc) {
+// untilChange returns a context that ends after a time or once another VM leads.
+func untilChange(ctx context.Context, changed <-chan struct{}, d time.Duration) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithTimeout(ctx, d)
 	go func() {
 		select {
-		case <-turned:
+		case <-changed:
 			cancel()
 		case <-ctx.Done():
 		}
@@ -96,7 +96,7 @@
 
 // FollowLeader notices when the book names another leader, until ctx ends.
 func (p *Peers) FollowLeader(ctx context.Context) error {
-	ticker := time.NewTicker(turnGap)
+	ticker := time.NewTicker(leaderGap)
 	defer ticker.Stop()
 	for {
 		select {
@@ -113,19 +113,19 @@
 func (p *Peers) noteLeader(l *job.Leader) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if l.Incarnation == p.turnedTo || l.Incarnation == "" {
+	if l.Incarnation == p.lastLeader || l.Incarnation == "" {
 		return
 	}
-	p.turnedTo = l.Incarnation
-	close(p.turned)
-	p.turned = make(chan struct{})
+	p.lastLeader = l.Incarnation
+	close(p.changed)
+	p.changed = make(chan struct{})
 }
 
-// nextTurn returns a channel that is closed once another VM leads.
-func (p *Peers) nextTurn() <-chan struct{} {
+// leaderChange returns a channel that is closed once another VM leads.
+func (p *Peers) leaderChange() <-chan struct{} {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.turned
+	return p.changed
 }
 
 func (p *Peers) shunned(incarnation string) bool {
--- a/pollendockd/internal/helper/accept_test.go
+++ b/pollendockd/internal/helper/accept_test.go
@@ -94,10 +94,10 @@
 // another VM leads, so that the end of that one's process is told.
 func TestWatchFollowsTheLeader(t *testing.T) {
 	p := newPair(t).peers
-	turned := make(chan struct{})
-	close(turned)
+	changed := make(chan struct{})
+	close(changed)
 	leader, _ := p.book.Leader()
-	if ended, err := p.watch(t.Context(), turned, p.memberOf(leader.Incarnation)); ended || !errors.Is(err, context.Canceled) {
+	if ended, err := p.watch(t.Context(), changed, p.memberOf(leader.Incarnation)); ended || !errors.Is(err, context.Canceled) {
 		t.Errorf("ended %v, %v", ended, err)
 	}
 }
--- a/pollendockd/internal/helper/helper.go
+++ b/pollendockd/internal/helper/helper.go
@@ -93,10 +93,10 @@
 		offers map[string]*offer
 		// shun is until when a leader that did not answer is not asked.
 		shun map[string]time.Time
-		// turned is closed, and replaced, when the book names another leader than
-		// turnedTo.
-		turned   chan struct{}
-		turnedTo string
+		// changed is closed, and replaced, when the book names another leader than
+		// lastLeader.
+		changed    chan struct{}
+		lastLeader string
 	}
 
 	// connKey parts the connections of one peer by use: a call without an
@@ -218,7 +218,7 @@
 func NewPeers(self *job.Member, book *job.Book, records Records, advisor Advisor, leader Leader, logger log.Logger) *Peers {
 	return &Peers{
 		name: self.Name, dataCentre: self.DataCentre, self: self.Incarnation, book: book, records: records, advisor: advisor, leader: leader, logger: logger,
-		conns: map[connKey]*conn{}, offers: map[string]*offer{}, shun: map[string]time.Time{}, turned: make(chan struct{}),
+		conns: map[connKey]*conn{}, offers: map[string]*offer{}, shun: map[string]time.Time{}, changed: make(chan struct{}),
 	}
 }
 
--- a/pollendockd/internal/helper/watch.go
+++ b/pollendockd/internal/helper/watch.go
@@ -37,14 +37,14 @@
 func (p *Peers) WatchLeader(ctx context.Context, gone func(incarnation string)) error {
 	told := ""
 	for ctx.Err() == nil {
-		turned := p.nextTurn()
+		changed := p.leaderChange()
 		l, _ := p.book.Leader()
 		m := p.memberOf(l.Incarnation)
 		if m == nil || l.Incarnation == p.self || l.Incarnation == told {
 			pause.For(ctx, watchGap)
 			continue
 		}
-		ended, err := p.watch(ctx, turned, m)
+		ended, err := p.watch(ctx, changed, m)
 		if ended {
 			told = l.Incarnation
 			_ = level.Info(p.logger).Log("msg", "the leader's process has ended", "leader", l.Incarnation, "epoch", l.Epoch, "err", err)
@@ -58,8 +58,8 @@
 
 // watch waits until the process of a member has ended, for a while, or until another
 // VM leads. Whether a connection that broke means its end is known with the next one.
-func (p *Peers) watch(ctx context.Context, turned <-chan struct{}, m *job.Member) (bool, error) {
-	ctx, cancel := untilTurned(ctx, turned, watchTimeout)
+func (p *Peers) watch(ctx context.Context, changed <-chan struct{}, m *job.Member) (bool, error) {
+	ctx, cancel := untilChange(ctx, changed, watchTimeout)
 	defer cancel()
 	var reply WatchReply
 	err := p.client(m, forWatches).Call(ctx, "Watch", &WatchRequest{}, &reply)
