--- a/cell/job/record.go
+++ b/cell/job/record.go
@@ -111,12 +111,6 @@
 	return []site.Entry{{Key: submissionKey + id}, {Key: stateKey + id}, {Key: cancelKey + id}}
 }
 
-// BeforeCell reports whether a key sorts before those of the leader and of the
-// members.
-func BeforeCell(key string) bool {
-	return key < BeforeMembers
-}
-
 // ByLeader reports whether only a leader appends entries of that key.
 func ByLeader(key string) bool {
 	return key == leaderKey || strings.HasPrefix(key, stateKey)
--- a/pollendockd/internal/book/load.go
+++ b/pollendockd/internal/book/load.go
@@ -59,7 +59,7 @@
 	switch {
 	case r.wrapped:
 		r.after = p.After
-		r.done = p.After == "" || !job.BeforeCell(p.After)
+		r.done = p.After == "" || p.After >= job.BeforeMembers
 	case p.After != "":
 		r.after = p.After
 	default:
--- a/pollendockd/internal/entry/publish.go
+++ b/pollendockd/internal/entry/publish.go
@@ -173,9 +173,12 @@
 // tickConfirming answers those who ask which VMs have not confirmed, once each
 // of these has said so itself or has not answered.
 func (c *control) tickConfirming(now time.Time) {
+	if len(c.confirming) == 0 {
+		return
+	}
+	missing := c.unconfirmed(c.publishedAt)
 	kept := c.confirming[:0]
 	for _, w := range c.confirming {
-		missing := c.unconfirmed(c.publishedAt)
 		if now.Sub(w.askedAt) < peerAlive && c.anyUnheardSince(missing, w.askedAt) {
 			kept = append(kept, w)
 			continue
