scheduler: log and count crashes of workers, and which runs had just begun

Runs on a crashed worker, on one behind a partition and on one that left all ended as lapsed or notRun, so the hypotheses of the incident could not be told apart. The leader now concludes a crash from a later incarnation, or from a worker that is missing from the list without notice when its leases expire. No decision changes.

--- a/pollendockd/internal/scheduler/hold.go
+++ b/pollendockd/internal/scheduler/hold.go
@@ -97,6 +97,9 @@
 		wk.unreachable = false
 		_ = level.Info(s.deps.Logger).Log("msg", "worker reachable again", "worker", wk.id, "boot", e.reply.Boot)
 	}
+	if wk.boot != e.reply.Boot {
+		l.markCrashed(wk, e.reply.Boot, "a later incarnation answered")
+	}
 	wk.recordAnswer(now)
 	wk.holdAt = now.Add(holdInterval)
 	if len(wk.runs) == 0 {
@@ -332,7 +335,7 @@
 		}
 		tj = newTrackedJob(key.task.Job, &sub, j)
 	}
-	r := &run{task: key.task, number: key.number, tj: tj, stage: running, decidedAt: time.Now(), stopWanted: true, confirmedAt: time.Now(), percentAt: time.Now()}
+	r := &run{task: key.task, number: key.number, tj: tj, boot: wk.boot, stage: running, decidedAt: time.Now(), stopWanted: true, confirmedAt: time.Now(), percentAt: time.Now()}
 	l.bind(r, wk)
 	l.logRun(r, "run is not in the records; stopping it")
 	return r
--- a/pollendockd/internal/scheduler/pass.go
+++ b/pollendockd/internal/scheduler/pass.go
@@ -361,7 +361,7 @@
 	t.Worker = wk.id
 	t.Boot = wk.boot
 	r := &run{
-		task: site.TaskID{Job: tj.id, Step: ws.step, Index: index}, number: t.Run, tj: tj, stage: planned, decidedAt: now,
+		task: site.TaskID{Job: tj.id, Step: ws.step, Index: index}, number: t.Run, tj: tj, boot: wk.boot, stage: planned, decidedAt: now,
 	}
 	if a := tj.advice[ws.step]; a != nil {
 		r.ticket = a.tickets[wk.id].text
--- a/pollendockd/internal/scheduler/tracked_job.go
+++ b/pollendockd/internal/scheduler/tracked_job.go
@@ -59,6 +59,8 @@
 		number int64
 		tj     *trackedJob
 		wk     *worker
+		// boot is the incarnation of the worker that the run was decided for.
+		boot   int64
 		stage  stage
 		ticket string
 		// decidedAt, sentAt and confirmedAt are local times of the decision, the start
@@ -74,6 +76,9 @@
 		stopBusy   bool
 		stopAt     time.Time
 		stopped    bool
+		// crashed is set if that incarnation has crashed while the run may have been at
+		// work.
+		crashed bool
 		// listValidAfter is the local time after which a hold must have been sent for
 		// its lists to be conclusive about the run.
 		listValidAfter time.Time
@@ -192,7 +197,7 @@
 			}
 			r := &run{
 				task: site.TaskID{Job: tj.id, Step: step, Index: i}, number: t.Run, tj: tj,
-				stage: inherited, decidedAt: l.startedAt, listValidAfter: l.startedAt,
+				boot: t.Boot, stage: inherited, decidedAt: l.startedAt, listValidAfter: l.startedAt,
 				stopWanted: broken || tj.state.Phase.Final(),
 			}
 			l.bind(r, l.workerOf(t.Worker))
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -274,6 +274,9 @@
 	}
 	_ = level.Warn(l.s.deps.Logger).Log("msg", "all leases of the worker have expired", "worker", wk.id, "boot", wk.boot, "runs", len(wk.runs),
 		"clockMs", wk.clock.Milliseconds(), "clockAgeMs", now.Sub(wk.clockAt).Milliseconds(), "leaseEndMs", wk.leaseEnd.Milliseconds())
+	if alive, evidence := wk.endedWithoutNotice(); evidence != "" {
+		l.markCrashed(wk, alive, evidence)
+	}
 	for _, r := range wk.runList() {
 		if r.stage == planned || r.stage == starting {
 			continue
