Failing test: a task that crashes its workers is started for ever

The simulated fleet can crash a worker because of a task: its runs vanish, it answers nothing, leaves the list after 2.5 s and returns after 3 s, as another worker or as a new incarnation. A start after three such crashes is a violation.

--- a/cell/site/upstream.go
+++ b/cell/site/upstream.go
@@ -143,6 +143,9 @@
 	GangIncomplete
 	// NotRun runs have not started and never will.
 	NotRun
+	// Crashed runs may have been at work when the process of their worker ended without
+	// notice. No worker lists this end.
+	Crashed
 )
 
 const (
@@ -170,6 +173,7 @@
 	endKindNames = map[EndKind]string{
 		EndUnknown: "unknown", Done: "done", Failed: "failed", Stopped: "stopped", LeaseExpired: "lapsed",
 		GangBroken: "gangBroken", GangIncomplete: "gangIncomplete", NotRun: "notRun",
+		Crashed: "crashed",
 	}
 	refusalNames = map[Refusal]string{
 		RefusedOther: "other", RefusedFenced: "fenced", RefusedStaleRun: "oldRun", RefusedLeaseExpired: "leaseEnded",
--- /dev/null
+++ b/pollendockd/internal/scheduler/crash_test.go
@@ -0,0 +1,93 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pollendock.example/cell/job"
+	"pollendock.example/cell/site"
+)
+
+// deadlyTime is how long a worker lives after it has started a deadly task.
+const deadlyTime = 10 * time.Millisecond
+
+// deadly makes the first task of a job crash each worker that starts it.
+func deadly(c *cell, id string) {
+	c.outcome = func(t site.TaskID, _ int64, _ string) (time.Duration, site.EndKind) {
+		if t.Job == id && t.Index == 0 {
+			return deadlyTime, site.Crashed
+		}
+		return workTime, site.Done
+	}
+}
+
+// TestDeadlyTaskIsGivenUp guards against starting a task that crashes its workers for
+// ever.
+func TestDeadlyTaskIsGivenUp(t *testing.T) {
+	jobs := []struct {
+		name  string
+		steps []job.Step
+	}{
+		{"task", []job.Step{tasks(1, 4)}},
+		{"tasks", []job.Step{tasks(3, 4)}},
+		{"gang", []job.Step{gang(3, 6)}},
+	}
+	faults := []struct {
+		name   string
+		inject func(c *cell)
+	}{
+		{"none", func(*cell) {}},
+		{"workers keep their ids", func(c *cell) { c.fleet.KeepIDs() }},
+		{"leader killed", func(c *cell) { time.Sleep(time.Second); c.vms["a"].kill() }},
+		{"leader killed, workers keep their ids", func(c *cell) {
+			c.fleet.KeepIDs()
+			time.Sleep(time.Second)
+			c.vms["a"].kill()
+		}},
+		{"two leaders killed", func(c *cell) {
+			time.Sleep(time.Second)
+			c.vms["a"].kill()
+			time.Sleep(12 * time.Second)
+			c.vms["b"].kill()
+		}},
+		{"store silent", func(c *cell) {
+			time.Sleep(time.Second)
+			c.store.SetSilent(true)
+			time.Sleep(5 * time.Second)
+			c.store.SetSilent(false)
+		}},
+		{"history trimmed", func(c *cell) { time.Sleep(time.Second); c.store.Trim() }},
+		{"start answers lost", func(c *cell) {
+			for i := range 4 {
+				c.fleet.Worker(fmt.Sprintf("w%d", i)).DropResponses(1)
+			}
+		}},
+	}
+	for _, f := range faults {
+		for _, j := range jobs {
+			t.Run(f.name+"/"+j.name, func(t *testing.T) {
+				inCell(t, 4, func(c *cell) {
+					deadly(c, "j1")
+					c.start("a")
+					time.Sleep(3 * time.Second)
+					c.start("b")
+					v := c.start("c")
+					time.Sleep(time.Second)
+					c.submit("j1", j.steps...)
+					f.inject(c)
+					expectPhase(c, v, "j1", 60*time.Second, job.Failed)
+					expectCrashes(c, "j1", 2, 3)
+				})
+			})
+		}
+	}
+}
+
+// expectCrashes checks how many workers have crashed because of the first task of a job.
+func expectCrashes(c *cell, id string, least, most int) {
+	c.t.Helper()
+	if n := c.fleet.Crashes(site.TaskID{Job: id}); n < least || n > most {
+		c.t.Errorf("%d workers have crashed because of %s, want %d to %d", n, id, least, most)
+	}
+}
--- /dev/null
+++ b/standin/fleet/crash.go
@@ -0,0 +1,77 @@
+package fleet
+
+import (
+	"time"
+
+	"pollendock.example/cell/site"
+)
+
+const (
+	// unlistedAfter is how long a crashed worker stays on the list, restartAfter how
+	// long it takes to return.
+	unlistedAfter = 2500 * time.Millisecond
+	restartAfter  = 3 * time.Second
+	// maxCrashes is the number of workers that a task may crash.
+	maxCrashes = 3
+)
+
+// crash ends the process of a worker because of a task, with all its runs.
+func (w *Worker) crash(now time.Time, because site.TaskID) {
+	w.gone = true
+	w.crashedAt = now
+	w.fleet.crashes[because]++
+	for t, r := range w.runs {
+		if t.Job != because.Job {
+			w.fleet.lost[t.Job]++
+		}
+		if _, n := w.fleet.size(t); n > 0 {
+			w.fleet.breakGang(r)
+		}
+	}
+	w.runs = map[site.TaskID]*taskRun{}
+}
+
+// recover removes a crashed worker from the list, and starts its successor.
+func (w *Worker) recover(now time.Time) {
+	if w.crashedAt.IsZero() {
+		return
+	}
+	if now.Sub(w.crashedAt) >= unlistedAfter {
+		w.listed = false
+	}
+	if now.Sub(w.crashedAt) < restartAfter {
+		return
+	}
+	w.crashedAt = time.Time{}
+	if w.fleet.keepIDs {
+		w.gone = false
+		w.listed = true
+		w.restart()
+		return
+	}
+	next := w.fleet.add(w.upstream.ID+"+", w.upstream.Service, w.upstream.Capacity)
+	next.upstream.DataCentre = w.upstream.DataCentre
+}
+
+// KeepIDs makes workers that have crashed return under their ids, as new incarnations.
+// Otherwise they return as new workers.
+func (f *Fleet) KeepIDs() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.keepIDs = true
+}
+
+// Crashes returns how many workers have crashed because of a task.
+func (f *Fleet) Crashes(t site.TaskID) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.crashes[t]
+}
+
+// Lost returns how many runs of a job have ended because a task of another job crashed
+// their worker.
+func (f *Fleet) Lost(id string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lost[id]
+}
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -26,6 +26,12 @@
 		starts map[site.TaskID]int
 		// startedAt is when the newest run of a task started.
 		startedAt map[site.TaskID]time.Time
+		// crashes counts the workers that crashed because of a task, lost the runs of
+		// other jobs that ended with them.
+		crashes map[site.TaskID]int
+		lost    map[string]int
+		// keepIDs is set if a worker that has crashed returns under its id.
+		keepIDs bool
 	}
 )
 
@@ -39,6 +45,7 @@
 	return &Fleet{
 		began: time.Now(), workers: map[string]*Worker{}, outcome: outcome, size: size,
 		done: map[site.TaskID]bool{}, starts: map[site.TaskID]int{}, startedAt: map[site.TaskID]time.Time{},
+		crashes: map[site.TaskID]int{}, lost: map[string]int{},
 	}
 }
 
@@ -46,6 +53,10 @@
 func (f *Fleet) Add(id, service string, capacity resource.Vector) *Worker {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.add(id, service, capacity)
+}
+
+func (f *Fleet) add(id, service string, capacity resource.Vector) *Worker {
 	w := &Worker{fleet: f, listed: true, upstream: site.Upstream{
 		ID: id, Service: service, Capacity: capacity, Labels: []string{"a", "r1-1"}, Rack: "r1-1",
 		Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(1000+len(f.workers))),
--- a/standin/fleet/worker.go
+++ b/standin/fleet/worker.go
@@ -31,6 +31,9 @@
 		// does not respond.
 		gone   bool
 		silent bool
+		// crashedAt is when the worker crashed, zero for never or once its successor
+		// has started.
+		crashedAt time.Time
 		// delay is added to each message.
 		delay      time.Duration
 		listed     bool
@@ -103,6 +106,7 @@
 // tick expires the lease, ends the runs that are due and those of gangs that
 // stayed incomplete for gangTimeout.
 func (w *Worker) tick(now time.Time) {
+	w.recover(now)
 	if w.gone {
 		return
 	}
@@ -114,6 +118,9 @@
 		switch {
 		case lapsed:
 			w.end(r, site.LeaseExpired)
+		case !r.endAt.IsZero() && !now.Before(r.endAt) && r.endKind == site.Crashed:
+			w.crash(now, r.task)
+			return
 		case !r.endAt.IsZero() && !now.Before(r.endAt):
 			w.end(r, r.endKind)
 		case r.endAt.IsZero() && now.Sub(r.began) >= gangTimeout:
@@ -339,6 +346,9 @@
 // checkStart records the invariants that a start violates.
 func (w *Worker) checkStart(req *site.StartRequest) {
 	f := w.fleet
+	if n := f.crashes[req.Task]; n >= maxCrashes {
+		f.violations = append(f.violations, fmt.Sprintf("%v run %d started after %d workers had crashed under the task", req.Task, req.Run, n))
+	}
 	if f.done[req.Task] {
 		f.violations = append(f.violations, fmt.Sprintf("%v run %d started after the task was done", req.Task, req.Run))
 	}
