scheduler: count the workers that crash under a task, give up what crashed one alone

Callers saw a job that stayed running for ever while its task took one worker after the other down.

The end of such a run is now an end of its own, crashed. The count and the verdict on the task are a record of the job, appended together with its state under the leader's epoch: they outlast the term, and an append of a leader that was replaced is refused. cell/crash decides without I/O: suspect is who had just begun, or whoever was there if nobody had; given up is a task that crashes a worker on which no other job ran, for the second time at its start or the third at any time.

--- a/cell/api/types.go
+++ b/cell/api/types.go
@@ -207,7 +207,7 @@
 		return Ran
 	case code.Accepted, code.Pending:
 		return Underway
-	case code.MayHaveRun, code.AcceptUnknown, code.PatchUnknown, code.Internal:
+	case code.MayHaveRun, code.AcceptUnknown, code.PatchUnknown, code.CrashesWorkers, code.Internal:
 		return MayHaveRun
 	}
 	return NotRun
--- a/cell/code/code.go
+++ b/cell/code/code.go
@@ -113,6 +113,9 @@
 	// AcceptUnknown is a request that may or may not have been accepted. Repeating
 	// it with the same idempotency key resolves this.
 	AcceptUnknown Code = 6006
+	// CrashesWorkers is work that has crashed the workers that started it, and is not
+	// started again.
+	CrashesWorkers Code = 6007
 	// Internal is an internal error of pollendock.
 	Internal Code = 6099
 )
@@ -165,6 +168,7 @@
 		{MayHaveRun, "mayHaveRun", http.StatusBadGateway, exitUnknown},
 		{TaskFailed, "taskFailed", http.StatusInternalServerError, exitRefused},
 		{AcceptUnknown, "acceptUnknown", http.StatusServiceUnavailable, exitUnknown},
+		{CrashesWorkers, "crashesWorkers", http.StatusInternalServerError, exitUnknown},
 		{Internal, "internal", http.StatusInternalServerError, exitUnknown},
 	}
 )
--- /dev/null
+++ b/cell/crash/crash.go
@@ -0,0 +1,72 @@
+// Package crash decides which task is to blame when a worker crashes. It is pure: it does
+// no I/O and reads no clock.
+//
+// It answers loads of tasks that crash each worker that starts them, among workers that
+// crash for reasons of their own. Whoever had just begun is suspected first. A suspect
+// runs where no other job does, so that the next crash tells whether it was to blame, and
+// takes nobody else down.
+package crash
+
+import "pollendock.example/cell/job"
+
+// Scene is what is known of a run on a worker when that worker crashed.
+type Scene struct {
+	// Run is the number of the run.
+	Run int64
+	// Survived is set if the run is known to have survived its start.
+	Survived bool
+	// StartKnown is set if it is known when the run began.
+	StartKnown bool
+	// EarlyOthers is set if another run on the worker was not known to have survived
+	// its start.
+	EarlyOthers bool
+	// Alone is set if no run of another job was on the worker.
+	Alone bool
+	// Endless is set for a task that runs until its job is canceled. In its time many
+	// workers crash that it has no part in.
+	Endless bool
+}
+
+const (
+	// deadlyEarly is the number of early crashes in a row, the last one alone, that
+	// prove a task to be deadly.
+	deadlyEarly = 2
+	// deadlyCount is the number of crashes that prove it, the last one alone, if the
+	// task may have survived some of its starts.
+	deadlyCount = 3
+	// suspectCount is the number of crashes from which a task is suspected, whoever else
+	// was there.
+	suspectCount = 2
+)
+
+// Judge adds a crash to those under a task. A run is counted once, also if several
+// workers of its gang have crashed.
+func Judge(t job.TaskCrashes, s Scene) job.TaskCrashes {
+	if s.Run <= t.Run {
+		return t
+	}
+	t.Run = s.Run
+	t.Count++
+	t.Early++
+	if s.Survived {
+		t.Early = 0
+	}
+	t.Verdict = verdict(&t, s)
+	return t
+}
+
+func verdict(t *job.TaskCrashes, s Scene) job.Verdict {
+	switch {
+	case s.Alone && s.StartKnown && t.Early >= deadlyEarly:
+		return job.Deadly
+	case s.Alone && t.Early >= deadlyCount:
+		return job.Deadly
+	case s.Alone && t.Count >= deadlyCount && !s.Endless:
+		return job.Deadly
+	case t.Early > 0 || !s.EarlyOthers:
+		return job.Suspect
+	case t.Count >= suspectCount && !s.Endless:
+		return job.Suspect
+	}
+	return job.Trusted
+}
--- a/cell/job/job_test.go
+++ b/cell/job/job_test.go
@@ -114,7 +114,7 @@
 	if p := v.Job("x").Phase(); p != Canceled || v.Waiting("q") != 0 {
 		t.Errorf("phase %v, %d waiting", p, v.Waiting("q"))
 	}
-	for i, e := range RemovalEntries("x") {
+	for i, e := range RemovalEntries("x", true) {
 		e.Offset = int64(2 + i)
 		if _, err := v.Apply(&site.Page{Entries: []site.Entry{e}, Next: e.Offset + 1}); err != nil {
 			t.Fatal(err)
--- a/cell/job/record.go
+++ b/cell/job/record.go
@@ -53,13 +53,14 @@
 	submissionKey = "j/"
 	stateKey      = "s/"
 	cancelKey     = "c/"
+	crashesKey    = "crashes/"
 	memberKey     = "m/"
 	leaderKey     = "leader"
 	speedsKey     = "speeds"
 )
 
 // BeforeMembers is a key that sorts before the keys of the leader and the members,
-// and after those of the cancels and submissions.
+// and after those of the cancels, submissions and crashes.
 const BeforeMembers = "k"
 
 var (
@@ -126,14 +127,19 @@
 	return encode(speedsKey, s)
 }
 
-// RemovalEntries returns the entries that remove all records of a job.
-func RemovalEntries(id string) []site.Entry {
-	return []site.Entry{{Key: submissionKey + id}, {Key: stateKey + id}, {Key: cancelKey + id}}
+// RemovalEntries returns the entries that remove all records of a job, which has one of
+// crashes or not.
+func RemovalEntries(id string, crashes bool) []site.Entry {
+	entries := []site.Entry{{Key: submissionKey + id}, {Key: stateKey + id}, {Key: cancelKey + id}}
+	if crashes {
+		entries = append(entries, site.Entry{Key: crashesKey + id})
+	}
+	return entries
 }
 
 // LeaderOnly reports whether entries with that key are appended by leaders only.
 func LeaderOnly(key string) bool {
-	return key == leaderKey || key == speedsKey || strings.HasPrefix(key, stateKey)
+	return key == leaderKey || key == speedsKey || strings.HasPrefix(key, stateKey) || strings.HasPrefix(key, crashesKey)
 }
 
 func encode(key string, v any) (site.Entry, error) {
--- a/cell/job/view.go
+++ b/cell/job/view.go
@@ -44,6 +44,9 @@
 		// Canceled is set once a cancel request is recorded. The request has no
 		// effect on a job that ended before the leader read it.
 		Canceled bool
+		// Crashes is nil while no worker has crashed under a task of the job. It is
+		// replaced like State.
+		Crashes *Crashes
 
 		countedAsWaiting bool
 	}
@@ -95,6 +98,8 @@
 	case cancelKey:
 		v.applyCancel(name, e)
 		return name, nil
+	case crashesKey:
+		return name, v.applyCrashes(name, e)
 	case memberKey:
 		return "", v.applyMember(name, e)
 	}
@@ -185,6 +190,18 @@
 	v.updateWaiting(j)
 }
 
+func (v *View) applyCrashes(id string, e *site.Entry) error {
+	if len(e.Value) == 0 {
+		return nil
+	}
+	c := &Crashes{}
+	if err := cbor.Unmarshal(e.Value, c); err != nil {
+		return err
+	}
+	v.job(id).Crashes = c
+	return nil
+}
+
 func (v *View) applyMember(name string, e *site.Entry) error {
 	if len(e.Value) == 0 {
 		delete(v.members, name)
@@ -224,7 +241,7 @@
 		v.waiting[j.Submission.Queue]--
 	}
 	delete(v.jobs, id)
-	for _, e := range RemovalEntries(id) {
+	for _, e := range RemovalEntries(id, true) {
 		delete(v.offsets, e.Key)
 	}
 }
--- a/pollendockd/internal/scheduler/crash.go
+++ b/pollendockd/internal/scheduler/crash.go
@@ -5,6 +5,11 @@
 	"time"
 
 	"github.com/go-kit/log/level"
+
+	"pollendock.example/cell/code"
+	"pollendock.example/cell/crash"
+	"pollendock.example/cell/job"
+	"pollendock.example/cell/site"
 )
 
 const (
@@ -32,11 +37,13 @@
 // worker crashed: all but those that were decided for the incarnation that is alive.
 func (l *leadership) markCrashed(wk *worker, alive int64, evidence string) {
 	var early, survivors []*run
+	jobs := map[string]bool{}
 	for _, r := range wk.runList() {
 		if r.stage == planned || r.crashed || r.boot == alive {
 			continue
 		}
 		r.crashed = true
+		jobs[r.task.Job] = true
 		if r.survivedStart() {
 			survivors = append(survivors, r)
 		} else {
@@ -46,6 +53,12 @@
 	if len(early)+len(survivors) == 0 {
 		return
 	}
+	for _, r := range early {
+		r.scene = crash.Scene{Run: r.number, StartKnown: r.stage != inherited, EarlyOthers: len(early) > 1, Alone: len(jobs) == 1}
+	}
+	for _, r := range survivors {
+		r.scene = crash.Scene{Run: r.number, Survived: true, StartKnown: true, EarlyOthers: len(early) > 0, Alone: len(jobs) == 1}
+	}
 	l.s.deps.Counts.Count("worker_crashes", 1)
 	_ = level.Warn(l.s.deps.Logger).Log("msg", "worker crashed", "worker", wk.id, "boot", wk.boot, "evidence", evidence,
 		"lastAnswerMs", time.Since(wk.clockAt).Milliseconds(), "survivors", len(survivors), "early", len(early), "earlyRuns", runNames(early))
@@ -60,6 +73,44 @@
 	return r.wk.clockAt.Sub(r.confirmedAt) >= probation
 }
 
+// crashKey names the task as which the crashes under a task are counted.
+func (tj *trackedJob) crashKey(t site.TaskID) (step, index int) {
+	if tj.sub.Steps[t.Step].Gang {
+		return t.Step, 0
+	}
+	return t.Step, t.Index
+}
+
+// crashesOf returns the crashes under a task.
+func (tj *trackedJob) crashesOf(t site.TaskID) job.TaskCrashes {
+	return tj.crashes.Of(tj.crashKey(t))
+}
+
+// recordCrash counts the crash of its worker under a run that has ended with it. The
+// count becomes durable together with the end.
+func (l *leadership) recordCrash(r *run) {
+	tj := r.tj
+	before := tj.crashesOf(r.task)
+	r.scene.Endless = tj.sub.Steps[r.task.Step].Endless
+	after := crash.Judge(before, r.scene)
+	if after == before {
+		return
+	}
+	tj.crashes = tj.crashes.With(after)
+	tj.crashesDirty = true
+	l.s.deps.Counts.Count("tasks_"+after.Verdict.String(), 1)
+	l.logRun(r, "worker crashed under a run", "crashes", after.Count, "early", after.Early, "verdict", after.Verdict,
+		"alone", r.scene.Alone, "survived", r.scene.Survived, "startKnown", r.scene.StartKnown, "earlyOthers", r.scene.EarlyOthers)
+}
+
+// giveUp ends a job one of whose tasks crashes its workers.
+func (l *leadership) giveUp(tj *trackedJob, t site.TaskID) {
+	c := tj.crashesOf(t)
+	l.s.deps.Counts.Count("jobs_given_up", 1)
+	l.finish(tj, job.Failed, fmt.Sprintf("%d %s: %d workers crashed under task %d of step %d, the last one while no other job ran there",
+		int(code.CrashesWorkers), code.CrashesWorkers, c.Count, t.Index, t.Step))
+}
+
 // runNames returns the names of the first runs for a log line.
 func runNames(runs []*run) string {
 	text := ""
--- a/pollendockd/internal/scheduler/crash_test.go
+++ b/pollendockd/internal/scheduler/crash_test.go
@@ -9,14 +9,17 @@
 	"pollendock.example/cell/site"
 )
 
-// deadlyTime is how long a worker lives after it has started a deadly task.
-const deadlyTime = 10 * time.Millisecond
+const (
+	// atStart and late are how long a worker lives after it has started a deadly task.
+	atStart = 10 * time.Millisecond
+	late    = 1800 * time.Millisecond
+)
 
 // deadly makes the first task of a job crash each worker that starts it.
-func deadly(c *cell, id string) {
+func deadly(c *cell, id string, after time.Duration) {
 	c.outcome = func(t site.TaskID, _ int64, _ string) (time.Duration, site.EndKind) {
 		if t.Job == id && t.Index == 0 {
-			return deadlyTime, site.Crashed
+			return after, site.Crashed
 		}
 		return workTime, site.Done
 	}
@@ -28,10 +31,13 @@
 	jobs := []struct {
 		name  string
 		steps []job.Step
+		after time.Duration
 	}{
-		{"task", []job.Step{tasks(1, 4)}},
-		{"tasks", []job.Step{tasks(3, 4)}},
-		{"gang", []job.Step{gang(3, 6)}},
+		{"task", []job.Step{tasks(1, 4)}, atStart},
+		{"late task", []job.Step{tasks(1, 4)}, late},
+		{"tasks", []job.Step{tasks(3, 4)}, atStart},
+		{"gang", []job.Step{gang(3, 6)}, atStart},
+		{"late gang", []job.Step{gang(3, 6)}, late},
 	}
 	faults := []struct {
 		name   string
@@ -68,7 +74,7 @@
 		for _, j := range jobs {
 			t.Run(f.name+"/"+j.name, func(t *testing.T) {
 				inCell(t, 4, func(c *cell) {
-					deadly(c, "j1")
+					deadly(c, "j1", j.after)
 					c.start("a")
 					time.Sleep(3 * time.Second)
 					c.start("b")
--- a/pollendockd/internal/scheduler/flush.go
+++ b/pollendockd/internal/scheduler/flush.go
@@ -115,7 +115,8 @@
 	}
 	f.dirty = f.dirty[n:]
 	for _, id := range f.forget {
-		b.entries = append(b.entries, job.RemovalEntries(id)...)
+		j := l.s.deps.View.Job(id)
+		b.entries = append(b.entries, job.RemovalEntries(id, j != nil && j.Crashes != nil)...)
 	}
 	f.forget = nil
 	if f.speeds != nil {
@@ -161,6 +162,14 @@
 	}
 	tj.dirty = false
 	entries := []site.Entry{state}
+	if tj.crashesDirty {
+		e, err := job.CrashesEntry(tj.id, tj.crashes)
+		if err != nil {
+			return nil, err
+		}
+		tj.crashesDirty = false
+		entries = append(entries, e)
+	}
 	if tj.summarized || !tj.state.Phase.Final() || len(tj.state.Steps) > 0 {
 		return entries, nil
 	}
--- a/pollendockd/internal/scheduler/tracked_job.go
+++ b/pollendockd/internal/scheduler/tracked_job.go
@@ -5,6 +5,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"pollendock.example/cell/crash"
 	"pollendock.example/cell/job"
 	"pollendock.example/cell/placement"
 	"pollendock.example/cell/site"
@@ -47,7 +48,11 @@
 		avoid map[site.TaskID]string
 		// stallStops counts how often a task was stopped for lack of progress.
 		stallStops map[site.TaskID]int
-		dirty      bool
+		// crashes is nil while no worker has crashed under a task of the job.
+		crashes *job.Crashes
+		// dirty is set if the state is to be stored, crashesDirty if the crashes are, too.
+		dirty        bool
+		crashesDirty bool
 		// summarized is set once only a summary of the submission is stored.
 		summarized bool
 	}
@@ -79,6 +84,8 @@
 		// crashed is set if that incarnation has crashed while the run may have been at
 		// work.
 		crashed bool
+		// scene is what was known of the run at that time.
+		scene crash.Scene
 		// listValidAfter is the local time after which a hold must have been sent for
 		// its lists to be conclusive about the run.
 		listValidAfter time.Time
@@ -130,6 +137,7 @@
 		avoid:       map[site.TaskID]string{},
 		stallStops:  map[site.TaskID]int{},
 		begun:       j.State.MayHaveStarted(),
+		crashes:     j.Crashes,
 	}
 }
 
@@ -233,6 +241,9 @@
 
 // endRun records the confirmed end of a run.
 func (l *leadership) endRun(r *run, how site.EndKind, why string) {
+	if r.crashed && (how == site.LeaseExpired || how == site.NotRun) {
+		how = site.Crashed
+	}
 	l.unbind(r)
 	l.logRun(r, "run ended", "how", how, "why", why)
 	l.s.deps.Counts.Count("ends_"+how.String(), 1)
@@ -256,6 +267,9 @@
 	if how == site.Failed {
 		tj.avoid[r.task] = r.wk.id
 	}
+	if how == site.Crashed {
+		l.recordCrash(r)
+	}
 	if tj.sub.Steps[r.task.Step].Gang {
 		l.concludeGangTask(tj, r, t, how)
 	} else {
@@ -298,6 +312,10 @@
 		}
 	}
 	t.Status = job.Waiting
+	if tj.crashesOf(r.task).Verdict == job.Deadly {
+		t.Status = job.Released
+		l.giveUp(tj, r.task)
+	}
 }
 
 // concludeGangTask applies the end of one member to the whole gang: a success completes
@@ -339,6 +357,13 @@
 		l.finish(tj, job.Failed, "a gang failed too often")
 		return
 	}
+	if tj.crashesOf(r.task).Verdict == job.Deadly {
+		for i := range tasks {
+			tasks[i].Status = job.Released
+		}
+		l.giveUp(tj, r.task)
+		return
+	}
 	for i := range tasks {
 		tasks[i].Status = job.Waiting
 	}
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -159,6 +159,9 @@
 		for _, r := range list {
 			r.workDoneAt = now.Add(r.duration)
 			r.endAt = now.Add(longest)
+			if r.endKind == site.Crashed {
+				r.endAt = r.workDoneAt
+			}
 		}
 	}
 }
