scheduler: a suspect runs where no other job does

Callers saw: whoever shared a worker with a deadly task lost its run at each of its crashes, and the deadly task was never proven guilty, as it was never alone.

A suspect now starts only on a worker that runs nothing of other jobs, and until it has survived its start there (to its end, if it has seen several crashes) no other job starts there. While suspects wait, up to a quarter of the workers (and any that is empty while nobody waits for room) get no new runs. The suspects of a step wait as a step of their own, so its other tasks go on. All follows from the stored verdict, so the next leader isolates the same tasks.

--- a/pollendockd/internal/scheduler/candidates.go
+++ b/pollendockd/internal/scheduler/candidates.go
@@ -15,7 +15,7 @@
 	var workerStates []placement.WorkerState
 	for id := range answers.tickets {
 		wk := l.workers[id]
-		if wk == nil || wk.upstream.Service != service || !wk.usable(p.now) || !answers.hasValidTicket(wk, p.now) {
+		if wk == nil || wk.upstream.Service != service || !wk.usable(p.now) || !answers.hasValidTicket(wk, p.now) || !p.isolation.admits(wk, ws) {
 			continue
 		}
 		if free := p.free(wk, ws); req.Size.Fits(free) {
@@ -41,7 +41,7 @@
 	var list []*worker
 	fits := false
 	for _, wk := range p.usable[service] {
-		if !size.Fits(p.free(wk, ws)) {
+		if !p.isolation.admits(wk, ws) || !size.Fits(p.free(wk, ws)) {
 			continue
 		}
 		fits = true
@@ -49,7 +49,7 @@
 			list = append(list, wk)
 		}
 	}
-	if !fits {
+	if !fits && !ws.isolated {
 		p.tooLarge[service] = append(p.tooLarge[service], size)
 	}
 	return list
--- a/pollendockd/internal/scheduler/crash_test.go
+++ b/pollendockd/internal/scheduler/crash_test.go
@@ -97,3 +97,60 @@
 		c.t.Errorf("%d workers have crashed because of %s, want %d to %d", n, id, least, most)
 	}
 }
+
+// TestSuspectTakesNobodyDown guards against a task that crashes its workers beside other
+// jobs again once it is suspected, and against giving up those that ran beside it.
+func TestSuspectTakesNobodyDown(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		step   job.Step
+		after  time.Duration
+		most   int
+		inject func(c *cell)
+	}{
+		{"task", tasks(1, 2), atStart, 1, func(*cell) {}},
+		{"late task", tasks(1, 2), late, 2, func(*cell) {}},
+		{"gang", gang(6, 3), atStart, 1, func(*cell) {}},
+		{"workers keep their ids", tasks(1, 2), atStart, 1, func(c *cell) { c.fleet.KeepIDs() }},
+		{"leader killed", tasks(1, 2), atStart, 1, func(c *cell) {
+			c.vms["a"].kill()
+		}},
+		{"store silent", tasks(1, 2), atStart, 1, func(c *cell) {
+			c.store.SetSilent(true)
+			time.Sleep(5 * time.Second)
+			c.store.SetSilent(false)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inCell(t, 8, func(cl *cell) {
+				deadly(cl, "deadly", c.after)
+				cl.start("a")
+				time.Sleep(3 * time.Second)
+				v := cl.start("b")
+				time.Sleep(time.Second)
+				var others []string
+				stop := time.Now().Add(30 * time.Second)
+				for n := 0; time.Now().Before(stop); n++ {
+					id := fmt.Sprintf("other%d", n)
+					others = append(others, id)
+					cl.submit(id, tasks(2, 2))
+					if n == 10 {
+						cl.submit("deadly", c.step)
+					}
+					if n == 45 {
+						// The first crash is known by then, the second is not.
+						c.inject(cl)
+					}
+					time.Sleep(150 * time.Millisecond)
+				}
+				expectPhase(cl, v, "deadly", 30*time.Second, job.Failed)
+				for _, id := range others {
+					expectPhase(cl, v, id, 20*time.Second, job.Completed)
+				}
+				if n := cl.fleet.CrashesInCompany(site.TaskID{Job: "deadly"}); n > c.most {
+					t.Errorf("the task took other jobs down %d times, want %d at most", n, c.most)
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/pollendockd/internal/scheduler/isolation.go
@@ -0,0 +1,177 @@
+package scheduler
+
+import (
+	"time"
+
+	"pollendock.example/cell/job"
+	"pollendock.example/cell/resource"
+)
+
+// isolation is the part of a pass that keeps suspects apart from other jobs. A suspect
+// starts on a worker where no other job runs, and until it is cleared no other job starts
+// there: its crash then takes nobody else down, and proves that it was to blame.
+type isolation struct {
+	// holders holds the jobs whose suspects have a worker for themselves.
+	holders map[*worker]*trackedJob
+	// vacated holds the workers that are kept free of new runs for a waiting suspect.
+	vacated map[*worker]*trackedJob
+	// crowded is set if other steps waited for capacity in the last pass.
+	crowded bool
+}
+
+// isolationShare is the share of the workers that suspects may take from other jobs that
+// wait for capacity.
+const isolationShare = 0.25
+
+// suspected reports whether a task is to run where no other job does.
+func (tj *trackedJob) suspected(step, index int) bool {
+	if tj.crashes == nil {
+		return false
+	}
+	if tj.sub.Steps[step].Gang {
+		index = 0
+	}
+	return tj.crashes.Of(step, index).Verdict == job.Suspect
+}
+
+// cleared reports whether other jobs may run beside a suspect: it has survived its start.
+// One that has seen several crashes has to survive to its end.
+func (r *run) cleared() bool {
+	return r.survivedStart() && r.tj.crashesOf(r.task).Count == 1
+}
+
+// newIsolation returns the state at the beginning of a pass.
+func (l *leadership) newIsolation() isolation {
+	iso := isolation{holders: map[*worker]*trackedJob{}, vacated: map[*worker]*trackedJob{}}
+	for r := range l.isolatedRuns {
+		if !r.cleared() {
+			iso.holders[r.wk] = r.tj
+		}
+	}
+	iso.crowded = l.waitReasons[noCapacity]+l.waitReasons[behindOthers]+l.waitReasons[reserved]+l.waitReasons[unreserved] > 0
+	return iso
+}
+
+// admits reports whether a step may start tasks on a worker as far as suspects are
+// concerned.
+func (iso *isolation) admits(wk *worker, ws *waitingStep) bool {
+	holder := iso.holders[wk]
+	if !ws.isolated {
+		return holder == nil && iso.vacated[wk] == nil
+	}
+	if holder != nil {
+		return holder == ws.tj
+	}
+	if other := iso.vacated[wk]; other != nil && other != ws.tj {
+		return false
+	}
+	return wk.runsOnly(ws.tj)
+}
+
+// runsOnly reports whether no other job runs on the worker.
+func (wk *worker) runsOnly(tj *trackedJob) bool {
+	for key := range wk.runs {
+		if key.task.Job != tj.id {
+			return false
+		}
+	}
+	return true
+}
+
+// vacateWorkers chooses the workers that get no new runs until the suspects that wait
+// have run there. A worker that was chosen before is kept, since it may be empty soon.
+func (l *leadership) vacateWorkers(p *pass, steps []*waitingStep) {
+	for _, ws := range steps {
+		if ws.isolated {
+			l.vacateFor(p, ws)
+		}
+	}
+	for service, workers := range p.usable {
+		for _, wk := range workers {
+			if p.isolation.holders[wk] != nil || p.isolation.vacated[wk] != nil {
+				p.unclaimedCPU[service] -= max(0, wk.free().MilliCPU)
+			}
+		}
+	}
+	l.vacated = p.isolation.vacated
+}
+
+// vacateFor chooses workers until one can hold a task of the step, or all of its gang.
+func (l *leadership) vacateFor(p *pass, ws *waitingStep) {
+	spec := &ws.tj.sub.Steps[ws.step]
+	service, _ := l.serviceOf(p, ws.tj)
+	limit := max(1, int(isolationShare*float64(len(p.usable[service]))))
+	missing := 1
+	if spec.Gang {
+		missing = spec.Count
+	}
+	for missing > 0 {
+		wk := l.bestToVacate(p, ws, service, limit)
+		if wk == nil {
+			return
+		}
+		p.isolation.vacated[wk] = ws.tj
+		missing -= int(spec.Size.Count(wk.upstream.Capacity, int64(missing)))
+	}
+}
+
+// bestToVacate returns the worker that is likely to be free of other jobs first, nil if
+// there is none or suspects have as many as they may take.
+func (l *leadership) bestToVacate(p *pass, ws *waitingStep, service string, limit int) *worker {
+	iso := &p.isolation
+	full := len(iso.holders)+len(iso.vacated) >= limit
+	var best *worker
+	var bestRank vacateRank
+	for _, wk := range p.usable[service] {
+		if iso.holders[wk] != nil || iso.vacated[wk] != nil || full && (iso.crowded || len(wk.runs) > 0) {
+			continue
+		}
+		if rank, possible := l.rankToVacate(p, ws, wk); possible && (best == nil || rank.before(&bestRank)) {
+			best, bestRank = wk, rank
+		}
+	}
+	return best
+}
+
+// vacateRank orders workers by how soon a suspect is likely to start there.
+type vacateRank struct {
+	allowed, chosenBefore bool
+	used                  resource.Vector
+	id                    string
+}
+
+func (l *leadership) rankToVacate(p *pass, ws *waitingStep, wk *worker) (vacateRank, bool) {
+	spec := &ws.tj.sub.Steps[ws.step]
+	if !spec.Size.Fits(wk.upstream.Capacity) || !wk.upstream.HasLabel(spec.Label) {
+		return vacateRank{}, false
+	}
+	rank := vacateRank{chosenBefore: l.vacated[wk] != nil, used: wk.used, id: wk.id}
+	if answers := ws.tj.advice[ws.step]; answers != nil {
+		if answers.refused[wk.id] {
+			return vacateRank{}, false
+		}
+		rank.allowed = answers.hasValidTicket(wk, p.now)
+	}
+	return rank, true
+}
+
+func (a *vacateRank) before(b *vacateRank) bool {
+	switch {
+	case a.allowed != b.allowed:
+		return a.allowed
+	case a.chosenBefore != b.chosenBefore:
+		return a.chosenBefore
+	case a.used.MilliCPU != b.used.MilliCPU:
+		return a.used.MilliCPU < b.used.MilliCPU
+	}
+	return a.id < b.id
+}
+
+// isolatedLoad returns how many suspects run, and for how long the first of them has.
+func (l *leadership) isolatedLoad(now time.Time) (runs int, longest time.Duration) {
+	for r := range l.isolatedRuns {
+		runs++
+		longest = max(longest, now.Sub(r.decidedAt))
+	}
+	return runs, longest
+}
--- a/pollendockd/internal/scheduler/leadership.go
+++ b/pollendockd/internal/scheduler/leadership.go
@@ -28,6 +28,11 @@
 		// are being stopped.
 		teamUse map[string]resource.Vector
 
+		// isolatedRuns holds the runs of suspects, vacated the workers that the last pass
+		// kept free for them.
+		isolatedRuns map[*run]bool
+		vacated      map[*worker]*trackedJob
+
 		flush    flushState
 		advice   adviceQueue
 		placedAt time.Time
@@ -84,13 +89,14 @@
 	ctx, cancel := context.WithCancel(s.ctx)
 	l := &leadership{
 		s: s, ctx: ctx, cancel: cancel, startedAt: now,
-		term:        site.Term{Epoch: epoch, Sequence: 1},
-		jobs:        map[string]*trackedJob{},
-		workers:     map[string]*worker{},
-		teamUse:     map[string]resource.Vector{},
-		meters:      map[string]*placement.RateMeter{},
-		headroom:    map[string]*placement.Headroom{},
-		placeNeeded: true,
+		term:         site.Term{Epoch: epoch, Sequence: 1},
+		jobs:         map[string]*trackedJob{},
+		workers:      map[string]*worker{},
+		teamUse:      map[string]resource.Vector{},
+		meters:       map[string]*placement.RateMeter{},
+		headroom:     map[string]*placement.Headroom{},
+		isolatedRuns: map[*run]bool{},
+		placeNeeded:  true,
 	}
 	l.flush.init(now)
 	l.advice.init()
@@ -231,11 +237,12 @@
 	l.storeSpeeds(now)
 	queries := l.advice.report(now)
 	evacuated, evacuatedRuns := l.evacuatedLoad()
+	suspects, longestSuspect := l.isolatedLoad(now)
 	_ = level.Info(l.s.deps.Logger).Log("msg", "cell", "epoch", l.term.Epoch, "jobs", len(l.jobs), "inTime", l.waiting[placement.InTime],
 		"surplus", l.waiting[placement.Surplus], "late", l.waiting[placement.Late], "overdue", l.waiting[placement.Overdue],
 		"limited", l.limitedSteps, "held", len(l.heldCapacity),
 		"asking", l.waitReasons[asking], "noRoom", l.waitReasons[noCapacity], "teamLimit", l.waitReasons[teamLimit], "behindOthers", l.waitReasons[behindOthers],
-		"reserved", l.waitReasons[reserved], "unreserved", l.waitReasons[unreserved], "runs", runs, "workers", len(l.workers), "usable", usable, "evacuated", evacuated, "evacuatedRuns", evacuatedRuns, "freeMilliCpu", free.MilliCPU, "milliCpu", total.MilliCPU,
+		"reserved", l.waitReasons[reserved], "unreserved", l.waitReasons[unreserved], "runs", runs, "workers", len(l.workers), "usable", usable, "evacuated", evacuated, "evacuatedRuns", evacuatedRuns, "suspects", suspects, "longestSuspectMs", longestSuspect.Milliseconds(), "vacated", len(l.vacated), "freeMilliCpu", free.MilliCPU, "milliCpu", total.MilliCPU,
 		"freeMb", free.MemoryMB, "queries", queries.waiting, "waitingSlow", queries.waitingSlow, "queryWaitMs", queries.longestWait.Milliseconds(),
 		"underWay", queries.underWay, "underWaySlow", queries.underWaySlow, "routesResting", queries.resting, "passMs", l.passTime.Milliseconds(), "slow", slow, "speedSpread", l.s.speeds.spread,
 		"refused", l.load.refused, "forecastAgeMs", now.Sub(l.load.updatedAt).Milliseconds())
--- a/pollendockd/internal/scheduler/overload.go
+++ b/pollendockd/internal/scheduler/overload.go
@@ -104,7 +104,7 @@
 // waits for. A step at its team's limit does not compete with other teams, and a gang
 // only with the capacity that is reserved for it.
 func (l *leadership) addToBacklogs(p *pass, ws *waitingStep) {
-	n := ws.tj.countWaiting(ws.step)
+	n := ws.tj.countWaiting(ws.step, ws.isolated)
 	if n == 0 {
 		return
 	}
--- a/pollendockd/internal/scheduler/pass.go
+++ b/pollendockd/internal/scheduler/pass.go
@@ -39,6 +39,7 @@
 		gangEnds map[gangKey]time.Duration
 		// limitReservations is what gangs wait for within their team's limit, by team.
 		limitReservations map[string][]limitReservation
+		isolation         isolation
 	}
 
 	// gangKey identifies the gang of a step.
@@ -134,6 +135,7 @@
 	}
 	l.beginPass(p)
 	steps := l.waitingSteps(p)
+	l.vacateWorkers(p, steps)
 	onTime := len(steps) - l.waiting[placement.Overdue]
 	l.waitReasons = map[waitReason]int{}
 	for _, ws := range steps[:onTime] {
@@ -167,6 +169,7 @@
 		heldCapacity:      map[*worker]heldCapacity{},
 		gangEnds:          map[gangKey]time.Duration{},
 		limitReservations: map[string][]limitReservation{},
+		isolation:         l.newIsolation(),
 	}
 }
 
@@ -232,7 +235,7 @@
 	tj := ws.tj
 	spec := &tj.sub.Steps[ws.step]
 	service, advice := l.serviceOf(p, tj)
-	if !spec.Gang && p.isFull(service, spec.Size) {
+	if !spec.Gang && !ws.isolated && p.isFull(service, spec.Size) {
 		return noCapacity
 	}
 	var answers *stepAdvice
@@ -246,7 +249,7 @@
 	if spec.Gang && !p.workersKnown {
 		return noCapacity
 	}
-	ws.tasks = tj.waitingTasks(ws.step)
+	ws.tasks = tj.waitingTasks(ws.step, ws.isolated)
 	req := placement.Request{
 		Count: l.withinLimit(p, ws, spec.Size, len(ws.tasks)),
 		Size:  spec.Size, Gang: spec.Gang, OneRack: spec.OneRack, Rack: spec.Rack, PerWorker: spec.PerWorker,
@@ -258,7 +261,7 @@
 		return teamLimit
 	}
 	wanted := req.Count
-	if answers != nil && ws.patient(p.now) {
+	if answers != nil && !ws.isolated && ws.patient(p.now) {
 		req.Count = l.patientCount(p, req, service)
 	}
 	if req.Count == 0 {
@@ -268,8 +271,13 @@
 	chosen := placement.Choose(req, workerStates)
 	for i, id := range chosen {
 		l.planRun(ws, ws.tasks[i], l.workers[id], p.now)
+		if ws.isolated {
+			p.isolation.holders[l.workers[id]] = tj
+		}
+	}
+	if !ws.isolated {
+		p.unclaimedCPU[service] -= int64(len(chosen)) * spec.Size.MilliCPU
 	}
-	p.unclaimedCPU[service] -= int64(len(chosen)) * spec.Size.MilliCPU
 	if !ws.patient(p.now) && !spec.Gang {
 		l.headroomOf(service).Count(p.now, int64(len(chosen))*spec.Size.MilliCPU)
 	}
@@ -327,6 +335,8 @@
 	switch {
 	case answers.asking:
 		l.holdClaim(p, service, answers)
+	case ws.isolated:
+		l.want(p, demand{ws: ws, req: req, service: service, settings: advice, kind: toPlace})
 	case p.unclaimedCPU[service] <= 0:
 		return behindOthers
 	case l.want(p, demand{ws: ws, req: req, service: service, settings: advice, kind: toPlace}):
@@ -362,6 +372,7 @@
 	t.Boot = wk.boot
 	r := &run{
 		task: site.TaskID{Job: tj.id, Step: ws.step, Index: index}, number: t.Run, tj: tj, boot: wk.boot, stage: planned, decidedAt: now,
+		isolated: ws.isolated,
 	}
 	if a := tj.advice[ws.step]; a != nil {
 		r.ticket = a.tickets[wk.id].text
@@ -377,7 +388,7 @@
 	l.touch(tj)
 	l.flush.starts = append(l.flush.starts, r)
 	l.logRun(r, "run decided", "team", tj.sub.Team, "rank", ws.sortKey.Rank, "beyond", tj.overRate,
-		"slackMs", ws.sortKey.LatestStart.Sub(now).Milliseconds(), "free", wk.free())
+		"slackMs", ws.sortKey.LatestStart.Sub(now).Milliseconds(), "free", wk.free(), "isolated", ws.isolated)
 }
 
 // nextRun returns the run number for the next start of a task. The members of a gang
--- a/pollendockd/internal/scheduler/reserve.go
+++ b/pollendockd/internal/scheduler/reserve.go
@@ -141,6 +141,9 @@
 		answers = ws.tj.adviceOf(ws.step)
 	}
 	for _, at := range p.usable[service] {
+		if !p.isolation.admits(at, ws) {
+			continue
+		}
 		if !at.upstream.HasLabel(spec.Label) || !req.Size.Fits(at.upstream.Capacity) || answers != nil && answers.refused[at.id] {
 			continue
 		}
--- a/pollendockd/internal/scheduler/tracked_job.go
+++ b/pollendockd/internal/scheduler/tracked_job.go
@@ -81,6 +81,9 @@
 		stopBusy   bool
 		stopAt     time.Time
 		stopped    bool
+		// isolated is set for a suspect: until it is cleared no other job starts on its
+		// worker.
+		isolated bool
 		// crashed is set if that incarnation has crashed while the run may have been at
 		// work.
 		crashed bool
@@ -206,7 +209,7 @@
 			r := &run{
 				task: site.TaskID{Job: tj.id, Step: step, Index: i}, number: t.Run, tj: tj,
 				boot: t.Boot, stage: inherited, decidedAt: l.startedAt, listValidAfter: l.startedAt,
-				stopWanted: broken || tj.state.Phase.Final(),
+				stopWanted: broken || tj.state.Phase.Final(), isolated: tj.suspected(step, i),
 			}
 			l.bind(r, l.workerOf(t.Worker))
 		}
@@ -218,6 +221,9 @@
 	r.wk = wk
 	size := r.tj.sub.Steps[r.task.Step].Size
 	wk.runs[r.key()] = r
+	if r.isolated {
+		l.isolatedRuns[r] = true
+	}
 	wk.used = wk.used.Add(size)
 	l.teamUse[r.tj.sub.Team] = l.teamUse[r.tj.sub.Team].Add(size)
 }
@@ -234,6 +240,7 @@
 	}
 	size := r.tj.sub.Steps[r.task.Step].Size
 	delete(r.wk.runs, r.key())
+	delete(l.isolatedRuns, r)
 	r.wk.used = r.wk.used.Sub(size)
 	l.teamUse[r.tj.sub.Team] = l.teamUse[r.tj.sub.Team].Sub(size)
 	l.placeNeeded = true
--- a/pollendockd/internal/scheduler/waiting.go
+++ b/pollendockd/internal/scheduler/waiting.go
@@ -14,6 +14,9 @@
 	step    int
 	tasks   []int
 	sortKey placement.SortKey
+	// isolated is set for the suspects among the tasks, which wait as a step of their
+	// own.
+	isolated bool
 	// why is why the step waits after the pass.
 	why waitReason
 }
@@ -32,8 +35,14 @@
 			continue
 		}
 		for step := range tj.state.Steps {
-			if tj.anyWaiting(step) && tj.state.Ready(tj.sub, step) {
-				ws := &waitingStep{tj: tj, step: step, sortKey: l.sortKeyOf(p, tj, step)}
+			if !tj.anyWaiting(step) || !tj.state.Ready(tj.sub, step) {
+				continue
+			}
+			for _, isolated := range []bool{false, true} {
+				if tj.countWaiting(step, isolated) == 0 {
+					continue
+				}
+				ws := &waitingStep{tj: tj, step: step, sortKey: l.sortKeyOf(p, tj, step), isolated: isolated}
 				l.waiting[ws.sortKey.Rank]++
 				steps = append(steps, ws)
 			}
@@ -79,23 +88,24 @@
 	return false
 }
 
-// countWaiting returns the number of tasks of a step that wait.
-func (tj *trackedJob) countWaiting(step int) int {
+// countWaiting returns the number of tasks of a step that wait: its suspects or the
+// others.
+func (tj *trackedJob) countWaiting(step int, isolated bool) int {
 	n := 0
 	for i := range tj.state.Steps[step] {
-		if tj.state.Steps[step][i].Status == job.Waiting {
+		if tj.state.Steps[step][i].Status == job.Waiting && tj.suspected(step, i) == isolated {
 			n++
 		}
 	}
 	return n
 }
 
-// waitingTasks returns the tasks of a step that are to be started. For a gang these are
-// all tasks or none.
-func (tj *trackedJob) waitingTasks(step int) []int {
+// waitingTasks returns the tasks of a step that are to be started: its suspects or the
+// others. For a gang these are all tasks or none.
+func (tj *trackedJob) waitingTasks(step int, isolated bool) []int {
 	var tasks []int
 	for i := range tj.state.Steps[step] {
-		if tj.state.Steps[step][i].Status == job.Waiting {
+		if tj.state.Steps[step][i].Status == job.Waiting && tj.suspected(step, i) == isolated {
 			tasks = append(tasks, i)
 		}
 	}
--- a/standin/fleet/crash.go
+++ b/standin/fleet/crash.go
@@ -20,14 +20,16 @@
 	w.gone = true
 	w.crashedAt = now
 	w.fleet.crashes[because]++
+	company := false
 	for t, r := range w.runs {
-		if t.Job != because.Job {
-			w.fleet.lost[t.Job]++
-		}
+		company = company || t.Job != because.Job
 		if _, n := w.fleet.size(t); n > 0 {
 			w.fleet.breakGang(r)
 		}
 	}
+	if company {
+		w.fleet.crashesInCompany[because]++
+	}
 	w.runs = map[site.TaskID]*taskRun{}
 }
 
@@ -68,10 +70,9 @@
 	return f.crashes[t]
 }
 
-// Lost returns how many runs of a job have ended because a task of another job crashed
-// their worker.
-func (f *Fleet) Lost(id string) int {
+// CrashesInCompany returns how many of these workers other jobs ran on.
+func (f *Fleet) CrashesInCompany(t site.TaskID) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.lost[id]
+	return f.crashesInCompany[t]
 }
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -26,10 +26,10 @@
 		starts map[site.TaskID]int
 		// startedAt is when the newest run of a task started.
 		startedAt map[site.TaskID]time.Time
-		// crashes counts the workers that crashed because of a task, lost the runs of
-		// other jobs that ended with them.
-		crashes map[site.TaskID]int
-		lost    map[string]int
+		// crashes counts the workers that crashed because of a task, crashesInCompany
+		// those of them on which other jobs ran.
+		crashes          map[site.TaskID]int
+		crashesInCompany map[site.TaskID]int
 		// keepIDs is set if a worker that has crashed returns under its id.
 		keepIDs bool
 	}
@@ -45,7 +45,7 @@
 	return &Fleet{
 		began: time.Now(), workers: map[string]*Worker{}, outcome: outcome, size: size,
 		done: map[site.TaskID]bool{}, starts: map[site.TaskID]int{}, startedAt: map[site.TaskID]time.Time{},
-		crashes: map[site.TaskID]int{}, lost: map[string]int{},
+		crashes: map[site.TaskID]int{}, crashesInCompany: map[site.TaskID]int{},
 	}
 }
 
