A refused connection is a request that was not delivered

A start request that was refused so ends the run at once as not run, and a worker that refuses connections is sent no longer leases; a run that is planned for a worker that has stopped answering meanwhile is not sent.

--- a/cell/site/upstream.go
+++ b/cell/site/upstream.go
@@ -167,6 +167,9 @@
 	// RefusedWrongBoot means that the request is for another run of the worker's
 	// process.
 	RefusedWrongBoot
+	// RefusedConnection means that no process listens at the worker's address, so that
+	// the request was not delivered.
+	RefusedConnection
 )
 
 var (
@@ -177,7 +180,7 @@
 	}
 	refusalNames = map[Refusal]string{
 		RefusedOther: "other", RefusedFenced: "fenced", RefusedStaleRun: "oldRun", RefusedLeaseExpired: "leaseEnded",
-		RefusedFull: "full", RefusedTicket: "ticket", RefusedUnavailable: "unwell", RefusedWrongBoot: "otherBoot",
+		RefusedConnection: "connection", RefusedFull: "full", RefusedTicket: "ticket", RefusedUnavailable: "unwell", RefusedWrongBoot: "otherBoot",
 	}
 )
 
--- a/pollendockd/internal/scheduler/crash_test.go
+++ b/pollendockd/internal/scheduler/crash_test.go
@@ -45,6 +45,7 @@
 	}{
 		{"none", func(*cell) {}},
 		{"workers keep their ids", func(c *cell) { c.fleet.KeepIDs() }},
+		{"workers fall silent", func(c *cell) { c.fleet.SilenceCrashes() }},
 		{"leader killed", func(c *cell) { time.Sleep(time.Second); c.vms["a"].kill() }},
 		{"leader killed, workers keep their ids", func(c *cell) {
 			c.fleet.KeepIDs()
@@ -154,3 +155,22 @@
 		})
 	}
 }
+
+// TestRefusedConnectionExtendsNoLease guards against counting a lease that was never
+// delivered: the runs of a crashed worker were given up two seconds too late.
+func TestRefusedConnectionExtendsNoLease(t *testing.T) {
+	inCell(t, 2, func(c *cell) {
+		c.outcome = func(_ site.TaskID, run int64, _ string) (time.Duration, site.EndKind) {
+			if run == 1 {
+				return time.Hour, site.Done
+			}
+			return time.Millisecond, site.Done
+		}
+		v := c.start("a")
+		time.Sleep(time.Second)
+		c.submit("j1", tasks(1, 4))
+		time.Sleep(time.Second)
+		c.fleet.Worker("w0").Crash()
+		expectPhase(c, v, "j1", lease+time.Second, job.Completed)
+	})
+}
--- a/pollendockd/internal/scheduler/hold.go
+++ b/pollendockd/internal/scheduler/hold.go
@@ -124,6 +124,7 @@
 		wk.reachableSince = now
 	}
 	wk.holdFails = 0
+	wk.refusesConnections = false
 	wk.clockAt = now
 }
 
@@ -134,6 +135,7 @@
 		l.s.endLeadership("a worker has received requests of a later term")
 		return
 	}
+	wk.refusesConnections = refusal != nil && refusal.Reason == site.RefusedConnection
 	wk.holdFails++
 	wk.holdAt = sentAt.Add(holdRetryDelay)
 	if !wk.unreachable && wk.holdFails > 1 {
--- a/pollendockd/internal/scheduler/requests.go
+++ b/pollendockd/internal/scheduler/requests.go
@@ -44,6 +44,10 @@
 		l.verifyRun(r, now)
 		return
 	}
+	if r.startAttempts == 0 && r.wk.holdFails > 0 {
+		l.endRun(r, site.NotRun, "the worker has stopped answering")
+		return
+	}
 	end := l.nextLease(r.wk, now)
 	if end == 0 && r.startAttempts > 0 {
 		l.verifyRun(r, now)
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -59,6 +59,8 @@
 		holdAt      time.Time
 		holdFails   int
 		unreachable bool
+		// refusesConnections is set if no process listened at the last call.
+		refusesConnections bool
 
 		// stalledSince is when the worker's runs stopped making progress. It is zero
 		// while one of them progresses.
@@ -220,7 +222,7 @@
 // nextLease returns the end of a lease that begins now, and records it as sent. It
 // returns 0, which renews nothing, for a worker that has not answered for maxAnswerAge.
 func (l *leadership) nextLease(wk *worker, now time.Time) time.Duration {
-	if wk.boot == 0 || now.Sub(wk.clockAt) > maxAnswerAge {
+	if wk.boot == 0 || now.Sub(wk.clockAt) > maxAnswerAge || wk.refusesConnections {
 		// An unanswered request may have been executed, so each new lease end postpones
 		// the time at which all runs have certainly lapsed.
 		return 0
--- a/standin/fleet/crash.go
+++ b/standin/fleet/crash.go
@@ -15,21 +15,35 @@
 	maxCrashes = 3
 )
 
-// crash ends the process of a worker because of a task, with all its runs.
+// Crash ends the process of a worker for a reason of its own.
+func (w *Worker) Crash() {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	w.exit(time.Now())
+}
+
+// crash ends the process of a worker because of a task.
 func (w *Worker) crash(now time.Time, because site.TaskID) {
-	w.gone = true
-	w.crashedAt = now
 	w.fleet.crashes[because]++
 	company := false
-	for t, r := range w.runs {
+	for t := range w.runs {
 		company = company || t.Job != because.Job
-		if _, n := w.fleet.size(t); n > 0 {
-			w.fleet.breakGang(r)
-		}
 	}
 	if company {
 		w.fleet.crashesInCompany[because]++
 	}
+	w.exit(now)
+}
+
+// exit ends the process with all its runs.
+func (w *Worker) exit(now time.Time) {
+	w.gone = true
+	w.crashedAt = now
+	for t, r := range w.runs {
+		if _, n := w.fleet.size(t); n > 0 {
+			w.fleet.breakGang(r)
+		}
+	}
 	w.runs = map[site.TaskID]*taskRun{}
 }
 
@@ -63,6 +77,13 @@
 	f.keepIDs = true
 }
 
+// SilenceCrashes makes calls to workers that have crashed hang.
+func (f *Fleet) SilenceCrashes() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.silentCrashes = true
+}
+
 // Crashes returns how many workers have crashed because of a task.
 func (f *Fleet) Crashes(t site.TaskID) int {
 	f.mu.Lock()
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -32,6 +32,9 @@
 		crashesInCompany map[site.TaskID]int
 		// keepIDs is set if a worker that has crashed returns under its id.
 		keepIDs bool
+		// silentCrashes is set if calls to a worker that has crashed get no answer.
+		// Otherwise their connections are refused.
+		silentCrashes bool
 	}
 )
 
--- a/standin/fleet/worker.go
+++ b/standin/fleet/worker.go
@@ -251,8 +251,12 @@
 func (w *Worker) deliver(ctx context.Context) error {
 	w.fleet.mu.Lock()
 	gone := w.gone || w.silent
+	refuses := !w.crashedAt.IsZero() && !w.fleet.silentCrashes
 	delay := w.delay
 	w.fleet.mu.Unlock()
+	if refuses {
+		return &site.RefusalError{Reason: site.RefusedConnection}
+	}
 	if gone {
 		<-ctx.Done()
 		return ctx.Err()
