scheduler: suspects wait for shorter, and get more workers while nobody else waits

Cause, by the logs: whoever had begun in the last second was suspected (two thirds of them need not have been), the workers kept free were those of other suspects, and a quarter of the workers was the limit also in an idle cell.

A run counts as having survived its start after 0.3 s; a worker stays kept free for the same job; a suspect without one is passed over at once, one with one is looked at in each pass; while nobody waits for capacity suspects may take six workers in ten.

--- a/pollendockd/internal/scheduler/crash.go
+++ b/pollendockd/internal/scheduler/crash.go
@@ -15,7 +15,7 @@
 const (
 	// probation is how long a run has to be known to work on its worker until it counts
 	// as having survived its start.
-	probation = time.Second
+	probation = 300 * time.Millisecond
 	// maxLoggedRuns limits the runs that a log line names.
 	maxLoggedRuns = 8
 )
--- a/pollendockd/internal/scheduler/crash_test.go
+++ b/pollendockd/internal/scheduler/crash_test.go
@@ -174,3 +174,46 @@
 		expectPhase(c, v, "j1", lease+time.Second, job.Completed)
 	})
 }
+
+// TestManyDeadlyTasks guards against suspects that wait for ever while others come, and
+// against gangs among them that never find several empty workers.
+func TestManyDeadlyTasks(t *testing.T) {
+	inCell(t, 10, func(c *cell) {
+		c.outcome = func(t site.TaskID, _ int64, _ string) (time.Duration, site.EndKind) {
+			if t.Job[0] == 'd' && t.Index == 0 {
+				return atStart, site.Crashed
+			}
+			return workTime, site.Done
+		}
+		c.start("a")
+		time.Sleep(time.Second)
+		v := c.start("b")
+		time.Sleep(time.Second)
+		var ids []string
+		for n := range 150 {
+			if n == 70 {
+				c.vms["a"].kill()
+			}
+			id := fmt.Sprintf("other%d", n)
+			step := tasks(2, 2)
+			switch {
+			case n%10 == 0:
+				id = fmt.Sprintf("gang%d", n)
+				step = gang(4, 4)
+			case n < 100 && n%5 == 0:
+				id = fmt.Sprintf("deadly%d", n)
+			}
+			c.submit(id, step)
+			ids = append(ids, id)
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(55 * time.Second)
+		for _, id := range ids {
+			want := job.Completed
+			if id[0] == 'd' {
+				want = job.Failed
+			}
+			expectPhase(c, v, id, time.Second, want)
+		}
+	})
+}
--- a/pollendockd/internal/scheduler/isolation.go
+++ b/pollendockd/internal/scheduler/isolation.go
@@ -15,13 +15,16 @@
 	holders map[*worker]*trackedJob
 	// vacated holds the workers that are kept free of new runs for a waiting suspect.
 	vacated map[*worker]*trackedJob
-	// crowded is set if other steps waited for capacity in the last pass.
-	crowded bool
+	// share is the share of the workers that suspects may take.
+	share float64
 }
 
-// isolationShare is the share of the workers that suspects may take from other jobs that
-// wait for capacity.
-const isolationShare = 0.25
+const (
+	// Suspects may take crowdedShare of the workers from other jobs that wait for
+	// capacity, and uncrowdedShare while none do.
+	crowdedShare   = 0.25
+	uncrowdedShare = 0.6
+)
 
 // suspected reports whether a task is to run where no other job does.
 func (tj *trackedJob) suspected(step, index int) bool {
@@ -48,7 +51,10 @@
 			iso.holders[r.wk] = r.tj
 		}
 	}
-	iso.crowded = l.waitReasons[noCapacity]+l.waitReasons[behindOthers]+l.waitReasons[reserved]+l.waitReasons[unreserved] > 0
+	iso.share = uncrowdedShare
+	if l.waitReasons[noCapacity]+l.waitReasons[behindOthers]+l.waitReasons[reserved]+l.waitReasons[unreserved] > 0 {
+		iso.share = crowdedShare
+	}
 	return iso
 }
 
@@ -100,7 +106,13 @@
 func (l *leadership) vacateFor(p *pass, ws *waitingStep) {
 	spec := &ws.tj.sub.Steps[ws.step]
 	service, _ := l.serviceOf(p, ws.tj)
-	limit := max(1, int(isolationShare*float64(len(p.usable[service]))))
+	for wk, holder := range p.isolation.holders {
+		ws.vacated = ws.vacated || holder == ws.tj && spec.Size.Fits(wk.free())
+	}
+	if ws.vacated {
+		return
+	}
+	limit := max(1, int(p.isolation.share*float64(len(p.usable[service]))))
 	missing := 1
 	if spec.Gang {
 		missing = spec.Count
@@ -110,6 +122,7 @@
 		if wk == nil {
 			return
 		}
+		ws.vacated = true
 		p.isolation.vacated[wk] = ws.tj
 		missing -= int(spec.Size.Count(wk.upstream.Capacity, int64(missing)))
 	}
@@ -119,11 +132,13 @@
 // there is none or suspects have as many as they may take.
 func (l *leadership) bestToVacate(p *pass, ws *waitingStep, service string, limit int) *worker {
 	iso := &p.isolation
-	full := len(iso.holders)+len(iso.vacated) >= limit
+	if len(iso.holders)+len(iso.vacated) >= limit {
+		return nil
+	}
 	var best *worker
 	var bestRank vacateRank
 	for _, wk := range p.usable[service] {
-		if iso.holders[wk] != nil || iso.vacated[wk] != nil || full && (iso.crowded || len(wk.runs) > 0) {
+		if iso.holders[wk] != nil || iso.vacated[wk] != nil {
 			continue
 		}
 		if rank, possible := l.rankToVacate(p, ws, wk); possible && (best == nil || rank.before(&bestRank)) {
@@ -135,9 +150,11 @@
 
 // vacateRank orders workers by how soon a suspect is likely to start there.
 type vacateRank struct {
-	allowed, chosenBefore bool
-	used                  resource.Vector
-	id                    string
+	// own is set if the worker was kept free for the same job, allowed if it may run
+	// the step, chosen if it was kept free for any job.
+	own, allowed, chosen bool
+	used                 resource.Vector
+	id                   string
 }
 
 func (l *leadership) rankToVacate(p *pass, ws *waitingStep, wk *worker) (vacateRank, bool) {
@@ -145,7 +162,7 @@
 	if !spec.Size.Fits(wk.upstream.Capacity) || !wk.upstream.HasLabel(spec.Label) {
 		return vacateRank{}, false
 	}
-	rank := vacateRank{chosenBefore: l.vacated[wk] != nil, used: wk.used, id: wk.id}
+	rank := vacateRank{own: l.vacated[wk] == ws.tj, chosen: l.vacated[wk] != nil, used: wk.used, id: wk.id}
 	if answers := ws.tj.advice[ws.step]; answers != nil {
 		if answers.refused[wk.id] {
 			return vacateRank{}, false
@@ -157,10 +174,12 @@
 
 func (a *vacateRank) before(b *vacateRank) bool {
 	switch {
+	case a.own != b.own:
+		return a.own
 	case a.allowed != b.allowed:
 		return a.allowed
-	case a.chosenBefore != b.chosenBefore:
-		return a.chosenBefore
+	case a.chosen != b.chosen:
+		return a.chosen
 	case a.used.MilliCPU != b.used.MilliCPU:
 		return a.used.MilliCPU < b.used.MilliCPU
 	}
--- a/pollendockd/internal/scheduler/pass.go
+++ b/pollendockd/internal/scheduler/pass.go
@@ -213,12 +213,12 @@
 }
 
 // placeOverdue considers all overdue steps that have tickets, which would expire before
-// their next turn. Of the others it considers a few, and continues with the next ones
+// their next turn, and suspects, which have workers kept free. Of the others it considers a few, and continues with the next ones
 // in the next pass, since the first ones may be unplaceable.
 func (l *leadership) placeOverdue(p *pass, steps []*waitingStep) {
 	var rest []*waitingStep
 	for _, ws := range steps {
-		if a := ws.tj.advice[ws.step]; a != nil && a.anyValidTicket(p.now) {
+		if a := ws.tj.advice[ws.step]; ws.isolated || a != nil && a.anyValidTicket(p.now) {
 			l.placeStep(p, ws)
 			continue
 		}
@@ -235,7 +235,7 @@
 	tj := ws.tj
 	spec := &tj.sub.Steps[ws.step]
 	service, advice := l.serviceOf(p, tj)
-	if !spec.Gang && !ws.isolated && p.isFull(service, spec.Size) {
+	if ws.isolated && !ws.vacated || !spec.Gang && !ws.isolated && p.isFull(service, spec.Size) {
 		return noCapacity
 	}
 	var answers *stepAdvice
--- a/pollendockd/internal/scheduler/waiting.go
+++ b/pollendockd/internal/scheduler/waiting.go
@@ -17,6 +17,8 @@
 	// isolated is set for the suspects among the tasks, which wait as a step of their
 	// own.
 	isolated bool
+	// vacated is set if a worker is kept free for an isolated step.
+	vacated bool
 	// why is why the step waits after the pass.
 	why waitReason
 }
