job: refuse counts whose sum overflows, and estimates out of range

A job of three steps with counts that add up past the largest integer passed the check of at most 10,000 tasks. Its record was accepted, and each VM that read it, at once or on any later start, tried to make room for 2^63 tasks and exited. Estimates beyond the range of a duration became negative.

Each count is now checked by itself, as are the estimate and the limit per worker: 2004 badSize. Four cases of TestValidate failed before.

--- a/cell/job/job_test.go
+++ b/cell/job/job_test.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -33,6 +34,10 @@
 		{"no steps", sub("x"), code.BadRequest},
 		{"no tasks", sub("x", Step{}), code.BadSize},
 		{"too many tasks", sub("x", Step{Count: MaxTasks}, good), code.BadSize},
+		{"counts whose sum overflows", sub("x", Step{Count: math.MaxInt}, Step{Count: math.MaxInt}, Step{Count: 3}), code.BadSize},
+		{"negative estimate", sub("x", Step{Count: 1, Estimate: -1}), code.BadSize},
+		{"endless estimate", sub("x", Step{Count: 1, Estimate: math.MaxInt64}), code.BadSize},
+		{"negative limit per worker", sub("x", Step{Count: 1, PerWorker: -1}), code.BadSize},
 		{"negative size", sub("x", Step{Count: 1, Size: resource.Vector{MilliCPU: -1}}), code.BadSize},
 		{"after itself", sub("x", Step{Count: 1, After: []int{0}}), code.BadRequest},
 		{"after a later step", sub("x", Step{Count: 1, After: []int{1}}, good), code.BadRequest},
--- a/cell/job/submission.go
+++ b/cell/job/submission.go
@@ -67,6 +67,8 @@
 	// MaxSteps and MaxTasks limit the size of a job.
 	MaxSteps = 100
 	MaxTasks = 10_000
+	// MaxEstimate is the longest run time that a team may expect.
+	MaxEstimate = 10 * 365 * 24 * time.Hour
 	// MaxSpecBytes is the maximum length of Spec.
 	MaxSpecBytes = 4000
 )
@@ -104,8 +106,14 @@
 }
 
 func (p *Step) validate(number int) error {
-	if p.Count < 1 {
-		return code.New(code.BadSize, "step %d has %d tasks", number, p.Count)
+	if p.Count < 1 || p.Count > MaxTasks {
+		return code.New(code.BadSize, "step %d has %d tasks, 1 to %d are taken", number, p.Count, MaxTasks)
+	}
+	if p.Estimate < 0 || p.Estimate > MaxEstimate {
+		return code.New(code.BadSize, "step %d: the estimate %v is outside 0 to %v", number, p.Estimate, MaxEstimate)
+	}
+	if p.PerWorker < 0 {
+		return code.New(code.BadSize, "step %d: %d tasks on one worker", number, p.PerWorker)
 	}
 	if err := p.Size.Validate(); err != nil {
 		return code.New(code.BadSize, "step %d: %v", number, err)
