ledger, entry: our own interface keeps suspects apart and gives up deadly tasks, too

On our own interface a crash was counted as a failed attempt of all that ran on the worker: a deadly batch task took five workers down, a deadly service a hundred, and those beside it lost attempts that were not theirs to lose. Lookups have at most three attempts, which stands.

The state machine now counts crashes apart from failures and judges them with cell/crash; the crash of a task that had been there for 30 s is not held against its start. It refuses dispatches that put a suspect beside other jobs or others beside it; the placing VM keeps a worker of its own free for a suspect that waits, and lookups stay away. A deadly task ends with 6007 crashesWorkers. Gangs of suspects get no worker kept free: they wait for empty ones.

--- a/cell/ledger/jobs.go
+++ b/cell/ledger/jobs.go
@@ -7,6 +7,7 @@
 
 	"pollendock.example/cell/code"
 	"pollendock.example/cell/config"
+	"pollendock.example/cell/job"
 	"pollendock.example/cell/resource"
 )
 
@@ -43,6 +44,11 @@
 		Started bool `json:"started,omitempty"`
 		// Failures is the number of attempts that failed or vanished.
 		Failures int64 `json:"failures,omitempty"`
+		// Crashes counts the workers that have crashed under the task; nil for none. A
+		// gang's are counted in its first task.
+		Crashes *job.TaskCrashes `json:"crashes,omitempty"`
+		// DispatchedAt is the Clock of the last dispatch.
+		DispatchedAt time.Time `json:"dispatchedAt,omitzero"`
 		// Worker, Boot and Order are set while the task is dispatched.
 		Worker string `json:"worker,omitempty"`
 		Boot   string `json:"boot,omitempty"`
@@ -210,6 +216,9 @@
 	if s.Document.IsEvacuated(w.DataCentre) {
 		return refuse(code.StaleBase, "data centre %s of worker %s is evacuated", w.DataCentre, p.Worker)
 	}
+	if admitted, why := s.Admits(p.Worker, j, p.Task); !admitted {
+		return refuse(code.StaleBase, "worker %s: %s", p.Worker, why)
+	}
 	if j.Spec.Kind != config.Gang && w.Home != by {
 		return refuse(code.StaleBase, "worker %s has another home", p.Worker)
 	}
@@ -224,6 +233,7 @@
 	t.Worker = p.Worker
 	t.Boot = s.Workers[p.Worker].Boot
 	t.Order = offset
+	t.DispatchedAt = s.Clock
 	t.Stop = false
 	s.addTask(j, p.Task)
 }
@@ -260,9 +270,7 @@
 // finishAttempt moves a task to its next phase after an attempt ended.
 func (s *State) finishAttempt(j *Job, task int, endKind EndKind, result *Result) {
 	t := &j.Tasks[task]
-	t.Worker = ""
-	t.Boot = ""
-	t.Stop = false
+	t.leaveWorker()
 	switch endKind {
 	case Finished:
 		s.finish(j, t, result)
@@ -277,6 +285,13 @@
 	s.updateJob(j)
 }
 
+// leaveWorker removes the assignment of a task whose attempt has ended.
+func (t *Task) leaveWorker() {
+	t.Worker = ""
+	t.Boot = ""
+	t.Stop = false
+}
+
 func (s *State) finish(j *Job, t *Task, result *Result) {
 	failed := result.Code != code.OK
 	t.Result = result
@@ -442,12 +457,20 @@
 	return true
 }
 
-// settleAllVanished settles all attempts on a worker as vanished.
-func (s *State) settleAllVanished(worker string) {
-	for _, ref := range s.OnWorker(worker) {
+// settleAllCrashed settles all attempts on a worker that has ended without notice.
+func (s *State) settleAllCrashed(worker string) {
+	refs := s.OnWorker(worker)
+	alone := true
+	for _, ref := range refs {
+		alone = alone && ref.Job == refs[0].Job
+	}
+	for _, ref := range refs {
 		j := s.Jobs[ref.Job]
 		s.removeTask(j, ref.Task)
-		s.finishAttempt(j, ref.Task, Vanished, nil)
+		s.recordCrash(j, ref.Task, alone)
+		j.Tasks[ref.Task].leaveWorker()
+		s.handleCrash(j, ref.Task)
+		s.updateJob(j)
 	}
 }
 
--- a/cell/ledger/members.go
+++ b/cell/ledger/members.go
@@ -140,7 +140,7 @@
 	w.DataCentre = h.DataCentre
 	w.Rack = h.Rack
 	if rebooted {
-		s.settleAllVanished(h.Worker)
+		s.settleAllCrashed(h.Worker)
 	}
 	return ok("")
 }
@@ -173,7 +173,7 @@
 	if w == nil || w.Boot != l.Boot || w.Home != l.Home {
 		return refuse(code.StaleBase, "worker %s was claimed since", l.Worker)
 	}
-	s.settleAllVanished(l.Worker)
+	s.settleAllCrashed(l.Worker)
 	for team, allocated := range w.Allocations {
 		s.addUsage(team, allocated.Scale(-1))
 	}
--- a/pollendockd/internal/entry/control.go
+++ b/pollendockd/internal/entry/control.go
@@ -88,6 +88,8 @@
 		meanShares map[string]float64
 		// pendingTasks holds the tasks of dispatches that are not in the log yet.
 		pendingTasks map[ledger.TaskRef]bool
+		// keptFree holds the workers that are kept free for suspects, by id.
+		keptFree map[string]freeKept
 		// settling holds the attempts with a pending settle record and the jobs
 		// with a pending cancel record for an expired deadline.
 		settling map[string]bool
@@ -176,6 +178,7 @@
 	c.pendingUse = map[string]resource.Vector{}
 	c.meanShares = map[string]float64{}
 	c.pendingTasks = map[ledger.TaskRef]bool{}
+	c.keptFree = map[string]freeKept{}
 	c.settling = map[string]bool{}
 	c.stopsInFlight = map[string]bool{}
 	c.reservations = nil
--- a/pollendockd/internal/entry/gang.go
+++ b/pollendockd/internal/entry/gang.go
@@ -47,7 +47,7 @@
 	if size.Count(spare, int64(count)) < int64(count) || c.hasPendingTask(j) {
 		return 0
 	}
-	own := c.workersWithRoom(p.own, size, count)
+	own := c.workersWithRoom(p.own, j, size, count, p.now)
 	if len(own) == count {
 		c.dispatchGang(j, own)
 		return count
@@ -68,11 +68,14 @@
 	return false
 }
 
-// workersWithRoom returns workers with room for up to count tasks. A worker is
+// workersWithRoom returns workers with room for up to count tasks of j. A worker is
 // listed once for each task.
-func (c *control) workersWithRoom(list []*upstream, size resource.Vector, count int) []string {
+func (c *control) workersWithRoom(list []*upstream, j *ledger.Job, size resource.Vector, count int, now time.Time) []string {
 	var workersWithRoom []string
 	for _, u := range list {
+		if !c.admits(u, j, 0, now) {
+			continue
+		}
 		n := size.Count(c.available(u), int64(count-len(workersWithRoom)))
 		for range n {
 			workersWithRoom = append(workersWithRoom, u.id)
@@ -156,7 +159,7 @@
 	}
 	count := len(j.Tasks)
 	now := time.Now()
-	workersWithRoom := c.workersWithRoom(c.newPass(now).own, j.Spec.Size, count)
+	workersWithRoom := c.workersWithRoom(c.newPass(now).own, j, j.Spec.Size, count, now)
 	for _, id := range m.workers {
 		if len(workersWithRoom) < count {
 			workersWithRoom = append(workersWithRoom, id)
@@ -172,8 +175,9 @@
 	now := time.Now()
 	c.dropReservations(m.request.Job)
 	reply := &peer.OfferReply{}
-	if c.joined && !c.stopping && c.serving() && m.request.Size.Validate() == nil {
-		reply.Workers = c.workersWithRoom(c.newPass(now).own, m.request.Size, int(min(m.request.Count, maxOfferTasks)))
+	j := c.state.Jobs[m.request.Job]
+	if j != nil && c.joined && !c.stopping && c.serving() && m.request.Size.Validate() == nil {
+		reply.Workers = c.workersWithRoom(c.newPass(now).own, j, m.request.Size, int(min(m.request.Count, maxOfferTasks)), now)
 		if m.request.Hold > 0 {
 			c.reserveForGang(m.request, reply.Workers, now)
 		}
--- a/pollendockd/internal/entry/lookup.go
+++ b/pollendockd/internal/entry/lookup.go
@@ -76,7 +76,7 @@
 	var best *upstream
 	bestSlots := int64(-1)
 	for _, u := range c.upstreams {
-		if !c.usable(u, now) || now.Sub(u.watchedAt) > maxWatchAge || u.id == l.avoidWorker || !l.Size.Fits(c.lookupCapacity(u, l.Team)) {
+		if !c.usable(u, now) || now.Sub(u.watchedAt) > maxWatchAge || u.id == l.avoidWorker || !c.admitsLookup(u, now) || !l.Size.Fits(c.lookupCapacity(u, l.Team)) {
 			continue
 		}
 		slots := c.state.Workers[u.id].Capacity.Slots - c.state.Load(u.id).Slots - u.lookupLoad.Slots
--- a/pollendockd/internal/entry/place.go
+++ b/pollendockd/internal/entry/place.go
@@ -121,6 +121,7 @@
 
 func (c *control) newPass(now time.Time) *schedulingPass {
 	p := &schedulingPass{now: now, members: c.state.LiveMembers(), totalCapacity: c.cellCapacity()}
+	c.forgetKept(now)
 	for _, u := range c.upstreams {
 		if c.usable(u, now) {
 			p.own = append(p.own, u)
@@ -210,8 +211,9 @@
 		if c.pendingTasks[ledger.TaskRef{Job: j.ID, Task: i}] || !backup && p.primary(j, i) != c.incarnation {
 			continue
 		}
-		u := c.chooseWorker(p, j)
+		u := c.chooseWorker(p, j, i)
 		if u == nil {
+			c.keepFree(p, j, i)
 			break
 		}
 		placements = append(placements, c.reservePlacement(u, j, i))
@@ -226,20 +228,23 @@
 // the one with the least capacity left if the policy packs tasks, or the most if
 // it spreads them. It compares a random sample and falls back to all workers if
 // none of the sample fits.
-func (c *control) chooseWorker(p *schedulingPass, j *ledger.Job) *upstream {
+func (c *control) chooseWorker(p *schedulingPass, j *ledger.Job, task int) *upstream {
 	size := j.Spec.Size
+	spread := c.state.Document.Policy(j.Spec.Kind).Spread
+	if c.state.Suspected(j, task) {
+		return c.pickWorker(p, p.own, j, task, spread)
+	}
 	for _, unplaceable := range p.unplaceable {
 		if unplaceable.Fits(size) {
 			return nil
 		}
 	}
-	spread := c.state.Document.Policy(j.Spec.Kind).Spread
 	if len(p.own) > workerSampleSize {
-		if u := c.pickWorker(p, sampleWorkers(p.own), size, spread); u != nil {
+		if u := c.pickWorker(p, sampleWorkers(p.own), j, task, spread); u != nil {
 			return u
 		}
 	}
-	u := c.pickWorker(p, p.own, size, spread)
+	u := c.pickWorker(p, p.own, j, task, spread)
 	if u == nil {
 		p.unplaceable = append(p.unplaceable, size)
 	}
@@ -254,12 +259,13 @@
 	return list
 }
 
-func (c *control) pickWorker(p *schedulingPass, list []*upstream, size resource.Vector, spread bool) *upstream {
+func (c *control) pickWorker(p *schedulingPass, list []*upstream, j *ledger.Job, task int, spread bool) *upstream {
+	size := j.Spec.Size
 	var best *upstream
 	var bestLeft float64
 	for _, u := range list {
 		available := c.available(u)
-		if !size.Fits(available) || u.failures > 0 && !u.pending.IsZero() {
+		if !size.Fits(available) || u.failures > 0 && !u.pending.IsZero() || !c.admits(u, j, task, p.now) {
 			continue
 		}
 		left := available.Sub(size).Dominant(p.totalCapacity)
