scheduler: drop planned runs whose worker has shrunk since

New decisions always followed the newest entry; a run that was decided before, and whose append took long (the store silent), was started all the same. Before the first start request of a batch runs are dropped for which their worker has no room any more, and all if the list of workers is older than 1.5 s, as for decisions.

TestShrunkWorkerIsNotOvercommitted/after_the_decision failed before (8 of 5 cores), the cases at any time and with a new leader passed.

--- a/pollendockd/internal/scheduler/flush.go
+++ b/pollendockd/internal/scheduler/flush.go
@@ -208,6 +208,7 @@
 	}
 	replyAll(b.accepts, nil)
 	l.dropEvacuated(b.starts)
+	l.dropOvercommitted(b.starts, time.Now())
 	for _, r := range b.starts {
 		if r.bound() {
 			l.sendStart(r)
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -178,7 +178,7 @@
 
 func (l *leadership) applyUpstream(u *site.Upstream) {
 	wk := l.workerOf(u.ID)
-	changed := !wk.listed || wk.upstream.Boot != u.Boot || wk.upstream.Draining != u.Draining
+	changed := !wk.listed || wk.upstream.Boot != u.Boot || wk.upstream.Draining != u.Draining || wk.upstream.Capacity != u.Capacity
 	if wk.client == nil || wk.upstream.Addr != u.Addr {
 		wk.client = l.s.deps.Dial(u.ID, u.Addr)
 	}
