soak: deadly jobs, workers that crash, workers that shrink

One job in 60 crashes the worker that starts its first task; it has to end failed, all others completed. Workers crash and leave the list, and their capacity shrinks and grows, beside the other faults.

--- a/soak/cell.go
+++ b/soak/cell.go
@@ -85,6 +85,8 @@
 	}
 	c.operator = &operator{c: c}
 	c.fleet = fleet.NewFleet(c.taskOutcome, c.taskSize)
+	// The proxies of the workers stand for their ids.
+	c.fleet.KeepIDs()
 	go c.fleet.Run(ctx)
 	c.store, err = c.listen(platform.StoreHandler(map[string]platform.Topic{
 		platform.StateTopic: c.cellStore, platform.ConfigTopic: c.configStore, platform.ServerTopic: c.serverStore,
@@ -138,8 +140,10 @@
 	return ln.Addr().String(), nil
 }
 
+var workerCapacity = resource.Vector{MilliCPU: workerCores * 1000, MemoryMB: 64_000}
+
 func (c *cell) addWorker(id, dataCentre string) error {
-	w := c.fleet.Add(id, "s", resource.Vector{MilliCPU: workerCores * 1000, MemoryMB: 64_000})
+	w := c.fleet.Add(id, "s", workerCapacity)
 	w.SetDataCentre(dataCentre)
 	c.dataCentres[id] = dataCentre
 	addr, err := c.listen(platform.WorkerHandler(w))
@@ -156,12 +160,17 @@
 
 // runHeartbeats publishes the workers' state to the store at regular intervals.
 func (c *cell) runHeartbeats() {
+	before := map[string]bool{}
 	for c.ctx.Err() == nil {
 		list, _, err := c.fleet.Next(c.ctx)
 		if err != nil {
 			return
 		}
+		missing := before
+		before = map[string]bool{}
 		for _, u := range list {
+			delete(missing, u.ID)
+			before[u.ID] = true
 			u.Addr = netip.MustParseAddrPort(c.workers[u.ID].addr())
 			value, err := platform.EncodeUpstream(&u)
 			if err != nil {
@@ -170,6 +179,9 @@
 			// Errors are ignored: the next heartbeat replaces a lost one.
 			_, _ = c.serverStore.Append(c.ctx, []site.Entry{{Key: u.ID, Value: value}})
 		}
+		for id := range missing {
+			_, _ = c.serverStore.Append(c.ctx, []site.Entry{{Key: id}})
+		}
 		time.Sleep(heartbeatInterval)
 	}
 }
@@ -252,6 +264,9 @@
 	if j == nil {
 		return time.Second, site.Done
 	}
+	if j.deadly && t.Step == 0 && t.Index == 0 {
+		return deadlyTime, site.Crashed
+	}
 	if run == 1 && j.failFirstRun {
 		return j.runTime, site.Failed
 	}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -54,6 +54,8 @@
 	{"worker unresponsive", func(c *cell, r *rand.Rand) { withWorkerFault(c, r, func(p *proxy) { p.blackhole.Store(true) }) }},
 	{"worker connections reset", func(c *cell, r *rand.Rand) { withWorkerFault(c, r, (*proxy).resetConns) }},
 	{"worker rebooted", func(c *cell, r *rand.Rand) { c.fleet.Worker(randomWorker(c, r)).Reboot() }},
+	{"worker crashed", func(c *cell, r *rand.Rand) { c.fleet.Worker(randomWorker(c, r)).Crash() }},
+	{"worker shrunk", shrinkWorker},
 	{"worker start responses lost", func(c *cell, r *rand.Rand) { c.fleet.Worker(randomWorker(c, r)).DropResponses(2) }},
 	{"worker starts delayed", func(c *cell, r *rand.Rand) { c.fleet.Worker(randomWorker(c, r)).DelayStarts(2, maxDelayedStart) }},
 }
@@ -120,6 +122,16 @@
 	p.resetConns()
 }
 
+// shrinkWorker takes part of a worker's capacity away for a while.
+func shrinkWorker(c *cell, r *rand.Rand) {
+	w := c.fleet.Worker(randomWorker(c, r))
+	smaller := workerCapacity
+	smaller.MilliCPU = smaller.MilliCPU * int64(1+r.IntN(3)) / 4
+	w.SetCapacity(smaller)
+	sleepFaultDuration(r)
+	w.SetCapacity(workerCapacity)
+}
+
 // withWorkerFault applies a fault to the connections of a random worker, and
 // resets them at the end.
 func withWorkerFault(c *cell, r *rand.Rand, do func(p *proxy)) {
--- a/soak/jobclient.go
+++ b/soak/jobclient.go
@@ -19,6 +19,8 @@
 		steps        []stepBody
 		runTime      time.Duration
 		failFirstRun bool
+		// deadly is set if the first task crashes its workers.
+		deadly bool
 
 		mu sync.Mutex
 		// accepted is the time of the first 200 response; zero before it.
@@ -49,6 +51,8 @@
 )
 
 const (
+	// deadlyTime is how long a worker lives after it has started a deadly task.
+	deadlyTime   = 20 * time.Millisecond
 	callTimeout  = 3 * time.Second
 	maxAttempts  = 6
 	retryDelay   = 400 * time.Millisecond
@@ -63,7 +67,7 @@
 )
 
 func newJobClient(id string, r *rand.Rand) *jobClient {
-	j := &jobClient{id: id, runTime: time.Duration(200+r.IntN(2000)) * time.Millisecond, failFirstRun: r.IntN(8) == 0}
+	j := &jobClient{id: id, runTime: time.Duration(200+r.IntN(2000)) * time.Millisecond, failFirstRun: r.IntN(8) == 0, deadly: r.IntN(60) == 0}
 	step := func(count int, cores int64, gang bool) stepBody {
 		return stepBody{Count: count, CPU: cores * 1000, MemMB: 500, EstimatedMs: j.runTime.Milliseconds(), Gang: gang}
 	}
@@ -96,7 +100,7 @@
 		}
 		time.Sleep(retryDelay)
 	}
-	for ctx.Err() == nil && !j.acceptedAt().IsZero() && !j.isCompleted() {
+	for ctx.Err() == nil && !j.acceptedAt().IsZero() && !j.hasEnded() {
 		time.Sleep(pollInterval)
 		j.poll(ctx, c, client, r, report)
 	}
@@ -156,7 +160,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.state = answer.State
-	if answer.State == failed || answer.State == cancelled {
+	if answer.State == cancelled || answer.State == failed && !j.deadly || answer.State == completed && j.deadly {
 		report(violation(fmt.Sprintf("job %s is reported as %s without a cause", j.id, answer.State)))
 	}
 }
@@ -167,8 +171,12 @@
 	return j.accepted
 }
 
-func (j *jobClient) isCompleted() bool {
+// hasEnded reports whether the job has ended as it should: a deadly one has failed.
+func (j *jobClient) hasEnded() bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	if j.deadly {
+		return j.state == failed
+	}
 	return j.state == completed
 }
--- a/soak/main.go
+++ b/soak/main.go
@@ -137,14 +137,13 @@
 	}
 }
 
-// unfinishedJobs returns the accepted jobs that no entry VM has reported as
-// completed.
+// unfinishedJobs returns the accepted jobs that no entry VM has reported as ended.
 func (c *cell) unfinishedJobs() []*jobClient {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var list []*jobClient
 	for _, j := range c.jobs {
-		if !j.acceptedAt().IsZero() && !j.isCompleted() {
+		if !j.acceptedAt().IsZero() && !j.hasEnded() {
 			list = append(list, j)
 		}
 	}
--- a/standin/fleet/worker.go
+++ b/standin/fleet/worker.go
@@ -461,5 +461,7 @@
 
 // Capacity returns the resources of the worker.
 func (w *Worker) Capacity() resource.Vector {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
 	return w.upstream.Capacity
 }
