scheduler: a new leader tells inherited runs that had survived from those that had just begun

Of workers that crashed shortly before a change of leader, all runs were suspected: the new leader had not seen when they began. With half of the lookups deadly that made 260 suspects at once, who waited for workers of their own to the end. A run whose record this VM read 1.5 s before the old leader's last decision for the same worker had been there while the worker was still in use, so it has survived its start.

--- a/cell/job/view.go
+++ b/cell/job/view.go
@@ -36,6 +36,8 @@
 	Job struct {
 		Submission *Submission
 		State      *State
+		// StateAt is when this VM read State, on its monotonic clock.
+		StateAt time.Time
 		// Order is the offset at which the job was accepted.
 		Order int64
 		// AcceptedAt is when the job was accepted, on the monotonic clock of this
@@ -177,6 +179,7 @@
 	}
 	j := v.job(id)
 	j.State = s
+	j.StateAt = time.Now()
 	v.updateWaiting(j)
 	return nil
 }
--- a/pollendockd/internal/scheduler/crash.go
+++ b/pollendockd/internal/scheduler/crash.go
@@ -16,6 +16,10 @@
 	// probation is how long a run has to be known to work on its worker until it counts
 	// as having survived its start.
 	probation = 300 * time.Millisecond
+	// inheritedProbation is the same for the runs of an earlier leader on a worker that
+	// has not answered this one, counted up to that leader's last decision for the
+	// worker. It took up to a second to notice that a worker had gone silent.
+	inheritedProbation = 1500 * time.Millisecond
 	// maxLoggedRuns limits the runs that a log line names.
 	maxLoggedRuns = 8
 )
@@ -37,6 +41,7 @@
 // worker crashed: all but those that were decided for the incarnation that is alive.
 func (l *leadership) markCrashed(wk *worker, alive int64, evidence string) {
 	var early, survivors []*run
+	aliveAt := wk.lastInheritedDecision()
 	jobs := map[string]bool{}
 	for _, r := range wk.runList() {
 		if r.stage == planned || r.crashed || r.boot == alive {
@@ -44,7 +49,7 @@
 		}
 		r.crashed = true
 		jobs[r.task.Job] = true
-		if r.survivedStart() {
+		if r.survivedStart() || r.inheritedBefore(aliveAt.Add(-inheritedProbation)) {
 			survivors = append(survivors, r)
 		} else {
 			early = append(early, r)
@@ -111,6 +116,23 @@
 		int(code.CrashesWorkers), code.CrashesWorkers, c.Count, t.Index, t.Step))
 }
 
+// lastInheritedDecision returns when the last leader's newest decision for the worker was
+// read at the latest; zero if there is none. The worker was alive shortly before.
+func (wk *worker) lastInheritedDecision() time.Time {
+	at := time.Time{}
+	for _, r := range wk.runs {
+		if r.stage == inherited {
+			at = later(at, r.tj.inheritedAt)
+		}
+	}
+	return at
+}
+
+// inheritedBefore reports whether an earlier leader decided the run before the given time.
+func (r *run) inheritedBefore(t time.Time) bool {
+	return r.stage == inherited && r.tj.inheritedAt.Before(t)
+}
+
 // runNames returns the names of the first runs for a log line.
 func runNames(runs []*run) string {
 	text := ""
--- a/pollendockd/internal/scheduler/tracked_job.go
+++ b/pollendockd/internal/scheduler/tracked_job.go
@@ -50,6 +50,8 @@
 		stallStops map[site.TaskID]int
 		// crashes is nil while no worker has crashed under a task of the job.
 		crashes *job.Crashes
+		// inheritedAt is when this VM read the state that the leader began with.
+		inheritedAt time.Time
 		// dirty is set if the state is to be stored, crashesDirty if the crashes are, too.
 		dirty        bool
 		crashesDirty bool
@@ -141,6 +143,7 @@
 		stallStops:  map[site.TaskID]int{},
 		begun:       j.State.MayHaveStarted(),
 		crashes:     j.Crashes,
+		inheritedAt: j.StateAt,
 	}
 }
 
