scheduler: suspects ask the advisor first, and crashed workers do not count as theirs

By the logs: workers stood empty for them while the queries of late jobs waited behind all others; a gang never asked, since the two workers kept free for it could not be expected to be among those it may use; and workers that had crashed filled the suspects' share until their leases expired.

Queries of suspects rank as work in time, gangs learn which workers they may use before any is vacated, the worker that is expected to be empty first is chosen, and only workers that answer count.

TestSuspectsAskTheAdvisor failed before (in one of three runs: the advisor's answers vary), passes in eight of eight.

--- a/pollendockd/internal/scheduler/advice.go
+++ b/pollendockd/internal/scheduler/advice.go
@@ -217,7 +217,11 @@
 	for i := range d.demands {
 		m := &d.demands[i]
 		m.slow = isSlow(d.pass.catalog, m.settings)
-		list[i] = advice.Demand{Queue: m.ws.tj.sub.Queue, SortKey: m.ws.sortKey, Slow: m.slow, Reserved: m.kind == toRenew}
+		list[i] = advice.Demand{Queue: m.ws.tj.sub.Queue, SortKey: m.ws.sortKey, Slow: m.slow, Reserved: m.kind == toRenew || m.ws.isolated}
+		if m.ws.isolated {
+			// Workers stay empty until the answer arrives, however late the job is.
+			list[i].SortKey.Rank = placement.InTime
+		}
 	}
 	for {
 		i, through, ok := d.dispatcher.Next(now, list)
--- a/pollendockd/internal/scheduler/isolation.go
+++ b/pollendockd/internal/scheduler/isolation.go
@@ -4,7 +4,8 @@
 	"time"
 
 	"pollendock.example/cell/job"
-	"pollendock.example/cell/resource"
+	"pollendock.example/cell/placement"
+	"pollendock.example/cell/site"
 )
 
 // isolation is the part of a pass that keeps suspects apart from other jobs. A suspect
@@ -15,6 +16,10 @@
 	holders map[*worker]*trackedJob
 	// vacated holds the workers that are kept free of new runs for a waiting suspect.
 	vacated map[*worker]*trackedJob
+	// taken is the number of holders that answer.
+	taken int
+	// emptyIn is the expected time until a worker runs nothing.
+	emptyIn map[*worker]time.Duration
 	// share is the share of the workers that suspects may take.
 	share float64
 }
@@ -24,6 +29,8 @@
 	// capacity, and uncrowdedShare while none do.
 	crowdedShare   = 0.25
 	uncrowdedShare = 0.6
+	// endlessTime is the expected time of a task that runs until its job is canceled.
+	endlessTime = 365 * 24 * time.Hour
 )
 
 // suspected reports whether a task is to run where no other job does.
@@ -45,11 +52,15 @@
 
 // newIsolation returns the state at the beginning of a pass.
 func (l *leadership) newIsolation() isolation {
-	iso := isolation{holders: map[*worker]*trackedJob{}, vacated: map[*worker]*trackedJob{}}
+	iso := isolation{holders: map[*worker]*trackedJob{}, vacated: map[*worker]*trackedJob{}, emptyIn: map[*worker]time.Duration{}}
 	for r := range l.isolatedRuns {
-		if !r.cleared() {
-			iso.holders[r.wk] = r.tj
+		if r.cleared() {
+			continue
+		}
+		if iso.holders[r.wk] == nil && r.wk.holdFails == 0 {
+			iso.taken++
 		}
+		iso.holders[r.wk] = r.tj
 	}
 	iso.share = uncrowdedShare
 	if l.waitReasons[noCapacity]+l.waitReasons[behindOthers]+l.waitReasons[reserved]+l.waitReasons[unreserved] > 0 {
@@ -105,13 +116,16 @@
 // vacateFor chooses workers until one can hold a task of the step, or all of its gang.
 func (l *leadership) vacateFor(p *pass, ws *waitingStep) {
 	spec := &ws.tj.sub.Steps[ws.step]
-	service, _ := l.serviceOf(p, ws.tj)
+	service, advice := l.serviceOf(p, ws.tj)
 	for wk, holder := range p.isolation.holders {
 		ws.vacated = ws.vacated || holder == ws.tj && spec.Size.Fits(wk.free())
 	}
 	if ws.vacated {
 		return
 	}
+	if spec.Gang && advice != nil && !l.knowsWorkers(p, ws, service, advice) {
+		return
+	}
 	limit := max(1, int(p.isolation.share*float64(len(p.usable[service]))))
 	missing := 1
 	if spec.Gang {
@@ -128,11 +142,37 @@
 	}
 }
 
+// knowsWorkers reports whether the advisor has named enough workers for a gang, or has
+// answered about all. If not it queries for more: vacating workers that the gang may not
+// use would only idle them.
+func (l *leadership) knowsWorkers(p *pass, ws *waitingStep, service string, advice *site.Advice) bool {
+	spec := &ws.tj.sub.Steps[ws.step]
+	answers := ws.tj.adviceOf(ws.step)
+	known, unknown := 0, 0
+	for _, wk := range p.usable[service] {
+		switch {
+		case !spec.Size.Fits(wk.upstream.Capacity) || !wk.upstream.HasLabel(spec.Label) || answers.refused[wk.id]:
+		case answers.known(wk):
+			known += int(spec.Size.Count(wk.upstream.Capacity, int64(spec.Count)))
+		default:
+			unknown++
+		}
+	}
+	if known >= spec.Count || unknown == 0 {
+		return true
+	}
+	if !answers.asking {
+		req := placement.Request{Count: spec.Count, Size: spec.Size, Gang: true}
+		l.want(p, demand{ws: ws, req: req, service: service, settings: advice, kind: toReserve})
+	}
+	return false
+}
+
 // bestToVacate returns the worker that is likely to be free of other jobs first, nil if
 // there is none or suspects have as many as they may take.
 func (l *leadership) bestToVacate(p *pass, ws *waitingStep, service string, limit int) *worker {
 	iso := &p.isolation
-	if len(iso.holders)+len(iso.vacated) >= limit {
+	if iso.taken+len(iso.vacated) >= limit {
 		return nil
 	}
 	var best *worker
@@ -153,21 +193,38 @@
 	// own is set if the worker was kept free for the same job, allowed if it may run
 	// the step, chosen if it was kept free for any job.
 	own, allowed, chosen bool
-	used                 resource.Vector
+	emptyIn              time.Duration
 	id                   string
 }
 
+// emptyIn returns the expected time until a worker runs nothing.
+func (p *pass) emptyIn(wk *worker) time.Duration {
+	in, known := p.isolation.emptyIn[wk]
+	if known {
+		return in
+	}
+	for _, r := range wk.runs {
+		left := endlessTime
+		if !r.tj.sub.Steps[r.task.Step].Endless {
+			left = r.remaining(p.now, p.expected(r))
+		}
+		in = max(in, left)
+	}
+	p.isolation.emptyIn[wk] = in
+	return in
+}
+
 func (l *leadership) rankToVacate(p *pass, ws *waitingStep, wk *worker) (vacateRank, bool) {
 	spec := &ws.tj.sub.Steps[ws.step]
 	if !spec.Size.Fits(wk.upstream.Capacity) || !wk.upstream.HasLabel(spec.Label) {
 		return vacateRank{}, false
 	}
-	rank := vacateRank{own: l.vacated[wk] == ws.tj, chosen: l.vacated[wk] != nil, used: wk.used, id: wk.id}
+	rank := vacateRank{own: l.vacated[wk] == ws.tj, chosen: l.vacated[wk] != nil, emptyIn: p.emptyIn(wk), id: wk.id}
 	if answers := ws.tj.advice[ws.step]; answers != nil {
 		if answers.refused[wk.id] {
 			return vacateRank{}, false
 		}
-		rank.allowed = answers.hasValidTicket(wk, p.now)
+		rank.allowed = answers.known(wk)
 	}
 	return rank, true
 }
@@ -180,8 +237,8 @@
 		return a.allowed
 	case a.chosen != b.chosen:
 		return a.chosen
-	case a.used.MilliCPU != b.used.MilliCPU:
-		return a.used.MilliCPU < b.used.MilliCPU
+	case a.emptyIn != b.emptyIn:
+		return a.emptyIn < b.emptyIn
 	}
 	return a.id < b.id
 }
--- a/pollendockd/internal/scheduler/query_workers.go
+++ b/pollendockd/internal/scheduler/query_workers.go
@@ -82,7 +82,7 @@
 	label := m.ws.tj.sub.Steps[m.ws.step].Label
 	var unknown []*worker
 	for _, wk := range p.usable[m.service] {
-		if wk.usable(p.now) && p.isolation.admits(wk, m.ws) && wk.upstream.HasLabel(label) && m.req.Size.Fits(wk.upstream.Capacity) && !answers.refused[wk.id] && !answers.known(wk) {
+		if wk.usable(p.now) && (m.ws.isolated || p.isolation.admits(wk, m.ws)) && wk.upstream.HasLabel(label) && m.req.Size.Fits(wk.upstream.Capacity) && !answers.refused[wk.id] && !answers.known(wk) {
 			unknown = append(unknown, wk)
 		}
 	}
