scheduler: a service is no suspect for ever, and a gang gets all the workers that it needs

A service under which two workers had crashed kept a worker for itself for as long as it ran; it is cleared once it has survived its start. A suspect gang that needs more workers than suspects may take in all waited until the cell was empty; the first suspect in the order may take as many as it needs. Counts per worker follow the step's limit.

--- a/pollendockd/internal/scheduler/crash_test.go
+++ b/pollendockd/internal/scheduler/crash_test.go
@@ -112,6 +112,7 @@
 		{"task", tasks(1, 2), atStart, 1, func(*cell) {}},
 		{"late task", tasks(1, 2), late, 2, func(*cell) {}},
 		{"gang", gang(6, 3), atStart, 1, func(*cell) {}},
+		{"gang that needs most workers", gang(7, 8), atStart, 1, func(*cell) {}},
 		{"workers keep their ids", tasks(1, 2), atStart, 1, func(c *cell) { c.fleet.KeepIDs() }},
 		{"leader killed", tasks(1, 2), atStart, 1, func(c *cell) {
 			c.vms["a"].kill()
@@ -234,3 +235,27 @@
 		expectPhase(c, v, "deadly", time.Second, job.Failed)
 	})
 }
+
+// TestEndlessSuspectIsCleared guards against a service that keeps a worker for itself for
+// ever, because its workers have crashed twice.
+func TestEndlessSuspectIsCleared(t *testing.T) {
+	inCell(t, 1, func(c *cell) {
+		c.outcome = func(t site.TaskID, run int64, _ string) (time.Duration, site.EndKind) {
+			switch {
+			case t.Job != "service":
+				return workTime, site.Done
+			case run <= 2:
+				return 1500 * time.Millisecond, site.Crashed
+			}
+			return time.Hour, site.Done
+		}
+		v := c.start("a")
+		time.Sleep(time.Second)
+		service := tasks(2, 2)
+		service.Endless = true
+		c.submit("service", service)
+		time.Sleep(20 * time.Second)
+		c.submit("other", tasks(1, 2))
+		expectPhase(c, v, "other", 5*time.Second, job.Completed)
+	})
+}
--- a/pollendockd/internal/scheduler/isolation.go
+++ b/pollendockd/internal/scheduler/isolation.go
@@ -8,21 +8,32 @@
 	"pollendock.example/cell/site"
 )
 
-// isolation is the part of a pass that keeps suspects apart from other jobs. A suspect
-// starts on a worker where no other job runs, and until it is cleared no other job starts
-// there: its crash then takes nobody else down, and proves that it was to blame.
-type isolation struct {
-	// holders holds the jobs whose suspects have a worker for themselves.
-	holders map[*worker]*trackedJob
-	// vacated holds the workers that are kept free of new runs for a waiting suspect.
-	vacated map[*worker]*trackedJob
-	// taken is the number of holders that answer.
-	taken int
-	// emptyIn is the expected time until a worker runs nothing.
-	emptyIn map[*worker]time.Duration
-	// share is the share of the workers that suspects may take.
-	share float64
-}
+type (
+	// isolation is the part of a pass that keeps suspects apart from other jobs. A suspect
+	// starts on a worker where no other job runs, and until it is cleared no other job starts
+	// there: its crash then takes nobody else down, and proves that it was to blame.
+	isolation struct {
+		// holders holds the jobs whose suspects have a worker for themselves.
+		holders map[*worker]*trackedJob
+		// vacated holds the workers that are kept free of new runs for a waiting suspect.
+		vacated map[*worker]*trackedJob
+		// taken is the number of holders that answer.
+		taken int
+		// emptyIn is the expected time until a worker runs nothing.
+		emptyIn map[*worker]time.Duration
+		// share is the share of the workers that suspects may take.
+		share float64
+	}
+
+	// vacateRank orders workers by how soon a suspect is likely to start there.
+	vacateRank struct {
+		// own is set if the worker was kept free for the same job, allowed if it may run
+		// the step, chosen if it was kept free for any job.
+		own, allowed, chosen bool
+		emptyIn              time.Duration
+		id                   string
+	}
+)
 
 const (
 	// Suspects may take crowdedShare of the workers from other jobs that wait for
@@ -45,9 +56,9 @@
 }
 
 // cleared reports whether other jobs may run beside a suspect: it has survived its start.
-// One that has seen several crashes has to survive to its end.
+// One that has seen several crashes has to survive to its end, if it has one.
 func (r *run) cleared() bool {
-	return r.survivedStart() && r.tj.crashesOf(r.task).Count == 1
+	return r.survivedStart() && (r.tj.crashesOf(r.task).Count == 1 || r.tj.sub.Steps[r.task.Step].Endless)
 }
 
 // newIsolation returns the state at the beginning of a pass.
@@ -127,6 +138,10 @@
 		return
 	}
 	limit := max(1, int(p.isolation.share*float64(len(p.usable[service]))))
+	if p.isolation.taken+len(p.isolation.vacated) == 0 {
+		// A gang may need more than the share, and would never start.
+		limit = len(p.usable[service])
+	}
 	missing := 1
 	if spec.Gang {
 		missing = spec.Count
@@ -138,10 +153,16 @@
 		}
 		ws.vacated = true
 		p.isolation.vacated[wk] = ws.tj
-		missing -= int(spec.Size.Count(wk.upstream.Capacity, int64(missing)))
+		missing -= mostOn(spec, wk, missing)
 	}
 }
 
+// mostOn returns how many tasks of a step an empty worker holds, at most limit.
+func mostOn(spec *job.Step, wk *worker, limit int) int {
+	req := placement.Request{Count: limit, Size: spec.Size, PerWorker: spec.PerWorker}
+	return placement.FitCount(req, &placement.WorkerState{Free: wk.upstream.Capacity})
+}
+
 // knowsWorkers reports whether the advisor has named enough workers for a gang, or has
 // answered about all. If not it queries for more: vacating workers that the gang may not
 // use would only idle them.
@@ -153,7 +174,7 @@
 		switch {
 		case !spec.Size.Fits(wk.upstream.Capacity) || !wk.upstream.HasLabel(spec.Label) || answers.refused[wk.id]:
 		case answers.known(wk):
-			known += int(spec.Size.Count(wk.upstream.Capacity, int64(spec.Count)))
+			known += mostOn(spec, wk, spec.Count)
 		default:
 			unknown++
 		}
@@ -188,15 +209,6 @@
 	return best
 }
 
-// vacateRank orders workers by how soon a suspect is likely to start there.
-type vacateRank struct {
-	// own is set if the worker was kept free for the same job, allowed if it may run
-	// the step, chosen if it was kept free for any job.
-	own, allowed, chosen bool
-	emptyIn              time.Duration
-	id                   string
-}
-
 // emptyIn returns the expected time until a worker runs nothing.
 func (p *pass) emptyIn(wk *worker) time.Duration {
 	in, known := p.isolation.emptyIn[wk]
--- a/soak/cell.go
+++ b/soak/cell.go
@@ -73,6 +73,8 @@
 	grace             = 5 * time.Second
 )
 
+var workerCapacity = resource.Vector{MilliCPU: workerCores * 1000, MemoryMB: 64_000}
+
 func newCell(ctx context.Context, opt *options, dir string) (*cell, error) {
 	subnet, err := reserveSubnet(opt)
 	if err != nil {
@@ -140,8 +142,6 @@
 	return ln.Addr().String(), nil
 }
 
-var workerCapacity = resource.Vector{MilliCPU: workerCores * 1000, MemoryMB: 64_000}
-
 func (c *cell) addWorker(id, dataCentre string) error {
 	w := c.fleet.Add(id, "s", workerCapacity)
 	w.SetDataCentre(dataCentre)
