crash: a request to start that a crash broke off is no crash under the task

Callers saw (LOST): a lookup shown as failed of which the workers had started one run only. Its two earlier requests went to workers that crashed under other tasks at that moment: the connections ended without an answer, the runs ended as crashed, and the third, alone on its worker, was the last straw.

A run counts only if its worker answered or listed it, or nothing else was there to crash the worker.

--- a/cell/crash/crash.go
+++ b/cell/crash/crash.go
@@ -13,6 +13,9 @@
 type Scene struct {
 	// Run is the number of the run.
 	Run int64
+	// Begun is set if the worker is known to have started the run. Without it the crash
+	// may have broken off the request to start it.
+	Begun bool
 	// Survived is set if the run is known to have survived its start.
 	Survived bool
 	// StartKnown is set if it is known when the run began.
@@ -40,12 +43,17 @@
 )
 
 // Judge adds a crash to those under a task. A run is counted once, also if several
-// workers of its gang have crashed.
+// workers of its gang have crashed, and not if it may not have begun, unless nothing else
+// was there to crash the worker.
 func Judge(t job.TaskCrashes, s Scene) job.TaskCrashes {
 	if s.Run <= t.Run {
 		return t
 	}
 	t.Run = s.Run
+	if !s.Begun && !s.Alone {
+		t.Verdict = job.Suspect
+		return t
+	}
 	t.Count++
 	t.Early++
 	if s.Survived {
--- a/cell/ledger/crashes.go
+++ b/cell/ledger/crashes.go
@@ -37,7 +37,7 @@
 		before = *holder.Crashes
 	}
 	after := crash.Judge(before, crash.Scene{
-		Run: t.Attempt, Survived: s.Clock.Sub(t.DispatchedAt) >= survivedAfter, EarlyOthers: !alone, Alone: alone,
+		Run: t.Attempt, Begun: true, Survived: s.Clock.Sub(t.DispatchedAt) >= survivedAfter, EarlyOthers: !alone, Alone: alone,
 		Endless: j.Spec.Kind == config.Service,
 	})
 	holder.Crashes = &after
--- a/pollendockd/internal/scheduler/crash.go
+++ b/pollendockd/internal/scheduler/crash.go
@@ -59,10 +59,10 @@
 		return
 	}
 	for _, r := range early {
-		r.scene = crash.Scene{Run: r.number, StartKnown: r.stage != inherited, EarlyOthers: len(early) > 1, Alone: len(jobs) == 1}
+		r.scene = crash.Scene{Run: r.number, Begun: r.stage == running, StartKnown: r.stage != inherited, EarlyOthers: len(early) > 1, Alone: len(jobs) == 1}
 	}
 	for _, r := range survivors {
-		r.scene = crash.Scene{Run: r.number, Survived: true, StartKnown: true, EarlyOthers: len(early) > 0, Alone: len(jobs) == 1}
+		r.scene = crash.Scene{Run: r.number, Begun: true, Survived: true, StartKnown: true, EarlyOthers: len(early) > 0, Alone: len(jobs) == 1}
 	}
 	l.s.deps.Counts.Count("worker_crashes", 1)
 	_ = level.Warn(l.s.deps.Logger).Log("msg", "worker crashed", "worker", wk.id, "boot", wk.boot, "evidence", evidence,
@@ -105,7 +105,7 @@
 	tj.crashesDirty = true
 	l.s.deps.Counts.Count("tasks_"+after.Verdict.String(), 1)
 	l.logRun(r, "worker crashed under a run", "crashes", after.Count, "early", after.Early, "verdict", after.Verdict,
-		"alone", r.scene.Alone, "survived", r.scene.Survived, "startKnown", r.scene.StartKnown, "earlyOthers", r.scene.EarlyOthers)
+		"begun", r.scene.Begun, "alone", r.scene.Alone, "survived", r.scene.Survived, "startKnown", r.scene.StartKnown, "earlyOthers", r.scene.EarlyOthers)
 }
 
 // giveUp ends a job one of whose tasks crashes its workers.
--- a/pollendockd/internal/scheduler/isolation.go
+++ b/pollendockd/internal/scheduler/isolation.go
@@ -58,7 +58,7 @@
 // cleared reports whether other jobs may run beside a suspect: it has survived its start.
 // One that has seen several crashes has to survive to its end, if it has one.
 func (r *run) cleared() bool {
-	return r.survivedStart() && (r.tj.crashesOf(r.task).Count == 1 || r.tj.sub.Steps[r.task.Step].Endless)
+	return r.survivedStart() && (r.tj.crashesOf(r.task).Count <= 1 || r.tj.sub.Steps[r.task.Step].Endless)
 }
 
 // newIsolation returns the state at the beginning of a pass.
--- a/pollendockd/internal/scheduler/tracked_job.go
+++ b/pollendockd/internal/scheduler/tracked_job.go
@@ -285,7 +285,7 @@
 	} else {
 		l.concludeTask(tj, r, t, how)
 	}
-	if how != site.NotRun {
+	if how != site.NotRun && (how != site.Crashed || r.scene.Begun) {
 		tj.begun = true
 	}
 	tj.backToQueue()
