--- a/cell/crash/crash.go
+++ b/cell/crash/crash.go
@@ -31,12 +31,12 @@
 }
 
 const (
-	// deadlyEarly is the number of early crashes in a row, the last one alone, that
-	// prove a task to be deadly.
-	deadlyEarly = 2
-	// deadlyCount is the number of crashes that prove it, the last one alone, if the
+	// poisonEarly is the number of early crashes in a row, the last one alone, that
+	// prove a task to be poison.
+	poisonEarly = 2
+	// poisonCount is the number of crashes that prove it, the last one alone, if the
 	// task may have survived some of its starts.
-	deadlyCount = 3
+	poisonCount = 3
 	// suspectCount is the number of crashes from which a task is suspected, whoever else
 	// was there.
 	suspectCount = 2
@@ -65,12 +65,12 @@
 
 func verdict(t *job.TaskCrashes, s Scene) job.Verdict {
 	switch {
-	case s.Alone && s.StartKnown && t.Early >= deadlyEarly:
-		return job.Deadly
-	case s.Alone && t.Early >= deadlyCount:
-		return job.Deadly
-	case s.Alone && t.Count >= deadlyCount && !s.Endless:
-		return job.Deadly
+	case s.Alone && s.StartKnown && t.Early >= poisonEarly:
+		return job.Poison
+	case s.Alone && t.Early >= poisonCount:
+		return job.Poison
+	case s.Alone && t.Count >= poisonCount && !s.Endless:
+		return job.Poison
 	case t.Early > 0 || !s.EarlyOthers:
 		return job.Suspect
 	case t.Count >= suspectCount && !s.Endless:
--- a/cell/crash/crash_test.go
+++ b/cell/crash/crash_test.go
@@ -22,20 +22,20 @@
 		count   int
 	}{
 		{"requests broken off beside others", []Scene{requested, requested, earlyAlone}, false, job.Suspect, 1},
-		{"requests broken off, then two crashes alone", []Scene{requested, earlyAlone, earlyAlone}, false, job.Deadly, 2},
+		{"requests broken off, then two crashes alone", []Scene{requested, earlyAlone, earlyAlone}, false, job.Poison, 2},
 		{"had just begun", []Scene{early}, false, job.Suspect, 1},
 		{"had survived, another had just begun", []Scene{beside}, false, job.Trusted, 1},
 		{"had survived, and so had all others", []Scene{survivor}, false, job.Suspect, 1},
 		{"two crashes beside others that had just begun", []Scene{beside, beside}, false, job.Suspect, 2},
 		{"one crash, alone", []Scene{earlyAlone}, false, job.Suspect, 1},
-		{"two early crashes, the last one alone", []Scene{early, earlyAlone}, false, job.Deadly, 2},
+		{"two early crashes, the last one alone", []Scene{early, earlyAlone}, false, job.Poison, 2},
 		{"two early crashes in company", []Scene{early, early}, false, job.Suspect, 2},
 		{"two crashes alone, not known when it began", []Scene{unknownAlone, unknownAlone}, false, job.Suspect, 2},
-		{"three of them", []Scene{unknownAlone, unknownAlone, unknownAlone}, false, job.Deadly, 3},
+		{"three of them", []Scene{unknownAlone, unknownAlone, unknownAlone}, false, job.Poison, 3},
 		{"an early crash, then survived its start alone", []Scene{early, survivorAlone}, false, job.Suspect, 2},
-		{"late crashes, the last one alone", []Scene{survivor, survivor, survivorAlone}, false, job.Deadly, 3},
+		{"late crashes, the last one alone", []Scene{survivor, survivor, survivorAlone}, false, job.Poison, 3},
 		{"endless task in many crashes", []Scene{survivorAlone, survivorAlone, survivorAlone, beside}, true, job.Trusted, 4},
-		{"endless task that never survives its start", []Scene{early, earlyAlone}, true, job.Deadly, 2},
+		{"endless task that never survives its start", []Scene{early, earlyAlone}, true, job.Poison, 2},
 	} {
 		var tc job.TaskCrashes
 		for i, s := range c.scenes {
--- a/cell/job/crashes.go
+++ b/cell/job/crashes.go
@@ -38,12 +38,12 @@
 	Trusted Verdict = iota
 	// Suspect tasks run where no other job does.
 	Suspect
-	// Deadly tasks have crashed a worker on which no other job ran. They are not started
+	// Poison tasks have crashed a worker on which no other job ran. They are not started
 	// again.
-	Deadly
+	Poison
 )
 
-var verdictNames = []string{"trusted", "suspect", "deadly"}
+var verdictNames = []string{"trusted", "suspect", "poison"}
 
 // CrashesEntry returns the entry that stores the crashes under the tasks of a job.
 func CrashesEntry(id string, c *Crashes) (site.Entry, error) {
--- a/cell/ledger/crashes.go
+++ b/cell/ledger/crashes.go
@@ -52,7 +52,7 @@
 	case !j.Spec.Idempotent:
 		t.Phase = Done
 		t.Code = code.MayHaveRun
-	case j.crashTask(task).Crashes.Verdict == job.Deadly:
+	case j.crashTask(task).Crashes.Verdict == job.Poison:
 		t.Phase = Done
 		t.Code = code.CrashesWorkers
 		if j.Spec.Kind == config.Gang {
--- a/cell/ledger/ledger_test.go
+++ b/cell/ledger/ledger_test.go
@@ -368,31 +368,31 @@
 	m.publish("a", 4, `{"evacuated":{"south":true}}`, code.NoDataCentre)
 }
 
-// TestDeadlyTaskIsGivenUp guards against starting a task that crashes its workers as often
+// TestPoisonTaskIsGivenUp guards against starting a task that crashes its workers as often
 // as its kind of work has attempts, and against giving up those that ran beside it.
-func TestDeadlyTaskIsGivenUp(t *testing.T) {
+func TestPoisonTaskIsGivenUp(t *testing.T) {
 	m := newMachine(t)
 	m.add("a", Record{Home: &Home{Worker: "x", Boot: "1", Epoch: 1, Capacity: capacity}}, code.OK)
-	m.accept("deadly", Spec{Idempotent: true}, code.OK)
+	m.accept("poison", Spec{Idempotent: true}, code.OK)
 	m.accept("beside", Spec{Idempotent: true, Count: 2}, code.OK)
 	boot := 1
 	crash := func() {
 		boot++
 		m.add("a", Record{Home: &Home{Worker: "w", Boot: fmt.Sprint(boot), Epoch: 1, Capacity: capacity}}, code.OK)
 	}
-	m.dispatch("a", "deadly", 1, code.OK, 0)
+	m.dispatch("a", "poison", 1, code.OK, 0)
 	m.dispatch("a", "beside", 1, code.OK, 0, 1)
 	crash()
-	m.dispatch("a", "deadly", 2, code.OK, 0)
+	m.dispatch("a", "poison", 2, code.OK, 0)
 	// Whoever ran beside it is suspected, too, and has to wait for another worker.
 	m.dispatch("a", "beside", 2, code.StaleBase, 0)
 	m.accept("other", Spec{Idempotent: true}, code.OK)
 	m.dispatch("a", "other", 1, code.StaleBase, 0)
 	crash()
-	m.dispatch("a", "deadly", 3, code.OK, 0)
+	m.dispatch("a", "poison", 3, code.OK, 0)
 	crash()
-	if j := m.s.Jobs["deadly"]; j.Code != code.CrashesWorkers {
-		t.Errorf("the deadly job has code %v, want %v", j.Code, code.CrashesWorkers)
+	if j := m.s.Jobs["poison"]; j.Code != code.CrashesWorkers {
+		t.Errorf("the poison job has code %v, want %v", j.Code, code.CrashesWorkers)
 	}
 	m.dispatch("a", "beside", 2, code.OK, 0)
 	m.at = m.at.Add(survivedAfter)
--- a/pollendockd/internal/scheduler/crash_test.go
+++ b/pollendockd/internal/scheduler/crash_test.go
@@ -10,13 +10,13 @@
 )
 
 const (
-	// atStart and late are how long a worker lives after it has started a deadly task.
+	// atStart and late are how long a worker lives after it has started a poison task.
 	atStart = 10 * time.Millisecond
 	late    = 1800 * time.Millisecond
 )
 
-// deadly makes the first task of a job crash each worker that starts it.
-func deadly(c *cell, id string, after time.Duration) {
+// poison makes the first task of a job crash each worker that starts it.
+func poison(c *cell, id string, after time.Duration) {
 	c.outcome = func(t site.TaskID, _ int64, _ string) (time.Duration, site.EndKind) {
 		if t.Job == id && t.Index == 0 {
 			return after, site.Crashed
@@ -25,9 +25,9 @@
 	}
 }
 
-// TestDeadlyTaskIsGivenUp guards against starting a task that crashes its workers for
+// TestPoisonTaskIsGivenUp guards against starting a task that crashes its workers for
 // ever.
-func TestDeadlyTaskIsGivenUp(t *testing.T) {
+func TestPoisonTaskIsGivenUp(t *testing.T) {
 	jobs := []struct {
 		name  string
 		steps []job.Step
@@ -75,7 +75,7 @@
 		for _, j := range jobs {
 			t.Run(f.name+"/"+j.name, func(t *testing.T) {
 				inCell(t, 4, func(c *cell) {
-					deadly(c, "j1", j.after)
+					poison(c, "j1", j.after)
 					c.start("a")
 					time.Sleep(3 * time.Second)
 					c.start("b")
@@ -125,7 +125,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			inCell(t, 8, func(cl *cell) {
-				deadly(cl, "deadly", c.after)
+				poison(cl, "poison", c.after)
 				cl.start("a")
 				time.Sleep(3 * time.Second)
 				v := cl.start("b")
@@ -137,7 +137,7 @@
 					others = append(others, id)
 					cl.submit(id, tasks(2, 2))
 					if n == 10 {
-						cl.submit("deadly", c.step)
+						cl.submit("poison", c.step)
 					}
 					if n == 45 {
 						// The first crash is known by then, the second is not.
@@ -145,11 +145,11 @@
 					}
 					time.Sleep(150 * time.Millisecond)
 				}
-				expectPhase(cl, v, "deadly", 30*time.Second, job.Failed)
+				expectPhase(cl, v, "poison", 30*time.Second, job.Failed)
 				for _, id := range others {
 					expectPhase(cl, v, id, 20*time.Second, job.Completed)
 				}
-				if n := cl.fleet.CrashesInCompany(site.TaskID{Job: "deadly"}); n > c.most {
+				if n := cl.fleet.CrashesInCompany(site.TaskID{Job: "poison"}); n > c.most {
 					t.Errorf("the task took other jobs down %d times, want %d at most", n, c.most)
 				}
 			})
@@ -176,12 +176,12 @@
 	})
 }
 
-// TestManyDeadlyTasks guards against suspects that wait for ever while others come, and
+// TestManyPoisonTasks guards against suspects that wait for ever while others come, and
 // against gangs among them that never find several empty workers.
-func TestManyDeadlyTasks(t *testing.T) {
+func TestManyPoisonTasks(t *testing.T) {
 	inCell(t, 10, func(c *cell) {
 		c.outcome = func(t site.TaskID, _ int64, _ string) (time.Duration, site.EndKind) {
-			if t.Job[0] == 'd' && t.Index == 0 {
+			if t.Job[0] == 'p' && t.Index == 0 {
 				return atStart, site.Crashed
 			}
 			return workTime, site.Done
@@ -202,7 +202,7 @@
 				id = fmt.Sprintf("gang%d", n)
 				step = gang(4, 4)
 			case n < 100 && n%5 == 0:
-				id = fmt.Sprintf("deadly%d", n)
+				id = fmt.Sprintf("poison%d", n)
 			}
 			c.submit(id, step)
 			ids = append(ids, id)
@@ -211,7 +211,7 @@
 		time.Sleep(55 * time.Second)
 		for _, id := range ids {
 			want := job.Completed
-			if id[0] == 'd' {
+			if id[0] == 'p' {
 				want = job.Failed
 			}
 			expectPhase(c, v, id, time.Second, want)
@@ -224,15 +224,15 @@
 func TestSuspectQueriesBeforeOthers(t *testing.T) {
 	inCell(t, 4, func(c *cell) {
 		c.advise(site.Advice{Base: 150 * time.Millisecond, TicketLifetime: 5 * time.Second}, 1)
-		deadly(c, "deadly", atStart)
+		poison(c, "poison", atStart)
 		v := c.start("a")
 		time.Sleep(time.Second)
-		c.submit("deadly", tasks(1, 2))
+		c.submit("poison", tasks(1, 2))
 		for n := range 300 {
 			time.Sleep(100 * time.Millisecond)
 			c.submit(fmt.Sprintf("other%d", n), tasks(1, 1))
 		}
-		expectPhase(c, v, "deadly", time.Second, job.Failed)
+		expectPhase(c, v, "poison", time.Second, job.Failed)
 	})
 }
 
--- a/pollendockd/internal/scheduler/tracked_job.go
+++ b/pollendockd/internal/scheduler/tracked_job.go
@@ -322,7 +322,7 @@
 		}
 	}
 	t.Status = job.Waiting
-	if tj.crashesOf(r.task).Verdict == job.Deadly {
+	if tj.crashesOf(r.task).Verdict == job.Poison {
 		t.Status = job.Released
 		l.giveUp(tj, r.task)
 	}
@@ -367,7 +367,7 @@
 		l.finish(tj, job.Failed, "a gang failed too often")
 		return
 	}
-	if tj.crashesOf(r.task).Verdict == job.Deadly {
+	if tj.crashesOf(r.task).Verdict == job.Poison {
 		for i := range tasks {
 			tasks[i].Status = job.Released
 		}
--- a/soak/cell.go
+++ b/soak/cell.go
@@ -264,8 +264,8 @@
 	if j == nil {
 		return time.Second, site.Done
 	}
-	if j.deadly && t.Step == 0 && t.Index == 0 {
-		return deadlyTime, site.Crashed
+	if j.poison && t.Step == 0 && t.Index == 0 {
+		return poisonTime, site.Crashed
 	}
 	if run == 1 && j.failFirstRun {
 		return j.runTime, site.Failed
--- a/soak/jobclient.go
+++ b/soak/jobclient.go
@@ -19,8 +19,8 @@
 		steps        []stepBody
 		runTime      time.Duration
 		failFirstRun bool
-		// deadly is set if the first task crashes its workers.
-		deadly bool
+		// poison is set if the first task crashes its workers.
+		poison bool
 
 		mu sync.Mutex
 		// accepted is the time of the first 200 response; zero before it.
@@ -51,8 +51,8 @@
 )
 
 const (
-	// deadlyTime is how long a worker lives after it has started a deadly task.
-	deadlyTime   = 20 * time.Millisecond
+	// poisonTime is how long a worker lives after it has started a poison task.
+	poisonTime   = 20 * time.Millisecond
 	callTimeout  = 3 * time.Second
 	maxAttempts  = 6
 	retryDelay   = 400 * time.Millisecond
@@ -67,7 +67,7 @@
 )
 
 func newJobClient(id string, r *rand.Rand) *jobClient {
-	j := &jobClient{id: id, runTime: time.Duration(200+r.IntN(2000)) * time.Millisecond, failFirstRun: r.IntN(8) == 0, deadly: r.IntN(60) == 0}
+	j := &jobClient{id: id, runTime: time.Duration(200+r.IntN(2000)) * time.Millisecond, failFirstRun: r.IntN(8) == 0, poison: r.IntN(60) == 0}
 	step := func(count int, cores int64, gang bool) stepBody {
 		return stepBody{Count: count, CPU: cores * 1000, MemMB: 500, EstimatedMs: j.runTime.Milliseconds(), Gang: gang}
 	}
@@ -160,7 +160,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.state = answer.State
-	if answer.State == cancelled || answer.State == failed && !j.deadly || answer.State == completed && j.deadly {
+	if answer.State == cancelled || answer.State == failed && !j.poison || answer.State == completed && j.poison {
 		report(violation(fmt.Sprintf("job %s is reported as %s without a cause", j.id, answer.State)))
 	}
 }
@@ -171,11 +171,11 @@
 	return j.accepted
 }
 
-// hasEnded reports whether the job has ended as it should: a deadly one has failed.
+// hasEnded reports whether the job has ended as it should: a poison one has failed.
 func (j *jobClient) hasEnded() bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if j.deadly {
+	if j.poison {
 		return j.state == failed
 	}
 	return j.state == completed
