crash: two crashes alone prove a poison task only if the process ended at its start

A worker that was restarted and one that crashed had hit the same task, alone both times, and neither answer had shown that it survived.

The second crash alone now proves guilt only if the worker refuses connections and the first broken call came within 0.3 s of the request to start the run; otherwise the third does. The flag stays until the worker answers: another process at its address, which refuses calls for the old one, used to clear it.

With that a task whose crashes happen around changes of leader may be started a fourth time. The check of the simulated fleet, written today, was stricter than the rule; it has the rule's bound now: the third start after three crashes.

--- a/cell/crash/crash.go
+++ b/cell/crash/crash.go
@@ -18,8 +18,9 @@
 	Begun bool
 	// Survived is set if the run is known to have survived its start.
 	Survived bool
-	// StartKnown is set if it is known when the run began.
-	StartKnown bool
+	// Sudden is set if the run is known to have begun just before the crash. Without it
+	// the run may also have worked for some time, unseen.
+	Sudden bool
 	// EarlyOthers is set if another run on the worker was not known to have survived
 	// its start.
 	EarlyOthers bool
@@ -65,7 +66,7 @@
 
 func verdict(t *job.TaskCrashes, s Scene) job.Verdict {
 	switch {
-	case s.Alone && s.StartKnown && t.Early >= poisonEarly:
+	case s.Alone && s.Sudden && t.Early >= poisonEarly:
 		return job.Poison
 	case s.Alone && t.Early >= poisonCount:
 		return job.Poison
--- a/pollendockd/internal/scheduler/crash.go
+++ b/pollendockd/internal/scheduler/crash.go
@@ -59,16 +59,24 @@
 		return
 	}
 	for _, r := range early {
-		r.scene = crash.Scene{Run: r.number, Begun: r.stage == running, StartKnown: r.stage != inherited, EarlyOthers: len(early) > 1, Alone: len(jobs) == 1}
+		r.scene = crash.Scene{Run: r.number, Begun: r.stage == running, Sudden: wk.exitedAfterStart(r), EarlyOthers: len(early) > 1, Alone: len(jobs) == 1}
 	}
 	for _, r := range survivors {
-		r.scene = crash.Scene{Run: r.number, Begun: true, Survived: true, StartKnown: true, EarlyOthers: len(early) > 0, Alone: len(jobs) == 1}
+		r.scene = crash.Scene{Run: r.number, Begun: true, Survived: true, EarlyOthers: len(early) > 0, Alone: len(jobs) == 1}
 	}
 	l.s.deps.Counts.Count("worker_crashes", 1)
 	_ = level.Warn(l.s.deps.Logger).Log("msg", "worker crashed", "worker", wk.id, "boot", wk.boot, "evidence", evidence,
 		"lastAnswerMs", time.Since(wk.clockAt).Milliseconds(), "survivors", len(survivors), "early", len(early), "earlyRuns", runNames(early))
 }
 
+// exitedAfterStart reports whether the worker's process ended within probation of the
+// request to start the run. The time of its end is known if connections are refused since:
+// those that were open broke with it.
+func (wk *worker) exitedAfterStart(r *run) bool {
+	after := wk.failedAt.Sub(r.sentAt)
+	return wk.refusesConnections && !r.sentAt.IsZero() && after >= 0 && after <= probation
+}
+
 // survivedStart reports whether the run is known to have worked for the time of
 // probation. A gang works only once all members are present, which its progress shows.
 func (r *run) survivedStart() bool {
@@ -105,7 +113,7 @@
 	tj.crashesDirty = true
 	l.s.deps.Counts.Count("tasks_"+after.Verdict.String(), 1)
 	l.logRun(r, "worker crashed under a run", "crashes", after.Count, "early", after.Early, "verdict", after.Verdict,
-		"begun", r.scene.Begun, "alone", r.scene.Alone, "survived", r.scene.Survived, "startKnown", r.scene.StartKnown, "earlyOthers", r.scene.EarlyOthers)
+		"begun", r.scene.Begun, "alone", r.scene.Alone, "survived", r.scene.Survived, "sudden", r.scene.Sudden, "earlyOthers", r.scene.EarlyOthers)
 }
 
 // giveUp ends a job one of whose tasks crashes its workers.
--- a/pollendockd/internal/scheduler/hold.go
+++ b/pollendockd/internal/scheduler/hold.go
@@ -135,7 +135,12 @@
 		l.s.endLeadership("a worker has received requests of a later term")
 		return
 	}
-	wk.refusesConnections = refusal != nil && refusal.Reason == site.RefusedConnection
+	if refusal != nil && refusal.Reason == site.RefusedConnection {
+		wk.refusesConnections = true
+	}
+	if wk.holdFails == 0 {
+		wk.failedAt = time.Now()
+	}
 	wk.holdFails++
 	wk.holdAt = sentAt.Add(holdRetryDelay)
 	if !wk.unreachable && wk.holdFails > 1 {
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -59,8 +59,10 @@
 		holdAt      time.Time
 		holdFails   int
 		unreachable bool
-		// refusesConnections is set if no process listened at the last call.
+		// refusesConnections is set if no process has listened there since the last answer.
 		refusesConnections bool
+		// failedAt is when the first call failed since the last answer.
+		failedAt time.Time
 
 		// stalledSince is when the worker's runs stopped making progress. It is zero
 		// while one of them progresses.
--- a/standin/fleet/crash.go
+++ b/standin/fleet/crash.go
@@ -11,8 +11,10 @@
 	// long it takes to return.
 	unlistedAfter = 2500 * time.Millisecond
 	restartAfter  = 3 * time.Second
-	// maxCrashes is the number of workers that a task may crash.
-	maxCrashes = 3
+	// After maxCrashes crashes under a task, the start number maxStartsAfter of it is a
+	// violation.
+	maxCrashes     = 3
+	maxStartsAfter = 3
 )
 
 // Crash ends the process of a worker for a reason of its own.
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -27,8 +27,9 @@
 		// startedAt is when the newest run of a task started.
 		startedAt map[site.TaskID]time.Time
 		// crashes counts the workers that crashed because of a task, crashesInCompany
-		// those of them on which other jobs ran.
+		// those of them on which other jobs ran, startsAfter the starts since maxCrashes.
 		crashes          map[site.TaskID]int
+		startsAfter      map[site.TaskID]int
 		crashesInCompany map[site.TaskID]int
 		// keepIDs is set if a worker that has crashed returns under its id.
 		keepIDs bool
@@ -48,7 +49,7 @@
 	return &Fleet{
 		began: time.Now(), workers: map[string]*Worker{}, outcome: outcome, size: size,
 		done: map[site.TaskID]bool{}, starts: map[site.TaskID]int{}, startedAt: map[site.TaskID]time.Time{},
-		crashes: map[site.TaskID]int{}, crashesInCompany: map[site.TaskID]int{},
+		crashes: map[site.TaskID]int{}, startsAfter: map[site.TaskID]int{}, crashesInCompany: map[site.TaskID]int{},
 	}
 }
 
