--- a/cell/job/crashes.go
+++ b/cell/job/crashes.go
@@ -17,16 +17,17 @@
 	// TaskCrashes counts the workers that have crashed under one task. A gang counts as
 	// its first task.
 	TaskCrashes struct {
-		_           struct{} `cbor:",toarray"`
-		Step, Index int
+		_     struct{} `cbor:",toarray"`
+		Step  int      `json:"step"`
+		Index int      `json:"index"`
 		// Count is the number of crashes.
-		Count int
+		Count int `json:"count"`
 		// Early is the number of the latest of them, in a row, that came before the run
 		// was known to have survived its start.
-		Early int
+		Early int `json:"early"`
 		// Run is the newest run that is counted.
-		Run     int64
-		Verdict Verdict
+		Run     int64   `json:"run"`
+		Verdict Verdict `json:"verdict"`
 	}
 
 	// Verdict is whether a task is taken to crash its workers.
--- a/cell/ledger/crashes.go
+++ b/cell/ledger/crashes.go
@@ -21,8 +21,8 @@
 	return &j.Tasks[task]
 }
 
-// suspected reports whether a task is to run where no other job does.
-func (j *Job) suspected(task int) bool {
+// Suspected reports whether a task is to run where no other job does.
+func (j *Job) Suspected(task int) bool {
 	c := j.crashTask(task).Crashes
 	return c != nil && c.Verdict == job.Suspect
 }
@@ -79,7 +79,7 @@
 // Admits reports whether a task may be dispatched to a worker as far as suspects are
 // concerned: they and other jobs keep apart. It also returns the reason.
 func (s *State) Admits(worker string, j *Job, task int) (bool, string) {
-	suspected := j.suspected(task)
+	suspected := j.Suspected(task)
 	for ref := range s.tasksOnWorker[worker] {
 		if ref.Job == j.ID {
 			continue
@@ -105,17 +105,13 @@
 }
 
 // isolates reports whether other jobs keep away from a dispatched task: from a suspect
-// until it has survived its start, and to its end if it has seen several crashes.
+// until it has survived its start, and to its end if it has seen several crashes and has
+// an end.
 func (s *State) isolates(ref TaskRef) bool {
 	j := s.Jobs[ref.Job]
-	if !j.suspected(ref.Task) {
+	if !j.Suspected(ref.Task) {
 		return false
 	}
 	survived := s.Clock.Sub(j.Tasks[ref.Task].DispatchedAt) >= survivedAfter
-	return !survived || j.crashTask(ref.Task).Crashes.Count > 1
-}
-
-// Suspected reports whether a task is to run where no other job does.
-func (s *State) Suspected(j *Job, task int) bool {
-	return j.suspected(task)
+	return !survived || j.Spec.Kind != config.Service && j.crashTask(ref.Task).Crashes.Count > 1
 }
--- a/cell/ledger/ledger_test.go
+++ b/cell/ledger/ledger_test.go
@@ -402,3 +402,19 @@
 		t.Errorf("the task beside it has %d failures and %d crashes, want 0 and 1", beside.Failures, beside.Crashes.Count)
 	}
 }
+
+// TestServiceIsCleared guards against a service that keeps a worker for itself for ever,
+// because its workers have crashed twice.
+func TestServiceIsCleared(t *testing.T) {
+	m := newMachine(t)
+	m.accept("service", Spec{Idempotent: true, Kind: config.Service}, code.OK)
+	for attempt := int64(1); attempt <= 2; attempt++ {
+		m.dispatch("a", "service", attempt, code.OK, 0)
+		m.add("a", Record{Home: &Home{Worker: "w", Boot: fmt.Sprint(attempt + 1), Epoch: 1, Capacity: capacity}}, code.OK)
+	}
+	m.dispatch("a", "service", 3, code.OK, 0)
+	m.accept("other", Spec{Idempotent: true}, code.OK)
+	m.dispatch("a", "other", 1, code.StaleBase, 0)
+	m.at = m.at.Add(survivedAfter)
+	m.dispatch("a", "other", 1, code.OK, 0)
+}
--- a/pollendockd/internal/entry/isolation.go
+++ b/pollendockd/internal/entry/isolation.go
@@ -22,7 +22,7 @@
 	if kept, is := c.keptFree[u.id]; is && kept.job != j.ID && now.Before(kept.until) {
 		return false
 	}
-	if c.state.Suspected(j, task) && !u.lookupLoad.IsZero() {
+	if j.Suspected(task) && !u.lookupLoad.IsZero() {
 		return false
 	}
 	admitted, _ := c.state.Admits(u.id, j, task)
@@ -37,7 +37,7 @@
 // keepFree keeps the worker of this VM with the fewest tasks free for a suspect, until it
 // has none.
 func (c *control) keepFree(p *schedulingPass, j *ledger.Job, task int) {
-	if !c.state.Suspected(j, task) {
+	if !j.Suspected(task) {
 		return
 	}
 	var best *upstream
--- a/pollendockd/internal/entry/place.go
+++ b/pollendockd/internal/entry/place.go
@@ -231,7 +231,7 @@
 func (c *control) chooseWorker(p *schedulingPass, j *ledger.Job, task int) *upstream {
 	size := j.Spec.Size
 	spread := c.state.Document.Policy(j.Spec.Kind).Spread
-	if c.state.Suspected(j, task) {
+	if j.Suspected(task) {
 		return c.pickWorker(p, p.own, j, task, spread)
 	}
 	for _, unplaceable := range p.unplaceable {
