scheduler: one rule for gangs' first task, one loop that drops planned runs

Found by reading the change again; behaviour stays as it is. The crashes under a task use the rule that its checkpoint had (representative), evacuated and shrunk workers the same loop, and a pass looks for suspects only in jobs that have seen a crash, where it counted all waiting tasks of each step twice.

--- a/pollendockd/internal/scheduler/capacity.go
+++ b/pollendockd/internal/scheduler/capacity.go
@@ -4,8 +4,6 @@
 	"time"
 
 	"github.com/go-kit/log/level"
-
-	"pollendock.example/cell/site"
 )
 
 // dropOvercommitted ends the runs for which there is no capacity any more: their worker
@@ -13,18 +11,15 @@
 // dropEvacuated it is called before the first start request of a batch is sent.
 func (l *leadership) dropOvercommitted(starts []*run, now time.Time) {
 	tooOld := now.Sub(l.s.listedAt) > maxListAge
-	dropped := 0
-	for _, r := range starts {
+	dropped := l.dropPlanned(starts, func(r *run) string {
 		switch {
-		case !r.bound():
 		case tooOld:
-			l.endRun(r, site.NotRun, "the list of workers is too old")
-			dropped++
+			return "the list of workers is too old"
 		case !r.wk.used.Fits(r.wk.upstream.Capacity):
-			l.endRun(r, site.NotRun, "the worker has shrunk")
-			dropped++
+			return "the worker has shrunk"
 		}
-	}
+		return ""
+	})
 	if dropped == 0 {
 		return
 	}
--- a/pollendockd/internal/scheduler/crash.go
+++ b/pollendockd/internal/scheduler/crash.go
@@ -86,17 +86,10 @@
 	return r.wk.clockAt.Sub(r.confirmedAt) >= probation
 }
 
-// crashKey names the task as which the crashes under a task are counted.
-func (tj *trackedJob) crashKey(t site.TaskID) (step, index int) {
-	if tj.sub.Steps[t.Step].Gang {
-		return t.Step, 0
-	}
-	return t.Step, t.Index
-}
-
 // crashesOf returns the crashes under a task.
 func (tj *trackedJob) crashesOf(t site.TaskID) job.TaskCrashes {
-	return tj.crashes.Of(tj.crashKey(t))
+	t = tj.representative(t)
+	return tj.crashes.Of(t.Step, t.Index)
 }
 
 // recordCrash counts the crash of its worker under a run that has ended with it. The
--- a/pollendockd/internal/scheduler/evacuation.go
+++ b/pollendockd/internal/scheduler/evacuation.go
@@ -55,18 +55,15 @@
 // run of a gang all others are marked to be stopped, so none of them is sent either.
 func (l *leadership) dropEvacuated(starts []*run) {
 	tooOld := l.catalogTooOld()
-	dropped := 0
-	for _, r := range starts {
+	dropped := l.dropPlanned(starts, func(r *run) string {
 		switch {
-		case !r.bound():
 		case tooOld:
-			l.endRun(r, site.NotRun, "the catalog is too old")
-			dropped++
+			return "the catalog is too old"
 		case l.evacuated(r.wk):
-			l.endRun(r, site.NotRun, "the data centre has been evacuated")
-			dropped++
+			return "the data centre has been evacuated"
 		}
-	}
+		return ""
+	})
 	if dropped == 0 {
 		return
 	}
@@ -74,6 +71,22 @@
 	_ = level.Info(l.s.deps.Logger).Log("msg", "planned runs dropped for an evacuation", "runs", dropped, "catalogTooOld", tooOld)
 }
 
+// dropPlanned ends the runs for which there is a reason not to start them, and returns
+// their number.
+func (l *leadership) dropPlanned(starts []*run, reason func(r *run) string) int {
+	dropped := 0
+	for _, r := range starts {
+		if !r.bound() {
+			continue
+		}
+		if why := reason(r); why != "" {
+			l.endRun(r, site.NotRun, why)
+			dropped++
+		}
+	}
+	return dropped
+}
+
 // mustNotResend reports whether a start request that got no answer must not be repeated.
 // The request may have been executed, or may yet be. That of a gang member is repeated:
 // otherwise a lost request would stop the members that have started, although the run was
--- a/pollendockd/internal/scheduler/hold.go
+++ b/pollendockd/internal/scheduler/hold.go
@@ -294,7 +294,7 @@
 // unsavedPercent is the progress that a restart would lose: all that the newest
 // checkpoint does not hold. A gang resumes from the checkpoint of any member.
 func (r *run) unsavedPercent() int {
-	kept := r.tj.checkpoints[r.tj.checkpointKey(r.task)]
+	kept := r.tj.checkpoints[r.tj.representative(r.task)]
 	switch {
 	case kept.text == "":
 		return r.percent
@@ -354,13 +354,15 @@
 	if text == "" || !r.tj.sub.Steps[r.task.Step].Checkpointing {
 		return
 	}
-	key := r.tj.checkpointKey(r.task)
+	key := r.tj.representative(r.task)
 	if r.tj.checkpoints[key].text != text {
 		r.tj.checkpoints[key] = checkpoint{text, r.number, r.percent}
 	}
 }
 
-func (tj *trackedJob) checkpointKey(t site.TaskID) site.TaskID {
+// representative returns the task with which the checkpoint of a task and the crashes
+// under it are kept: of a gang the first.
+func (tj *trackedJob) representative(t site.TaskID) site.TaskID {
 	if tj.sub.Steps[t.Step].Gang {
 		t.Index = 0
 	}
--- a/pollendockd/internal/scheduler/isolation.go
+++ b/pollendockd/internal/scheduler/isolation.go
@@ -46,13 +46,7 @@
 
 // suspected reports whether a task is to run where no other job does.
 func (tj *trackedJob) suspected(step, index int) bool {
-	if tj.crashes == nil {
-		return false
-	}
-	if tj.sub.Steps[step].Gang {
-		index = 0
-	}
-	return tj.crashes.Of(step, index).Verdict == job.Suspect
+	return tj.crashes != nil && tj.crashesOf(site.TaskID{Step: step, Index: index}).Verdict == job.Suspect
 }
 
 // cleared reports whether other jobs may run beside a suspect: it has survived its start.
--- a/pollendockd/internal/scheduler/requests.go
+++ b/pollendockd/internal/scheduler/requests.go
@@ -59,7 +59,7 @@
 	}
 	req := &site.StartRequest{
 		Task: r.task, Run: r.number, Spec: r.tj.sub.Spec, Token: l.term.Epoch, Ticket: r.ticket,
-		LeaseEnd: end, Checkpoint: r.tj.checkpoints[r.tj.checkpointKey(r.task)].text,
+		LeaseEnd: end, Checkpoint: r.tj.checkpoints[r.tj.representative(r.task)].text,
 	}
 	r.stage = starting
 	r.sentAt = now
--- a/pollendockd/internal/scheduler/waiting.go
+++ b/pollendockd/internal/scheduler/waiting.go
@@ -37,11 +37,8 @@
 			continue
 		}
 		for step := range tj.state.Steps {
-			if !tj.anyWaiting(step) || !tj.state.Ready(tj.sub, step) {
-				continue
-			}
 			for _, isolated := range []bool{false, true} {
-				if tj.countWaiting(step, isolated) == 0 {
+				if !tj.anyWaiting(step, isolated) || !tj.state.Ready(tj.sub, step) {
 					continue
 				}
 				ws := &waitingStep{tj: tj, step: step, sortKey: l.sortKeyOf(p, tj, step), isolated: isolated}
@@ -80,10 +77,13 @@
 	return slack > time.Duration(patienceFactor*float64(ws.tj.forecast.criticalPaths[ws.step]))
 }
 
-// anyWaiting reports whether the step has a task to start.
-func (tj *trackedJob) anyWaiting(step int) bool {
+// anyWaiting reports whether the step has a task to start: a suspect or another.
+func (tj *trackedJob) anyWaiting(step int, isolated bool) bool {
+	if isolated && tj.crashes == nil {
+		return false
+	}
 	for i := range tj.state.Steps[step] {
-		if tj.state.Steps[step][i].Status == job.Waiting {
+		if tj.state.Steps[step][i].Status == job.Waiting && tj.suspected(step, i) == isolated {
 			return true
 		}
 	}
