--- a/pollendockd/internal/cluster/catalogs.go
+++ b/pollendockd/internal/cluster/catalogs.go
@@ -76,7 +76,9 @@
 	}
 	var reply CatalogReply
 	err := p.client(&c.member, forCatalogs).Call(ctx, "Catalog", &req, &reply)
+	p.counts.Count("catalog_queries", 1)
 	if err != nil {
+		p.counts.Count("catalog_queries_unanswered", 1)
 		if peer.NotSent.Has(err) {
 			p.recordContact(c.member.Incarnation, unreachableContact)
 		}
