--- a/pollendockd/internal/cluster/catalogs_test.go
+++ b/pollendockd/internal/cluster/catalogs_test.go
@@ -1,11 +1,21 @@
 package cluster
 
 import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"fmt"
+	"math/rand/v2"
+	"net"
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
+
+	"pollendock.example/cell/loopback"
 	"pollendock.example/cell/site"
 	"pollendock.example/pollendockd/internal/request"
+	"pollendock.example/pollendockd/internal/telemetry"
 )
 
 // TestCatalogs: the catalog of another VM arrives with its indexes and its age. It is not
@@ -50,3 +60,58 @@
 		t.Errorf("%d VMs would be asked", len(list))
 	}
 }
+
+// failingSource is a source of catalogs that never answers this VM.
+type failingSource struct{}
+
+func (failingSource) Next(ctx context.Context, _ time.Duration) (*site.Catalog, error) {
+	return nil, site.ErrRefused.New("503")
+}
+
+// largeCatalog returns a catalog that compresses badly, and its size as it is encoded.
+func largeCatalog(t *testing.T, seed uint64) (*site.Catalog, int64) {
+	t.Helper()
+	rng := rand.New(rand.NewPCG(seed, 0))
+	c := &site.Catalog{Version: 5, Revision: 5}
+	for range 4000 {
+		c.Queues = append(c.Queues, site.Queue{Name: fmt.Sprintf("%016x", rng.Uint64()), Host: fmt.Sprintf("%016x.example", rng.Uint64()), PathPrefix: "/q/"})
+	}
+	var b bytes.Buffer
+	if err := gob.NewEncoder(&b).Encode(c); err != nil {
+		t.Fatal(err)
+	}
+	return c.Index(), int64(b.Len())
+}
+
+// TestLargeCatalogArrivesFromPeerOverSlowLink: a VM that cannot read the source got the
+// beginning of another VM's catalog again and again, which kept the link of that VM full.
+func TestLargeCatalogArrivesFromPeerOverSlowLink(t *testing.T) {
+	const (
+		seed     = 33
+		slowLink = 100 << 10 // bytes a second
+	)
+	t.Logf("seed %d", seed)
+	catalog, size := largeCatalog(t, seed)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	link := loopback.NewLink(slowLink)
+	p := newPairAt(t, &fakeHandler{version: 5, catalog: catalog}, link.Listener(ln))
+	counts := telemetry.Counts{Scope: telemetry.NewMetrics().Scope}
+	watcher := request.NewCatalogWatcher(failingSource{}, log.NewNopLogger(), counts)
+	sharer := request.NewCatalogSharer(watcher, p.peers, site.Bounds{}, counts)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	go func() { _ = watcher.Run(ctx) }()
+	go func() { _ = sharer.Run(ctx) }()
+	for watcher.Current() == nil {
+		if ctx.Err() != nil {
+			t.Fatalf("the catalog of %d bytes did not arrive; %d bytes were sent", size, link.Sent())
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if sent := link.Sent(); sent > 2*size {
+		t.Errorf("%d bytes were sent for a catalog of %d", sent, size)
+	}
+}
--- a/pollendockd/internal/cluster/peers_test.go
+++ b/pollendockd/internal/cluster/peers_test.go
@@ -136,11 +136,17 @@
 // newPairOf returns a pair whose other VM has the given handler.
 func newPairOf(t *testing.T, handler RequestHandler) *pair {
 	t.Helper()
-	p := &pair{leader: &fakeLeader{}, follower: &fakeFollower{offered: make(chan int, 1000)}, records: &fakeRecords{}}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
+	return newPairAt(t, handler, ln)
+}
+
+// newPairAt returns a pair whose other VM has the given handler and listener.
+func newPairAt(t *testing.T, handler RequestHandler, ln net.Listener) *pair {
+	t.Helper()
+	p := &pair{leader: &fakeLeader{}, follower: &fakeFollower{offered: make(chan int, 1000)}, records: &fakeRecords{}}
 	server, err := peer.NewRPCServer(ln, NewServer(t.Context(), "b/1", nil, handler, p.leader, p.follower, nil, log.NewNopLogger()))
 	if err != nil {
 		t.Fatal(err)
