A read of the store ends after a silence, not after a fixed time

Callers saw: no VM served a request any more, also long after the traffic had ended (LOST, no answer came in time about a job).

Cause: every read had a fixed time, whatever its size, and began again from its first byte: the configuration's long poll had 0.6 s beside its wait, then reads of 1.2 s followed each 0.25 s, up to five at a time. A version of 4,200 queues (1.5 MB) takes 1.2 s over a link of 10 Mbit/s to itself, so it never arrived, and the five kept the link full; then the reads of the records were cut off, too.

Evidence: with what the logs lacked, 31 VMs of 35 log "catalog source is unavailable: response cut off after 0.3 to 0.9 MB and 1.6 s", then "record stream is unavailable: cut off after 80 to 250 KB and 1.2 s".

Change: cell/transfer ends a call when nothing has arrived for some time, 20 s at most. Reads of the configuration, the records and the list of workers use it. While a response arrives, no other call is made for the same data. Such a catalog counts as the newest only until its transfer began, so requests are not served by an old one for longer than before.

--- a/pollendockd/internal/cluster/catalogs_test.go
+++ b/pollendockd/internal/cluster/catalogs_test.go
@@ -15,7 +15,6 @@
 	"pollendock.example/cell/loopback"
 	"pollendock.example/cell/site"
 	"pollendock.example/pollendockd/internal/request"
-	"pollendock.example/pollendockd/internal/telemetry"
 )
 
 // TestCatalogs: the catalog of another VM arrives with its indexes and its age. It is not
@@ -98,9 +97,8 @@
 	}
 	link := loopback.NewLink(slowLink)
 	p := newPairAt(t, &fakeHandler{version: 5, catalog: catalog}, link.Listener(ln))
-	counts := telemetry.Counts{Scope: telemetry.NewMetrics().Scope}
-	watcher := request.NewCatalogWatcher(failingSource{}, log.NewNopLogger(), counts)
-	sharer := request.NewCatalogSharer(watcher, p.peers, site.Bounds{}, counts)
+	watcher := request.NewCatalogWatcher(failingSource{}, log.NewNopLogger(), noCounts{})
+	sharer := request.NewCatalogSharer(watcher, p.peers, site.Bounds{}, noCounts{})
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 	defer cancel()
 	go func() { _ = watcher.Run(ctx) }()
--- a/pollendockd/internal/cluster/peers_test.go
+++ b/pollendockd/internal/cluster/peers_test.go
@@ -70,7 +70,9 @@
 
 func (h *fakeHandler) Catalog() (*site.Catalog, time.Duration) { return h.catalog, h.catalogAge }
 
-func (noCounts) Count(string, int64) {}
+func (noCounts) Count(string, int64)        {}
+func (noCounts) Time(string, time.Duration) {}
+func (noCounts) Gauge(string, int64)        {}
 
 func (l *fakeLeader) Accept(_ context.Context, entries []site.Entry) error {
 	l.entries += len(entries)
--- a/pollendockd/internal/replica/follower.go
+++ b/pollendockd/internal/replica/follower.go
@@ -11,6 +11,7 @@
 
 	"pollendock.example/cell/job"
 	"pollendock.example/cell/site"
+	"pollendock.example/cell/transfer"
 	"pollendock.example/pollendockd/internal/retry"
 )
 
@@ -243,7 +244,7 @@
 }
 
 func (f *Follower) readPage(ctx context.Context, wait time.Duration) (*site.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
+	ctx, cancel := transfer.WithTimeout(ctx, wait+readTimeout)
 	defer cancel()
 	began := time.Now()
 	p, err := f.stream.Read(ctx, f.view.Next(), wait)
--- a/pollendockd/internal/replica/load.go
+++ b/pollendockd/internal/replica/load.go
@@ -8,6 +8,7 @@
 
 	"pollendock.example/cell/job"
 	"pollendock.example/cell/site"
+	"pollendock.example/cell/transfer"
 )
 
 // loadProgress is the progress of loading the newest record of every key.
@@ -22,8 +23,8 @@
 	wrapped, done bool
 }
 
-// pageTimeout bounds one page of the newest records. All pages together take longer
-// than that on a VM with a slow link, while all VMs load at the same time.
+// pageTimeout is how long nothing may arrive of a page of the newest records. A page takes
+// longer than that on a VM with a slow link, while all VMs load at the same time.
 const pageTimeout = 3 * time.Second
 
 func newLoadProgress() loadProgress {
@@ -79,7 +80,7 @@
 }
 
 func (f *Follower) loadPage(ctx context.Context, after string) (*site.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, pageTimeout)
+	ctx, cancel := transfer.WithTimeout(ctx, pageTimeout)
 	defer cancel()
 	return f.stream.Newest(ctx, after)
 }
--- a/pollendockd/internal/request/catalog.go
+++ b/pollendockd/internal/request/catalog.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log/level"
 
 	"pollendock.example/cell/site"
+	"pollendock.example/cell/transfer"
 	"pollendock.example/pollendockd/internal/retry"
 )
 
@@ -70,9 +71,14 @@
 
 // waitForChange waits for a new catalog, for up to catalogWait.
 func (w *CatalogWatcher) waitForChange(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, catalogWait+catalogTimeout)
+	wait := catalogWait
+	if w.Age() > catalogWait {
+		// The last catalog took so long to arrive that a newer one may be there.
+		wait = 0
+	}
+	ctx, cancel := transfer.WithTimeout(ctx, wait+catalogTimeout)
 	defer cancel()
-	return w.poll(ctx, catalogWait)
+	return w.poll(ctx, wait)
 }
 
 // waitForSource waits until the source answers again.
@@ -95,7 +101,12 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.lastReadAt.Store(int64(time.Since(w.start)))
+	at := time.Since(w.start)
+	if began := transfer.BeganAt(ctx); c != nil && !began.IsZero() {
+		// The catalog was the newest when the source began to send it.
+		at = began.Sub(w.start)
+	}
+	w.lastReadAt.Store(max(int64(at), w.lastReadAt.Load()))
 	old := w.current.Load()
 	if c == nil || !c.NewerThan(old) {
 		return err
--- a/pollendockd/internal/retry/retry_test.go
+++ b/pollendockd/internal/retry/retry_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"pollendock.example/cell/transfer"
 	"pollendock.example/pollendockd/internal/sleep"
 )
 
@@ -55,3 +57,35 @@
 		synctest.Wait()
 	})
 }
+
+// TestUntilLeavesTheLinkToOneResponse: a response that takes longer than the timeout arrives,
+// alone from the moment at which it begins.
+func TestUntilLeavesTheLinkToOneResponse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			latency = time.Second
+			parts   = 30
+			gap     = 100 * time.Millisecond
+		)
+		var receiving, most atomic.Int64
+		err := Until(t.Context(), func(ctx context.Context) error {
+			sleep.For(ctx, latency)
+			for n := range parts {
+				if ctx.Err() != nil {
+					return ctx.Err()
+				}
+				transfer.Received(ctx)
+				if at := receiving.Add(1); n > parts/2 && at > most.Load() {
+					most.Store(at)
+				}
+				sleep.For(ctx, gap)
+				receiving.Add(-1)
+			}
+			return nil
+		})
+		if err != nil || most.Load() != 1 {
+			t.Errorf("%d responses arrived at a time, %v", most.Load(), err)
+		}
+		synctest.Wait()
+	})
+}
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -1,13 +1,13 @@
 package scheduler
 
 import (
-	"context"
 	"time"
 
 	"github.com/go-kit/log/level"
 
 	"pollendock.example/cell/resource"
 	"pollendock.example/cell/site"
+	"pollendock.example/cell/transfer"
 )
 
 type (
@@ -121,7 +121,7 @@
 	s.polls++
 	s.polledAt = now
 	go func() {
-		ctx, cancel := context.WithTimeout(s.ctx, pollTimeout)
+		ctx, cancel := transfer.WithTimeout(s.ctx, pollTimeout)
 		defer cancel()
 		list, unreadable, err := s.deps.Upstreams.Next(ctx)
 		s.post(upstreamsDone{list, unreadable, now, err})
--- a/pollendockd/large_catalog_test.go
+++ b/pollendockd/large_catalog_test.go
@@ -17,7 +17,6 @@
 	"pollendock.example/cell/site"
 	"pollendock.example/platform"
 	"pollendock.example/pollendockd/internal/request"
-	"pollendock.example/pollendockd/internal/telemetry"
 	"pollendock.example/standin/fleet"
 )
 
@@ -45,6 +44,11 @@
 `
 )
 
+// noGauges drops all values.
+type noGauges struct{}
+
+func (noGauges) Gauge(string, int64) {}
+
 // configurationOf returns the operators' record of a large configuration.
 func configurationOf(version int) site.Entry {
 	var b strings.Builder
@@ -76,7 +80,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	watcher := request.NewCatalogWatcher(p.Catalogs, log.NewNopLogger(), telemetry.Counts{Scope: telemetry.NewMetrics().Scope})
+	watcher := request.NewCatalogWatcher(p.Catalogs, log.NewNopLogger(), noGauges{})
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 	defer cancel()
 	for version := 1; version <= 2; version++ {
