Catalogs pass between VMs compressed, in parts, and once

Callers saw: VMs that had the newest configuration refused them as well.

Cause: a VM whose source of the configuration failed asked three VMs each 0.3 s; each sent all of it, and the call ended after 0.25 s. Over a link of 10 Mbit/s that is never enough for 1.5 MB, and it filled the links of the VMs that had it: their own reads, for which there was nothing to transfer, got no answer either. From then on no VM knew the newest version, with or without traffic.

Evidence: the VMs with version 25 sent 2.4 to 2.7 MB/s and lost the source at 69 s, three seconds after they had read it.

Change: VMs say which catalog they hold and how old it is; only the newest is fetched, from one VM, compressed, in parts of 64 KB with a time of their own. A VM that knows of a newer version serves by none that is only excused by an outage. TestCatalogs now fetches the catalog that it was sent before, checks all of it, and that a VM which holds it does not ask again.

--- a/pollendockd/internal/cluster/catalogs.go
+++ b/pollendockd/internal/cluster/catalogs.go
@@ -1,7 +1,12 @@
 package cluster
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
+	"encoding/gob"
+	"fmt"
+	"io"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -12,13 +17,8 @@
 )
 
 type (
-	// CatalogRequest asks for the catalog of another VM.
-	CatalogRequest struct {
-		// Version and Revision are those of the catalog that the caller holds, 0 if it
-		// has none.
-		Version  int64
-		Revision int64
-	}
+	// CatalogRequest asks another VM which catalog it holds.
+	CatalogRequest struct{}
 
 	// CatalogReply describes the catalog of a VM.
 	CatalogReply struct {
@@ -27,26 +27,54 @@
 		Revision int64
 		// Age is the time since the catalog was last known to be the newest.
 		Age time.Duration
-		// Catalog is nil if the caller holds it.
-		Catalog *site.Catalog
+	}
+
+	// CatalogPartRequest asks for a part of an encoded catalog.
+	CatalogPartRequest struct {
+		Version  int64
+		Revision int64
+		Offset   int
+	}
+
+	// CatalogPartReply is a part of an encoded catalog.
+	CatalogPartReply struct {
+		Data []byte
+		// Size is the size of the whole, 0 if the VM does not hold that catalog.
+		Size int
+	}
+
+	// catalogEncoder encodes the catalog of a VM, once for all VMs that ask for it.
+	catalogEncoder struct {
+		mu      sync.Mutex
+		catalog *site.Catalog
+		data    []byte
 	}
 )
 
-// catalogPeers is how many VMs are asked for their catalogs at a time.
-const catalogPeers = 3
+const (
+	// catalogPeers is how many VMs are asked for their catalogs at a time.
+	catalogPeers = 3
+	// catalogPartBytes is short enough for a part to arrive over a slow link that
+	// several VMs share.
+	catalogPartBytes   = 64 << 10
+	catalogPartTimeout = 1200 * time.Millisecond
+	// maxEncodedCatalog and maxCatalogBytes bound a catalog, encoded and decoded.
+	maxEncodedCatalog = 8 << 20
+	maxCatalogBytes   = 32 << 20
+)
 
 // Size returns the number of other VMs that are known.
 func (p *Peers) Size() int {
 	return len(p.candidates())
 }
 
-// Catalogs asks a few other VMs for their catalogs, and calls onAnswer for each answer. VMs
-// that did not answer lately are left out.
-func (p *Peers) Catalogs(ctx context.Context, held *site.Catalog, onAnswer func(*request.PeerCatalog)) {
+// Catalogs asks a few other VMs which catalogs they hold, and calls onAnswer for each answer.
+// VMs that did not answer lately are left out.
+func (p *Peers) Catalogs(ctx context.Context, onAnswer func(*request.PeerCatalog)) {
 	var wg sync.WaitGroup
 	for _, c := range catalogTargets(p.candidates(), time.Now()) {
 		wg.Go(func() {
-			if a := p.catalogOf(ctx, &c, held); a != nil {
+			if a := p.catalogOf(ctx, &c); a != nil {
 				onAnswer(a)
 			}
 		})
@@ -67,15 +95,11 @@
 	return usable[:min(catalogPeers, len(usable))]
 }
 
-// catalogOf asks one VM for its catalog. It returns nil if there is no answer.
-func (p *Peers) catalogOf(ctx context.Context, c *candidate, held *site.Catalog) *request.PeerCatalog {
+// catalogOf asks one VM which catalog it holds. It returns nil if there is no answer.
+func (p *Peers) catalogOf(ctx context.Context, c *candidate) *request.PeerCatalog {
 	began := time.Now()
-	var req CatalogRequest
-	if held != nil {
-		req = CatalogRequest{Version: held.Version, Revision: held.Revision}
-	}
 	var reply CatalogReply
-	err := p.client(&c.member, forCatalogs).Call(ctx, "Catalog", &req, &reply)
+	err := p.client(&c.member, forCatalogs).Call(ctx, "Catalog", &CatalogRequest{}, &reply)
 	p.counts.Count("catalog_queries", 1)
 	if err != nil {
 		p.counts.Count("catalog_queries_unanswered", 1)
@@ -84,23 +108,110 @@
 		}
 		return nil
 	}
-	if reply.Catalog != nil {
-		reply.Catalog.Index()
-	}
 	// The other VM computed the age after this call began.
-	return &request.PeerCatalog{From: c.member.Name, Version: reply.Version, Revision: reply.Revision, ReadAt: began.Add(-reply.Age), Catalog: reply.Catalog}
+	return &request.PeerCatalog{From: c.member.Name, Version: reply.Version, Revision: reply.Revision, ReadAt: began.Add(-reply.Age)}
 }
 
-// Catalog returns the catalog of this VM.
-func (s *Server) Catalog(r *CatalogRequest, reply *CatalogReply) (err error) {
+// FetchCatalog returns the catalog that another VM has described. It arrives in parts, so
+// that its size does not matter to the time of a call.
+func (p *Peers) FetchCatalog(ctx context.Context, a *request.PeerCatalog) (*site.Catalog, error) {
+	m, isMember := p.view.Members()[a.From]
+	if !isMember {
+		return nil, peer.NotSent.New("%s is no longer a member", a.From)
+	}
+	client := p.client(&m, forCatalogs)
+	var data []byte
+	for size := 1; len(data) < size; {
+		var part CatalogPartReply
+		if err := callCatalogPart(ctx, client, &CatalogPartRequest{a.Version, a.Revision, len(data)}, &part); err != nil {
+			return nil, err
+		}
+		if part.Size > maxEncodedCatalog || len(part.Data) == 0 {
+			return nil, peer.Class.New("%s sent %d bytes of a catalog of %d", a.From, len(part.Data), part.Size)
+		}
+		size = part.Size
+		data = append(data, part.Data...)
+	}
+	p.counts.Count("catalog_bytes_received", int64(len(data)))
+	return decodeCatalog(data)
+}
+
+func callCatalogPart(ctx context.Context, client *peer.Client, r *CatalogPartRequest, part *CatalogPartReply) error {
+	ctx, cancel := context.WithTimeout(ctx, catalogPartTimeout)
+	defer cancel()
+	return client.Call(ctx, "CatalogPart", r, part)
+}
+
+// Catalog describes the catalog of this VM.
+func (s *Server) Catalog(_ *CatalogRequest, reply *CatalogReply) (err error) {
 	defer s.recoverPanic("Catalog", &err)
 	c, age := s.handler.Catalog()
 	if c == nil {
 		return nil
 	}
 	reply.Version, reply.Revision, reply.Age = c.Version, c.Revision, age
-	if c.Version != r.Version || c.Revision != r.Revision {
-		reply.Catalog = c
+	return nil
+}
+
+// CatalogPart returns a part of the catalog of this VM.
+func (s *Server) CatalogPart(r *CatalogPartRequest, reply *CatalogPartReply) (err error) {
+	defer s.recoverPanic("CatalogPart", &err)
+	c, _ := s.handler.Catalog()
+	if c == nil || c.Version != r.Version || c.Revision != r.Revision {
+		return nil
+	}
+	data, err := s.encoder.encode(c)
+	if err != nil {
+		return err
+	}
+	if r.Offset < 0 || r.Offset > len(data) {
+		return fmt.Errorf("offset %d of a catalog of %d bytes", r.Offset, len(data))
 	}
+	reply.Size = len(data)
+	reply.Data = data[r.Offset:min(len(data), r.Offset+catalogPartBytes)]
 	return nil
 }
+
+// encode returns the encoded catalog.
+func (e *catalogEncoder) encode(c *site.Catalog) ([]byte, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.catalog == c {
+		return e.data, nil
+	}
+	data, err := encodeCatalog(c)
+	if err != nil {
+		return nil, err
+	}
+	e.catalog, e.data = c, data
+	return data, nil
+}
+
+// encodeCatalog returns the compressed encoding of a catalog.
+func encodeCatalog(c *site.Catalog) ([]byte, error) {
+	var b bytes.Buffer
+	w, err := gzip.NewWriterLevel(&b, gzip.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if err := gob.NewEncoder(w).Encode(c); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return b.Bytes(), nil
+}
+
+// decodeCatalog is the inverse of encodeCatalog. The catalog is indexed.
+func decodeCatalog(data []byte) (*site.Catalog, error) {
+	r, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return nil, peer.Class.Wrap(err)
+	}
+	var c site.Catalog
+	if err := gob.NewDecoder(io.LimitReader(r, maxCatalogBytes)).Decode(&c); err != nil {
+		return nil, peer.Class.Wrap(err)
+	}
+	return c.Index(), nil
+}
--- a/pollendockd/internal/cluster/catalogs_test.go
+++ b/pollendockd/internal/cluster/catalogs_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"reflect"
 	"testing"
 	"time"
 
@@ -17,33 +18,62 @@
 	"pollendock.example/pollendockd/internal/request"
 )
 
-// TestCatalogs: the catalog of another VM arrives with its indexes and its age. It is not
-// sent to a VM that holds the version.
+// TestCatalogs: another VM says which catalog it holds and how old it is. The catalog arrives
+// with its indexes, also if it is larger than a call may be, and only while that VM holds it.
 func TestCatalogs(t *testing.T) {
 	p := newPair(t)
-	p.handler.catalog = (&site.Catalog{
-		Version:  5,
-		Queues:   []site.Queue{{Name: "q", Host: "h", PathPrefix: "/q/"}},
-		Teams:    []site.Team{{Name: "a", Keys: []string{"ka"}}},
-		Services: map[string]site.Service{"s": {ChecksAdmission: true}},
-	}).Index()
+	large, size := largeCatalog(t, 1)
+	if size < 2*catalogPartBytes {
+		t.Fatalf("a catalog of %d bytes", size)
+	}
+	large.Teams = []site.Team{{Name: "a", Keys: []string{"ka"}}}
+	large.Services = map[string]site.Service{"s": {ChecksAdmission: true}}
+	large.Evacuated = map[string]bool{"d": true}
+	p.handler.catalog = large.Index()
 	p.handler.catalogAge = 4 * time.Second
-	for _, held := range []int64{0, 5, 6} {
-		answers := 0
-		p.peers.Catalogs(t.Context(), &site.Catalog{Version: held}, func(a *request.PeerCatalog) {
-			answers++
-			if a.From != "b" || a.Version != 5 || time.Since(a.ReadAt) < 4*time.Second || time.Since(a.ReadAt) > 9*time.Second {
-				t.Errorf("held %d: %+v", held, a)
-			}
-			if sent := a.Catalog != nil; sent != (held != 5) {
-				t.Errorf("held %d: sent %v", held, sent)
-			}
-			if a.Catalog != nil && a.Catalog.TeamOfKey("ka") == nil {
-				t.Errorf("held %d: the key is not indexed", held)
-			}
-		})
-		if answers != 1 {
-			t.Errorf("held %d: %d answers", held, answers)
+	var answers []*request.PeerCatalog
+	p.peers.Catalogs(t.Context(), func(a *request.PeerCatalog) { answers = append(answers, a) })
+	if len(answers) != 1 {
+		t.Fatalf("%d answers", len(answers))
+	}
+	a := answers[0]
+	if a.From != "b" || a.Version != 5 || a.Revision != 5 || time.Since(a.ReadAt) < 4*time.Second || time.Since(a.ReadAt) > 9*time.Second {
+		t.Errorf("%+v", a)
+	}
+	c, err := p.peers.FetchCatalog(t.Context(), a)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(c, large) {
+		t.Error("another catalog arrived")
+	}
+	if c.TeamOfKey("ka") == nil {
+		t.Error("the key is not indexed")
+	}
+	a.Version++
+	if c, err := p.peers.FetchCatalog(t.Context(), a); err == nil {
+		t.Errorf("version %d arrived for %d", c.Version, a.Version)
+	}
+}
+
+// TestOddCatalogParts: what another VM sends instead of a catalog is an error, not a catalog.
+func TestOddCatalogParts(t *testing.T) {
+	good, err := encodeCatalog(&site.Catalog{Version: 5})
+	if err != nil {
+		t.Fatal(err)
+	}
+	cases := []struct {
+		name string
+		data []byte
+	}{
+		{"nothing", nil},
+		{"not compressed", []byte("version 5")},
+		{"cut off", good[:len(good)/2]},
+		{"one byte changed", append(append([]byte{}, good[:len(good)/2]...), make([]byte, len(good)/2)...)},
+	}
+	for _, c := range cases {
+		if got, err := decodeCatalog(c.data); err == nil {
+			t.Errorf("%s: got %+v", c.name, got)
 		}
 	}
 }
@@ -53,7 +83,7 @@
 	p := newPair(t)
 	p.server.Close()
 	for range 2 {
-		p.peers.Catalogs(t.Context(), nil, func(*request.PeerCatalog) { t.Error("an answer") })
+		p.peers.Catalogs(t.Context(), func(*request.PeerCatalog) { t.Error("an answer") })
 	}
 	if list := catalogTargets(p.peers.candidates(), time.Now()); len(list) > 0 {
 		t.Errorf("%d VMs would be asked", len(list))
--- a/pollendockd/internal/cluster/peers.go
+++ b/pollendockd/internal/cluster/peers.go
@@ -78,6 +78,7 @@
 		follower Follower
 		relay    Relay
 		logger   log.Logger
+		encoder  catalogEncoder
 	}
 
 	// Peers calls the other entry VMs.
--- a/pollendockd/internal/request/shared_catalog.go
+++ b/pollendockd/internal/request/shared_catalog.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"pollendock.example/cell/site"
 	"pollendock.example/pollendockd/internal/sleep"
 )
@@ -12,15 +14,16 @@
 type (
 	// CatalogPeers asks other entry VMs for their catalogs.
 	CatalogPeers interface {
-		// Catalogs asks a few other VMs, and calls onAnswer for each answer. It returns
-		// once all calls have ended. A VM with the same revision does not send
-		// the catalog again. Held is nil if this VM has none.
-		Catalogs(ctx context.Context, held *site.Catalog, onAnswer func(a *PeerCatalog))
+		// Catalogs asks a few other VMs which catalogs they hold, and calls onAnswer for
+		// each answer. It returns once all calls have ended.
+		Catalogs(ctx context.Context, onAnswer func(a *PeerCatalog))
+		// FetchCatalog returns the catalog that another VM has described.
+		FetchCatalog(ctx context.Context, a *PeerCatalog) (*site.Catalog, error)
 		// Size returns the number of other VMs that are known.
 		Size() int
 	}
 
-	// PeerCatalog is the answer of another VM.
+	// PeerCatalog describes the catalog of another VM.
 	PeerCatalog struct {
 		// From is the name of the VM.
 		From string
@@ -30,8 +33,6 @@
 		// ReadAt is when that catalog was last known to be the newest, on the clock of
 		// the receiver.
 		ReadAt time.Time
-		// Catalog is nil if the receiver holds it.
-		Catalog *site.Catalog
 	}
 
 	// CatalogSharer keeps the catalog of this VM current through other VMs while the
@@ -45,6 +46,8 @@
 		mu sync.Mutex
 		// answeredAt holds when each VM last answered.
 		answeredAt map[string]time.Time
+		// newestVersion and newestRevision are the highest that another VM had.
+		newestVersion, newestRevision int64
 	}
 
 	// catalogEvidence is what is known of the catalogs of other VMs.
@@ -87,31 +90,75 @@
 	return ctx.Err()
 }
 
-// query asks a few VMs for their catalogs, and adopts those that are news.
+// query asks a few VMs for their catalogs, and adopts what is news. Only the newest catalog
+// is transferred, from the first VM that has it, because it may take long over a slow link.
 func (s *CatalogSharer) query(ctx context.Context) {
+	newest := s.ask(ctx)
+	if newest == nil {
+		return
+	}
+	c, err := s.peers.FetchCatalog(ctx, newest)
+	if err != nil {
+		_ = level.Warn(s.catalog.logger).Log("msg", "failed to fetch the catalog of another VM", "from", newest.From, "version", newest.Version, "err", err)
+		return
+	}
+	s.adopt(c, newest.ReadAt)
+}
+
+// ask asks a few VMs which catalogs they hold. It returns the first description of the newest
+// one if that is newer than the catalog of this VM, else nil.
+func (s *CatalogSharer) ask(ctx context.Context) *PeerCatalog {
 	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
 	defer cancel()
-	s.peers.Catalogs(ctx, s.catalog.Current(), s.take)
+	var mu sync.Mutex
+	var newest *PeerCatalog
+	s.peers.Catalogs(ctx, func(a *PeerCatalog) {
+		s.take(a)
+		mu.Lock()
+		defer mu.Unlock()
+		if a.newerThan(s.catalog.Current()) && (newest == nil || a.Version > newest.Version || a.Revision > newest.Revision) {
+			newest = a
+		}
+	})
+	return newest
+}
+
+// newerThan reports whether the described catalog is newer than c, which may be nil.
+func (a *PeerCatalog) newerThan(c *site.Catalog) bool {
+	described := site.Catalog{Version: a.Version, Revision: a.Revision}
+	return a.Version > 0 && described.NewerThan(c)
 }
 
-// take adopts the catalog of another VM if it is news. A VM without a catalog may have just
-// started, so its answer says nothing about the source.
+// take notes the catalog of another VM. A VM without a catalog may have just started, so its
+// answer says nothing about the source.
 func (s *CatalogSharer) take(a *PeerCatalog) {
 	if a.Version == 0 {
 		return
 	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.answeredAt[a.From] = time.Now()
-	c := a.Catalog
-	if current := s.catalog.Current(); c == nil && current != nil && a.Version == current.Version && a.Revision == current.Revision {
-		c = current
+	s.newestVersion = max(s.newestVersion, a.Version)
+	s.newestRevision = max(s.newestRevision, a.Revision)
+	s.mu.Unlock()
+	if c := s.catalog.Current(); c != nil && a.Version == c.Version && a.Revision == c.Revision {
+		s.adopt(c, a.ReadAt)
 	}
-	if c != nil && s.catalog.Adopt(c, a.ReadAt) {
+}
+
+func (s *CatalogSharer) adopt(c *site.Catalog, readAt time.Time) {
+	if s.catalog.Adopt(c, readAt) {
 		s.counts.Count("catalog_adopted", 1)
 	}
 }
 
+// behind reports whether another VM has a newer catalog than this one.
+func (s *CatalogSharer) behind() bool {
+	c := s.catalog.Current()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return c == nil || c.Version < s.newestVersion || c.Revision < s.newestRevision
+}
+
 // evidence counts the VMs that answered recently, and forgets the others.
 func (s *CatalogSharer) evidence() catalogEvidence {
 	s.mu.Lock()
@@ -129,6 +176,9 @@
 	if s.catalog.Fresh(maxCatalogAge) {
 		return true
 	}
+	if s.behind() {
+		return false
+	}
 	return s.catalog.Fresh(outageCatalogAge(&s.bounds)) && s.evidence().unavailableToAll()
 }
 
--- a/pollendockd/internal/request/shared_catalog_test.go
+++ b/pollendockd/internal/request/shared_catalog_test.go
@@ -22,6 +22,7 @@
 	readAt  time.Time
 	follow  bool
 	calls   int
+	fetches int
 }
 
 // bounds are the limits on the age of a catalog in these tests.
@@ -29,7 +30,7 @@
 
 func (p *catalogPeers) Size() int { return 10 }
 
-func (p *catalogPeers) Catalogs(_ context.Context, held *site.Catalog, onAnswer func(*PeerCatalog)) {
+func (p *catalogPeers) Catalogs(_ context.Context, onAnswer func(*PeerCatalog)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.calls++
@@ -40,14 +41,21 @@
 			if p.follow {
 				a.ReadAt = time.Now()
 			}
-			if held == nil || c.Version != held.Version || c.Revision != held.Revision {
-				a.Catalog = c
-			}
 		}
 		onAnswer(a)
 	}
 }
 
+func (p *catalogPeers) FetchCatalog(_ context.Context, a *PeerCatalog) (*site.Catalog, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fetches++
+	if c := p.catalog; c != nil && c.Version == a.Version && c.Revision == a.Revision {
+		return c, nil
+	}
+	return nil, site.ErrRefused.New("not held")
+}
+
 // set configures the VMs that answer and what they hold, which was the newest age ago.
 func (p *catalogPeers) set(c *site.Catalog, age time.Duration, follow bool, names ...string) {
 	p.mu.Lock()
@@ -61,6 +69,12 @@
 	return p.calls
 }
 
+func (p *catalogPeers) fetched() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fetches
+}
+
 func submit(s *fixture, id, key string) error {
 	return s.handler.Submit(s.ctx, address("/q/"+id, key), draft())
 }
@@ -74,8 +88,14 @@
 		s.source.set(nil, true)
 		time.Sleep(20 * time.Second)
 		expectCode(t, "submit", submit(s, goodID, "ka"), code.OK)
+		if n := s.catalogs.fetched(); n != 0 {
+			t.Errorf("the catalog that this VM holds was fetched %d times", n)
+		}
 		s.catalogs.set(catalogOf(2, "knew"), 0, true, "b")
 		time.Sleep(time.Second)
+		if n := s.catalogs.fetched(); n != 1 {
+			t.Errorf("a new catalog was fetched %d times", n)
+		}
 		expectCode(t, "a revoked key", submit(s, otherID, "ka"), code.Unauthenticated)
 		expectCode(t, "a granted key", submit(s, otherID, "knew"), code.OK)
 		s.catalogs.set(catalogOf(1, "ka"), 0, true, "c")
