A call of our own interface's platform ends after a silence, too

The same cause as in the reads of the store: a page of the log that takes longer than a second to arrive was cut off and read again from its beginning.

--- a/cell/platform/client.go
+++ b/cell/platform/client.go
@@ -11,6 +11,8 @@
 	"net/http"
 	"net/netip"
 	"time"
+
+	"pollendock.example/cell/transfer"
 )
 
 type (
@@ -50,8 +52,8 @@
 )
 
 const (
-	// CallMargin is the timeout of a call, in addition to the time that the call
-	// may wait at the service.
+	// CallMargin is how long nothing may arrive of a response, in addition to the time
+	// that the call may wait at the service.
 	CallMargin = time.Second
 
 	dialTimeout  = 700 * time.Millisecond
@@ -79,7 +81,7 @@
 }
 
 func (c *Client) call(ctx context.Context, path string, wait time.Duration, in, out any) error {
-	ctx, cancel := context.WithTimeout(ctx, wait+CallMargin)
+	ctx, cancel := transfer.WithTimeout(ctx, wait+CallMargin)
 	defer cancel()
 	body, err := json.Marshal(in)
 	if err != nil {
@@ -96,7 +98,7 @@
 		return dialRefusal(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	return decodeReply(resp, out)
+	return decodeReply(resp, transfer.Reader(ctx, resp.Body), out)
 }
 
 // dialRefusal converts a failure to connect into a Refusal, since no request was
@@ -109,8 +111,8 @@
 	return Class.Wrap(err)
 }
 
-func decodeReply(resp *http.Response, out any) error {
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplySize))
+func decodeReply(resp *http.Response, body io.Reader, out any) error {
+	data, err := io.ReadAll(io.LimitReader(body, maxReplySize))
 	if err != nil {
 		return Class.Wrap(err)
 	}
