transfer: the test of a trickle takes the time at which the call ended

It failed once in three runs: at the 20th second the call's end and the test's next part fall into the same moment, and the test saw the end half a second later.

--- a/cell/transfer/transfer_test.go
+++ b/cell/transfer/transfer_test.go
@@ -51,12 +51,16 @@
 		began := time.Now()
 		ctx, cancel := WithTimeout(t.Context(), time.Second)
 		defer cancel()
-		for ctx.Err() == nil {
-			Received(ctx)
-			time.Sleep(time.Second / 2)
-		}
+		go func() {
+			for ctx.Err() == nil {
+				Received(ctx)
+				time.Sleep(time.Second / 2)
+			}
+		}()
+		<-ctx.Done()
 		if took := time.Since(began); took != maxTime {
 			t.Errorf("ended after %v", took)
 		}
+		synctest.Wait()
 	})
 }
