--- a/cell/transfer/transfer_test.go
+++ b/cell/transfer/transfer_test.go
@@ -51,16 +51,14 @@
 		began := time.Now()
 		ctx, cancel := WithTimeout(t.Context(), time.Second)
 		defer cancel()
-		go func() {
-			for ctx.Err() == nil {
-				Received(ctx)
-				time.Sleep(time.Second / 2)
-			}
-		}()
-		<-ctx.Done()
-		if took := time.Since(began); took != maxTime {
-			t.Errorf("ended after %v", took)
+		took := make(chan time.Duration, 1)
+		context.AfterFunc(ctx, func() { took <- time.Since(began) })
+		for ctx.Err() == nil {
+			Received(ctx)
+			time.Sleep(time.Second / 2)
+		}
+		if got := <-took; got != maxTime {
+			t.Errorf("ended after %v", got)
 		}
-		synctest.Wait()
 	})
 }
