A version that is arriving is no outage of its source

Found by the review: while a large version arrives, other VMs answer with the old one, so the old one was excused as in an outage although the store is sound. The sharer asks the watcher whether the source is sending a change.

--- a/pollendockd/internal/request/catalog.go
+++ b/pollendockd/internal/request/catalog.go
@@ -43,6 +43,8 @@
 		lastReadAt atomic.Int64
 		// sourceFailing is set while the source does not answer this VM.
 		sourceFailing atomic.Bool
+		// polls holds the contexts of the reads of the source that have not ended.
+		polls map[context.Context]bool
 	}
 )
 
@@ -56,7 +58,7 @@
 
 // NewCatalogWatcher returns a watcher that has no catalog yet.
 func NewCatalogWatcher(source CatalogSource, logger log.Logger, gauges Gauges) *CatalogWatcher {
-	return &CatalogWatcher{source: source, logger: logger, gauges: gauges, start: time.Now()}
+	return &CatalogWatcher{source: source, logger: logger, gauges: gauges, start: time.Now(), polls: map[context.Context]bool{}}
 }
 
 // Run follows the source until ctx ends.
@@ -95,7 +97,9 @@
 
 // poll reads the source once. Several calls may run concurrently.
 func (w *CatalogWatcher) poll(ctx context.Context, wait time.Duration) error {
+	w.notePoll(ctx, true)
 	c, err := w.source.Next(ctx, wait)
+	w.notePoll(ctx, false)
 	if err != nil && c == nil {
 		return err
 	}
@@ -116,6 +120,28 @@
 	return err
 }
 
+func (w *CatalogWatcher) notePoll(ctx context.Context, runs bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if runs {
+		w.polls[ctx] = true
+	} else {
+		delete(w.polls, ctx)
+	}
+}
+
+// Receiving reports whether the source is sending a change to this VM.
+func (w *CatalogWatcher) Receiving() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for ctx := range w.polls {
+		if transfer.Receiving(ctx) {
+			return true
+		}
+	}
+	return false
+}
+
 // reportChanges logs what a new catalog changes. The old one may be nil.
 func (w *CatalogWatcher) reportChanges(old, c *site.Catalog) {
 	if old == nil {
--- a/pollendockd/internal/request/shared_catalog.go
+++ b/pollendockd/internal/request/shared_catalog.go
@@ -176,7 +176,8 @@
 	if s.catalog.Fresh(maxCatalogAge) {
 		return true
 	}
-	if s.behind() {
+	if s.behind() || s.catalog.Receiving() {
+		// There is a newer version, so this is no outage.
 		return false
 	}
 	return s.catalog.Fresh(outageCatalogAge(&s.bounds)) && s.evidence().unavailableToAll()
