--- a/pollendockd/internal/request/catalog.go
+++ b/pollendockd/internal/request/catalog.go
@@ -106,7 +106,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	at := time.Since(w.start)
-	if began := transfer.BeganAt(ctx); c != nil && !began.IsZero() {
+	if began := transfer.BeganAt(ctx); !began.IsZero() {
 		// The catalog was the newest when the source began to send it.
 		at = began.Sub(w.start)
 	}
