--- a/cell/site/stream.go
+++ b/cell/site/stream.go
@@ -34,6 +34,9 @@
 		// After is the key after which a scan by key continues; empty on the last
 		// page of the scan.
 		After string
+		// BeganAt is when the page began to arrive, which may take seconds; zero if unknown.
+		// It holds what the stream had then.
+		BeganAt time.Time
 		// CaughtUpAt is a time, by the reader's own clock, at which the reader
 		// had read all entries before these; zero if unknown.
 		CaughtUpAt time.Time
--- a/pollendockd/internal/replica/follower.go
+++ b/pollendockd/internal/replica/follower.go
@@ -49,9 +49,10 @@
 		lastOfferAt atomic.Int64
 		// readNow triggers a read without delay.
 		readNow chan struct{}
-		// lastReadAt is the time since start at which the stream last answered or
-		// offered records were last applied.
-		lastReadAt atomic.Int64
+		// lastAnswerAt is the time since start at which the stream last answered or
+		// records were offered, lastReadAt the time as of which they were sent.
+		lastAnswerAt atomic.Int64
+		lastReadAt   atomic.Int64
 		// lastLeaderRecordAt is the time since start at which records of a leader were
 		// last applied.
 		lastLeaderRecordAt atomic.Int64
@@ -125,7 +126,10 @@
 		if site.ErrTrimmed.Has(err) {
 			return nil
 		}
-		page.CompareAndSwap(nil, p)
+		if p != nil {
+			p.BeganAt = transfer.BeganAt(ctx)
+			page.CompareAndSwap(nil, p)
+		}
 		return err
 	})
 	if err != nil {
@@ -249,6 +253,7 @@
 	began := time.Now()
 	p, err := f.stream.Read(ctx, f.view.Next(), wait)
 	if err == nil {
+		p.BeganAt = transfer.BeganAt(ctx)
 		f.recordLatency(time.Since(began), wait, len(p.Entries) == 0)
 	}
 	return p, err
@@ -284,6 +289,10 @@
 
 func (f *Follower) applyPage(p *site.Page) {
 	now := int64(time.Since(f.start))
+	asOf := now
+	if !p.BeganAt.IsZero() {
+		asOf = int64(p.BeganAt.Sub(f.start))
+	}
 	for i := range p.Entries {
 		if job.LeaderOnly(p.Entries[i].Key) {
 			f.lastLeaderRecordAt.Store(now)
@@ -300,9 +309,10 @@
 		_ = level.Error(f.logger).Log("msg", "failed to decode record", "err", err)
 	}
 	if f.loaded.Load() && p.Next >= p.End {
-		f.upToDateAt.Store(now)
+		f.upToDateAt.Store(max(asOf, f.upToDateAt.Load()))
 	}
-	if time.Duration(now-f.lastReadAt.Swap(now)) > outageGap {
+	f.lastReadAt.Store(max(asOf, f.lastReadAt.Load()))
+	if time.Duration(now-f.lastAnswerAt.Swap(now)) > outageGap {
 		f.availableSince.Store(now)
 	}
 	if len(ids) > 0 {
--- a/pollendockd/internal/replica/load.go
+++ b/pollendockd/internal/replica/load.go
@@ -82,5 +82,9 @@
 func (f *Follower) loadPage(ctx context.Context, after string) (*site.Page, error) {
 	ctx, cancel := transfer.WithTimeout(ctx, pageTimeout)
 	defer cancel()
-	return f.stream.Newest(ctx, after)
+	p, err := f.stream.Newest(ctx, after)
+	if p != nil {
+		p.BeganAt = transfer.BeganAt(ctx)
+	}
+	return p, err
 }
