platform: one record that cannot be read does not cost its page

Stream.Newest failed whole over one item whose value is no base64 or whose field has another type or a number too large, and Stream.Read over a record without a key or a response longer than 8 MB: the list of workers and the records were then read again and again without success, and followed no more.

--- a/pollendockd/internal/replica/follower.go
+++ b/pollendockd/internal/replica/follower.go
@@ -294,6 +294,9 @@
 	if n := len(p.Entries); n > 0 && contiguousLen(p.Entries) == n && p.Entries[n-1].Offset+1 == p.Next {
 		f.recentRecords.add(p.Entries)
 	}
+	if p.Skipped > 0 {
+		_ = level.Error(f.logger).Log("msg", "records that cannot be read are left out", "records", p.Skipped, "next", p.Next)
+	}
 	ids, err := f.view.Apply(p)
 	if err != nil {
 		_ = level.Error(f.logger).Log("msg", "failed to decode record", "err", err)
