--- a/cell/site/upstream.go
+++ b/cell/site/upstream.go
@@ -29,6 +29,13 @@
 		ColdUntil time.Time
 	}
 
+	// InvalidEntry is an entry of the list of upstreams that does not describe one.
+	InvalidEntry struct {
+		Key string
+		// Reason is a human-readable explanation.
+		Reason string
+	}
+
 	// TaskID identifies a task of a job.
 	TaskID struct {
 		Job string
--- a/pollendockd/internal/scheduler/scheduler.go
+++ b/pollendockd/internal/scheduler/scheduler.go
@@ -51,9 +51,9 @@
 
 	// Upstreams watches the list of workers.
 	Upstreams interface {
-		// Next returns the complete list, or nil if nothing has changed, and the ids of
-		// entries that do not describe a worker.
-		Next(ctx context.Context) ([]site.Upstream, []string, error)
+		// Next returns the complete list, or nil if nothing has changed, and the entries
+		// that do not describe a worker.
+		Next(ctx context.Context) ([]site.Upstream, []site.InvalidEntry, error)
 	}
 
 	// Worker executes requests. After an error that is not a site.RefusalError it is
@@ -155,6 +155,7 @@
 		polls int
 		// listFailing is set while reads of the list fail.
 		listFailing bool
+		invalid     invalidEntries
 	}
 
 	// event is handled by the goroutine that owns the scheduler's state.
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -76,10 +76,10 @@
 	}
 
 	upstreamsDone struct {
-		list       []site.Upstream
-		unreadable []string
-		at         time.Time
-		err        error
+		list    []site.Upstream
+		invalid []site.InvalidEntry
+		at      time.Time
+		err     error
 	}
 )
 
@@ -123,8 +123,8 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(s.ctx, pollTimeout)
 		defer cancel()
-		list, unreadable, err := s.deps.Upstreams.Next(ctx)
-		s.post(upstreamsDone{list, unreadable, now, err})
+		list, invalid, err := s.deps.Upstreams.Next(ctx)
+		s.post(upstreamsDone{list, invalid, now, err})
 	}()
 }
 
@@ -145,9 +145,7 @@
 	if e.list == nil {
 		return
 	}
-	for _, id := range e.unreadable {
-		_ = level.Debug(s.deps.Logger).Log("msg", "entry does not describe a worker", "worker", id)
-	}
+	s.reportInvalid(e.invalid, time.Now())
 	s.upstreams = e.list
 	if s.lead != nil {
 		s.lead.applyList(e.list)
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -71,7 +71,7 @@
 }
 
 // Next returns the list of workers.
-func (f *Fleet) Next(context.Context) ([]site.Upstream, []string, error) {
+func (f *Fleet) Next(context.Context) ([]site.Upstream, []site.InvalidEntry, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	list := []site.Upstream{}
