A row of a worker's lists that cannot be read costs neither the others nor a run

decodeHold failed whole over one row of running or ended: the worker counted as unreachable as long as the row was there, its leases ended, and the row could never be acknowledged. A reply without its lists ('{}') was taken for one of a new process that runs nothing, and an end numbered 2^63-1 acknowledged all ends to come.

Rows are decoded one by one now; a reply without clock, start time or one of the lists is an error, and an end whose number is not below those after it counts as unreadable. What skipping a row means (scheduler/unreadable_rows.go): an unreadable end may be that of any run that is not listed as running. While there is such a run, nothing from that row on is acknowledged, so that its end is not lost, and for 5 s the run is not taken for gone, so that the task does not run twice if the row can be read again. After that it runs again, and that row is never acknowledged, as with leases that are presumed to have lapsed: a success in it would count beside that of the later run. An unreadable row of which no run of ours can be the cause keeps nothing from being acknowledged. While a row of running cannot be read, absence from it shows nothing, but for a run whose stop the worker has confirmed.

Failed before: decodeHold gave 'row has only 0 columns' and 'column 1: json: cannot unmarshal number 1e999' for whole replies, and decoded '{}' as {Boot:0}. TestUnreadableRows fails without its parts: 'started 2 times, want 1', 'run 1 was acknowledged as done, but a later run started after its end'; TestUnreadableRowsOfOthers: '4 ends are not acknowledged'. TestMalformedRows and the last part of TestHoldLists said that one bad row costs the reply; TestOddHoldRows has all their rows and is stricter: such a row is no run and no end, and it says so.

--- a/cell/site/upstream.go
+++ b/cell/site/upstream.go
@@ -90,7 +90,10 @@
 		Clock   time.Duration
 		Boot    int64
 		Running []RunStatus
-		Ended   []RunEnd
+		// UnreadableRuns is the number of further runs, whose rows could not be read.
+		UnreadableRuns int
+		// Ended is in ascending order.
+		Ended []RunEnd
 	}
 
 	// RunStatus is the status of a run that has not ended.
@@ -105,6 +108,9 @@
 
 	// RunEnd is the end of a run.
 	RunEnd struct {
+		// Unreadable is set if the row could not be read. Then only Number is valid, and is
+		// 0 if it could not be read either.
+		Unreadable bool
 		// Number numbers the ends within one run of the worker's process from 1.
 		Number     int64
 		Task       TaskID
--- a/pollendockd/internal/scheduler/hold.go
+++ b/pollendockd/internal/scheduler/hold.go
@@ -104,7 +104,7 @@
 	wk.holdAt = now.Add(holdInterval)
 	if len(wk.runs) == 0 {
 		wk.holdAt = now.Add(idleHoldInterval)
-	} else if wk.ackCapped {
+	} else if wk.ackCapped || wk.unreadable.rows > 0 {
 		// Unacknowledged ends cause the worker to answer each hold at once.
 		wk.holdAt = now.Add(unackedHoldInterval)
 	}
@@ -114,6 +114,7 @@
 	}
 	wk.clock = e.reply.Clock
 	l.processEnds(wk, e.reply)
+	l.noteUnreadableRows(wk, e.reply, now)
 	l.processRuns(wk, e.reply, e.sentAt, now)
 }
 
@@ -162,6 +163,8 @@
 	wk.claimedCPU, wk.gangClaimedCPU = 0, 0
 	wk.presumedLapsed = nil
 	wk.ackCapped = false
+	wk.unreadable = unreadableEnds{}
+	wk.unreadableRuns = 0
 	wk.failures = 0
 	wk.backoffUntil = time.Time{}
 	l.placeNeeded = true
@@ -169,18 +172,21 @@
 
 // processEnds handles run ends that have not been seen before.
 func (l *leadership) processEnds(wk *worker, h *site.HoldReply) {
+	unreadable := false
 	for i := range h.Ended {
 		e := &h.Ended[i]
-		if e.Number <= wk.seen {
+		unreadable = unreadable || wk.unread(e)
+		if e.Unreadable || e.Number <= wk.seen {
 			continue
 		}
-		wk.seen = e.Number
+		if !unreadable {
+			wk.seen = e.Number
+		}
 		key := runKey{e.Task, e.Run}
 		r := wk.runs[key]
 		if r == nil {
 			if wk.presumedLapsed[key] && !wk.ackCapped && (e.Kind == site.Done || e.Kind == site.Failed) && !lapsedAfter(h, e.Number) {
-				wk.ackCapped = true
-				wk.ackLimit = e.Number - 1
+				wk.capAcks(e.Number - 1)
 				_ = level.Warn(l.s.deps.Logger).Log("msg", "end of a run that was presumed lapsed; no further ends of this worker will be acknowledged",
 					"worker", wk.id, "job", e.Task.Job, "step", e.Task.Step, "index", e.Task.Index, "run", e.Run, "how", e.Kind)
 			}
@@ -237,7 +243,7 @@
 		return
 	}
 	for _, r := range wk.runList() {
-		if !listed[r.key()] {
+		if !listed[r.key()] && !l.inconclusive(r, sentAt, now) {
 			l.resolveMissing(r, sentAt, now)
 		}
 	}
@@ -318,10 +324,13 @@
 	}
 	switch {
 	case r.stage == running:
+		r.wk.givenUpUnlisted(r)
 		l.endRun(r, site.LeaseExpired, "no longer listed by the worker")
 	case r.stage == inherited:
+		r.wk.givenUpUnlisted(r)
 		l.endRun(r, site.NotRun, "not found on the worker, which now refuses requests of the previous leader")
 	case r.stage == unconfirmed && r.stopped:
+		r.wk.givenUpUnlisted(r)
 		l.endRun(r, site.NotRun, "stopped before it started")
 	}
 }
--- a/pollendockd/internal/scheduler/requests.go
+++ b/pollendockd/internal/scheduler/requests.go
@@ -174,6 +174,7 @@
 	switch {
 	case e.err == nil:
 		r.stopped = true
+		r.stoppedAt = now
 		l.logRun(r, "run stopped")
 		if r.stage == unconfirmed {
 			r.listValidAfter = now
--- a/pollendockd/internal/scheduler/tracked_job.go
+++ b/pollendockd/internal/scheduler/tracked_job.go
@@ -83,6 +83,7 @@
 		stopBusy   bool
 		stopAt     time.Time
 		stopped    bool
+		stoppedAt  time.Time
 		// isolated is set for a suspect: until it is cleared no other job starts on its
 		// worker.
 		isolated bool
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -35,8 +35,8 @@
 		// that was requested in this term outlives it.
 		leaseEnd time.Duration
 
-		// seen is the number of the last run end that was read, acked that of the last
-		// one whose outcome is durable.
+		// seen is the number of the last run end up to which all were read, acked that of
+		// the last one whose outcome is durable.
 		seen, acked int64
 		// presumedLapsed holds runs that were presumed to have lapsed and may have been
 		// restarted elsewhere. A success of such a run must never be acknowledged,
@@ -45,6 +45,10 @@
 		presumedLapsed map[runKey]bool
 		ackCapped      bool
 		ackLimit       int64
+		unreadable     unreadableEnds
+		// unreadableRuns is the number of unreadable rows in the last list of running
+		// ones.
+		unreadableRuns int
 
 		runs map[runKey]*run
 		used resource.Vector
@@ -283,10 +287,7 @@
 		if r.stage == planned || r.stage == starting {
 			continue
 		}
-		if wk.presumedLapsed == nil {
-			wk.presumedLapsed = map[runKey]bool{}
-		}
-		wk.presumedLapsed[r.key()] = true
+		wk.presumeLapsed(r)
 		l.endRun(r, site.LeaseExpired, "the worker did not answer before its leases expired")
 	}
 }
--- a/standin/fleet/worker.go
+++ b/standin/fleet/worker.go
@@ -46,6 +46,7 @@
 		delayNext  int
 		loseNext   int
 		startDelay time.Duration
+		alterReply func(reply *site.HoldReply)
 	}
 
 	// endedRun is an end that was not acknowledged yet.
@@ -230,6 +231,20 @@
 	w.loseNext = n
 }
 
+// Unacknowledged returns the number of ends that were not acknowledged yet.
+func (w *Worker) Unacknowledged() int {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	return len(w.ended)
+}
+
+// AlterReplies passes each reply to a hold to fn, which may change it; nil for none.
+func (w *Worker) AlterReplies(fn func(reply *site.HoldReply)) {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	w.alterReply = fn
+}
+
 // SetDataCentre sets the data centre of the worker.
 func (w *Worker) SetDataCentre(name string) {
 	w.fleet.mu.Lock()
@@ -448,6 +463,9 @@
 	for _, r := range w.sortedRuns() {
 		reply.Running = append(reply.Running, site.RunStatus{Task: r.task, Run: r.number, Percent: r.percent(time.Now())})
 	}
+	if w.alterReply != nil {
+		w.alterReply(reply)
+	}
 	return reply, nil
 }
 
