scheduler: a run of a task that its job does not have ends no VM

A worker that listed a run of a step or task which the job does not have made the leader's process end ('index out of range [3] with length 1' in bind), and each of its successors after it; one with a step of 2^62 made it allocate steps until its memory was full. The run of an unknown job was logged with each answer of the worker; it is logged once too.

--- a/pollendockd/internal/scheduler/hold.go
+++ b/pollendockd/internal/scheduler/hold.go
@@ -51,6 +51,8 @@
 	stuckDenominator   = 5
 	// fullProgress is the progress of a task that has finished its share of the work.
 	fullProgress = 100
+	// maxStrangers limits the unknown runs of a worker that are logged.
+	maxStrangers = 20
 )
 
 // hold renews the lease and requests the lists of runs. If the worker runs anything, it
@@ -165,6 +167,7 @@
 	wk.ackCapped = false
 	wk.unreadable = unreadableEnds{}
 	wk.unreadableRuns = 0
+	wk.strangers = nil
 	wk.failures = 0
 	wk.backoffUntil = time.Time{}
 	l.placeNeeded = true
@@ -335,28 +338,57 @@
 	}
 }
 
-// adoptUnrecorded tracks a run that is no longer in the records, and stops it.
+// adoptUnrecorded tracks a run that is no longer in the records, and stops it. It returns
+// nil for a run of a task that the records do not have.
 func (l *leadership) adoptUnrecorded(wk *worker, key runKey) *run {
 	tj := l.jobs[key.task.Job]
 	if tj == nil {
 		j := l.s.deps.View.Job(key.task.Job)
 		if j == nil {
-			_ = level.Error(l.s.deps.Logger).Log("msg", "worker runs a task of an unknown job", "worker", wk.id, "job", key.task.Job)
+			l.logStranger(wk, key)
 			return nil
 		}
 		sub := *j.Submission
-		for len(sub.Steps) <= key.task.Step {
+		for len(j.State.Steps) == 0 && len(sub.Steps) <= key.task.Step {
 			// Task sizes are not kept for jobs that have ended.
 			sub.Steps = append(sub.Steps, job.Step{})
 		}
 		tj = newTrackedJob(key.task.Job, &sub, j)
 	}
+	if !tj.hasTask(key.task) {
+		l.logStranger(wk, key)
+		return nil
+	}
 	r := &run{task: key.task, number: key.number, tj: tj, boot: wk.boot, stage: running, decidedAt: time.Now(), stopWanted: true, confirmedAt: time.Now(), percentAt: time.Now()}
 	l.bind(r, wk)
 	l.logRun(r, "run is not in the records; stopping it")
 	return r
 }
 
+// hasTask reports whether the job may have the task. The tasks of a job that has ended are
+// not kept.
+func (tj *trackedJob) hasTask(t site.TaskID) bool {
+	if t.Occurrence != 0 || t.Step >= len(tj.sub.Steps) {
+		return false
+	}
+	return len(tj.state.Steps) == 0 || t.Step < len(tj.state.Steps) && t.Index < len(tj.state.Steps[t.Step])
+}
+
+// logStranger logs a run of a task that the records do not have, once for each run as long
+// as there are few.
+func (l *leadership) logStranger(wk *worker, key runKey) {
+	if wk.strangers[key] || len(wk.strangers) >= maxStrangers {
+		return
+	}
+	if wk.strangers == nil {
+		wk.strangers = map[runKey]bool{}
+	}
+	wk.strangers[key] = true
+	l.s.deps.Counts.Count("strange_runs", 1)
+	_ = level.Error(l.s.deps.Logger).Log("msg", "worker runs a task that is not in the records", "worker", wk.id, "boot", wk.boot,
+		"job", key.task.Job, "step", key.task.Step, "index", key.task.Index, "run", key.number)
+}
+
 // keepCheckpoint saves the newest checkpoint of a task. In a gang the checkpoint of any
 // member applies to all of them.
 func (l *leadership) keepCheckpoint(r *run, text string) {
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -49,6 +49,8 @@
 		// unreadableRuns is the number of unreadable rows in the last list of running
 		// ones.
 		unreadableRuns int
+		// strangers holds runs of unknown tasks that were logged.
+		strangers map[runKey]bool
 
 		runs map[runKey]*run
 		used resource.Vector
