scheduler: workers of a service that is not named are left out; jobs go on beside odd entries

An entry whose service no configuration names was called like that of a worker, every 1.5 s. It is left out now, and reported with the others, until a configuration names the service.

--- a/pollendockd/internal/scheduler/harness_test.go
+++ b/pollendockd/internal/scheduler/harness_test.go
@@ -15,6 +15,7 @@
 	"pollendock.example/cell/job"
 	"pollendock.example/cell/resource"
 	"pollendock.example/cell/site"
+	"pollendock.example/platform"
 	"pollendock.example/pollendockd/internal/replica"
 	"pollendock.example/standin/fleet"
 )
@@ -34,6 +35,11 @@
 		advisor *fleet.Advisor
 		// queueAdvisor is used instead if it is set.
 		queueAdvisor *queueAdvisor
+		// entries holds the entries of the workers, as the platform encodes them. If it is
+		// nil, the VMs get the list from the fleet.
+		entries *fleet.Store
+		// dialedOthers counts the ids that were dialled but are not those of workers.
+		dialedOthers atomic.Int64
 		vms          map[string]*vm
 		mu           sync.Mutex
 		subs         map[string]*job.Submission
@@ -62,6 +68,9 @@
 		largest atomic.Int64
 	}
 
+	// silentWorker answers no call.
+	silentWorker struct{}
+
 	noCounts struct{}
 
 	// advisorClient adapts the stand-in advisor to the Advisor interface.
@@ -117,6 +126,21 @@
 	return s.Store.AppendAs(ctx, t, entries)
 }
 
+func (silentWorker) Start(ctx context.Context, _ *site.StartRequest) (time.Duration, error) {
+	<-ctx.Done()
+	return 0, ctx.Err()
+}
+
+func (silentWorker) Stop(ctx context.Context, _ *site.StopRequest) (time.Duration, error) {
+	<-ctx.Done()
+	return 0, ctx.Err()
+}
+
+func (silentWorker) Hold(ctx context.Context, _ *site.HoldRequest) (*site.HoldReply, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
 func (noCounts) Count(string, int64)        {}
 func (noCounts) Time(string, time.Duration) {}
 
@@ -163,6 +187,15 @@
 	return step.Size, 0
 }
 
+// dial returns the worker with that id, or one that does not answer.
+func (c *cell) dial(id string, _ netip.AddrPort) Worker {
+	if w := c.fleet.Worker(id); w != nil {
+		return w
+	}
+	c.dialedOthers.Add(1)
+	return silentWorker{}
+}
+
 // start starts an entry VM.
 func (c *cell) start(name string) *vm {
 	ctx, cancel := context.WithCancel(c.ctx)
@@ -173,11 +206,14 @@
 	follower := replica.NewFollower(c.store, v.replica, logger, func(ids []string) { v.scheduler.JobsChanged(ids) })
 	deps := Deps{
 		Stream: stream, Follower: follower, View: v.replica, Peers: testPeers{c, name}, Upstreams: c.fleet,
-		Dial:         func(id string, _ netip.AddrPort) Worker { return c.fleet.Worker(id) },
+		Dial:         c.dial,
 		Catalog:      c.currentCatalog,
 		CatalogFresh: func(within time.Duration) bool { return time.Duration(c.catalogAge.Load()) <= within },
 		Logger:       logger, Counts: noCounts{},
 	}
+	if c.entries != nil {
+		deps.Upstreams = platform.SimulatedUpstreams(c.entries)
+	}
 	if c.advisor != nil {
 		deps.Advisor = advisorClient{c.advisor}
 		c.join(name)
--- a/pollendockd/internal/scheduler/invalid_entries.go
+++ b/pollendockd/internal/scheduler/invalid_entries.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -46,6 +47,24 @@
 	}
 }
 
+// ofKnownServices returns the workers of the services that the catalog names, and the other
+// entries: such an entry names no worker to use. Without a catalog all are taken for workers.
+func ofKnownServices(list []site.Upstream, catalog *site.Catalog) ([]site.Upstream, []site.InvalidEntry) {
+	if catalog == nil {
+		return list, nil
+	}
+	known := make([]site.Upstream, 0, len(list))
+	var others []site.InvalidEntry
+	for i := range list {
+		if _, found := catalog.Services[list[i].Service]; found {
+			known = append(known, list[i])
+			continue
+		}
+		others = append(others, site.InvalidEntry{Key: list[i].ID, Reason: fmt.Sprintf("unknown service %.60q", list[i].Service)})
+	}
+	return known, others
+}
+
 // mayLog reports whether one more change may be logged, and notes that it is.
 func (v *invalidEntries) mayLog(now time.Time) bool {
 	for len(v.loggedAt) > 0 && now.Sub(v.loggedAt[0]) >= invalidLogInterval {
--- a/pollendockd/internal/scheduler/invalid_entries_test.go
+++ b/pollendockd/internal/scheduler/invalid_entries_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/go-kit/log"
 
+	"pollendock.example/cell/job"
+	"pollendock.example/cell/resource"
 	"pollendock.example/cell/site"
 )
 
@@ -55,3 +57,35 @@
 		}
 	}
 }
+
+// TestUnknownServices checks that a worker of a service that no configuration names is left
+// out, and is used once one does.
+func TestUnknownServices(t *testing.T) {
+	inCell(t, 1, func(c *cell) {
+		c.fleet.Add("other", "later", resource.Vector{MilliCPU: 10_000, MemoryMB: 10_000})
+		v := c.start("n1")
+		time.Sleep(2 * time.Second)
+		list, _, err := c.fleet.Next(c.ctx)
+		if err != nil {
+			t.Fatal(err)
+		}
+		known, others := ofKnownServices(list, c.currentCatalog())
+		if len(known) != 1 || len(others) != 1 || others[0].Key != "other" || others[0].Reason == "" {
+			t.Errorf("known are %+v, others %+v", known, others)
+		}
+		if known, others := ofKnownServices(list, nil); len(known) != 2 || len(others) != 0 {
+			t.Errorf("without a catalog known are %+v, others %+v", known, others)
+		}
+		c.mu.Lock()
+		c.catalog = (&site.Catalog{
+			Version: 2, Teams: c.catalog.Teams, Services: map[string]site.Service{"s": {}, "later": {}},
+			Queues: append(c.catalog.Queues, site.Queue{Name: "laterQueue", Service: "later", MaxAttempts: 2, Stretch: 2, Objective: time.Second}),
+		}).Index()
+		c.mu.Unlock()
+		c.submitTo("laterQueue", "a", tasks(1, 2))
+		expectPhase(c, v, "a", 5*time.Second, job.Completed)
+		if n := c.fleet.Worker("w0").Running(); n != 0 {
+			t.Errorf("%d runs on a worker of another service", n)
+		}
+	})
+}
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -151,10 +151,11 @@
 	if e.list == nil {
 		return
 	}
-	s.reportInvalid(e.invalid, time.Now())
-	s.upstreams = e.list
+	list, others := ofKnownServices(e.list, s.deps.Catalog())
+	s.reportInvalid(append(others, e.invalid...), time.Now())
+	s.upstreams = list
 	if s.lead != nil {
-		s.lead.applyList(e.list)
+		s.lead.applyList(list)
 	}
 }
 
