--- a/cell/site/stream.go
+++ b/cell/site/stream.go
@@ -37,6 +37,8 @@
 		// BeganAt is when the page began to arrive, which may take seconds; zero if unknown.
 		// It holds what the stream had then.
 		BeganAt time.Time
+		// Skipped is the number of entries that could not be read and are left out.
+		Skipped int
 		// CaughtUpAt is a time, by the reader's own clock, at which the reader
 		// had read all entries before these; zero if unknown.
 		CaughtUpAt time.Time
--- a/pollendockd/internal/scheduler/hold.go
+++ b/pollendockd/internal/scheduler/hold.go
@@ -51,6 +51,8 @@
 	stuckDenominator   = 5
 	// fullProgress is the progress of a task that has finished its share of the work.
 	fullProgress = 100
+	// maxStrangers limits the unknown runs of a worker that are logged.
+	maxStrangers = 20
 )
 
 // hold renews the lease and requests the lists of runs. If the worker runs anything, it
@@ -104,7 +106,7 @@
 	wk.holdAt = now.Add(holdInterval)
 	if len(wk.runs) == 0 {
 		wk.holdAt = now.Add(idleHoldInterval)
-	} else if wk.ackCapped {
+	} else if wk.ackCapped || wk.unreadable.rows > 0 {
 		// Unacknowledged ends cause the worker to answer each hold at once.
 		wk.holdAt = now.Add(unackedHoldInterval)
 	}
@@ -114,6 +116,7 @@
 	}
 	wk.clock = e.reply.Clock
 	l.processEnds(wk, e.reply)
+	l.noteUnreadableRows(wk, e.reply, now)
 	l.processRuns(wk, e.reply, e.sentAt, now)
 }
 
@@ -162,6 +165,9 @@
 	wk.claimedCPU, wk.gangClaimedCPU = 0, 0
 	wk.presumedLapsed = nil
 	wk.ackCapped = false
+	wk.unreadable = unreadableEnds{}
+	wk.unreadableRuns = 0
+	wk.strangers = nil
 	wk.failures = 0
 	wk.backoffUntil = time.Time{}
 	l.placeNeeded = true
@@ -169,18 +175,21 @@
 
 // processEnds handles run ends that have not been seen before.
 func (l *leadership) processEnds(wk *worker, h *site.HoldReply) {
+	unreadable := false
 	for i := range h.Ended {
 		e := &h.Ended[i]
-		if e.Number <= wk.seen {
+		unreadable = unreadable || wk.unread(e)
+		if e.Unreadable || e.Number <= wk.seen {
 			continue
 		}
-		wk.seen = e.Number
+		if !unreadable {
+			wk.seen = e.Number
+		}
 		key := runKey{e.Task, e.Run}
 		r := wk.runs[key]
 		if r == nil {
 			if wk.presumedLapsed[key] && !wk.ackCapped && (e.Kind == site.Done || e.Kind == site.Failed) && !lapsedAfter(h, e.Number) {
-				wk.ackCapped = true
-				wk.ackLimit = e.Number - 1
+				wk.capAcks(e.Number - 1)
 				_ = level.Warn(l.s.deps.Logger).Log("msg", "end of a run that was presumed lapsed; no further ends of this worker will be acknowledged",
 					"worker", wk.id, "job", e.Task.Job, "step", e.Task.Step, "index", e.Task.Index, "run", e.Run, "how", e.Kind)
 			}
@@ -237,7 +246,7 @@
 		return
 	}
 	for _, r := range wk.runList() {
-		if !listed[r.key()] {
+		if !listed[r.key()] && !l.inconclusive(r, sentAt, now) {
 			l.resolveMissing(r, sentAt, now)
 		}
 	}
@@ -318,36 +327,68 @@
 	}
 	switch {
 	case r.stage == running:
+		r.wk.givenUpUnlisted(r)
 		l.endRun(r, site.LeaseExpired, "no longer listed by the worker")
 	case r.stage == inherited:
+		r.wk.givenUpUnlisted(r)
 		l.endRun(r, site.NotRun, "not found on the worker, which now refuses requests of the previous leader")
 	case r.stage == unconfirmed && r.stopped:
+		r.wk.givenUpUnlisted(r)
 		l.endRun(r, site.NotRun, "stopped before it started")
 	}
 }
 
-// adoptUnrecorded tracks a run that is no longer in the records, and stops it.
+// adoptUnrecorded tracks a run that is no longer in the records, and stops it. It returns
+// nil for a run of a task that the records do not have.
 func (l *leadership) adoptUnrecorded(wk *worker, key runKey) *run {
 	tj := l.jobs[key.task.Job]
 	if tj == nil {
 		j := l.s.deps.View.Job(key.task.Job)
 		if j == nil {
-			_ = level.Error(l.s.deps.Logger).Log("msg", "worker runs a task of an unknown job", "worker", wk.id, "job", key.task.Job)
+			l.logStranger(wk, key)
 			return nil
 		}
 		sub := *j.Submission
-		for len(sub.Steps) <= key.task.Step {
+		for len(j.State.Steps) == 0 && len(sub.Steps) <= key.task.Step {
 			// Task sizes are not kept for jobs that have ended.
 			sub.Steps = append(sub.Steps, job.Step{})
 		}
 		tj = newTrackedJob(key.task.Job, &sub, j)
 	}
+	if !tj.hasTask(key.task) {
+		l.logStranger(wk, key)
+		return nil
+	}
 	r := &run{task: key.task, number: key.number, tj: tj, boot: wk.boot, stage: running, decidedAt: time.Now(), stopWanted: true, confirmedAt: time.Now(), percentAt: time.Now()}
 	l.bind(r, wk)
 	l.logRun(r, "run is not in the records; stopping it")
 	return r
 }
 
+// hasTask reports whether the job may have the task. The tasks of a job that has ended are
+// not kept.
+func (tj *trackedJob) hasTask(t site.TaskID) bool {
+	if t.Occurrence != 0 || t.Step >= len(tj.sub.Steps) {
+		return false
+	}
+	return len(tj.state.Steps) == 0 || t.Step < len(tj.state.Steps) && t.Index < len(tj.state.Steps[t.Step])
+}
+
+// logStranger logs a run of a task that the records do not have, once for each run as long
+// as there are few.
+func (l *leadership) logStranger(wk *worker, key runKey) {
+	if wk.strangers[key] || len(wk.strangers) >= maxStrangers {
+		return
+	}
+	if wk.strangers == nil {
+		wk.strangers = map[runKey]bool{}
+	}
+	wk.strangers[key] = true
+	l.s.deps.Counts.Count("strange_runs", 1)
+	_ = level.Error(l.s.deps.Logger).Log("msg", "worker runs a task that is not in the records", "worker", wk.id, "boot", wk.boot,
+		"job", key.task.Job, "step", key.task.Step, "index", key.task.Index, "run", key.number)
+}
+
 // keepCheckpoint saves the newest checkpoint of a task. In a gang the checkpoint of any
 // member applies to all of them.
 func (l *leadership) keepCheckpoint(r *run, text string) {
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -35,8 +35,8 @@
 		// that was requested in this term outlives it.
 		leaseEnd time.Duration
 
-		// seen is the number of the last run end that was read, acked that of the last
-		// one whose outcome is durable.
+		// seen is the number of the last run end up to which all were read, acked that of
+		// the last one whose outcome is durable.
 		seen, acked int64
 		// presumedLapsed holds runs that were presumed to have lapsed and may have been
 		// restarted elsewhere. A success of such a run must never be acknowledged,
@@ -45,6 +45,12 @@
 		presumedLapsed map[runKey]bool
 		ackCapped      bool
 		ackLimit       int64
+		unreadable     unreadableEnds
+		// unreadableRuns is the number of unreadable rows in the last list of running
+		// ones.
+		unreadableRuns int
+		// strangers holds runs of unknown tasks that were logged.
+		strangers map[runKey]bool
 
 		runs map[runKey]*run
 		used resource.Vector
@@ -76,10 +82,10 @@
 	}
 
 	upstreamsDone struct {
-		list       []site.Upstream
-		unreadable []string
-		at         time.Time
-		err        error
+		list    []site.Upstream
+		invalid []site.InvalidEntry
+		at      time.Time
+		err     error
 	}
 )
 
@@ -123,8 +129,8 @@
 	go func() {
 		ctx, cancel := transfer.WithTimeout(s.ctx, pollTimeout)
 		defer cancel()
-		list, unreadable, err := s.deps.Upstreams.Next(ctx)
-		s.post(upstreamsDone{list, unreadable, now, err})
+		list, invalid, err := s.deps.Upstreams.Next(ctx)
+		s.post(upstreamsDone{list, invalid, now, err})
 	}()
 }
 
@@ -145,12 +151,11 @@
 	if e.list == nil {
 		return
 	}
-	for _, id := range e.unreadable {
-		_ = level.Debug(s.deps.Logger).Log("msg", "entry does not describe a worker", "worker", id)
-	}
-	s.upstreams = e.list
+	list, others := ofKnownServices(e.list, s.deps.Catalog())
+	s.reportInvalid(append(others, e.invalid...), time.Now())
+	s.upstreams = list
 	if s.lead != nil {
-		s.lead.applyList(e.list)
+		s.lead.applyList(list)
 	}
 }
 
@@ -285,10 +290,7 @@
 		if r.stage == planned || r.stage == starting {
 			continue
 		}
-		if wk.presumedLapsed == nil {
-			wk.presumedLapsed = map[runKey]bool{}
-		}
-		wk.presumedLapsed[r.key()] = true
+		wk.presumeLapsed(r)
 		l.endRun(r, site.LeaseExpired, "the worker did not answer before its leases expired")
 	}
 }
