Failing test: workers that shrink while they cannot write are overcommitted

The first read of the list after an outage of the store counts as news of every worker on it, although the entries in it are those from before. The simulated workers now register themselves in the store with each heartbeat, so that a test can play it.

--- a/cell/site/local.go
+++ b/cell/site/local.go
@@ -30,6 +30,12 @@
 		Grace time.Duration
 		// StatusRetention is how long the status of an ended job remains available.
 		StatusRetention time.Duration
+		// Heartbeat is the interval in which a worker writes its entry on the list.
+		Heartbeat time.Duration
+		// Contact is how long after a disturbance the deployment allows for everybody to
+		// know of what happened meanwhile. A capacity that has shrunk may be relied on for
+		// Contact and Heartbeat; without limit if either is 0.
+		Contact time.Duration
 		// Evacuation is the time after which an evacuated data centre gets no new
 		// runs; 0 if the deployment sets no limit.
 		Evacuation time.Duration
--- a/cell/site/upstream.go
+++ b/cell/site/upstream.go
@@ -22,6 +22,8 @@
 		// Boot identifies one run of the worker's process: the Unix time of its
 		// start in milliseconds.
 		Boot int64
+		// Clock is the worker's monotonic clock when it wrote this; 0 if it did not say.
+		Clock time.Duration
 		// Draining is set if the worker accepts no new tasks.
 		Draining bool
 		// ColdUntil is the end of the time after its start in which the worker is
--- a/pollendockd/internal/scheduler/capacity_test.go
+++ b/pollendockd/internal/scheduler/capacity_test.go
@@ -7,6 +7,14 @@
 
 	"pollendock.example/cell/job"
 	"pollendock.example/cell/resource"
+	"pollendock.example/cell/site"
+)
+
+const (
+	testHeartbeat = 1500 * time.Millisecond
+	testContact   = 3 * time.Second
+	// testOutage is longer than a capacity may be relied on after it has shrunk.
+	testOutage = testHeartbeat + testContact + time.Second
 )
 
 func cores(n int64) resource.Vector {
@@ -61,3 +69,100 @@
 		})
 	}
 }
+
+// register makes the workers write their entries to the store with each heartbeat. The worker
+// at index i does so i times 0.4 s after the first one.
+func (c *cell) register(workers int) {
+	c.bounds.Heartbeat = testHeartbeat
+	c.bounds.Contact = testContact
+	c.fleet.Register(c.store, testHeartbeat, testHeartbeat+testContact)
+	now := time.Now()
+	for i := range workers {
+		c.fleet.Worker(fmt.Sprintf("w%d", i)).SetHeartbeat(now.Add(time.Duration(i) * 400 * time.Millisecond))
+	}
+}
+
+// shrinkAll takes half of the capacity of the workers away.
+func (c *cell) shrinkAll(workers int) {
+	for i := range workers {
+		c.fleet.Worker(fmt.Sprintf("w%d", i)).SetCapacity(cores(5))
+	}
+}
+
+// expectStartWithin checks that a task of the job is started at a given time at the latest.
+func expectStartWithin(c *cell, id string, since time.Time, within time.Duration) {
+	c.t.Helper()
+	for c.fleet.Starts(site.TaskID{Job: id}) == 0 {
+		if time.Since(since) > within {
+			c.t.Fatalf("no task of job %s was started within %v", id, within)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// TestWorkersShrinkDuringOutage guards against starts by what the workers had written before
+// they shrank, while they could not write. The first read of the list after an outage counted
+// as news of every worker on it.
+func TestWorkersShrinkDuringOutage(t *testing.T) {
+	const workers = 3
+	for _, c := range []struct {
+		name       string
+		begin, end func(c *cell)
+	}{
+		{"store silent", func(c *cell) { c.store.SetSilent(true) }, func(c *cell) { c.store.SetSilent(false) }},
+		{"store refuses", func(c *cell) { c.store.SetUnavailable(true) }, func(c *cell) { c.store.SetUnavailable(false) }},
+		{"entries dropped", func(c *cell) { c.store.SetSilent(true) }, func(c *cell) {
+			c.fleet.DropEntries()
+			c.store.SetSilent(false)
+		}},
+		{"leader killed meanwhile", func(c *cell) { c.store.SetSilent(true) }, func(c *cell) {
+			c.vms["a"].kill()
+			c.store.SetSilent(false)
+		}},
+		{"leader killed after it", func(c *cell) { c.store.SetSilent(true) }, func(c *cell) {
+			c.store.SetSilent(false)
+			time.Sleep(50 * time.Millisecond)
+			c.vms["a"].kill()
+		}},
+		{"all VMs new", func(c *cell) { c.store.SetSilent(true) }, func(c *cell) {
+			c.vms["a"].kill()
+			c.vms["b"].kill()
+			c.store.SetSilent(false)
+			c.start("c")
+		}},
+		{"list silent for the leader", func(c *cell) { c.vms["a"].stream.listSilent.Store(true) }, func(c *cell) { c.vms["a"].stream.listSilent.Store(false) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inCell(t, workers, func(cl *cell) {
+				cl.register(workers)
+				cl.start("a")
+				time.Sleep(2 * time.Second)
+				v := cl.start("b")
+				time.Sleep(3 * time.Second)
+				// These end during the outage, and leave room to those that wait.
+				cl.submit("before", tasks(workers, 7))
+				time.Sleep(200 * time.Millisecond)
+				for i := range workers {
+					cl.submit(fmt.Sprintf("wide%d", i), tasks(1, 8))
+				}
+				for i := range workers {
+					cl.submit(fmt.Sprintf("narrow%d", i), tasks(1, 4))
+				}
+				c.begin(cl)
+				cl.shrinkAll(workers)
+				time.Sleep(testOutage)
+				c.end(cl)
+				if n := cl.vms["c"]; n != nil {
+					v = n
+				}
+				for i := range workers {
+					expectPhase(cl, v, fmt.Sprintf("narrow%d", i), 12*time.Second, job.Completed)
+				}
+				cl.fleet.Worker("w0").SetCapacity(cores(10))
+				for i := range workers {
+					expectPhase(cl, v, fmt.Sprintf("wide%d", i), 30*time.Second, job.Completed)
+				}
+			})
+		})
+	}
+}
--- a/pollendockd/internal/scheduler/harness_test.go
+++ b/pollendockd/internal/scheduler/harness_test.go
@@ -58,10 +58,18 @@
 		resets atomic.Bool
 		// silent is set while this VM gets no answers.
 		silent atomic.Bool
+		// listSilent is set while this VM gets no answers to reads of the list of workers.
+		listSilent atomic.Bool
 		// largest is the size of the largest append, in bytes.
 		largest atomic.Int64
 	}
 
+	// vmUpstreams is the list of workers as seen by one VM.
+	vmUpstreams struct {
+		*fleet.Fleet
+		stream *vmStream
+	}
+
 	noCounts struct{}
 
 	// advisorClient adapts the stand-in advisor to the Advisor interface.
@@ -117,6 +125,15 @@
 	return s.Store.AppendAs(ctx, t, entries)
 }
 
+// Next fails as set by the test.
+func (u vmUpstreams) Next(ctx context.Context) ([]site.Upstream, []string, error) {
+	if u.stream.listSilent.Load() {
+		<-ctx.Done()
+		return nil, nil, ctx.Err()
+	}
+	return u.Fleet.Next(ctx)
+}
+
 func (noCounts) Count(string, int64)        {}
 func (noCounts) Time(string, time.Duration) {}
 
@@ -172,7 +189,7 @@
 	v.stream = stream
 	follower := replica.NewFollower(c.store, v.replica, logger, func(ids []string) { v.scheduler.JobsChanged(ids) })
 	deps := Deps{
-		Stream: stream, Follower: follower, View: v.replica, Peers: testPeers{c, name}, Upstreams: c.fleet,
+		Stream: stream, Follower: follower, View: v.replica, Peers: testPeers{c, name}, Upstreams: vmUpstreams{c.fleet, stream},
 		Dial:         func(id string, _ netip.AddrPort) Worker { return c.fleet.Worker(id) },
 		Catalog:      c.currentCatalog,
 		CatalogFresh: func(within time.Duration) bool { return time.Duration(c.catalogAge.Load()) <= within },
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -33,6 +33,10 @@
 		crashesInCompany map[site.TaskID]int
 		// keepIDs is set if a worker that has crashed returns under its id.
 		keepIDs bool
+		// registry is nil if the list shows each change at once.
+		registry *registry
+		// shrinkNotice is how long starts may still rely on a capacity that has shrunk.
+		shrinkNotice time.Duration
 		// silentCrashes is set if calls to a worker that has crashed get no answer.
 		// Otherwise their connections are refused.
 		silentCrashes bool
@@ -50,6 +54,7 @@
 		began: time.Now(), workers: map[string]*Worker{}, outcome: outcome, size: size,
 		done: map[site.TaskID]bool{}, starts: map[site.TaskID]int{}, startedAt: map[site.TaskID]time.Time{},
 		crashes: map[site.TaskID]int{}, startsAfter: map[site.TaskID]int{}, crashesInCompany: map[site.TaskID]int{},
+		shrinkNotice: defaultShrinkNotice,
 	}
 }
 
@@ -71,8 +76,12 @@
 }
 
 // Next returns the list of workers.
-func (f *Fleet) Next(context.Context) ([]site.Upstream, []string, error) {
+func (f *Fleet) Next(ctx context.Context) ([]site.Upstream, []string, error) {
 	f.mu.Lock()
+	if r := f.registry; r != nil {
+		f.mu.Unlock()
+		return r.list(ctx, f)
+	}
 	defer f.mu.Unlock()
 	list := []site.Upstream{}
 	for _, w := range f.workers {
--- /dev/null
+++ b/standin/fleet/registry.go
@@ -0,0 +1,92 @@
+package fleet
+
+import (
+	"context"
+	"reflect"
+	"time"
+
+	"pollendock.example/cell/site"
+)
+
+// registry is the store in which workers register themselves.
+type registry struct {
+	store *Store
+	// heartbeat is the interval between two writes of a worker.
+	heartbeat time.Duration
+}
+
+// Register makes the workers register themselves in the store with each heartbeat, and Next
+// return what they wrote there last. As on the platform, a worker rewrites its entry only if
+// more than its clock has changed. A start may rely on a capacity that has shrunk for the time
+// notice. Without Register the list shows each change at once.
+func (f *Fleet) Register(store *Store, heartbeat, notice time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.registry = &registry{store, heartbeat}
+	f.shrinkNotice = notice
+}
+
+// SetHeartbeat sets the time of the worker's next heartbeat.
+func (w *Worker) SetHeartbeat(at time.Time) {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	w.heartbeatAt = at
+}
+
+// DropEntries removes the entries of all workers, as the store does after some missing
+// heartbeats. Each is back with the worker's next heartbeat.
+func (f *Fleet) DropEntries() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, w := range f.workers {
+		w.entry = nil
+	}
+}
+
+// sendHeartbeat writes the worker's entry if it is due and has changed. A heartbeat that the
+// store does not accept is lost.
+func (w *Worker) sendHeartbeat(now time.Time) {
+	r := w.fleet.registry
+	if r == nil || now.Before(w.heartbeatAt) {
+		return
+	}
+	if w.heartbeatAt.IsZero() {
+		w.heartbeatAt = now
+	}
+	w.heartbeatAt = w.heartbeatAt.Add(r.heartbeat)
+	if !r.store.accepts() {
+		return
+	}
+	entry := w.upstream
+	if w.entry != nil {
+		entry.Clock = w.entry.Clock
+		if reflect.DeepEqual(&entry, w.entry) {
+			return
+		}
+	}
+	entry.Clock = w.clock(now)
+	w.entry = &entry
+}
+
+// list reads the entries of the workers that are listed.
+func (r *registry) list(ctx context.Context, f *Fleet) ([]site.Upstream, []string, error) {
+	if err := r.store.available(ctx); err != nil {
+		return nil, nil, err
+	}
+	f.mu.Lock()
+	list := []site.Upstream{}
+	for _, w := range f.workers {
+		if w.listed && w.entry != nil {
+			list = append(list, *w.entry)
+		}
+	}
+	f.mu.Unlock()
+	return list, nil, r.store.delayResponse(ctx, nil)
+}
+
+// accepts reports whether the store accepts writes.
+func (s *Store) accepts() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.silent && !s.unavailable
+}
--- a/standin/fleet/worker.go
+++ b/standin/fleet/worker.go
@@ -31,6 +31,9 @@
 		// does not respond.
 		gone   bool
 		silent bool
+		// entry is what the worker last wrote to the registry, nil if it is not there.
+		entry       *site.Upstream
+		heartbeatAt time.Time
 		// largerCapacity is the capacity before it shrank last, at shrunkAt.
 		largerCapacity resource.Vector
 		shrunkAt       time.Time
@@ -75,8 +78,9 @@
 const (
 	tickInterval = 10 * time.Millisecond
 	gangTimeout  = 3 * time.Second
-	// shrinkNotice is how long starts may still rely on a capacity that has shrunk.
-	shrinkNotice = time.Second
+	// defaultShrinkNotice is how long starts may rely on a capacity that has shrunk if the
+	// list shows each change at once.
+	defaultShrinkNotice = time.Second
 
 	// StalledRunTime is the shortest duration of a run that reports no progress.
 	StalledRunTime = time.Hour
@@ -115,6 +119,7 @@
 	if w.gone {
 		return
 	}
+	w.sendHeartbeat(now)
 	lapsed := w.leaseEnd > 0 && w.clock(now) >= w.leaseEnd && len(w.runs) > 0
 	for i := range w.ended {
 		w.ended[i].lapsed = w.ended[i].lapsed || lapsed
@@ -376,7 +381,7 @@
 		total = total.Add(size)
 	}
 	capacity := w.upstream.Capacity
-	if time.Since(w.shrunkAt) < shrinkNotice {
+	if time.Since(w.shrunkAt) < f.shrinkNotice {
 		capacity = w.largerCapacity
 	}
 	if !total.Fits(capacity) {
