scheduler: a worker's capacity is as old as what the worker itself has said

Cause: maxListAge bounds the age of the last read of the list. The first read after an outage of the store is fresh, the entries in it are those from before the outage, and starts went out by capacities that had shrunk meanwhile.

Each worker now has a time until which starts may rely on its capacity. Two things extend it: the worker's clock in its entry, compared with the clock in its answers to holds, and reads of the list without a gap for longer than a heartbeat, since a worker without news rewrites nothing. A new leader takes from its copy of the records since when the store has answered. The limit is the deployment's contact and heartbeat intervals, less the time of a start request; deployments that set neither have none. A start without an answer is not repeated once the limit has passed.

--- a/pollendockd/internal/replica/follower.go
+++ b/pollendockd/internal/replica/follower.go
@@ -63,6 +63,9 @@
 		// availableSince is the time since start at which the stream began to answer
 		// after the last outage.
 		availableSince atomic.Int64
+		// firstReadAt is the time since start of the first answer of the stream; 0 before
+		// it.
+		firstReadAt atomic.Int64
 	}
 )
 
@@ -301,6 +304,7 @@
 	if f.loaded.Load() && p.Next >= p.End {
 		f.upToDateAt.Store(now)
 	}
+	f.firstReadAt.CompareAndSwap(0, now)
 	if time.Duration(now-f.lastReadAt.Swap(now)) > outageGap {
 		f.availableSince.Store(now)
 	}
@@ -357,3 +361,14 @@
 	last := max(f.lastLeaderRecordAt.Load(), f.availableSince.Load())
 	return time.Since(f.start) - time.Duration(last)
 }
+
+// AvailableSince returns since when the stream has answered, or another VM has offered durable
+// records, without an outage. During an outage it returns the present.
+func (f *Follower) AvailableSince() time.Time {
+	now := time.Since(f.start)
+	if now-time.Duration(f.lastReadAt.Load()) > outageGap {
+		return f.start.Add(now)
+	}
+	since := max(f.availableSince.Load(), f.firstReadAt.Load())
+	return f.start.Add(time.Duration(since))
+}
--- a/pollendockd/internal/scheduler/capacity.go
+++ b/pollendockd/internal/scheduler/capacity.go
@@ -6,8 +6,105 @@
 	"github.com/go-kit/log/level"
 )
 
+const (
+	// maxListGap is the longest time between two reads of the list in which the store counts
+	// as having accepted the heartbeats of all workers.
+	maxListGap = 600 * time.Millisecond
+	// entryDelay covers the time from a worker's heartbeat until a read returns its entry.
+	entryDelay = 250 * time.Millisecond
+)
+
+// maxCapacityAge is the age up to which a start may rely on what a worker has told of its
+// capacity; 0 if the deployment sets no limit.
+func (s *Scheduler) maxCapacityAge() time.Duration {
+	b := &s.opt.Bounds
+	if b.Contact <= 0 || b.Heartbeat <= 0 {
+		return 0
+	}
+	return b.Contact + b.Heartbeat - startTimeout
+}
+
+// noteListRead records that a read of the list, sent at the given time, was answered now. A
+// new leader has not read the list before its term; whether the store answered meanwhile it
+// knows from the records.
+func (s *Scheduler) noteListRead(sentAt, now time.Time) {
+	if sentAt.Sub(s.listedAt) > maxListGap {
+		s.listSince = now
+		if l := s.lead; l != nil && s.listedAt.Before(l.startedAt) && now.Sub(l.startedAt) <= maxListGap {
+			s.listSince = s.deps.Follower.AvailableSince()
+		}
+	}
+	s.listedAt = later(s.listedAt, sentAt)
+}
+
+// confirmListed records what a read of the list says of the capacity of all listed workers.
+// A worker whose capacity has changed says so with its next heartbeat, and one without news
+// writes nothing. So an entry is as old as the store may have accepted no heartbeat of its
+// worker: right after an outage it dates from before the outage, though it was read just now.
+func (l *leadership) confirmListed() {
+	asOf := l.s.listedAt.Add(-l.s.opt.Bounds.Heartbeat - entryDelay)
+	if asOf.Before(l.s.listSince) {
+		return
+	}
+	for _, wk := range l.workers {
+		if wk.listed {
+			l.confirmCapacity(wk, asOf)
+		}
+	}
+}
+
+// confirmWritten records when the worker wrote its entry: the entry and the answer to the last
+// hold both tell the worker's clock. So a worker is used as soon as it has written again.
+func (l *leadership) confirmWritten(wk *worker) {
+	u := &wk.upstream
+	if u.Clock == 0 || wk.boot == 0 || wk.boot != u.Boot {
+		return
+	}
+	age := max(0, time.Duration(float64(wk.clock-u.Clock)/minClockRate))
+	l.confirmCapacity(wk, wk.clockAskedAt.Add(-age))
+}
+
+func (l *leadership) confirmCapacity(wk *worker, asOf time.Time) {
+	wk.capacityUntil = later(wk.capacityUntil, asOf.Add(l.s.maxCapacityAge()))
+}
+
+// capacityKnown reports whether the worker has told its capacity recently enough for starts
+// that rely on it.
+func (wk *worker) capacityKnown(now time.Time) bool {
+	return !wk.capacityExpires || now.Before(wk.capacityUntil)
+}
+
+// watchCapacities notes which workers get no starts because they have not told their capacity
+// for too long.
+func (l *leadership) watchCapacities(now time.Time) {
+	held, unknown := 0, 0
+	for _, wk := range l.workers {
+		known := !wk.listed || wk.capacityKnown(now)
+		if !known {
+			unknown++
+			if !wk.capacityUnknown {
+				held++
+			}
+		}
+		wk.capacityUnknown = !known
+	}
+	l.unknownCapacities = unknown
+	l.s.deps.Counts.Count("workers_held_for_capacity", int64(held))
+	switch {
+	case unknown > 0 && l.capacityUnknownSince.IsZero():
+		l.capacityUnknownSince = now
+		_ = level.Warn(l.s.deps.Logger).Log("msg", "starts held: workers have not told their capacity for too long", "workers", unknown,
+			"listAgeMs", now.Sub(l.s.listedAt).Milliseconds(), "listSinceMs", now.Sub(l.s.listSince).Milliseconds())
+	case unknown == 0 && !l.capacityUnknownSince.IsZero():
+		took := now.Sub(l.capacityUnknownSince)
+		l.capacityUnknownSince = time.Time{}
+		l.s.deps.Counts.Time("capacity_unknown", took)
+		_ = level.Info(l.s.deps.Logger).Log("msg", "capacity of all listed workers known again", "heldMs", took.Milliseconds())
+	}
+}
+
 // dropOvercommitted ends the runs for which there is no capacity any more: their worker
-// has shrunk since they were decided, or may have, as its entry is too old. Like
+// has shrunk since they were decided, or may have, as it has not spoken for too long. Like
 // dropEvacuated it is called before the first start request of a batch is sent.
 func (l *leadership) dropOvercommitted(starts []*run, now time.Time) {
 	tooOld := now.Sub(l.s.listedAt) > maxListAge
@@ -15,6 +112,8 @@
 		switch {
 		case tooOld:
 			return "the list of workers is too old"
+		case !r.wk.capacityKnown(now):
+			return "the worker has not told its capacity for too long"
 		case !r.wk.used.Fits(r.wk.upstream.Capacity):
 			return "the worker has shrunk"
 		}
--- a/pollendockd/internal/scheduler/capacity_test.go
+++ b/pollendockd/internal/scheduler/capacity_test.go
@@ -75,7 +75,8 @@
 func (c *cell) register(workers int) {
 	c.bounds.Heartbeat = testHeartbeat
 	c.bounds.Contact = testContact
-	c.fleet.Register(c.store, testHeartbeat, testHeartbeat+testContact)
+	c.fleet.Register(c.store, testHeartbeat)
+	c.fleet.SetShrinkNotice(testHeartbeat + testContact)
 	now := time.Now()
 	for i := range workers {
 		c.fleet.Worker(fmt.Sprintf("w%d", i)).SetHeartbeat(now.Add(time.Duration(i) * 400 * time.Millisecond))
@@ -89,12 +90,13 @@
 	}
 }
 
-// expectStartWithin checks that a task of the job is started at a given time at the latest.
+// expectStartWithin checks that a task of the job is started within a time after since.
 func expectStartWithin(c *cell, id string, since time.Time, within time.Duration) {
 	c.t.Helper()
 	for c.fleet.Starts(site.TaskID{Job: id}) == 0 {
 		if time.Since(since) > within {
-			c.t.Fatalf("no task of job %s was started within %v", id, within)
+			c.t.Errorf("no task of job %s was started within %v", id, within)
+			return
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
@@ -166,3 +168,106 @@
 		})
 	}
 }
+
+// TestWorkersAreUsedAfterOutage checks that each worker is used again as soon as it has told
+// its capacity, and all of them once they would have told a change of it.
+func TestWorkersAreUsedAfterOutage(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// changes is set if the worker has something to write.
+		changes bool
+		// heartbeat is when it does so after the outage.
+		heartbeat time.Duration
+		within    time.Duration
+	}{
+		{"changed", true, 300 * time.Millisecond, 300*time.Millisecond + entryDelay + pollInterval},
+		{"changed, later", true, 900 * time.Millisecond, 900*time.Millisecond + entryDelay + pollInterval},
+		{"unchanged", false, 300 * time.Millisecond, testHeartbeat + 2*entryDelay + pollInterval},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inCell(t, 2, func(cl *cell) {
+				cl.register(2)
+				cl.start("a")
+				time.Sleep(5 * time.Second)
+				cl.submit("before", tasks(1, 4))
+				time.Sleep(100 * time.Millisecond)
+				cl.store.SetSilent(true)
+				if c.changes {
+					cl.fleet.Worker("w0").SetCapacity(cores(5))
+				}
+				time.Sleep(testOutage)
+				cl.store.SetSilent(false)
+				back := time.Now()
+				cl.fleet.Worker("w0").SetHeartbeat(back.Add(c.heartbeat))
+				cl.fleet.Worker("w1").SetHeartbeat(back.Add(testHeartbeat))
+				cl.submit("next", tasks(1, 4))
+				expectStartWithin(cl, "next", back, c.within)
+			})
+		})
+	}
+}
+
+// TestNoStartHeldWithoutOutage checks that starts are not held while the store answers, also
+// under another leader and across failures that are shorter than a heartbeat.
+func TestNoStartHeldWithoutOutage(t *testing.T) {
+	const within = 700 * time.Millisecond
+	for _, c := range []struct {
+		name   string
+		inject func(c *cell)
+		within time.Duration
+	}{
+		{"quiet", func(*cell) {}, within},
+		{"leader killed", func(c *cell) { c.vms["a"].kill() }, time.Second + within},
+		{"list silent for a moment", func(c *cell) {
+			c.vms["a"].stream.listSilent.Store(true)
+			time.Sleep(600 * time.Millisecond)
+			c.vms["a"].stream.listSilent.Store(false)
+		}, within},
+		{"slow reads", func(c *cell) { c.store.SetReadDelay(400 * time.Millisecond) }, within + 800*time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inCell(t, 2, func(cl *cell) {
+				cl.register(2)
+				cl.start("a")
+				time.Sleep(2 * time.Second)
+				cl.start("b")
+				time.Sleep(3 * time.Second)
+				c.inject(cl)
+				for i := range 20 {
+					id := fmt.Sprintf("job%d", i)
+					cl.submit(id, tasks(1, 1))
+					expectStartWithin(cl, id, time.Now(), c.within)
+					time.Sleep(200 * time.Millisecond)
+				}
+			})
+		})
+	}
+}
+
+// TestEntryAge checks until when a start relies on an entry whose age the worker's clock tells.
+func TestEntryAge(t *testing.T) {
+	opt := Options{Bounds: site.Bounds{Heartbeat: testHeartbeat, Contact: testContact}}
+	asked := time.Now()
+	const limit = testHeartbeat + testContact - startTimeout
+	for _, c := range []struct {
+		name         string
+		clock, entry time.Duration
+		boot         int64
+		want         time.Time
+	}{
+		{"written as it was asked", time.Minute, time.Minute, 7, asked.Add(limit)},
+		{"older by the slowest clock", time.Minute, time.Minute - 980*time.Millisecond, 7, asked.Add(limit - time.Second)},
+		{"written after the answer", time.Minute, time.Minute + time.Second, 7, asked.Add(limit)},
+		{"of another incarnation", time.Minute, time.Minute, 6, time.Time{}},
+		{"without a clock", time.Minute, 0, 7, time.Time{}},
+	} {
+		l := &leadership{s: New(opt, Deps{}), workers: map[string]*worker{}}
+		wk := l.workerOf("w")
+		wk.boot, wk.clock, wk.clockAskedAt = 7, c.clock, asked
+		wk.upstream = site.Upstream{Boot: c.boot, Clock: c.entry}
+		l.confirmWritten(wk)
+		if d := wk.capacityUntil.Sub(c.want).Abs(); d > time.Millisecond {
+			t.Errorf("%s: known until %v, want %v", c.name, wk.capacityUntil.Sub(asked), c.want.Sub(asked))
+		}
+	}
+}
--- a/pollendockd/internal/scheduler/hold.go
+++ b/pollendockd/internal/scheduler/hold.go
@@ -113,6 +113,8 @@
 		wk.holdAt = now
 	}
 	wk.clock = e.reply.Clock
+	wk.clockAskedAt = e.sentAt
+	l.confirmWritten(wk)
 	l.processEnds(wk, e.reply)
 	l.processRuns(wk, e.reply, e.sentAt, now)
 }
--- a/pollendockd/internal/scheduler/pass_bench_test.go
+++ b/pollendockd/internal/scheduler/pass_bench_test.go
@@ -28,6 +28,7 @@
 func (currentFollower) Loaded() bool                                { return true }
 func (currentFollower) Fresh(time.Duration) bool                    { return true }
 func (currentFollower) LeaderSilence() time.Duration                { return 0 }
+func (currentFollower) AvailableSince() time.Time                   { return time.Time{} }
 func (currentFollower) ReadLatency() time.Duration                  { return 0 }
 func (currentFollower) SetLeading(bool)                             {}
 func (currentFollower) Offer([]site.Entry) (next int64, reads bool) { return 0, true }
--- a/pollendockd/internal/scheduler/requests.go
+++ b/pollendockd/internal/scheduler/requests.go
@@ -40,7 +40,7 @@
 		return
 	}
 	now := time.Now()
-	if r.startAttempts > 0 && l.mustNotResend(r) {
+	if r.startAttempts > 0 && (l.mustNotResend(r) || !r.wk.capacityKnown(now)) {
 		l.verifyRun(r, now)
 		return
 	}
--- a/pollendockd/internal/scheduler/scheduler.go
+++ b/pollendockd/internal/scheduler/scheduler.go
@@ -33,6 +33,8 @@
 		// Available reports whether the stream answers this VM.
 		Available() bool
 		LeaderSilence() time.Duration
+		// AvailableSince returns since when the stream has answered without an outage.
+		AvailableSince() time.Time
 		// ReadLatency returns how long the stream takes to answer a read.
 		ReadLatency() time.Duration
 		SetLeading(leading bool)
@@ -151,6 +153,8 @@
 		upstreams []site.Upstream
 		listedAt  time.Time
 		polledAt  time.Time
+		// listSince is since when reads of the list have been answered without a gap.
+		listSince time.Time
 		// polls counts the reads of the list that are in progress.
 		polls int
 		// listFailing is set while reads of the list fail.
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -29,6 +29,8 @@
 		// clock is the worker's clock, read shortly before clockAt.
 		clock   time.Duration
 		clockAt time.Time
+		// clockAskedAt is when the request was sent to which it answered with clock.
+		clockAskedAt time.Time
 		// reachableSince is when it answered again after it was unreachable.
 		reachableSince time.Time
 		// leaseEnd is the latest lease end that was sent, on the worker's clock. No run
@@ -55,6 +57,13 @@
 		// other such gangs leave it free.
 		gangClaimedCPU int64
 
+		// capacityUntil is the time until which starts may rely on upstream.Capacity. It
+		// counts only if capacityExpires is set.
+		capacityUntil   time.Time
+		capacityExpires bool
+		// capacityUnknown is set if starts were held for that reason at the last tick.
+		capacityUnknown bool
+
 		holdBusy    bool
 		holdAt      time.Time
 		holdFails   int
@@ -141,10 +150,16 @@
 		s.listFailing = false
 		_ = level.Info(s.deps.Logger).Log("msg", "list of workers readable again", "awayMs", time.Since(s.listedAt).Milliseconds())
 	}
-	s.listedAt = later(s.listedAt, e.at)
-	if e.list == nil {
-		return
+	s.noteListRead(e.at, time.Now())
+	if e.list != nil {
+		s.setUpstreams(&e)
+	}
+	if s.lead != nil {
+		s.lead.confirmListed()
 	}
+}
+
+func (s *Scheduler) setUpstreams(e *upstreamsDone) {
 	for _, id := range e.unreadable {
 		_ = level.Debug(s.deps.Logger).Log("msg", "entry does not describe a worker", "worker", id)
 	}
@@ -184,7 +199,11 @@
 	if wk.client == nil || wk.upstream.Addr != u.Addr {
 		wk.client = l.s.deps.Dial(u.ID, u.Addr)
 	}
+	if wk.upstream.Boot != u.Boot {
+		wk.capacityUntil = time.Time{}
+	}
 	wk.upstream = *u
+	l.confirmWritten(wk)
 	l.s.largestWorker[u.Service] = l.s.largestWorker[u.Service].Max(u.Capacity)
 	wk.listed = true
 	wk.unlistedAt = time.Time{}
@@ -199,17 +218,17 @@
 func (l *leadership) workerOf(id string) *worker {
 	wk := l.workers[id]
 	if wk == nil {
-		wk = &worker{id: id, runs: map[runKey]*run{}}
+		wk = &worker{id: id, runs: map[runKey]*run{}, capacityExpires: l.s.maxCapacityAge() > 0}
 		l.workers[id] = wk
 	}
 	return wk
 }
 
 // usable reports whether the worker accepts new runs. Its current incarnation must be
-// known to obey this term.
+// known to obey this term, and its capacity must be known.
 func (wk *worker) usable(now time.Time) bool {
 	return wk.listed && !wk.upstream.Draining && !wk.evacuated && wk.boot != 0 && wk.boot == wk.upstream.Boot && wk.holdFails == 0 &&
-		!now.Before(wk.backoffUntil) && wk.stalledSince.IsZero()
+		!now.Before(wk.backoffUntil) && wk.stalledSince.IsZero() && wk.capacityKnown(now)
 }
 
 func (wk *worker) free() resource.Vector {
@@ -254,6 +273,7 @@
 }
 
 func (l *leadership) tickWorkers(now time.Time) {
+	l.watchCapacities(now)
 	for _, wk := range l.workers {
 		if wk.client == nil {
 			if wk.unlistedAt.IsZero() && !l.s.listedAt.Before(l.startedAt) {
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -75,7 +75,7 @@
 	return w
 }
 
-// Next returns the list of workers.
+// Next returns the list of workers. Without Register it is always current.
 func (f *Fleet) Next(ctx context.Context) ([]site.Upstream, []string, error) {
 	f.mu.Lock()
 	if r := f.registry; r != nil {
@@ -83,10 +83,13 @@
 		return r.list(ctx, f)
 	}
 	defer f.mu.Unlock()
+	now := time.Now()
 	list := []site.Upstream{}
 	for _, w := range f.workers {
 		if w.listed {
-			list = append(list, w.upstream)
+			u := w.upstream
+			u.Clock = w.clock(now)
+			list = append(list, u)
 		}
 	}
 	return list, nil, nil
--- a/standin/fleet/registry.go
+++ b/standin/fleet/registry.go
@@ -17,13 +17,18 @@
 
 // Register makes the workers register themselves in the store with each heartbeat, and Next
 // return what they wrote there last. As on the platform, a worker rewrites its entry only if
-// more than its clock has changed. A start may rely on a capacity that has shrunk for the time
-// notice. Without Register the list shows each change at once.
-func (f *Fleet) Register(store *Store, heartbeat, notice time.Duration) {
+// more than its clock has changed. Without Register the list shows each change at once.
+func (f *Fleet) Register(store *Store, heartbeat time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.registry = &registry{store, heartbeat}
-	f.shrinkNotice = notice
+}
+
+// SetShrinkNotice sets how long starts may rely on a capacity that has shrunk.
+func (f *Fleet) SetShrinkNotice(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.shrinkNotice = d
 }
 
 // SetHeartbeat sets the time of the worker's next heartbeat.
