soak, deploy: workers that shrink while they cannot write

soak: half of the workers shrink as the list of workers falls silent, refuses, is slow, or one entry VM is cut from the store. Their entries are now rewritten only if more than the clock has changed.

--- a/soak/cell.go
+++ b/soak/cell.go
@@ -62,15 +62,14 @@
 )
 
 const (
-	queueHost         = "soak.example"
-	queuePath         = "/q/"
-	teamKey           = "soak-key"
-	frontendPort      = 8401
-	readyPort         = 8402
-	peerPort          = 8403
-	workerCores       = 16
-	heartbeatInterval = 500 * time.Millisecond
-	grace             = 5 * time.Second
+	queueHost    = "soak.example"
+	queuePath    = "/q/"
+	teamKey      = "soak-key"
+	frontendPort = 8401
+	readyPort    = 8402
+	peerPort     = 8403
+	workerCores  = 16
+	grace        = 5 * time.Second
 )
 
 var workerCapacity = resource.Vector{MilliCPU: workerCores * 1000, MemoryMB: 64_000}
@@ -158,34 +157,6 @@
 	return nil
 }
 
-// runHeartbeats publishes the workers' state to the store at regular intervals.
-func (c *cell) runHeartbeats() {
-	before := map[string]bool{}
-	for c.ctx.Err() == nil {
-		list, _, err := c.fleet.Next(c.ctx)
-		if err != nil {
-			return
-		}
-		missing := before
-		before = map[string]bool{}
-		for _, u := range list {
-			delete(missing, u.ID)
-			before[u.ID] = true
-			u.Addr = netip.MustParseAddrPort(c.workers[u.ID].addr())
-			value, err := platform.EncodeUpstream(&u)
-			if err != nil {
-				panic(err)
-			}
-			// Errors are ignored: the next heartbeat replaces a lost one.
-			_, _ = c.serverStore.Append(c.ctx, []site.Entry{{Key: u.ID, Value: value}})
-		}
-		for id := range missing {
-			_, _ = c.serverStore.Append(c.ctx, []site.Entry{{Key: id}})
-		}
-		time.Sleep(heartbeatInterval)
-	}
-}
-
 // publishConfig writes the configuration as the given version.
 func (c *cell) publishConfig(version int64) error {
 	value, err := platform.EncodeCatalog(&site.Catalog{
@@ -213,6 +184,7 @@
 		Name: e.name, DataCentre: "dc", Listen: at(frontendPort), Ready: at(readyPort), Peer: at(peerPort),
 		Bounds: site.Bounds{
 			MaxLease: 6 * time.Second, StopTime: 200 * time.Millisecond, Grace: grace, Evacuation: evacuationBound,
+			Heartbeat: heartbeatInterval, Contact: contactInterval,
 			CatalogApply: 2 * time.Second, CatalogOutage: 5 * time.Second,
 		},
 	}}
--- /dev/null
+++ b/soak/heartbeats.go
@@ -0,0 +1,140 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"reflect"
+	"time"
+
+	"pollendock.example/cell/site"
+	"pollendock.example/platform"
+)
+
+// registrations is what the store holds of the workers.
+type registrations struct {
+	c       *cell
+	entries map[string]*site.Upstream
+}
+
+const (
+	heartbeatInterval = 500 * time.Millisecond
+	// contactInterval and heartbeatInterval are how long starts may rely on a capacity that
+	// has shrunk while the worker could not say so. Otherwise the bound is the fleet's own.
+	contactInterval = 1500 * time.Millisecond
+	shrinkNotice    = time.Second
+	// outageInterval is the longest time between two outages of the list of workers.
+	outageInterval = 6 * time.Second
+	// slowRead delays the answers of a slow list, but not beyond the timeout of its readers.
+	slowRead = 400 * time.Millisecond
+)
+
+// listOutages are the ways in which workers shrink unnoticed.
+var listOutages = []fault{
+	{"list of workers unresponsive", func(c *cell, r *rand.Rand) {
+		c.serverStore.SetSilent(true)
+		sleepFaultDuration(r)
+		c.serverStore.SetSilent(false)
+	}},
+	{"list of workers unavailable", func(c *cell, r *rand.Rand) {
+		c.serverStore.SetUnavailable(true)
+		sleepFaultDuration(r)
+		c.serverStore.SetUnavailable(false)
+	}},
+	{"list of workers slow", func(c *cell, r *rand.Rand) {
+		c.serverStore.SetReadDelay(slowRead)
+		sleepFaultDuration(r)
+		c.serverStore.SetReadDelay(0)
+	}},
+	{"store unresponsive for one entry", func(c *cell, r *rand.Rand) {
+		withStoreFault(c, r, func(p *proxy) { p.blackhole.Store(true) })
+	}},
+}
+
+// injectShrinks lets workers shrink during outages of the list. Its draws are apart from those
+// of the other faults.
+func (c *cell) injectShrinks(r *rand.Rand, end time.Time) {
+	for {
+		time.Sleep(time.Duration(r.Int64N(int64(outageInterval))))
+		if time.Now().After(end) {
+			return
+		}
+		outage := &listOutages[r.IntN(len(listOutages))]
+		fmt.Printf("%s left, workers shrink beside: %s\n", time.Until(end).Round(time.Millisecond), outage.name)
+		c.shrinkDuring(outage, r)
+	}
+}
+
+// shrinkDuring lets half of the workers shrink as an outage begins, and grow again some time
+// after its end.
+func (c *cell) shrinkDuring(outage *fault, r *rand.Rand) {
+	c.fleet.SetShrinkNotice(contactInterval + heartbeatInterval)
+	for i := range c.workers {
+		if r.IntN(2) > 0 {
+			continue
+		}
+		smaller := workerCapacity
+		smaller.MilliCPU = smaller.MilliCPU * int64(1+r.IntN(3)) / 4
+		c.fleet.Worker(i).SetCapacity(smaller)
+	}
+	outage.inject(c, r)
+	time.Sleep(contactInterval + heartbeatInterval)
+	c.fleet.SetShrinkNotice(shrinkNotice)
+	sleepFaultDuration(r)
+	for i := range c.workers {
+		c.fleet.Worker(i).SetCapacity(workerCapacity)
+	}
+}
+
+// runHeartbeats publishes the workers' state to the store at regular intervals.
+func (c *cell) runHeartbeats() {
+	g := &registrations{c, map[string]*site.Upstream{}}
+	for c.ctx.Err() == nil {
+		g.update()
+		time.Sleep(heartbeatInterval)
+	}
+}
+
+// update writes the entries that have changed, and removes those of workers that have left.
+// What the store does not accept in time is left to the next heartbeat.
+func (g *registrations) update() {
+	ctx, cancel := context.WithTimeout(g.c.ctx, heartbeatInterval)
+	defer cancel()
+	list, _, err := g.c.fleet.Next(ctx)
+	if err != nil {
+		return
+	}
+	present := map[string]bool{}
+	for i := range list {
+		present[list[i].ID] = true
+		g.publish(ctx, &list[i])
+	}
+	for id := range g.entries {
+		if present[id] {
+			continue
+		}
+		if _, err := g.c.serverStore.Append(ctx, []site.Entry{{Key: id}}); err == nil {
+			delete(g.entries, id)
+		}
+	}
+}
+
+// publish writes the entry of a worker if more than its clock has changed.
+func (g *registrations) publish(ctx context.Context, u *site.Upstream) {
+	u.Addr = netip.MustParseAddrPort(g.c.workers[u.ID].addr())
+	if old := g.entries[u.ID]; old != nil {
+		same := *u
+		same.Clock = old.Clock
+		if reflect.DeepEqual(&same, old) {
+			return
+		}
+	}
+	value, err := platform.EncodeUpstream(u)
+	if err != nil {
+		panic(err)
+	}
+	if _, err := g.c.serverStore.Append(ctx, []site.Entry{{Key: u.ID, Value: value}}); err == nil {
+		g.entries[u.ID] = u
+	}
+}
--- a/soak/main.go
+++ b/soak/main.go
@@ -81,6 +81,7 @@
 	end := time.Now().Add(opt.Length)
 	clients.Go(func() { c.generateJobs(ctx, opt, end, &clients, vl) })
 	activeFaults.Go(func() { c.injectFaults(opt, end, &activeFaults) })
+	activeFaults.Go(func() { c.injectShrinks(rand.New(rand.NewPCG(opt.Seed, 5)), end) })
 	activeFaults.Go(func() {
 		if err := c.operator.run(rand.New(rand.NewPCG(opt.Seed, 4)), end); err != nil {
 			vl.add(violation(fmt.Sprintf("the operator's change failed: %v", err)))
