--- a/pollendockd/internal/scheduler/capacity.go
+++ b/pollendockd/internal/scheduler/capacity.go
@@ -77,6 +77,9 @@
 // watchCapacities notes which workers get no starts because they have not told their capacity
 // for too long.
 func (l *leadership) watchCapacities(now time.Time) {
+	if l.s.listedAt.Before(l.startedAt) {
+		return
+	}
 	held, unknown := 0, 0
 	for _, wk := range l.workers {
 		known := !wk.listed || wk.capacityKnown(now)
--- a/pollendockd/internal/scheduler/capacity_test.go
+++ b/pollendockd/internal/scheduler/capacity_test.go
@@ -117,6 +117,13 @@
 			c.fleet.DropEntries()
 			c.store.SetSilent(false)
 		}},
+		{"new incarnations meanwhile", func(c *cell) { c.store.SetSilent(true) }, func(c *cell) {
+			for i := range workers {
+				c.fleet.Worker(fmt.Sprintf("w%d", i)).Reboot()
+			}
+			time.Sleep(time.Second)
+			c.store.SetSilent(false)
+		}},
 		{"leader killed meanwhile", func(c *cell) { c.store.SetSilent(true) }, func(c *cell) {
 			c.vms["a"].kill()
 			c.store.SetSilent(false)
