--- a/pollendockd/internal/replica/follower_test.go
+++ b/pollendockd/internal/replica/follower_test.go
@@ -395,3 +395,31 @@
 		}
 	})
 }
+
+// TestAvailableSince checks since when the stream counts as available: a leader concludes from it
+// that workers could write to the store.
+func TestAvailableSince(t *testing.T) {
+	withFollower(t, func(ctx context.Context, store *fleet.Store, _ *job.View, f *Follower) {
+		store.SetSilent(true)
+		go func() { _ = f.Run(ctx) }()
+		time.Sleep(3 * time.Second)
+		if since := f.AvailableSince(); !since.Equal(time.Now()) {
+			t.Errorf("available for %v before the first answer", time.Since(since))
+		}
+		for _, outage := range []time.Duration{0, 3 * time.Second} {
+			store.SetSilent(true)
+			time.Sleep(outage)
+			store.SetSilent(false)
+			back := time.Now()
+			time.Sleep(5 * time.Second)
+			late := f.AvailableSince().Sub(back)
+			if late < 0 || late > time.Second {
+				t.Errorf("available since %v after the end of an outage of %v", late, outage)
+			}
+			time.Sleep(5 * time.Second)
+			if again := f.AvailableSince().Sub(back); again != late {
+				t.Errorf("available since %v after the end of the outage, before %v", again, late)
+			}
+		}
+	})
+}
--- a/pollendockd/internal/scheduler/capacity.go
+++ b/pollendockd/internal/scheduler/capacity.go
@@ -74,6 +74,17 @@
 	return !wk.capacityExpires || now.Before(wk.capacityUntil)
 }
 
+// someCapacityUnknown reports whether a listed worker gets no starts because it has not told its
+// capacity. A forecast from the others alone would refuse jobs that are started a heartbeat later.
+func (l *leadership) someCapacityUnknown(now time.Time) bool {
+	for _, wk := range l.workers {
+		if wk.listed && !wk.capacityKnown(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // watchCapacities notes which workers get no starts because they have not told their capacity
 // for too long.
 func (l *leadership) watchCapacities(now time.Time) {
--- a/pollendockd/internal/scheduler/capacity_test.go
+++ b/pollendockd/internal/scheduler/capacity_test.go
@@ -278,3 +278,29 @@
 		}
 	}
 }
+
+// TestHeldWorkersAreNoOverload guards against refusals of jobs while only some workers have told
+// their capacity since an outage.
+func TestHeldWorkersAreNoOverload(t *testing.T) {
+	const workers = 6
+	inCell(t, workers, func(c *cell) {
+		c.register(workers)
+		a := c.start("a")
+		time.Sleep(5 * time.Second)
+		if n := countRefused(c, c.burst(a, "before", 4, 2*time.Second)); n > 0 {
+			t.Errorf("%d jobs were refused before the outage", n)
+		}
+		c.store.SetSilent(true)
+		c.fleet.Worker("w0").SetCapacity(cores(5))
+		time.Sleep(testOutage)
+		c.store.SetSilent(false)
+		c.fleet.Worker("w0").SetHeartbeat(time.Now())
+		for i := 1; i < workers; i++ {
+			c.fleet.Worker(fmt.Sprintf("w%d", i)).SetHeartbeat(time.Now().Add(testHeartbeat))
+		}
+		time.Sleep(200 * time.Millisecond)
+		if n := countRefused(c, c.burst(a, "after", 12, 1500*time.Millisecond)); n > 0 {
+			t.Errorf("%d jobs were refused after the outage", n)
+		}
+	})
+}
