scheduler: where workers rewrite their entries, one that does not has told nothing

So the clock alone gives the age of each worker's word, and a read of the list says nothing of a worker that has not written: one that is cut off from the store alone, for example. The rule by reads of the list stays for workers whose entries do not change with each heartbeat.

TestCutOffWorkerShrinks fails without entriesRewritten; the tests of outages run with workers of both kinds.

--- a/pollendockd/internal/scheduler/capacity.go
+++ b/pollendockd/internal/scheduler/capacity.go
@@ -10,6 +10,8 @@
 	// maxListGap is the longest time between two reads of the list in which the store counts
 	// as having accepted the heartbeats of all workers.
 	maxListGap = 600 * time.Millisecond
+	// An entry counts as rewritten for rewriteHeartbeats heartbeats.
+	rewriteHeartbeats = 2
 	// entryDelay covers the time from a worker's heartbeat until a read returns its entry.
 	entryDelay = 250 * time.Millisecond
 )
@@ -37,13 +39,13 @@
 	s.listedAt = later(s.listedAt, sentAt)
 }
 
-// confirmListed records what a read of the list says of the capacity of all listed workers.
-// A worker whose capacity has changed says so with its next heartbeat, and one without news
-// writes nothing. So an entry is as old as the store may have accepted no heartbeat of its
-// worker: right after an outage it dates from before the outage, though it was read just now.
-func (l *leadership) confirmListed() {
+// confirmListed records what a read of the list says of workers that have written nothing new.
+// Where entries are not rewritten without a change, an entry is as old as the store may have
+// accepted no heartbeat of its worker: right after an outage it dates from before the outage,
+// though it was read just now.
+func (l *leadership) confirmListed(now time.Time) {
 	asOf := l.s.listedAt.Add(-l.s.opt.Bounds.Heartbeat - entryDelay)
-	if asOf.Before(l.s.listSince) {
+	if asOf.Before(l.s.listSince) || l.entriesRewritten(now) {
 		return
 	}
 	for _, wk := range l.workers {
@@ -53,6 +55,40 @@
 	}
 }
 
+// entriesRewritten reports whether workers rewrite their entries with each heartbeat, as most do
+// whose entries tell their clocks. A worker whose entry stays the same has then written nothing,
+// for example because it is cut off from the store. The answer is yes at the start of a term, until
+// half of the workers have answered.
+func (l *leadership) entriesRewritten(now time.Time) bool {
+	listed, answered, clocked, rewritten := 0, 0, 0, 0
+	for _, wk := range l.workers {
+		if !wk.listed {
+			continue
+		}
+		listed++
+		if wk.boot == 0 || wk.boot != wk.upstream.Boot {
+			continue
+		}
+		answered++
+		if wk.upstream.Clock == 0 {
+			continue
+		}
+		clocked++
+		if now.Sub(wk.writtenAt) < rewriteHeartbeats*l.s.opt.Bounds.Heartbeat {
+			rewritten++
+		}
+	}
+	if answered < majority(listed) && now.Sub(l.startedAt) < l.s.opt.Bounds.Heartbeat {
+		return true
+	}
+	return clocked > 0 && rewritten >= majority(clocked)
+}
+
+// majority returns the least number of more than half of n.
+func majority(n int) int {
+	return n/2 + 1
+}
+
 // confirmWritten records when the worker wrote its entry: the entry and the answer to the last
 // hold both tell the worker's clock. So a worker is used as soon as it has written again.
 func (l *leadership) confirmWritten(wk *worker) {
@@ -61,7 +97,8 @@
 		return
 	}
 	age := max(0, time.Duration(float64(wk.clock-u.Clock)/minClockRate))
-	l.confirmCapacity(wk, wk.clockAskedAt.Add(-age))
+	wk.writtenAt = later(wk.writtenAt, wk.clockAskedAt.Add(-age))
+	l.confirmCapacity(wk, wk.writtenAt)
 }
 
 func (l *leadership) confirmCapacity(wk *worker, asOf time.Time) {
--- a/pollendockd/internal/scheduler/capacity_test.go
+++ b/pollendockd/internal/scheduler/capacity_test.go
@@ -102,6 +102,28 @@
 	}
 }
 
+// inBothFleets runs a test with workers that rewrite their entries with each heartbeat, and with
+// workers that do so only after a change.
+func inBothFleets(t *testing.T, name string, workers int, fn func(c *cell)) {
+	for _, fleet := range []struct {
+		name        string
+		changesOnly bool
+	}{
+		{"each heartbeat", false},
+		{"changes only", true},
+	} {
+		t.Run(name+"/"+fleet.name, func(t *testing.T) {
+			inCell(t, workers, func(c *cell) {
+				c.register(workers)
+				if fleet.changesOnly {
+					c.fleet.WriteChangesOnly()
+				}
+				fn(c)
+			})
+		})
+	}
+}
+
 // TestWorkersShrinkDuringOutage guards against starts by what the workers had written before
 // they shrank, while they could not write. The first read of the list after an outage counted
 // as news of every worker on it.
@@ -141,37 +163,34 @@
 		}},
 		{"list silent for the leader", func(c *cell) { c.vms["a"].stream.listSilent.Store(true) }, func(c *cell) { c.vms["a"].stream.listSilent.Store(false) }},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			inCell(t, workers, func(cl *cell) {
-				cl.register(workers)
-				cl.start("a")
-				time.Sleep(2 * time.Second)
-				v := cl.start("b")
-				time.Sleep(3 * time.Second)
-				// These end during the outage, and leave room to those that wait.
-				cl.submit("before", tasks(workers, 7))
-				time.Sleep(200 * time.Millisecond)
-				for i := range workers {
-					cl.submit(fmt.Sprintf("wide%d", i), tasks(1, 8))
-				}
-				for i := range workers {
-					cl.submit(fmt.Sprintf("narrow%d", i), tasks(1, 4))
-				}
-				c.begin(cl)
-				cl.shrinkAll(workers)
-				time.Sleep(testOutage)
-				c.end(cl)
-				if n := cl.vms["c"]; n != nil {
-					v = n
-				}
-				for i := range workers {
-					expectPhase(cl, v, fmt.Sprintf("narrow%d", i), 12*time.Second, job.Completed)
-				}
-				cl.fleet.Worker("w0").SetCapacity(cores(10))
-				for i := range workers {
-					expectPhase(cl, v, fmt.Sprintf("wide%d", i), 30*time.Second, job.Completed)
-				}
-			})
+		inBothFleets(t, c.name, workers, func(cl *cell) {
+			cl.start("a")
+			time.Sleep(2 * time.Second)
+			v := cl.start("b")
+			time.Sleep(3 * time.Second)
+			// These end during the outage, and leave room to those that wait.
+			cl.submit("before", tasks(workers, 7))
+			time.Sleep(200 * time.Millisecond)
+			for i := range workers {
+				cl.submit(fmt.Sprintf("wide%d", i), tasks(1, 8))
+			}
+			for i := range workers {
+				cl.submit(fmt.Sprintf("narrow%d", i), tasks(1, 4))
+			}
+			c.begin(cl)
+			cl.shrinkAll(workers)
+			time.Sleep(testOutage)
+			c.end(cl)
+			if n := cl.vms["c"]; n != nil {
+				v = n
+			}
+			for i := range workers {
+				expectPhase(cl, v, fmt.Sprintf("narrow%d", i), 12*time.Second, job.Completed)
+			}
+			cl.fleet.Worker("w0").SetCapacity(cores(10))
+			for i := range workers {
+				expectPhase(cl, v, fmt.Sprintf("wide%d", i), 30*time.Second, job.Completed)
+			}
 		})
 	}
 }
@@ -181,19 +200,26 @@
 func TestWorkersAreUsedAfterOutage(t *testing.T) {
 	for _, c := range []struct {
 		name string
-		// changes is set if the worker has something to write.
+		// changesOnly is set if an entry is rewritten only after a change.
+		changesOnly bool
+		// changes is set if the worker has changed.
 		changes bool
-		// heartbeat is when it does so after the outage.
+		// heartbeat is the time of its first heartbeat after the outage.
 		heartbeat time.Duration
 		within    time.Duration
 	}{
-		{"changed", true, 300 * time.Millisecond, 300*time.Millisecond + entryDelay + pollInterval},
-		{"changed, later", true, 900 * time.Millisecond, 900*time.Millisecond + entryDelay + pollInterval},
-		{"unchanged", false, 300 * time.Millisecond, testHeartbeat + 2*entryDelay + pollInterval},
+		{"rewritten", false, false, 300 * time.Millisecond, 300*time.Millisecond + entryDelay + pollInterval},
+		{"rewritten later", false, false, 900 * time.Millisecond, 900*time.Millisecond + entryDelay + pollInterval},
+		{"changed", true, true, 300 * time.Millisecond, 300*time.Millisecond + entryDelay + pollInterval},
+		{"changed later", true, true, 900 * time.Millisecond, 900*time.Millisecond + entryDelay + pollInterval},
+		{"unchanged", true, false, 300 * time.Millisecond, testHeartbeat + 2*entryDelay + pollInterval},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			inCell(t, 2, func(cl *cell) {
 				cl.register(2)
+				if c.changesOnly {
+					cl.fleet.WriteChangesOnly()
+				}
 				cl.start("a")
 				time.Sleep(5 * time.Second)
 				cl.submit("before", tasks(1, 4))
@@ -232,21 +258,18 @@
 		}, within},
 		{"slow reads", func(c *cell) { c.store.SetReadDelay(400 * time.Millisecond) }, within + 800*time.Millisecond},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			inCell(t, 2, func(cl *cell) {
-				cl.register(2)
-				cl.start("a")
-				time.Sleep(2 * time.Second)
-				cl.start("b")
-				time.Sleep(3 * time.Second)
-				c.inject(cl)
-				for i := range 20 {
-					id := fmt.Sprintf("job%d", i)
-					cl.submit(id, tasks(1, 1))
-					expectStartWithin(cl, id, time.Now(), c.within)
-					time.Sleep(200 * time.Millisecond)
-				}
-			})
+		inBothFleets(t, c.name, 2, func(cl *cell) {
+			cl.start("a")
+			time.Sleep(2 * time.Second)
+			cl.start("b")
+			time.Sleep(3 * time.Second)
+			c.inject(cl)
+			for i := range 20 {
+				id := fmt.Sprintf("job%d", i)
+				cl.submit(id, tasks(1, 1))
+				expectStartWithin(cl, id, time.Now(), c.within)
+				time.Sleep(200 * time.Millisecond)
+			}
 		})
 	}
 }
@@ -304,3 +327,44 @@
 		}
 	})
 }
+
+// TestCutOffWorkerShrinks guards against starts on a worker that has shrunk while it alone could not
+// write, under the same leader and under another one. The others are used all the while.
+func TestCutOffWorkerShrinks(t *testing.T) {
+	for _, kill := range []bool{false, true} {
+		t.Run(fmt.Sprintf("leader killed: %v", kill), func(t *testing.T) {
+			inCell(t, 3, func(c *cell) {
+				c.register(3)
+				c.start("a")
+				time.Sleep(2 * time.Second)
+				c.start("b")
+				time.Sleep(3 * time.Second)
+				w := c.fleet.Worker("w0")
+				w.SetCutFromStore(true)
+				w.SetCapacity(cores(2))
+				time.Sleep(testHeartbeat + testContact - 200*time.Millisecond)
+				if kill {
+					c.vms["a"].kill()
+				}
+				for i := range 10 {
+					id := fmt.Sprintf("job%d", i)
+					c.submit(id, tasks(2, 4))
+					expectStartWithin(c, id, time.Now(), 2*time.Second)
+					time.Sleep(workTime / 2)
+				}
+				if n := w.Running(); n > 0 {
+					t.Errorf("%d tasks run on the worker that is cut off", n)
+				}
+				w.SetCutFromStore(false)
+				back := time.Now()
+				c.submit("narrow", tasks(12, 2))
+				for w.Running() == 0 && time.Since(back) < 3*testHeartbeat {
+					time.Sleep(10 * time.Millisecond)
+				}
+				if w.Running() == 0 {
+					t.Error("nothing runs on the worker although it has written again")
+				}
+			})
+		})
+	}
+}
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -57,6 +57,8 @@
 		// other such gangs leave it free.
 		gangClaimedCPU int64
 
+		// writtenAt is when the worker wrote its entry, zero if that is not known.
+		writtenAt time.Time
 		// capacityUntil is the time until which starts may rely on upstream.Capacity. It
 		// counts only if capacityExpires is set.
 		capacityUntil   time.Time
@@ -155,7 +157,7 @@
 		s.setUpstreams(&e)
 	}
 	if s.lead != nil {
-		s.lead.confirmListed()
+		s.lead.confirmListed(time.Now())
 	}
 }
 
@@ -200,7 +202,7 @@
 		wk.client = l.s.deps.Dial(u.ID, u.Addr)
 	}
 	if wk.upstream.Boot != u.Boot {
-		wk.capacityUntil = time.Time{}
+		wk.capacityUntil, wk.writtenAt = time.Time{}, time.Time{}
 	}
 	wk.upstream = *u
 	l.confirmWritten(wk)
--- a/standin/fleet/registry.go
+++ b/standin/fleet/registry.go
@@ -11,17 +11,26 @@
 // registry is the store in which workers register themselves.
 type registry struct {
 	store *Store
-	// heartbeat is the interval between two writes of a worker.
+	// heartbeat is the interval between two heartbeats of a worker.
 	heartbeat time.Duration
+	// changesOnly is set if a worker does not rewrite its entry when only its clock has
+	// changed.
+	changesOnly bool
 }
 
 // Register makes the workers register themselves in the store with each heartbeat, and Next
-// return what they wrote there last. As on the platform, a worker rewrites its entry only if
-// more than its clock has changed. Without Register the list shows each change at once.
+// return what they wrote there last. Without Register the list shows each change at once.
 func (f *Fleet) Register(store *Store, heartbeat time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.registry = &registry{store, heartbeat}
+	f.registry = &registry{store: store, heartbeat: heartbeat}
+}
+
+// WriteChangesOnly makes heartbeats rewrite an entry only if more than the clock has changed.
+func (f *Fleet) WriteChangesOnly() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.registry.changesOnly = true
 }
 
 // SetShrinkNotice sets how long starts may rely on a capacity that has shrunk.
@@ -38,6 +47,13 @@
 	w.heartbeatAt = at
 }
 
+// SetCutFromStore makes the worker's heartbeats get lost, or stop being lost. Its entry stays.
+func (w *Worker) SetCutFromStore(cut bool) {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	w.cutFromStore = cut
+}
+
 // DropEntries removes the entries of all workers, as the store does after some missing
 // heartbeats. Each is back with the worker's next heartbeat.
 func (f *Fleet) DropEntries() {
@@ -48,8 +64,8 @@
 	}
 }
 
-// sendHeartbeat writes the worker's entry if it is due and has changed. A heartbeat that the
-// store does not accept is lost.
+// sendHeartbeat writes the worker's entry if it is due. A heartbeat that the store does not accept
+// is lost.
 func (w *Worker) sendHeartbeat(now time.Time) {
 	r := w.fleet.registry
 	if r == nil || now.Before(w.heartbeatAt) {
@@ -59,11 +75,11 @@
 		w.heartbeatAt = now
 	}
 	w.heartbeatAt = w.heartbeatAt.Add(r.heartbeat)
-	if !r.store.accepts() {
+	if w.cutFromStore || !r.store.accepts() {
 		return
 	}
 	entry := w.upstream
-	if w.entry != nil {
+	if r.changesOnly && w.entry != nil {
 		entry.Clock = w.entry.Clock
 		if reflect.DeepEqual(&entry, w.entry) {
 			return
--- a/standin/fleet/worker.go
+++ b/standin/fleet/worker.go
@@ -34,6 +34,8 @@
 		// entry is what the worker last wrote to the registry, nil if it is not there.
 		entry       *site.Upstream
 		heartbeatAt time.Time
+		// cutFromStore is set while the worker's heartbeats are lost.
+		cutFromStore bool
 		// largerCapacity is the capacity before it shrank last, at shrunkAt.
 		largerCapacity resource.Vector
 		shrunkAt       time.Time
