--- a/pollendockd/internal/scheduler/capacity.go
+++ b/pollendockd/internal/scheduler/capacity.go
@@ -111,44 +111,46 @@
 	return !wk.capacityExpires || now.Before(wk.capacityUntil)
 }
 
-// someCapacityUnknown reports whether a listed worker gets no starts because it has not told its
-// capacity. A forecast from the others alone would refuse jobs that are started a heartbeat later.
-func (l *leadership) someCapacityUnknown(now time.Time) bool {
+// heldForCapacity reports whether the worker gets no starts although it answers, because it has
+// not told its capacity for too long.
+func (wk *worker) heldForCapacity(now time.Time) bool {
+	return wk.listed && wk.boot != 0 && wk.boot == wk.upstream.Boot && !wk.capacityKnown(now)
+}
+
+// someHeldForCapacity reports whether there is such a worker. A forecast from the others alone
+// would refuse jobs that are started a heartbeat later.
+func (l *leadership) someHeldForCapacity(now time.Time) bool {
 	for _, wk := range l.workers {
-		if wk.listed && !wk.capacityKnown(now) {
+		if wk.heldForCapacity(now) {
 			return true
 		}
 	}
 	return false
 }
 
-// watchCapacities notes which workers get no starts because they have not told their capacity
-// for too long.
+// watchCapacities logs and counts the workers that are held for their capacity.
 func (l *leadership) watchCapacities(now time.Time) {
-	if l.s.listedAt.Before(l.startedAt) {
-		return
-	}
-	held, unknown := 0, 0
+	begun, held := 0, 0
 	for _, wk := range l.workers {
-		known := !wk.listed || wk.capacityKnown(now)
-		if !known {
-			unknown++
-			if !wk.capacityUnknown {
-				held++
-			}
+		was := wk.held
+		wk.held = wk.heldForCapacity(now)
+		if wk.held {
+			held++
+		}
+		if wk.held && !was {
+			begun++
 		}
-		wk.capacityUnknown = !known
 	}
-	l.unknownCapacities = unknown
-	l.s.deps.Counts.Count("workers_held_for_capacity", int64(held))
+	l.heldWorkers = held
+	l.s.deps.Counts.Count("workers_held_for_capacity", int64(begun))
 	switch {
-	case unknown > 0 && l.capacityUnknownSince.IsZero():
-		l.capacityUnknownSince = now
-		_ = level.Warn(l.s.deps.Logger).Log("msg", "starts held: workers have not told their capacity for too long", "workers", unknown,
+	case held > 0 && l.heldSince.IsZero():
+		l.heldSince = now
+		_ = level.Warn(l.s.deps.Logger).Log("msg", "starts held: workers have not told their capacity for too long", "workers", held,
 			"listAgeMs", now.Sub(l.s.listedAt).Milliseconds(), "listSinceMs", now.Sub(l.s.listSince).Milliseconds())
-	case unknown == 0 && !l.capacityUnknownSince.IsZero():
-		took := now.Sub(l.capacityUnknownSince)
-		l.capacityUnknownSince = time.Time{}
+	case held == 0 && !l.heldSince.IsZero():
+		took := now.Sub(l.heldSince)
+		l.heldSince = time.Time{}
 		l.s.deps.Counts.Time("capacity_unknown", took)
 		_ = level.Info(l.s.deps.Logger).Log("msg", "capacity of all listed workers known again", "heldMs", took.Milliseconds())
 	}
--- a/pollendockd/internal/scheduler/leadership.go
+++ b/pollendockd/internal/scheduler/leadership.go
@@ -33,10 +33,10 @@
 		isolatedRuns map[*run]bool
 		vacated      map[*worker]*trackedJob
 
-		// unknownCapacities counts the listed workers that have not told their capacity for
-		// too long, since capacityUnknownSince.
-		unknownCapacities    int
-		capacityUnknownSince time.Time
+		// heldWorkers counts the workers that are held for their capacity; there have been
+		// some since heldSince.
+		heldWorkers int
+		heldSince   time.Time
 
 		flush    flushState
 		advice   adviceQueue
@@ -247,7 +247,7 @@
 		"surplus", l.waiting[placement.Surplus], "late", l.waiting[placement.Late], "overdue", l.waiting[placement.Overdue],
 		"limited", l.limitedSteps, "held", len(l.heldCapacity),
 		"asking", l.waitReasons[asking], "noRoom", l.waitReasons[noCapacity], "teamLimit", l.waitReasons[teamLimit], "behindOthers", l.waitReasons[behindOthers],
-		"reserved", l.waitReasons[reserved], "unreserved", l.waitReasons[unreserved], "runs", runs, "workers", len(l.workers), "usable", usable, "evacuated", evacuated, "evacuatedRuns", evacuatedRuns, "capacityUnknown", l.unknownCapacities, "suspects", suspects, "longestSuspectMs", longestSuspect.Milliseconds(), "vacated", len(l.vacated), "freeMilliCpu", free.MilliCPU, "milliCpu", total.MilliCPU,
+		"reserved", l.waitReasons[reserved], "unreserved", l.waitReasons[unreserved], "runs", runs, "workers", len(l.workers), "usable", usable, "evacuated", evacuated, "evacuatedRuns", evacuatedRuns, "heldForCapacity", l.heldWorkers, "suspects", suspects, "longestSuspectMs", longestSuspect.Milliseconds(), "vacated", len(l.vacated), "freeMilliCpu", free.MilliCPU, "milliCpu", total.MilliCPU,
 		"freeMb", free.MemoryMB, "queries", queries.waiting, "waitingSlow", queries.waitingSlow, "queryWaitMs", queries.longestWait.Milliseconds(),
 		"underWay", queries.underWay, "underWaySlow", queries.underWaySlow, "routesResting", queries.resting, "passMs", l.passTime.Milliseconds(), "slow", slow, "speedSpread", l.s.speeds.spread,
 		"refused", l.load.refused, "forecastAgeMs", now.Sub(l.load.updatedAt).Milliseconds())
--- a/pollendockd/internal/scheduler/overload.go
+++ b/pollendockd/internal/scheduler/overload.go
@@ -80,7 +80,7 @@
 // scheduling order.
 func (l *leadership) updateLoad(p *pass, steps []*waitingStep) {
 	f := &l.load
-	if !l.s.opt.RefuseOverload || p.now.Sub(f.updatedAt) < forecastInterval || l.someCapacityUnknown(p.now) {
+	if !l.s.opt.RefuseOverload || p.now.Sub(f.updatedAt) < forecastInterval || l.someHeldForCapacity(p.now) {
 		return
 	}
 	f.advisor.Backlog.Reset()
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -63,8 +63,8 @@
 		// counts only if capacityExpires is set.
 		capacityUntil   time.Time
 		capacityExpires bool
-		// capacityUnknown is set if starts were held for that reason at the last tick.
-		capacityUnknown bool
+		// held is set if the worker got no starts for that reason at the last tick.
+		held bool
 
 		holdBusy    bool
 		holdAt      time.Time
