--- a/pollendockd/internal/replica/follower.go
+++ b/pollendockd/internal/replica/follower.go
@@ -65,6 +65,9 @@
 		// availableSince is the time since start at which the stream began to answer
 		// after the last outage.
 		availableSince atomic.Int64
+		// firstReadAt is the time since start of the first answer of the stream; 0 before
+		// it.
+		firstReadAt atomic.Int64
 	}
 )
 
@@ -315,6 +318,7 @@
 		f.upToDateAt.Store(max(asOf, f.upToDateAt.Load()))
 	}
 	f.lastReadAt.Store(max(asOf, f.lastReadAt.Load()))
+	f.firstReadAt.CompareAndSwap(0, now)
 	if time.Duration(now-f.lastAnswerAt.Swap(now)) > outageGap {
 		f.availableSince.Store(now)
 	}
@@ -371,3 +375,14 @@
 	last := max(f.lastLeaderRecordAt.Load(), f.availableSince.Load())
 	return time.Since(f.start) - time.Duration(last)
 }
+
+// AvailableSince returns since when the stream has answered, or another VM has offered durable
+// records, without an outage. During an outage it returns the present.
+func (f *Follower) AvailableSince() time.Time {
+	now := time.Since(f.start)
+	if now-time.Duration(f.lastAnswerAt.Load()) > outageGap {
+		return f.start.Add(now)
+	}
+	since := max(f.availableSince.Load(), f.firstReadAt.Load())
+	return f.start.Add(time.Duration(since))
+}
--- a/pollendockd/internal/scheduler/capacity.go
+++ b/pollendockd/internal/scheduler/capacity.go
@@ -6,8 +6,158 @@
 	"github.com/go-kit/log/level"
 )
 
+const (
+	// maxListGap is the longest time between two reads of the list in which the store counts
+	// as having accepted the heartbeats of all workers.
+	maxListGap = 600 * time.Millisecond
+	// An entry counts as rewritten for rewriteHeartbeats heartbeats.
+	rewriteHeartbeats = 2
+	// entryDelay covers the time from a worker's heartbeat until a read returns its entry.
+	entryDelay = 250 * time.Millisecond
+)
+
+// maxCapacityAge is the age up to which a start may rely on what a worker has told of its
+// capacity; 0 if the deployment sets no limit.
+func (s *Scheduler) maxCapacityAge() time.Duration {
+	b := &s.opt.Bounds
+	if b.Contact <= 0 || b.Heartbeat <= 0 {
+		return 0
+	}
+	return b.Contact + b.Heartbeat - startTimeout
+}
+
+// noteListRead records that a read of the list, sent at the given time, was answered now. A
+// new leader has not read the list before its term; whether the store answered meanwhile it
+// knows from the records.
+func (s *Scheduler) noteListRead(sentAt, now time.Time) {
+	if sentAt.Sub(s.listedAt) > maxListGap {
+		s.listSince = now
+		if l := s.lead; l != nil && s.listedAt.Before(l.startedAt) && now.Sub(l.startedAt) <= maxListGap {
+			s.listSince = s.deps.Follower.AvailableSince()
+		}
+	}
+	s.listedAt = later(s.listedAt, sentAt)
+}
+
+// confirmListed records what a read of the list says of workers that have written nothing new.
+// Where entries are not rewritten without a change, an entry is as old as the store may have
+// accepted no heartbeat of its worker: right after an outage it dates from before the outage,
+// though it was read just now.
+func (l *leadership) confirmListed(now time.Time) {
+	asOf := l.s.listedAt.Add(-l.s.opt.Bounds.Heartbeat - entryDelay)
+	if asOf.Before(l.s.listSince) || l.entriesRewritten(now) {
+		return
+	}
+	for _, wk := range l.workers {
+		if wk.listed {
+			l.confirmCapacity(wk, asOf)
+		}
+	}
+}
+
+// entriesRewritten reports whether workers rewrite their entries with each heartbeat, as most do
+// whose entries tell their clocks. A worker whose entry stays the same has then written nothing,
+// for example because it is cut off from the store. The answer is yes at the start of a term, until
+// half of the workers have answered.
+func (l *leadership) entriesRewritten(now time.Time) bool {
+	listed, answered, clocked, rewritten := 0, 0, 0, 0
+	for _, wk := range l.workers {
+		if !wk.listed {
+			continue
+		}
+		listed++
+		if wk.boot == 0 || wk.boot != wk.upstream.Boot {
+			continue
+		}
+		answered++
+		if wk.upstream.Clock == 0 {
+			continue
+		}
+		clocked++
+		if now.Sub(wk.writtenAt) < rewriteHeartbeats*l.s.opt.Bounds.Heartbeat {
+			rewritten++
+		}
+	}
+	if answered < majority(listed) && now.Sub(l.startedAt) < l.s.opt.Bounds.Heartbeat {
+		return true
+	}
+	return clocked > 0 && rewritten >= majority(clocked)
+}
+
+// majority returns the least number of more than half of n.
+func majority(n int) int {
+	return n/2 + 1
+}
+
+// confirmWritten records when the worker wrote its entry: the entry and the answer to the last
+// hold both tell the worker's clock. So a worker is used as soon as it has written again.
+func (l *leadership) confirmWritten(wk *worker) {
+	u := &wk.upstream
+	if u.Clock == 0 || wk.boot == 0 || wk.boot != u.Boot {
+		return
+	}
+	age := max(0, time.Duration(float64(wk.clock-u.Clock)/minClockRate))
+	wk.writtenAt = later(wk.writtenAt, wk.clockAskedAt.Add(-age))
+	l.confirmCapacity(wk, wk.writtenAt)
+}
+
+func (l *leadership) confirmCapacity(wk *worker, asOf time.Time) {
+	wk.capacityUntil = later(wk.capacityUntil, asOf.Add(l.s.maxCapacityAge()))
+}
+
+// capacityKnown reports whether the worker has told its capacity recently enough for starts
+// that rely on it.
+func (wk *worker) capacityKnown(now time.Time) bool {
+	return !wk.capacityExpires || now.Before(wk.capacityUntil)
+}
+
+// heldForCapacity reports whether the worker gets no starts although it answers, because it has
+// not told its capacity for too long.
+func (wk *worker) heldForCapacity(now time.Time) bool {
+	return wk.listed && wk.boot != 0 && wk.boot == wk.upstream.Boot && !wk.capacityKnown(now)
+}
+
+// someHeldForCapacity reports whether there is such a worker. A forecast from the others alone
+// would refuse jobs that are started a heartbeat later.
+func (l *leadership) someHeldForCapacity(now time.Time) bool {
+	for _, wk := range l.workers {
+		if wk.heldForCapacity(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// watchCapacities logs and counts the workers that are held for their capacity.
+func (l *leadership) watchCapacities(now time.Time) {
+	begun, held := 0, 0
+	for _, wk := range l.workers {
+		was := wk.held
+		wk.held = wk.heldForCapacity(now)
+		if wk.held {
+			held++
+		}
+		if wk.held && !was {
+			begun++
+		}
+	}
+	l.heldWorkers = held
+	l.s.deps.Counts.Count("workers_held_for_capacity", int64(begun))
+	switch {
+	case held > 0 && l.heldSince.IsZero():
+		l.heldSince = now
+		_ = level.Warn(l.s.deps.Logger).Log("msg", "starts held: workers have not told their capacity for too long", "workers", held,
+			"listAgeMs", now.Sub(l.s.listedAt).Milliseconds(), "listSinceMs", now.Sub(l.s.listSince).Milliseconds())
+	case held == 0 && !l.heldSince.IsZero():
+		took := now.Sub(l.heldSince)
+		l.heldSince = time.Time{}
+		l.s.deps.Counts.Time("capacity_unknown", took)
+		_ = level.Info(l.s.deps.Logger).Log("msg", "capacity of all listed workers known again", "heldMs", took.Milliseconds())
+	}
+}
+
 // dropOvercommitted ends the runs for which there is no capacity any more: their worker
-// has shrunk since they were decided, or may have, as its entry is too old. Like
+// has shrunk since they were decided, or may have, as it has not spoken for too long. Like
 // dropEvacuated it is called before the first start request of a batch is sent.
 func (l *leadership) dropOvercommitted(starts []*run, now time.Time) {
 	tooOld := now.Sub(l.s.listedAt) > maxListAge
@@ -15,6 +165,8 @@
 		switch {
 		case tooOld:
 			return "the list of workers is too old"
+		case !r.wk.capacityKnown(now):
+			return "the worker has not told its capacity for too long"
 		case !r.wk.used.Fits(r.wk.upstream.Capacity):
 			return "the worker has shrunk"
 		}
--- a/pollendockd/internal/scheduler/harness_test.go
+++ b/pollendockd/internal/scheduler/harness_test.go
@@ -64,6 +64,8 @@
 		resets atomic.Bool
 		// silent is set while this VM gets no answers.
 		silent atomic.Bool
+		// listSilent is set while this VM gets no answers to reads of the list of workers.
+		listSilent atomic.Bool
 		// largest is the size of the largest append, in bytes.
 		largest atomic.Int64
 	}
@@ -71,6 +73,12 @@
 	// silentWorker answers no call.
 	silentWorker struct{}
 
+	// vmUpstreams is the list of workers as seen by one VM.
+	vmUpstreams struct {
+		*fleet.Fleet
+		stream *vmStream
+	}
+
 	noCounts struct{}
 
 	// advisorClient adapts the stand-in advisor to the Advisor interface.
@@ -141,6 +149,15 @@
 	return nil, ctx.Err()
 }
 
+// Next fails as set by the test.
+func (u vmUpstreams) Next(ctx context.Context) ([]site.Upstream, []site.InvalidEntry, error) {
+	if u.stream.listSilent.Load() {
+		<-ctx.Done()
+		return nil, nil, ctx.Err()
+	}
+	return u.Fleet.Next(ctx)
+}
+
 func (noCounts) Count(string, int64)        {}
 func (noCounts) Time(string, time.Duration) {}
 
@@ -205,7 +222,7 @@
 	v.stream = stream
 	follower := replica.NewFollower(c.store, v.replica, logger, func(ids []string) { v.scheduler.JobsChanged(ids) })
 	deps := Deps{
-		Stream: stream, Follower: follower, View: v.replica, Peers: testPeers{c, name}, Upstreams: c.fleet,
+		Stream: stream, Follower: follower, View: v.replica, Peers: testPeers{c, name}, Upstreams: vmUpstreams{c.fleet, stream},
 		Dial:         c.dial,
 		Catalog:      c.currentCatalog,
 		CatalogFresh: func(within time.Duration) bool { return time.Duration(c.catalogAge.Load()) <= within },
