--- a/pollendockd/internal/scheduler/harness_test.go
+++ b/pollendockd/internal/scheduler/harness_test.go
@@ -118,6 +118,7 @@
 }
 
 func (noCounts) Count(string, int64)        {}
+func (noCounts) Gauge(string, int64)        {}
 func (noCounts) Time(string, time.Duration) {}
 
 // inCell runs a test in a bubble with workers of 10 cores each.
--- a/pollendockd/internal/scheduler/hold.go
+++ b/pollendockd/internal/scheduler/hold.go
@@ -222,7 +222,7 @@
 			r.confirm(now)
 			r.percent = s.Percent
 			r.initialPercent = s.Percent
-			r.tj.begun = true
+			r.tj.runBegun(r)
 			l.logRun(r, "run found on its worker")
 		}
 		if s.Percent != r.percent {
--- a/pollendockd/internal/scheduler/leadership.go
+++ b/pollendockd/internal/scheduler/leadership.go
@@ -54,6 +54,7 @@
 		// counts why steps wait that can still meet their deadline.
 		limitedSteps int
 		waitReasons  map[waitReason]int
+		starvation   starvationWatch
 		reportedAt   time.Time
 		load         loadForecast
 		// handoverDone is closed once the leadership has ended. It is nil unless a
@@ -245,7 +246,7 @@
 		"reserved", l.waitReasons[reserved], "unreserved", l.waitReasons[unreserved], "runs", runs, "workers", len(l.workers), "usable", usable, "evacuated", evacuated, "evacuatedRuns", evacuatedRuns, "suspects", suspects, "longestSuspectMs", longestSuspect.Milliseconds(), "vacated", len(l.vacated), "freeMilliCpu", free.MilliCPU, "milliCpu", total.MilliCPU,
 		"freeMb", free.MemoryMB, "queries", queries.waiting, "waitingSlow", queries.waitingSlow, "queryWaitMs", queries.longestWait.Milliseconds(),
 		"underWay", queries.underWay, "underWaySlow", queries.underWaySlow, "routesResting", queries.resting, "passMs", l.passTime.Milliseconds(), "slow", slow, "speedSpread", l.s.speeds.spread,
-		"refused", l.load.refused, "forecastAgeMs", now.Sub(l.load.updatedAt).Milliseconds())
+		"starved", l.starvation.starved, "longestStarvedMs", l.starvation.longest.Milliseconds(), "refused", l.load.refused, "forecastAgeMs", now.Sub(l.load.updatedAt).Milliseconds())
 	l.load.refused = 0
 	l.load.forgetRefused(now)
 }
--- a/pollendockd/internal/scheduler/pass.go
+++ b/pollendockd/internal/scheduler/pass.go
@@ -73,6 +73,8 @@
 	// reserved gangs have capacity reserved, unreserved ones wait for a reservation.
 	reserved
 	unreserved
+	// laterPass steps are overdue, and their turn comes in one of the next passes.
+	laterPass
 )
 
 // String returns the name used in log lines.
@@ -90,6 +92,8 @@
 		return "reserved room"
 	case unreserved:
 		return "room to reserve"
+	case laterPass:
+		return "a later pass"
 	}
 	return "nothing"
 }
@@ -147,6 +151,7 @@
 		ws.why = why
 	}
 	l.placeOverdue(p, steps[onTime:])
+	l.checkStarvation(p, steps)
 	l.heldCapacity = p.heldCapacity
 	l.updateLoad(p, steps[:onTime])
 	// dispatch counts the claims in worker.claimedCPU instead.
@@ -219,14 +224,16 @@
 	var rest []*waitingStep
 	for _, ws := range steps {
 		if a := ws.tj.advice[ws.step]; ws.isolated || a != nil && a.anyValidTicket(p.now) {
-			l.placeStep(p, ws)
+			ws.why = l.placeStep(p, ws)
 			continue
 		}
+		ws.why = laterPass
 		rest = append(rest, ws)
 	}
 	for range min(overduePerPass, len(rest)) {
 		l.overdueCursor++
-		l.placeStep(p, rest[l.overdueCursor%len(rest)])
+		ws := rest[l.overdueCursor%len(rest)]
+		ws.why = l.placeStep(p, ws)
 	}
 }
 
--- a/pollendockd/internal/scheduler/requests.go
+++ b/pollendockd/internal/scheduler/requests.go
@@ -86,7 +86,7 @@
 		l.logRun(r, "run started", "answerMs", now.Sub(r.sentAt).Milliseconds())
 		if r.stage == starting {
 			r.confirm(now)
-			r.tj.begun = true
+			r.tj.runBegun(r)
 		}
 		if !r.wk.holdBusy {
 			r.wk.holdAt = now
--- a/pollendockd/internal/scheduler/scheduler.go
+++ b/pollendockd/internal/scheduler/scheduler.go
@@ -97,9 +97,10 @@
 		Counts       Counts
 	}
 
-	// Counts records counters and durations.
+	// Counts records counters, gauges and durations.
 	Counts interface {
 		Count(name string, n int64)
+		Gauge(name string, n int64)
 		Time(name string, d time.Duration)
 	}
 
--- a/pollendockd/internal/scheduler/tracked_job.go
+++ b/pollendockd/internal/scheduler/tracked_job.go
@@ -48,6 +48,8 @@
 		avoid map[site.TaskID]string
 		// stallStops counts how often a task was stopped for lack of progress.
 		stallStops map[site.TaskID]int
+		// waits holds since when the steps wait that have no run.
+		waits map[waitKey]*stepWait
 		// crashes is nil while no worker has crashed under a task of the job.
 		crashes *job.Crashes
 		// inheritedAt is when this VM read the state that the leader began with.
@@ -141,6 +143,7 @@
 		checkpoints: map[site.TaskID]checkpoint{},
 		avoid:       map[site.TaskID]string{},
 		stallStops:  map[site.TaskID]int{},
+		waits:       map[waitKey]*stepWait{},
 		begun:       j.State.MayHaveStarted(),
 		crashes:     j.Crashes,
 		inheritedAt: j.StateAt,
@@ -397,6 +400,12 @@
 	r.listValidAfter = now.Add(time.Nanosecond)
 }
 
+// runBegun notes that a run of the job has begun.
+func (tj *trackedJob) runBegun(r *run) {
+	tj.begun = true
+	delete(tj.waits, waitKey{r.task.Step, r.isolated})
+}
+
 // coveredBy reports whether a list that was requested at the given time is conclusive
 // about the existence of the run.
 func (r *run) coveredBy(sentAt time.Time) bool {
