scheduler: gangs past their deadline learn where they may run; no claims in vain

Two ways in which a step stayed unstarted beside free capacity:

A gang that could no longer meet its deadline queried only if the advisor was expected to allow enough of the free workers. That expectation is a share measured over all gangs; the answer for this one can be better, and nobody ever asked. It now asks about the workers that it does not know as long as it could fit with them, each worker once, and for tickets only when the known ones suffice. All tickets of a gang come from one answer, so none expires while the others are renewed.

A step that may use none of the free workers claimed their capacity in each pass, and those behind it left it free. A step claims nothing now if it found no worker to ask about at its last turn.

The advisor of the tests now obeys its context.

--- a/pollendockd/internal/scheduler/advice.go
+++ b/pollendockd/internal/scheduler/advice.go
@@ -75,6 +75,9 @@
 		// that listed it.
 		wantedSince time.Time
 		wantedAt    time.Time
+		// unplaceable is set if there was no worker to ask about when the step's turn
+		// came last.
+		unplaceable bool
 		// query is the one in progress, if asking is set.
 		query *query
 		// tickets are for workers that may run the step. Refused workers may not run
@@ -248,7 +251,8 @@
 		return nil
 	}
 	workers, cpu := l.workersToName(m)
-	if len(workers) == 0 {
+	answers.unplaceable = len(workers) == 0
+	if answers.unplaceable {
 		l.noteNoCapacity(m.ws)
 		return nil
 	}
--- a/pollendockd/internal/scheduler/advice_load_test.go
+++ b/pollendockd/internal/scheduler/advice_load_test.go
@@ -19,6 +19,8 @@
 	queueAdvisor struct {
 		// advice is by the first letter of the job id.
 		advice map[string]site.Advice
+		// allows reports whether a job may run on a worker.
+		allows func(job, worker string) bool
 		mu     sync.Mutex
 		vms    map[string]*sync.Mutex
 		// down holds the VMs through which queries fail.
@@ -63,16 +65,24 @@
 		return nil, errors.New("two calls through one VM")
 	}
 	defer vm.Unlock()
-	time.Sleep(advice.Base + time.Duration(len(q.Workers))*advice.PerUpstream)
+	select {
+	case <-time.After(advice.Base + time.Duration(len(q.Workers))*advice.PerUpstream):
+	case <-ctx.Done():
+	}
 	var tickets []site.Ticket
 	for _, id := range q.Workers {
-		if (7*len(id)+13*int(id[len(id)-1])+5*int(id[len(id)-2])+len(q.Job)+int(q.Job[len(q.Job)-1]))%allowedMod < allowedBelow {
+		if a.allows(q.Job, id) {
 			tickets = append(tickets, site.Ticket{Upstream: id, Ticket: q.Job})
 		}
 	}
 	return tickets, ctx.Err()
 }
 
+// allowsThird allows about a third of the workers.
+func allowsThird(job, id string) bool {
+	return (7*len(id)+13*int(id[len(id)-1])+5*int(id[len(id)-2])+len(job)+int(job[len(job)-1]))%allowedMod < allowedBelow
+}
+
 func (a *queueAdvisor) setDown(names []string, down bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -138,7 +148,7 @@
 
 // addMixQueues adds the queues of a mix and the workers.
 func (c *cell) addMixQueues() {
-	c.queueAdvisor = &queueAdvisor{vms: map[string]*sync.Mutex{}, down: map[string]bool{}, advice: map[string]site.Advice{
+	c.queueAdvisor = &queueAdvisor{vms: map[string]*sync.Mutex{}, down: map[string]bool{}, allows: allowsThird, advice: map[string]site.Advice{
 		"l": {Base: 12 * time.Millisecond, PerUpstream: 170 * time.Microsecond, TicketLifetime: 2 * time.Second},
 		"w": {Base: 130 * time.Millisecond, PerUpstream: 1800 * time.Microsecond, TicketLifetime: 2 * time.Second},
 		"g": {Base: 720 * time.Millisecond, PerUpstream: 10 * time.Millisecond, TicketLifetime: 2 * time.Second},
--- a/pollendockd/internal/scheduler/advice_test.go
+++ b/pollendockd/internal/scheduler/advice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -137,3 +138,56 @@
 		}
 	}
 }
+
+// TestUnlikelyGangsAreTried guards against gangs that are never started, although there is
+// room, because the advisor is unlikely to allow enough workers: only an answer can tell.
+// Past its deadline a gang did not query at all then.
+func TestUnlikelyGangsAreTried(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		age  time.Duration
+	}{
+		{"in time", 0},
+		{"late", 8 * time.Second},
+		{"overdue", time.Minute},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inCell(t, 20, func(cell *cell) {
+				advice := site.Advice{Base: 100 * time.Millisecond, PerUpstream: time.Millisecond, TicketLifetime: time.Second}
+				cell.catalog.Queues[0].Advice = &advice
+				cell.queueAdvisor = &queueAdvisor{
+					vms: map[string]*sync.Mutex{}, advice: map[string]site.Advice{"g": advice},
+					// The gang may use 14 of the 20 workers.
+					allows: func(_, worker string) bool { return worker < "w14" || worker >= "w2" },
+				}
+				cell.submitAt(time.Now().Add(-c.age), "gang", gang(28, 5))
+				v := cell.start("a")
+				time.Sleep(time.Second)
+				expectPhase(cell, v, "gang", workTime+3*time.Second, job.Completed)
+			})
+		})
+	}
+}
+
+// TestUnplaceableStepClaimsNothing guards against a step that may use none of the free
+// workers and claims their capacity in each pass: those behind it never started.
+func TestUnplaceableStepClaimsNothing(t *testing.T) {
+	inCell(t, 4, func(c *cell) {
+		advice := site.Advice{Base: 20 * time.Millisecond, PerUpstream: time.Millisecond, TicketLifetime: time.Second}
+		c.catalog.Queues[0].Advice = &advice
+		c.queueAdvisor = &queueAdvisor{
+			vms: map[string]*sync.Mutex{}, advice: map[string]site.Advice{"s": advice, "b": advice},
+			allows: func(job, _ string) bool { return job != "blocked" },
+		}
+		v := c.start("a")
+		time.Sleep(time.Second)
+		c.submit("blocked", tasks(4, 10))
+		time.Sleep(500 * time.Millisecond)
+		for i := range 4 {
+			c.submit(fmt.Sprintf("single%d", i), tasks(1, 5))
+		}
+		for i := range 4 {
+			expectPhase(c, v, fmt.Sprintf("single%d", i), workTime+500*time.Millisecond, job.Completed)
+		}
+	})
+}
--- a/pollendockd/internal/scheduler/candidates.go
+++ b/pollendockd/internal/scheduler/candidates.go
@@ -64,10 +64,10 @@
 
 // candidates returns the workers with enough capacity that the advisor has to be asked
 // about.
-func (l *leadership) candidates(p *pass, ws *waitingStep, size resource.Vector, service string, answers *stepAdvice) []*worker {
+func (l *leadership) candidates(p *pass, m *demand, answers *stepAdvice) []*worker {
 	var list []*worker
-	for _, wk := range p.withCapacity(ws, size, service) {
-		if !answers.refused[wk.id] && !answers.hasValidTicket(wk, p.now) {
+	for _, wk := range p.withCapacity(m.ws, m.req.Size, m.service) {
+		if !answers.refused[wk.id] && (m.req.Gang || !answers.hasValidTicket(wk, p.now)) {
 			list = append(list, wk)
 		}
 	}
--- a/pollendockd/internal/scheduler/pass.go
+++ b/pollendockd/internal/scheduler/pass.go
@@ -301,9 +301,49 @@
 		return noCapacity
 	}
 	req.Count -= len(chosen)
+	if spec.Gang && !ws.isolated {
+		return l.gangAdvice(p, ws, req, service, advice)
+	}
 	return l.waitForAdvice(p, ws, req, service, advice)
 }
 
+// gangAdvice queries for a gang without reserved capacity: for tickets if it fits on the
+// workers that it knows it may use, or about others if it could fit with them. The share
+// of workers that the advisor is expected to allow does not count: a gang that is
+// unlikely to fit would never find out. As each worker is asked about once, it soon does.
+func (l *leadership) gangAdvice(p *pass, ws *waitingStep, req placement.Request, service string, advice *site.Advice) waitReason {
+	if ws.tj.adviceOf(ws.step).asking || p.unclaimedCPU[service] <= 0 {
+		return l.waitForAdvice(p, ws, req, service, advice)
+	}
+	known, unknown := l.fitByAnswer(p, ws, req, service)
+	switch {
+	case known >= req.Count:
+		return l.waitForAdvice(p, ws, req, service, advice)
+	case known+unknown < req.Count:
+		return noCapacity
+	}
+	l.want(p, demand{ws: ws, req: req, service: service, settings: advice, kind: toReserve})
+	return asking
+}
+
+// fitByAnswer returns how many tasks of a gang fit now on workers that the advisor has
+// allowed, and on those that it has not been asked about.
+func (l *leadership) fitByAnswer(p *pass, ws *waitingStep, req placement.Request, service string) (known, unknown int) {
+	answers := ws.tj.adviceOf(ws.step)
+	for _, wk := range p.withCapacity(ws, req.Size, service) {
+		if answers.refused[wk.id] {
+			continue
+		}
+		state := l.workerState(ws, wk, p.free(wk, ws))
+		if answers.known(wk) {
+			known += placement.FitCount(req, &state)
+		} else {
+			unknown += placement.FitCount(req, &state)
+		}
+	}
+	return known, unknown
+}
+
 // patientCount returns how many tasks of a step that can wait may start now: as many as
 // fit into what steps earlier in the order leave, less the headroom for urgent tasks.
 func (l *leadership) patientCount(p *pass, req placement.Request, service string) int {
@@ -335,7 +375,8 @@
 
 // waitForAdvice queues the remaining tasks of a step for a query. For a step further
 // back in the order a query would be useless if the free capacity goes to the steps
-// before it, as its tickets would expire meanwhile.
+// before it, as its tickets would expire meanwhile. A step that found no worker to ask
+// about at its last turn leaves the capacity to them: it may be unable to use any of it.
 func (l *leadership) waitForAdvice(p *pass, ws *waitingStep, req placement.Request, service string, advice *site.Advice) waitReason {
 	answers := ws.tj.adviceOf(ws.step)
 	needed := int64(req.Count) * req.Size.MilliCPU
@@ -346,7 +387,7 @@
 		l.want(p, demand{ws: ws, req: req, service: service, settings: advice, kind: toPlace})
 	case p.unclaimedCPU[service] <= 0:
 		return behindOthers
-	case l.want(p, demand{ws: ws, req: req, service: service, settings: advice, kind: toPlace}):
+	case l.want(p, demand{ws: ws, req: req, service: service, settings: advice, kind: toPlace}) && !answers.unplaceable:
 		p.unclaimedCPU[service] -= needed
 	}
 	return asking
--- a/pollendockd/internal/scheduler/query_workers.go
+++ b/pollendockd/internal/scheduler/query_workers.go
@@ -49,25 +49,19 @@
 }
 
 // workersForTasks returns as many workers as should suffice for the remaining tasks of a
-// step, if they have the capacity.
+// step, if they have the capacity. For a gang it names all workers anew: tickets from two
+// answers might not be valid at the same time.
 func (l *leadership) workersForTasks(m *demand) []*worker {
 	p := l.advice.pass
 	answers := m.ws.tj.adviceOf(m.ws.step)
-	candidates := l.candidates(p, m.ws, m.req.Size, m.service, answers)
+	candidates := l.candidates(p, m, answers)
 	if len(candidates) == 0 {
 		return nil
 	}
 	q := placement.QueryParams{AllowedFraction: l.queueStatsOf(m.ws.tj.sub.Queue).allowedShare(), CapacityFactor: candidateFactor, MinWorkers: minCandidates, OnlyFitting: !m.req.Gang}
-	if m.req.Gang {
-		workerStates := l.workerStates(p, m.ws, m.req, m.service, answers)
-		for i := range workerStates {
-			q.FittingTasks += placement.FitCount(m.req, &workerStates[i])
-		}
-	}
 	ids, expected := placement.SelectForQuery(m.req, q, l.queryCandidates(m, candidates))
 	if m.req.Gang && expected < float64(m.req.Count) {
-		// The gang is unlikely to fit, and its tickets would expire before there is
-		// capacity.
+		// The tickets would expire before there is capacity for the gang.
 		return nil
 	}
 	return l.workersOf(ids)
