scheduler: suspects that have waited for long get workers first

Suspects got workers in scheduling order, so those that could still complete in time came before all others, and a gang that needs several empty workers got none while such suspects came and took one each. A suspect that has waited for 4 s now comes before those that have waited less. A gang of suspects that may not run on enough workers keeps none free: it kept all that it knew, for ever.

TestSuspectGangGetsItsTurn and TestSuspectGangIdlesNoWorkersInVain fail on.

--- a/pollendockd/internal/scheduler/crash_test.go
+++ b/pollendockd/internal/scheduler/crash_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -259,3 +261,70 @@
 		expectPhase(c, v, "other", 5*time.Second, job.Completed)
 	})
 }
+
+// TestSuspectGangGetsItsTurn guards against a gang of suspects that waits for several
+// empty workers for ever, since other suspects that still can complete in time come first
+// and take one each.
+func TestSuspectGangGetsItsTurn(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		gang job.Step
+		// crowded is set if other jobs wait for capacity all the time.
+		crowded bool
+		good    float64
+	}{
+		{"half of the workers", gang(5, 8), false, 1},
+		{"all workers", gang(10, 8), false, 1},
+		{"half of the workers, in a full cell", gang(5, 8), true, 1},
+		{"some of the workers, with advice", gang(4, 8), false, 0.8},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inCell(t, 10, func(cell *cell) {
+				if c.good < 1 {
+					cell.advise(site.Advice{Base: 50 * time.Millisecond, PerUpstream: time.Millisecond, TicketLifetime: 1500 * time.Millisecond}, c.good)
+				}
+				cell.outcome = func(t site.TaskID, run int64, _ string) (time.Duration, site.EndKind) {
+					if t.Index == 0 && (t.Job[0] == 'p' || t.Job == "gang" && run == 1) {
+						return atStart, site.Crashed
+					}
+					return workTime, site.Done
+				}
+				v := cell.start("a")
+				cell.join("c")
+				cell.join("d")
+				time.Sleep(2 * time.Second)
+				cell.submit("gang", c.gang)
+				began := time.Now()
+				for n := 0; time.Since(began) < time.Minute; n++ {
+					cell.submit(fmt.Sprintf("poison%d", n), tasks(1, 2))
+					if c.crowded {
+						cell.submit(fmt.Sprintf("other%d", n), tasks(16, 4))
+					}
+					time.Sleep(1200 * time.Millisecond)
+				}
+				expectPhase(cell, v, "gang", 0, job.Completed)
+			})
+		})
+	}
+}
+
+// TestSuspectGangIdlesNoWorkersInVain guards against workers that are kept free for a gang
+// of suspects which may not run on enough of them.
+func TestSuspectGangIdlesNoWorkersInVain(t *testing.T) {
+	inCell(t, 4, func(c *cell) {
+		advice := site.Advice{Base: 50 * time.Millisecond, PerUpstream: time.Millisecond, TicketLifetime: 1500 * time.Millisecond}
+		c.catalog.Queues[0].Advice = &advice
+		c.queueAdvisor = &queueAdvisor{
+			vms: map[string]*sync.Mutex{}, advice: map[string]site.Advice{"s": advice, "o": advice},
+			// A worker that has crashed returns as one that the suspect may not use.
+			allows: func(job, worker string) bool { return job == "other" || !strings.HasSuffix(worker, "+") },
+		}
+		poison(c, "suspect", atStart)
+		v := c.start("a")
+		time.Sleep(time.Second)
+		c.submit("suspect", gang(4, 8))
+		time.Sleep(10 * time.Second)
+		c.submit("other", gang(4, 6))
+		expectPhase(c, v, "other", workTime+4*time.Second, job.Completed)
+	})
+}
--- a/pollendockd/internal/scheduler/isolation.go
+++ b/pollendockd/internal/scheduler/isolation.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"pollendock.example/cell/job"
@@ -40,6 +41,8 @@
 	// capacity, and uncrowdedShare while none do.
 	crowdedShare   = 0.25
 	uncrowdedShare = 0.6
+	// maxSuspectWait is how long a suspect may wait behind those that came later.
+	maxSuspectWait = 4 * time.Second
 	// endlessTime is the expected time of a task that runs until its job is canceled.
 	endlessTime = 365 * 24 * time.Hour
 )
@@ -103,10 +106,8 @@
 // vacateWorkers chooses the workers that get no new runs until the suspects that wait
 // have run there. A worker that was chosen before is kept, since it may be empty soon.
 func (l *leadership) vacateWorkers(p *pass, steps []*waitingStep) {
-	for _, ws := range steps {
-		if ws.isolated {
-			l.vacateFor(p, ws)
-		}
+	for _, ws := range suspectsInTurn(steps, p.now) {
+		l.vacateFor(p, ws)
 	}
 	for service, workers := range p.usable {
 		for _, wk := range workers {
@@ -118,6 +119,27 @@
 	l.vacated = p.isolation.vacated
 }
 
+// suspectsInTurn returns the steps of suspects in the order in which they get workers:
+// those that have waited for maxSuspectWait first, the longest wait first, and the others
+// in scheduling order. A gang needs several workers that become free one by one, and would
+// never get them while others that can still complete in time take each of them.
+func suspectsInTurn(steps []*waitingStep, now time.Time) []*waitingStep {
+	var long, others []*waitingStep
+	for _, ws := range steps {
+		switch {
+		case !ws.isolated:
+		case now.Sub(ws.waitsSince(now)) >= maxSuspectWait:
+			long = append(long, ws)
+		default:
+			others = append(others, ws)
+		}
+	}
+	slices.SortStableFunc(long, func(a, b *waitingStep) int {
+		return a.waitsSince(now).Compare(b.waitsSince(now))
+	})
+	return append(long, others...)
+}
+
 // vacateFor chooses workers until one can hold a task of the step, or all of its gang.
 func (l *leadership) vacateFor(p *pass, ws *waitingStep) {
 	spec := &ws.tj.sub.Steps[ws.step]
@@ -157,9 +179,9 @@
 	return placement.FitCount(req, &placement.WorkerState{Free: wk.upstream.Capacity})
 }
 
-// knowsWorkers reports whether the advisor has named enough workers for a gang, or has
-// answered about all. If not it queries for more: vacating workers that the gang may not
-// use would only idle them.
+// knowsWorkers reports whether the advisor has named enough workers for a gang. If not it
+// queries for more, if there are any: vacating workers that do not suffice would only
+// idle them.
 func (l *leadership) knowsWorkers(p *pass, ws *waitingStep, service string, advice *site.Advice) bool {
 	spec := &ws.tj.sub.Steps[ws.step]
 	answers := ws.tj.adviceOf(ws.step)
@@ -173,10 +195,10 @@
 			unknown++
 		}
 	}
-	if known >= spec.Count || unknown == 0 {
+	if known >= spec.Count {
 		return true
 	}
-	if !answers.asking {
+	if unknown > 0 && !answers.asking {
 		req := placement.Request{Count: spec.Count, Size: spec.Size, Gang: true}
 		l.want(p, demand{ws: ws, req: req, service: service, settings: advice, kind: toReserve})
 	}
