--- a/pollendockd/internal/scheduler/pass_bench_test.go
+++ b/pollendockd/internal/scheduler/pass_bench_test.go
@@ -76,7 +76,7 @@
 	s.listedAt = time.Now().Add(time.Hour)
 	l := &leadership{
 		s: s, ctx: ctx, jobs: map[string]*trackedJob{}, workers: map[string]*worker{}, teamUse: map[string]resource.Vector{},
-		meters: map[string]*placement.RateMeter{}, workersKnownOnce: true, isolatedRuns: map[*run]bool{},
+		meters: map[string]*placement.RateMeter{}, workersKnownOnce: true, isolatedRuns: map[*run]bool{}, headroom: map[string]*placement.Headroom{},
 	}
 	l.advice.init()
 	s.lead = l
