--- a/pollendockd/internal/scheduler/harness_test.go
+++ b/pollendockd/internal/scheduler/harness_test.go
@@ -159,6 +159,7 @@
 }
 
 func (noCounts) Count(string, int64)        {}
+func (noCounts) Gauge(string, int64)        {}
 func (noCounts) Time(string, time.Duration) {}
 
 // inCell runs a test in a bubble with workers of 10 cores each.
--- a/pollendockd/internal/scheduler/invalid_entries_test.go
+++ b/pollendockd/internal/scheduler/invalid_entries_test.go
@@ -18,6 +18,7 @@
 type countsByName map[string]int64
 
 func (c countsByName) Count(name string, n int64) { c[name] += n }
+func (c countsByName) Gauge(string, int64)        {}
 func (c countsByName) Time(string, time.Duration) {}
 
 // TestReportInvalidEntries checks that each change of an entry is counted and logged once,
