scheduler: a large append over a slow link is not sent several times at once

A burst of jobs gives appends of 400 KB, which take 0.3 s over a link of 10 Mbit/s and longer beside other traffic. The interval and the timeout grow with what an append has beyond 32 KB.

--- a/pollendockd/internal/scheduler/append.go
+++ b/pollendockd/internal/scheduler/append.go
@@ -38,8 +38,12 @@
 	// a read, whichever is longer, within these limits. From the second attempt on the
 	// interval is twice as long. A retry has no effect if the first attempt succeeded,
 	// but it slows down a slow stream further.
-	minRetryInterval  = 150 * time.Millisecond
-	maxRetryInterval  = 2500 * time.Millisecond
+	minRetryInterval = 150 * time.Millisecond
+	maxRetryInterval = 2500 * time.Millisecond
+	// An append of more than smallBatchBytes takes longer to send: the interval assumes
+	// slowUplink bytes a second for the rest.
+	smallBatchBytes   = 32 << 10
+	slowUplink        = 256 << 10
 	retryAppendFactor = 6
 	// An attempt times out after appendTimeout, or after timeoutIntervals retry
 	// intervals if that is longer.
@@ -86,7 +90,7 @@
 	f.attempts++
 	sentAt := time.Now()
 	term := l.term
-	interval := f.retryInterval(l.s.deps.Follower.ReadLatency())
+	interval := f.retryInterval(l.s.deps.Follower.ReadLatency()) + b.sendTime()
 	l.spawn(func(ctx context.Context) event {
 		ctx, cancel := context.WithTimeout(ctx, max(appendTimeout, timeoutIntervals*interval))
 		defer cancel()
@@ -116,6 +120,15 @@
 	return min(maxRetryInterval, interval)
 }
 
+// sendTime returns the additional time until a large batch is sent over a slow link.
+func (b *batch) sendTime() time.Duration {
+	size := 0
+	for i := range b.entries {
+		size += b.entries[i].Size()
+	}
+	return time.Duration(max(0, size-smallBatchBytes)) * time.Second / slowUplink
+}
+
 // recordLatency updates the latency estimate. An increase takes effect at once, a
 // decrease gradually.
 func (f *flushState) recordLatency(took time.Duration) {
--- a/pollendockd/internal/scheduler/harness_test.go
+++ b/pollendockd/internal/scheduler/harness_test.go
@@ -66,6 +66,8 @@
 		silent atomic.Bool
 		// listSilent is set while this VM gets no answers to reads of the list of workers.
 		listSilent atomic.Bool
+		// uplink is the link of this VM, nil for one that takes no time.
+		uplink atomic.Pointer[uplink]
 		// largest is the size of the largest append, in bytes.
 		largest atomic.Int64
 	}
@@ -131,6 +133,9 @@
 	if size > s.largest.Load() {
 		s.largest.Store(size)
 	}
+	if l := s.uplink.Load(); l != nil && !l.send(ctx, int(size)) {
+		return 0, site.ErrUnknown.Wrap(ctx.Err())
+	}
 	return s.Store.AppendAs(ctx, t, entries)
 }
 
