job: a record that no VM writes is left out and ends no VM

Records were decoded but not checked. A submission with 2^62 tasks made each VM that read it end ('makeslice: len out of range'), and so did a record with the key 'j' (nil pointer) which FuzzRecords found; a state whose steps are not those of its job, a step after one that is not there or an unknown verdict would have ended the leader later, and an epoch of 2^63-1 no VM could follow. A leader's record that was cut off left a leader made of two, one of speeds removed all.

Each kind of record is now checked as it is decoded; one that fails is reported, and what it would replace stays. A state that turns out not to fit its submission, which came after it, gives way to the state of a new job: none of ours does, and the job would never be placed otherwise.

TestOddRecords failed before, first with that panic; TestOddStateBeforeSubmission with 'no error'.

--- a/cell/job/record.go
+++ b/cell/job/record.go
@@ -40,6 +40,13 @@
 		Workers map[uint32]WorkerSpeed
 	}
 
+	// record is the value of an entry.
+	record interface {
+		// validateRecord returns an error for values that no VM writes. Later stages rely
+		// on it: they count runs and epochs on, and use steps and tasks as indexes.
+		validateRecord() error
+	}
+
 	// WorkerSpeed is the estimate of ln(time factor) of a worker, in hundredths: its
 	// mean and its standard deviation.
 	WorkerSpeed struct {
@@ -63,6 +70,15 @@
 // and after those of the cancels, submissions and crashes.
 const BeforeMembers = "k"
 
+const (
+	// maxNumber is the highest number of a run or an epoch.
+	maxNumber = 1 << 53
+	// maxCPUCores is more than any VM has.
+	maxCPUCores = 1 << 20
+	// maxSpeed bounds ln(time factor), in hundredths.
+	maxSpeed = 5000
+)
+
 var (
 	// Class wraps the errors of this package.
 	Class = errs.Class("job")
@@ -88,13 +104,20 @@
 }
 
 // SubmissionOf decodes the submission in an entry. It returns nil for entries of
-// other kinds and for removals.
+// other kinds and for removals, and an error for one that no VM accepts.
 func SubmissionOf(e *site.Entry) (*Submission, error) {
-	if !strings.HasPrefix(e.Key, submissionKey) || len(e.Value) == 0 {
+	id, found := strings.CutPrefix(e.Key, submissionKey)
+	if !found || len(e.Value) == 0 {
 		return nil, nil
 	}
 	s := &Submission{}
-	return s, cbor.Unmarshal(e.Value, s)
+	if err := decode(e, s); err != nil {
+		return nil, err
+	}
+	if s.ID != id {
+		return nil, Class.New("the record is that of job %.60q", s.ID)
+	}
+	return s, nil
 }
 
 // StateEntry returns the entry that stores the state of a job.
@@ -149,3 +172,106 @@
 	}
 	return site.Entry{Key: key, Value: value}, nil
 }
+
+// decode decodes the value of an entry and checks it. Other writers may have appended it.
+func decode(e *site.Entry, r record) error {
+	if err := cbor.Unmarshal(e.Value, r); err != nil {
+		return Class.Wrap(err)
+	}
+	return r.validateRecord()
+}
+
+// validateRecord allows the summary of a job that has ended, and all that Validate allows.
+func (s *Submission) validateRecord() error {
+	if s.MaxAttempts < 0 {
+		return Class.New("%d attempts", s.MaxAttempts)
+	}
+	if s.IsSummary() {
+		return nil
+	}
+	return s.Validate()
+}
+
+func (s *State) validateRecord() error {
+	if s.Phase < Queued || s.Phase > Canceled {
+		return Class.New("phase %d", s.Phase)
+	}
+	for _, tasks := range s.Steps {
+		for i := range tasks {
+			if err := tasks[i].validate(); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (t *Task) validate() error {
+	switch {
+	case t.Status < Waiting || t.Status > Interrupted:
+		return Class.New("status %d", t.Status)
+	case t.Run < 0 || t.Run > maxNumber || t.FailedRun < 0 || t.FailedRun > t.Run:
+		return Class.New("run %d, last failed run %d", t.Run, t.FailedRun)
+	case t.Failures < 0:
+		return Class.New("%d failures", t.Failures)
+	}
+	return nil
+}
+
+// validateFor checks that the state has the steps and tasks of the submission. The state of
+// a job that has ended may have none.
+func (s *State) validateFor(sub *Submission) error {
+	if sub.IsSummary() || len(s.Steps) == 0 && s.Phase.Final() {
+		return nil
+	}
+	if len(s.Steps) != len(sub.Steps) {
+		return Class.New("a state of %d steps of a job of %d", len(s.Steps), len(sub.Steps))
+	}
+	for i := range s.Steps {
+		if len(s.Steps[i]) != sub.Steps[i].Count {
+			return Class.New("a state of %d tasks of step %d, which has %d", len(s.Steps[i]), i, sub.Steps[i].Count)
+		}
+	}
+	return nil
+}
+
+func (c *Crashes) validateRecord() error {
+	for i := range c.Tasks {
+		t := &c.Tasks[i]
+		switch {
+		case t.Step < 0 || t.Step >= MaxSteps || t.Index < 0 || t.Index >= MaxTasks:
+			return Class.New("crashes under task %d of step %d", t.Index, t.Step)
+		case t.Count < 0 || t.Early < 0 || t.Run < 0 || t.Run > maxNumber:
+			return Class.New("%d crashes, %d of them early, the last of run %d", t.Count, t.Early, t.Run)
+		case t.Verdict < Trusted || t.Verdict > Poison:
+			return Class.New("verdict %d", int(t.Verdict))
+		}
+	}
+	return nil
+}
+
+func (m *Member) validateRecord() error {
+	if m.Incarnation == "" {
+		return Class.New("a member without an incarnation")
+	}
+	if !(m.CPUCores >= 0) || m.CPUCores > maxCPUCores {
+		return Class.New("a member with %v cores", m.CPUCores)
+	}
+	return nil
+}
+
+func (l *Leader) validateRecord() error {
+	if l.Epoch < 0 || l.Epoch > maxNumber {
+		return Class.New("epoch %d", l.Epoch)
+	}
+	return nil
+}
+
+func (s *WorkerSpeeds) validateRecord() error {
+	for _, w := range s.Workers {
+		if w.Mean < -maxSpeed || w.Mean > maxSpeed || w.StdDev < 0 || w.StdDev > maxSpeed {
+			return Class.New("a speed of %d with a deviation of %d", w.Mean, w.StdDev)
+		}
+	}
+	return nil
+}
--- a/cell/job/view.go
+++ b/cell/job/view.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"pollendock.example/cell/site"
 )
 
@@ -92,6 +90,9 @@
 func (v *View) applyEntry(e *site.Entry, caughtUpAt time.Time) (string, error) {
 	v.offsets[e.Key] = e.Offset
 	kind, name, _ := strings.Cut(e.Key, "/")
+	if name == "" {
+		return "", v.applySingle(e)
+	}
 	switch kind + "/" {
 	case submissionKey:
 		return name, v.applySubmission(name, e, caughtUpAt)
@@ -105,16 +106,18 @@
 	case memberKey:
 		return "", v.applyMember(name, e)
 	}
+	return "", Class.New("unknown kind of key")
+}
+
+// applySingle applies an entry whose key has no id.
+func (v *View) applySingle(e *site.Entry) error {
 	switch e.Key {
 	case leaderKey:
-		v.leaderAt = e.Offset
-		return "", cbor.Unmarshal(e.Value, &v.leader)
+		return v.applyLeader(e)
 	case speedsKey:
-		// Decoding into a map would add to it, and readers may hold the old one.
-		v.speeds = WorkerSpeeds{}
-		return "", cbor.Unmarshal(e.Value, &v.speeds)
+		return v.applySpeeds(e)
 	}
-	return "", Class.New("unknown kind of key")
+	return Class.New("unknown kind of key")
 }
 
 // job returns the job with the id and creates it if needed. While pages are read
@@ -133,14 +136,14 @@
 		v.remove(id)
 		return nil
 	}
-	j := v.job(id)
-	if j.Submission != nil && j.Submission.IsSummary() {
-		return nil
-	}
 	s, err := SubmissionOf(e)
 	if err != nil {
 		return err
 	}
+	j := v.job(id)
+	if j.Submission != nil && j.Submission.IsSummary() {
+		return nil
+	}
 	if j.Submission != nil && !s.IsSummary() {
 		// A duplicate: the caller sent the job again before this VM knew it.
 		return nil
@@ -150,11 +153,14 @@
 	if j.AcceptedAt.IsZero() {
 		j.AcceptedAt = localAcceptTime(time.Now(), s.AcceptedAt, caughtUpAt)
 	}
-	if j.State == nil {
+	if j.State != nil {
+		err = j.State.validateFor(s)
+	}
+	if j.State == nil || err != nil {
 		j.State = NewState(s)
 	}
 	v.updateWaiting(j)
-	return nil
+	return err
 }
 
 // localAcceptTime converts the acceptance time remote, by the clock of another VM,
@@ -174,9 +180,14 @@
 		return nil
 	}
 	s := &State{}
-	if err := cbor.Unmarshal(e.Value, s); err != nil {
+	if err := decode(e, s); err != nil {
 		return err
 	}
+	if old := v.jobs[id]; old != nil && old.Submission != nil {
+		if err := s.validateFor(old.Submission); err != nil {
+			return err
+		}
+	}
 	j := v.job(id)
 	j.State = s
 	j.StateAt = time.Now()
@@ -198,7 +209,7 @@
 		return nil
 	}
 	c := &Crashes{}
-	if err := cbor.Unmarshal(e.Value, c); err != nil {
+	if err := decode(e, c); err != nil {
 		return err
 	}
 	v.job(id).Crashes = c
@@ -211,13 +222,36 @@
 		return nil
 	}
 	var m Member
-	if err := cbor.Unmarshal(e.Value, &m); err != nil {
+	if err := decode(e, &m); err != nil {
 		return err
 	}
+	if m.Name != name {
+		return Class.New("the record is that of member %.60q", m.Name)
+	}
 	v.members[name] = m
 	return nil
 }
 
+func (v *View) applyLeader(e *site.Entry) error {
+	var l Leader
+	if err := decode(e, &l); err != nil {
+		return err
+	}
+	v.leader = l
+	v.leaderAt = e.Offset
+	return nil
+}
+
+func (v *View) applySpeeds(e *site.Entry) error {
+	// Readers may hold the old record, so that it is not decoded into.
+	var s WorkerSpeeds
+	if err := decode(e, &s); err != nil {
+		return err
+	}
+	v.speeds = s
+	return nil
+}
+
 // updateWaiting updates the number of waiting jobs of the job's queue.
 func (v *View) updateWaiting(j *Job) {
 	if j.Submission == nil || j.State == nil {
