A record without a key keeps its place, and odd records are relayed like others

A record without a key was left out of what Stream.Read returns, which left a gap in the offsets: a VM that gets its records from another one only would have waited for the missing one. It is an entry without a key now, which the view reports and passes over.

TestOddEntries of the follower shows eight kinds of odd records for a VM that reads them, one that gets records from that one only, and one that starts.

--- a/cell/site/stream.go
+++ b/cell/site/stream.go
@@ -34,7 +34,8 @@
 		// After is the key after which a scan by key continues; empty on the last
 		// page of the scan.
 		After string
-		// Skipped is the number of entries that could not be read and are left out.
+		// Skipped is the number of entries that a scan by key left out, because they could
+		// not be read.
 		Skipped int
 		// CaughtUpAt is a time, by the reader's own clock, at which the reader
 		// had read all entries before these; zero if unknown.
--- a/pollendockd/internal/replica/follower_test.go
+++ b/pollendockd/internal/replica/follower_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"testing"
@@ -395,3 +396,63 @@
 		}
 	})
 }
+
+// oddEntries are records that no VM writes.
+func oddEntries() []site.Entry {
+	deep := bytes.Repeat([]byte{0x81}, 200_000)
+	return []site.Entry{
+		{}, // a record without a key
+		{Key: "j", Value: []byte("0")},
+		{Key: "j/odd", Value: deep},
+		{Key: "s/a1", Value: deep},
+		{Key: "m/odd", Value: []byte{0}},
+		{Key: "leader", Value: []byte{0x83, 0x1b, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x60, 0x60}},
+		{Key: "speeds", Value: []byte{0xff}},
+		{Key: "\xff\x00", Value: []byte("x")},
+	}
+}
+
+// TestOddEntries checks that records that no VM writes cost themselves alone, for a VM that
+// loads them at its start, one that reads them, and one that gets records from that one
+// only.
+func TestOddEntries(t *testing.T) {
+	for _, odd := range oddEntries() {
+		withFollower(t, func(ctx context.Context, store *fleet.Store, view *job.View, f *Follower) {
+			if err := f.load(ctx); err != nil {
+				t.Fatal(err)
+			}
+			relayedView := job.NewView()
+			relayed := NewFollower(store, relayedView, log.NewNopLogger(), func([]string) {})
+			if err := relayed.load(ctx); err != nil {
+				t.Fatal(err)
+			}
+			for round := range 3 {
+				add(ctx, t, store, fmt.Sprint("a", round))
+				if _, err := store.Append(ctx, []site.Entry{odd}); err != nil {
+					t.Fatal(err)
+				}
+				add(ctx, t, store, fmt.Sprint("b", round))
+				if err := f.Sync(ctx); err != nil {
+					t.Fatal(err)
+				}
+				entries, cached := f.Recent(relayedView.Next(), 1<<20)
+				if !cached {
+					t.Fatalf("key %q: the records after offset %d are not cached", odd.Key, relayedView.Next())
+				}
+				if next, _ := relayed.Offer(entries); next != int64(3*round+3) {
+					t.Errorf("key %q: the other VM has records up to %d", odd.Key, next)
+				}
+			}
+			started := job.NewView()
+			if err := NewFollower(store, started, log.NewNopLogger(), func([]string) {}).load(ctx); err != nil {
+				t.Errorf("key %q: %v", odd.Key, err)
+			}
+			for _, v := range []*job.View{view, relayedView, started} {
+				expectJobs(t, v, "a0", "b0", "a1", "b1", "a2", "b2")
+				if l, _ := v.Leader(); l.Epoch != 0 {
+					t.Errorf("key %q: leader %+v", odd.Key, l)
+				}
+			}
+		})
+	}
+}
