cluster: a catalog's age below 0 is taken for 0

The age that another VM sends with its catalog is subtracted from the time of the call: one below 0 made the catalog appear to be read in the future, and count as current until then, though its keys may be withdrawn.

TestOddCatalogAge failed before: 'age -1h0m0s: read 59m59.998780849s from now'.

--- a/pollendockd/internal/cluster/catalogs.go
+++ b/pollendockd/internal/cluster/catalogs.go
@@ -86,7 +86,7 @@
 		reply.Catalog.Index()
 	}
 	// The other VM computed the age after this call began.
-	return &request.PeerCatalog{From: c.member.Name, Version: reply.Version, Revision: reply.Revision, ReadAt: began.Add(-reply.Age), Catalog: reply.Catalog}
+	return &request.PeerCatalog{From: c.member.Name, Version: reply.Version, Revision: reply.Revision, ReadAt: began.Add(-max(0, reply.Age)), Catalog: reply.Catalog}
 }
 
 // Catalog returns the catalog of this VM.
--- a/pollendockd/internal/cluster/catalogs_test.go
+++ b/pollendockd/internal/cluster/catalogs_test.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -50,3 +51,18 @@
 		t.Errorf("%d VMs would be asked", len(list))
 	}
 }
+
+// TestOddCatalogAge: an age below 0, from a VM whose clock was set back, makes no catalog
+// appear to be read in the future, where it would count as current for ever.
+func TestOddCatalogAge(t *testing.T) {
+	for _, age := range []time.Duration{-time.Hour, math.MinInt64, math.MaxInt64} {
+		p := newPair(t)
+		p.handler.catalog = (&site.Catalog{Version: 5}).Index()
+		p.handler.catalogAge = age
+		p.peers.Catalogs(t.Context(), nil, func(a *request.PeerCatalog) {
+			if a.ReadAt.After(time.Now()) {
+				t.Errorf("age %v: read %v from now", age, time.Until(a.ReadAt))
+			}
+		})
+	}
+}
