--- a/soak/faults.go
+++ b/soak/faults.go
@@ -57,6 +57,8 @@
 	{"worker crashed", func(c *cell, r *rand.Rand) { c.fleet.Worker(randomWorker(c, r)).Crash() }},
 	{"worker shrunk", shrinkWorker},
 	{"worker start responses lost", func(c *cell, r *rand.Rand) { c.fleet.Worker(randomWorker(c, r)).DropResponses(2) }},
+	{"odd entries of workers", writeOddEntries},
+	{"odd record", writeOddRecord},
 	{"worker starts delayed", func(c *cell, r *rand.Rand) { c.fleet.Worker(randomWorker(c, r)).DelayStarts(2, maxDelayedStart) }},
 }
 
