--- a/pollendockd/internal/cluster/catalogs.go
+++ b/pollendockd/internal/cluster/catalogs.go
@@ -131,7 +131,7 @@
 		return nil
 	}
 	// The other VM computed the age after this call began.
-	return &request.PeerCatalog{From: c.member.Name, Version: reply.Version, Revision: reply.Revision, ReadAt: began.Add(-reply.Age)}
+	return &request.PeerCatalog{From: c.member.Name, Version: reply.Version, Revision: reply.Revision, ReadAt: began.Add(-max(0, reply.Age))}
 }
 
 // FetchCatalog returns the catalog that another VM has described. It arrives in parts, so
--- a/pollendockd/internal/cluster/catalogs_test.go
+++ b/pollendockd/internal/cluster/catalogs_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/gob"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net"
 	"reflect"
@@ -187,3 +188,18 @@
 		}
 	}
 }
+
+// TestOddCatalogAge: an age below 0, from a VM whose clock was set back, makes no catalog
+// appear to be read in the future, where it would count as current for ever.
+func TestOddCatalogAge(t *testing.T) {
+	for _, age := range []time.Duration{-time.Hour, math.MinInt64, math.MaxInt64} {
+		p := newPair(t)
+		p.handler.catalog = (&site.Catalog{Version: 5}).Index()
+		p.handler.catalogAge = age
+		p.peers.Catalogs(t.Context(), func(a *request.PeerCatalog) {
+			if a.ReadAt.After(time.Now()) {
+				t.Errorf("age %v: read %v from now", age, time.Until(a.ReadAt))
+			}
+		})
+	}
+}
