scheduler: an entry that changes in nothing but the clock shows that entries are rewritten

Then a worker whose entry stays the same has told nothing, also if most workers are cut off from the store; the majority decides only until such an entry has been seen.

--- a/pollendockd/internal/scheduler/capacity.go
+++ b/pollendockd/internal/scheduler/capacity.go
@@ -1,19 +1,24 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
+
+	"pollendock.example/cell/site"
 )
 
 const (
-	// maxListGap is the longest time between two reads of the list in which the store counts
-	// as having accepted the heartbeats of all workers.
-	maxListGap = 600 * time.Millisecond
+	// maxListGap is the longest time between two reads of the list that counts as no outage, if
+	// heartbeats are not more frequent. One read without an answer is no outage, and a worker
+	// has missed one heartbeat at most.
+	maxListGap = pollTimeout + 2*tickInterval
 	// An entry counts as rewritten for rewriteHeartbeats heartbeats.
 	rewriteHeartbeats = 2
-	// entryDelay covers the time from a worker's heartbeat until a read returns its entry.
-	entryDelay = 250 * time.Millisecond
+	// entryDelay covers the delay of a heartbeat, by a store that did not answer the one before
+	// for example, and the time until a read returns the entry.
+	entryDelay = 500 * time.Millisecond
 )
 
 // maxCapacityAge is the age up to which a start may rely on what a worker has told of its
@@ -30,9 +35,10 @@
 // new leader has not read the list before its term; whether the store answered meanwhile it
 // knows from the records.
 func (s *Scheduler) noteListRead(sentAt, now time.Time) {
-	if sentAt.Sub(s.listedAt) > maxListGap {
+	maxGap := min(maxListGap, s.opt.Bounds.Heartbeat)
+	if sentAt.Sub(s.listedAt) > maxGap {
 		s.listSince = now
-		if l := s.lead; l != nil && s.listedAt.Before(l.startedAt) && now.Sub(l.startedAt) <= maxListGap {
+		if l := s.lead; l != nil && s.listedAt.Before(l.startedAt) && now.Sub(l.startedAt) <= maxGap {
 			s.listSince = s.deps.Follower.AvailableSince()
 		}
 	}
@@ -55,11 +61,14 @@
 	}
 }
 
-// entriesRewritten reports whether workers rewrite their entries with each heartbeat, as most do
-// whose entries tell their clocks. A worker whose entry stays the same has then written nothing,
-// for example because it is cut off from the store. The answer is yes at the start of a term, until
-// half of the workers have answered.
+// entriesRewritten reports whether workers rewrite their entries with each heartbeat. A worker
+// whose entry stays the same has then written nothing, for example because it is cut off from the
+// store. Until an entry has been seen to change in nothing but the clock, the majority of the
+// workers decides; until half of them have answered in this term, the answer is yes.
 func (l *leadership) entriesRewritten(now time.Time) bool {
+	if l.s.entriesRewritten {
+		return true
+	}
 	listed, answered, clocked, rewritten := 0, 0, 0, 0
 	for _, wk := range l.workers {
 		if !wk.listed {
@@ -84,6 +93,15 @@
 	return clocked > 0 && rewritten >= majority(clocked)
 }
 
+// onlyClockChanged reports whether a worker has rewritten its entry without any other change.
+func onlyClockChanged(old, u *site.Upstream) bool {
+	if old.Clock == 0 || u.Clock == 0 || old.Clock == u.Clock {
+		return false
+	}
+	return old.Service == u.Service && old.Addr == u.Addr && old.DataCentre == u.DataCentre && slices.Equal(old.Labels, u.Labels) &&
+		old.Capacity == u.Capacity && old.Boot == u.Boot && old.Draining == u.Draining && old.ColdUntil.IsZero() && u.ColdUntil.IsZero()
+}
+
 // majority returns the least number of more than half of n.
 func majority(n int) int {
 	return n/2 + 1
--- a/pollendockd/internal/scheduler/capacity_test.go
+++ b/pollendockd/internal/scheduler/capacity_test.go
@@ -208,11 +208,11 @@
 		heartbeat time.Duration
 		within    time.Duration
 	}{
-		{"rewritten", false, false, 300 * time.Millisecond, 300*time.Millisecond + entryDelay + pollInterval},
-		{"rewritten later", false, false, 900 * time.Millisecond, 900*time.Millisecond + entryDelay + pollInterval},
-		{"changed", true, true, 300 * time.Millisecond, 300*time.Millisecond + entryDelay + pollInterval},
-		{"changed later", true, true, 900 * time.Millisecond, 900*time.Millisecond + entryDelay + pollInterval},
-		{"unchanged", true, false, 300 * time.Millisecond, testHeartbeat + 2*entryDelay + pollInterval},
+		{"rewritten", false, false, 300 * time.Millisecond, 300*time.Millisecond + 2*pollInterval},
+		{"rewritten later", false, false, 900 * time.Millisecond, 900*time.Millisecond + 2*pollInterval},
+		{"changed", true, true, 300 * time.Millisecond, 300*time.Millisecond + 2*pollInterval},
+		{"changed later", true, true, 900 * time.Millisecond, 900*time.Millisecond + 2*pollInterval},
+		{"unchanged", true, false, 300 * time.Millisecond, testHeartbeat + entryDelay + 2*pollInterval},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			inCell(t, 2, func(cl *cell) {
@@ -368,3 +368,30 @@
 		})
 	}
 }
+
+// TestStartIsNotRepeatedTooLate guards against the repetition of a start request that got no answer,
+// once the worker may have shrunk for too long. The first request is sent shortly before that.
+func TestStartIsNotRepeatedTooLate(t *testing.T) {
+	for before := 100 * time.Millisecond; before <= 400*time.Millisecond; before += 50 * time.Millisecond {
+		t.Run(before.String(), func(t *testing.T) {
+			inCell(t, 1, func(c *cell) {
+				c.register(1)
+				a := c.start("a")
+				time.Sleep(5 * time.Second)
+				w := c.fleet.Worker("w0")
+				w.SetHeartbeat(time.Now())
+				time.Sleep(20 * time.Millisecond)
+				w.SetCutFromStore(true)
+				w.SetCapacity(cores(2))
+				time.Sleep(testHeartbeat + testContact - startTimeout - before)
+				w.LoseStarts(maxStartAttempts - 1)
+				c.submit("job", tasks(1, 4))
+				time.Sleep(2 * time.Second)
+				w.SetCapacity(cores(10))
+				w.SetCutFromStore(false)
+				expectPhase(c, a, "job", 10*time.Second, job.Completed)
+				expectStarts(c, "job", 0, 1)
+			})
+		})
+	}
+}
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -201,6 +201,7 @@
 	if wk.client == nil || wk.upstream.Addr != u.Addr {
 		wk.client = l.s.deps.Dial(u.ID, u.Addr)
 	}
+	l.s.entriesRewritten = l.s.entriesRewritten || onlyClockChanged(&wk.upstream, u)
 	if wk.upstream.Boot != u.Boot {
 		wk.capacityUntil, wk.writtenAt = time.Time{}, time.Time{}
 	}
--- a/soak/cell.go
+++ b/soak/cell.go
@@ -100,7 +100,7 @@
 			return nil, err
 		}
 	}
-	go c.runHeartbeats()
+	go c.runHeartbeats(opt.Seed)
 	if err := c.publishConfig(1); err != nil {
 		return nil, err
 	}
--- a/soak/heartbeats.go
+++ b/soak/heartbeats.go
@@ -16,10 +16,13 @@
 type registrations struct {
 	c       *cell
 	entries map[string]*site.Upstream
+	// changesOnly is set if an entry is rewritten only if more than its clock has changed.
+	changesOnly bool
 }
 
 const (
 	heartbeatInterval = 500 * time.Millisecond
+	heartbeatTimeout  = 200 * time.Millisecond
 	// contactInterval and heartbeatInterval are how long starts may rely on a capacity that
 	// has shrunk while the worker could not say so. Otherwise the bound is the fleet's own.
 	contactInterval = 1500 * time.Millisecond
@@ -70,36 +73,39 @@
 // after its end.
 func (c *cell) shrinkDuring(outage *fault, r *rand.Rand) {
 	c.fleet.SetShrinkNotice(contactInterval + heartbeatInterval)
-	for i := range c.workers {
+	for i := range len(c.workers) {
 		if r.IntN(2) > 0 {
 			continue
 		}
 		smaller := workerCapacity
 		smaller.MilliCPU = smaller.MilliCPU * int64(1+r.IntN(3)) / 4
-		c.fleet.Worker(i).SetCapacity(smaller)
+		c.fleet.Worker(fmt.Sprintf("w%d", i)).SetCapacity(smaller)
 	}
 	outage.inject(c, r)
 	time.Sleep(contactInterval + heartbeatInterval)
 	c.fleet.SetShrinkNotice(shrinkNotice)
 	sleepFaultDuration(r)
-	for i := range c.workers {
-		c.fleet.Worker(i).SetCapacity(workerCapacity)
+	for id := range c.workers {
+		c.fleet.Worker(id).SetCapacity(workerCapacity)
 	}
 }
 
 // runHeartbeats publishes the workers' state to the store at regular intervals.
-func (c *cell) runHeartbeats() {
-	g := &registrations{c, map[string]*site.Upstream{}}
+// With even seeds entries are rewritten only after a change.
+func (c *cell) runHeartbeats(seed uint64) {
+	g := &registrations{c: c, entries: map[string]*site.Upstream{}, changesOnly: seed%2 == 0}
+	ticker := time.NewTicker(heartbeatInterval)
+	defer ticker.Stop()
 	for c.ctx.Err() == nil {
 		g.update()
-		time.Sleep(heartbeatInterval)
+		<-ticker.C
 	}
 }
 
-// update writes the entries that have changed, and removes those of workers that have left.
+// update writes the entries that are due, and removes those of workers that have left.
 // What the store does not accept in time is left to the next heartbeat.
 func (g *registrations) update() {
-	ctx, cancel := context.WithTimeout(g.c.ctx, heartbeatInterval)
+	ctx, cancel := context.WithTimeout(g.c.ctx, heartbeatTimeout)
 	defer cancel()
 	list, _, err := g.c.fleet.Next(ctx)
 	if err != nil {
@@ -120,10 +126,10 @@
 	}
 }
 
-// publish writes the entry of a worker if more than its clock has changed.
+// publish writes the entry of a worker.
 func (g *registrations) publish(ctx context.Context, u *site.Upstream) {
 	u.Addr = netip.MustParseAddrPort(g.c.workers[u.ID].addr())
-	if old := g.entries[u.ID]; old != nil {
+	if old := g.entries[u.ID]; old != nil && g.changesOnly {
 		same := *u
 		same.Clock = old.Clock
 		if reflect.DeepEqual(&same, old) {
