--- a/pollendockd/internal/scheduler/harness_test.go
+++ b/pollendockd/internal/scheduler/harness_test.go
@@ -58,6 +58,8 @@
 		resets atomic.Bool
 		// silent is set while this VM gets no answers.
 		silent atomic.Bool
+		// uplink is the link of this VM, nil for one that takes no time.
+		uplink atomic.Pointer[uplink]
 		// largest is the size of the largest append, in bytes.
 		largest atomic.Int64
 	}
@@ -114,6 +116,9 @@
 	if size > s.largest.Load() {
 		s.largest.Store(size)
 	}
+	if l := s.uplink.Load(); l != nil && !l.send(ctx, int(size)) {
+		return 0, site.ErrUnknown.Wrap(ctx.Err())
+	}
 	return s.Store.AppendAs(ctx, t, entries)
 }
 
