transfer: TestTrickle no longer depends on which of two timers fires first

It failed in 173 of 300 runs (ended after 20.5 s): the response's last part and the end of the call were due at the same moment, and the loop that sent the parts also measured. Now the end is measured by itself, and must come at maxTime exactly, as before. It fails if the call ends a second later; 3,000 runs, and 300 with the race detector, pass.

--- a/cell/transfer/transfer_test.go
+++ b/cell/transfer/transfer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -51,11 +52,17 @@
 		began := time.Now()
 		ctx, cancel := WithTimeout(t.Context(), time.Second)
 		defer cancel()
-		for ctx.Err() == nil {
-			Received(ctx)
-			time.Sleep(time.Second / 2)
-		}
-		if took := time.Since(began); took != maxTime {
+		var parts sync.WaitGroup
+		parts.Go(func() {
+			for ctx.Err() == nil {
+				Received(ctx)
+				time.Sleep(time.Second / 2)
+			}
+		})
+		<-ctx.Done()
+		took := time.Since(began)
+		parts.Wait()
+		if took != maxTime {
 			t.Errorf("ended after %v", took)
 		}
 	})
