cluster: a catalog of another VM is the one that it has described, with numbers to calculate with

What arrived was taken as it is: a catalog of version 2^63-1 in place of the one described would never be replaced, and a weight or stretch that is no number would go into sort keys.

TestOddCatalogParts passes the described version, as its callers do.

--- a/cell/site/catalog.go
+++ b/cell/site/catalog.go
@@ -4,6 +4,8 @@
 package site
 
 import (
+	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -104,6 +106,30 @@
 	return c.Version > old.Version || c.Revision > old.Revision
 }
 
+// Validate returns an error for numbers with which later stages cannot calculate.
+func (c *Catalog) Validate() error {
+	for i := range c.Queues {
+		if q := &c.Queues[i]; !isFactor(q.Stretch) {
+			return fmt.Errorf("queue %.60q: stretch %v", q.Name, q.Stretch)
+		}
+	}
+	for i := range c.Teams {
+		t := &c.Teams[i]
+		if !isFactor(t.Weight) {
+			return fmt.Errorf("team %.60q: weight %v", t.Name, t.Weight)
+		}
+		if err := t.Limit.Validate(); err != nil {
+			return fmt.Errorf("team %.60q: %w", t.Name, err)
+		}
+	}
+	return nil
+}
+
+// isFactor reports whether n is a finite number of at least 0.
+func isFactor(n float64) bool {
+	return n >= 0 && n <= math.MaxFloat64
+}
+
 // Index builds the indexes for lookups by key, name and path, and returns c. It
 // must be called once, before the catalog is shared between goroutines.
 func (c *Catalog) Index() *Catalog {
--- a/pollendockd/internal/cluster/catalogs.go
+++ b/pollendockd/internal/cluster/catalogs.go
@@ -161,7 +161,7 @@
 	data := partial.data
 	partial.data = nil
 	p.counts.Count("catalog_bytes_received", int64(len(data)))
-	return decodeCatalog(data)
+	return decodeCatalog(data, a)
 }
 
 // begin drops what has arrived of another catalog.
@@ -239,8 +239,9 @@
 	return b.Bytes(), nil
 }
 
-// decodeCatalog is the inverse of encodeCatalog. The catalog is indexed.
-func decodeCatalog(data []byte) (*site.Catalog, error) {
+// decodeCatalog is the inverse of encodeCatalog. The catalog is indexed. It is an error if
+// it is not the one that the other VM has described, or has numbers that no VM reads.
+func decodeCatalog(data []byte, described *request.PeerCatalog) (*site.Catalog, error) {
 	r, err := gzip.NewReader(bytes.NewReader(data))
 	if err != nil {
 		return nil, peer.Class.Wrap(err)
@@ -253,5 +254,11 @@
 	if err := cbor.Unmarshal(plain, &c); err != nil {
 		return nil, peer.Class.Wrap(err)
 	}
+	if c.Version != described.Version || c.Revision != described.Revision {
+		return nil, peer.Class.New("revision %d of version %d in place of %d of %d", c.Revision, c.Version, described.Revision, described.Version)
+	}
+	if err := c.Validate(); err != nil {
+		return nil, err
+	}
 	return c.Index(), nil
 }
--- a/pollendockd/internal/cluster/catalogs_test.go
+++ b/pollendockd/internal/cluster/catalogs_test.go
@@ -73,7 +73,7 @@
 		{"one byte changed", append(append([]byte{}, good[:len(good)/2]...), make([]byte, len(good)/2)...)},
 	}
 	for _, c := range cases {
-		if got, err := decodeCatalog(c.data); err == nil {
+		if got, err := decodeCatalog(c.data, &request.PeerCatalog{Version: 5}); err == nil {
 			t.Errorf("%s: got %+v", c.name, got)
 		}
 	}
