scheduler: workers whose entries tell no clock are confirmed by reads of the list everywhere

A worker without a clock in its entry would never have been used once another one had shown that it rewrites its entry. Names and shorter functions; the tests run with workers of a third kind, which tell no clocks.

--- a/pollendockd/internal/scheduler/capacity.go
+++ b/pollendockd/internal/scheduler/capacity.go
@@ -51,11 +51,12 @@
 // though it was read just now.
 func (l *leadership) confirmListed(now time.Time) {
 	asOf := l.s.listedAt.Add(-l.s.opt.Bounds.Heartbeat - entryDelay)
-	if asOf.Before(l.s.listSince) || l.entriesRewritten(now) {
+	if l.s.maxCapacityAge() == 0 || asOf.Before(l.s.listSince) {
 		return
 	}
+	rewritten := l.entriesRewritten(now)
 	for _, wk := range l.workers {
-		if wk.listed {
+		if wk.listed && (!rewritten || wk.upstream.Clock == 0) {
 			l.confirmCapacity(wk, asOf)
 		}
 	}
@@ -69,28 +70,24 @@
 	if l.s.entriesRewritten {
 		return true
 	}
-	listed, answered, clocked, rewritten := 0, 0, 0, 0
+	listed, answering, rewritten := 0, 0, 0
 	for _, wk := range l.workers {
-		if !wk.listed {
+		if !wk.listed || wk.upstream.Clock == 0 {
 			continue
 		}
 		listed++
-		if wk.boot == 0 || wk.boot != wk.upstream.Boot {
+		if !wk.answersAsListed() {
 			continue
 		}
-		answered++
-		if wk.upstream.Clock == 0 {
-			continue
-		}
-		clocked++
+		answering++
 		if now.Sub(wk.writtenAt) < rewriteHeartbeats*l.s.opt.Bounds.Heartbeat {
 			rewritten++
 		}
 	}
-	if answered < majority(listed) && now.Sub(l.startedAt) < l.s.opt.Bounds.Heartbeat {
+	if 2*answering <= listed && now.Sub(l.startedAt) < l.s.opt.Bounds.Heartbeat {
 		return true
 	}
-	return clocked > 0 && rewritten >= majority(clocked)
+	return 2*rewritten > answering
 }
 
 // onlyClockChanged reports whether a worker has rewritten its entry without any other change.
@@ -98,20 +95,18 @@
 	if old.Clock == 0 || u.Clock == 0 || old.Clock == u.Clock {
 		return false
 	}
+	if !old.ColdUntil.IsZero() || !u.ColdUntil.IsZero() {
+		return false
+	}
 	return old.Service == u.Service && old.Addr == u.Addr && old.DataCentre == u.DataCentre && slices.Equal(old.Labels, u.Labels) &&
-		old.Capacity == u.Capacity && old.Boot == u.Boot && old.Draining == u.Draining && old.ColdUntil.IsZero() && u.ColdUntil.IsZero()
-}
-
-// majority returns the least number of more than half of n.
-func majority(n int) int {
-	return n/2 + 1
+		old.Capacity == u.Capacity && old.Boot == u.Boot && old.Draining == u.Draining
 }
 
 // confirmWritten records when the worker wrote its entry: the entry and the answer to the last
 // hold both tell the worker's clock. So a worker is used as soon as it has written again.
 func (l *leadership) confirmWritten(wk *worker) {
 	u := &wk.upstream
-	if u.Clock == 0 || wk.boot == 0 || wk.boot != u.Boot {
+	if u.Clock == 0 || !wk.answersAsListed() {
 		return
 	}
 	age := max(0, time.Duration(float64(wk.clock-u.Clock)/minClockRate))
@@ -132,7 +127,7 @@
 // heldForCapacity reports whether the worker gets no starts although it answers, because it has
 // not told its capacity for too long.
 func (wk *worker) heldForCapacity(now time.Time) bool {
-	return wk.listed && wk.boot != 0 && wk.boot == wk.upstream.Boot && !wk.capacityKnown(now)
+	return wk.listed && wk.answersAsListed() && !wk.capacityKnown(now)
 }
 
 // someHeldForCapacity reports whether there is such a worker. A forecast from the others alone
--- a/pollendockd/internal/scheduler/capacity_test.go
+++ b/pollendockd/internal/scheduler/capacity_test.go
@@ -8,6 +8,7 @@
 	"pollendock.example/cell/job"
 	"pollendock.example/cell/resource"
 	"pollendock.example/cell/site"
+	"pollendock.example/standin/fleet"
 )
 
 const (
@@ -102,22 +103,21 @@
 	}
 }
 
-// inBothFleets runs a test with workers that rewrite their entries with each heartbeat, and with
-// workers that do so only after a change.
-func inBothFleets(t *testing.T, name string, workers int, fn func(c *cell)) {
-	for _, fleet := range []struct {
-		name        string
-		changesOnly bool
+// inEachFleet runs a test with workers that rewrite their entries with each heartbeat, with workers
+// that do so only after a change, and with workers whose entries do not tell their clocks.
+func inEachFleet(t *testing.T, name string, workers int, fn func(c *cell)) {
+	for _, style := range []struct {
+		name string
+		set  func(f *fleet.Fleet)
 	}{
-		{"each heartbeat", false},
-		{"changes only", true},
+		{"each heartbeat", func(*fleet.Fleet) {}},
+		{"changes only", (*fleet.Fleet).WriteChangesOnly},
+		{"no clocks", (*fleet.Fleet).OmitClocks},
 	} {
-		t.Run(name+"/"+fleet.name, func(t *testing.T) {
+		t.Run(name+"/"+style.name, func(t *testing.T) {
 			inCell(t, workers, func(c *cell) {
 				c.register(workers)
-				if fleet.changesOnly {
-					c.fleet.WriteChangesOnly()
-				}
+				style.set(c.fleet)
 				fn(c)
 			})
 		})
@@ -163,7 +163,7 @@
 		}},
 		{"list silent for the leader", func(c *cell) { c.vms["a"].stream.listSilent.Store(true) }, func(c *cell) { c.vms["a"].stream.listSilent.Store(false) }},
 	} {
-		inBothFleets(t, c.name, workers, func(cl *cell) {
+		inEachFleet(t, c.name, workers, func(cl *cell) {
 			cl.start("a")
 			time.Sleep(2 * time.Second)
 			v := cl.start("b")
@@ -258,7 +258,7 @@
 		}, within},
 		{"slow reads", func(c *cell) { c.store.SetReadDelay(400 * time.Millisecond) }, within + 800*time.Millisecond},
 	} {
-		inBothFleets(t, c.name, 2, func(cl *cell) {
+		inEachFleet(t, c.name, 2, func(cl *cell) {
 			cl.start("a")
 			time.Sleep(2 * time.Second)
 			cl.start("b")
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -230,10 +230,15 @@
 // usable reports whether the worker accepts new runs. Its current incarnation must be
 // known to obey this term, and its capacity must be known.
 func (wk *worker) usable(now time.Time) bool {
-	return wk.listed && !wk.upstream.Draining && !wk.evacuated && wk.boot != 0 && wk.boot == wk.upstream.Boot && wk.holdFails == 0 &&
+	return wk.listed && !wk.upstream.Draining && !wk.evacuated && wk.answersAsListed() && wk.holdFails == 0 &&
 		!now.Before(wk.backoffUntil) && wk.stalledSince.IsZero() && wk.capacityKnown(now)
 }
 
+// answersAsListed reports whether the last answer came from the incarnation that is listed.
+func (wk *worker) answersAsListed() bool {
+	return wk.boot != 0 && wk.boot == wk.upstream.Boot
+}
+
 func (wk *worker) free() resource.Vector {
 	return wk.upstream.Capacity.Sub(wk.used)
 }
--- a/standin/fleet/registry.go
+++ b/standin/fleet/registry.go
@@ -16,6 +16,8 @@
 	// changesOnly is set if a worker does not rewrite its entry when only its clock has
 	// changed.
 	changesOnly bool
+	// omitClocks is set if entries do not tell the clock.
+	omitClocks bool
 }
 
 // Register makes the workers register themselves in the store with each heartbeat, and Next
@@ -40,6 +42,13 @@
 	f.shrinkNotice = d
 }
 
+// OmitClocks makes entries not tell the clocks of their workers.
+func (f *Fleet) OmitClocks() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.registry.omitClocks = true
+}
+
 // SetHeartbeat sets the time of the worker's next heartbeat.
 func (w *Worker) SetHeartbeat(at time.Time) {
 	w.fleet.mu.Lock()
@@ -85,7 +94,9 @@
 			return
 		}
 	}
-	entry.Clock = w.clock(now)
+	if !r.omitClocks {
+		entry.Clock = w.clock(now)
+	}
 	w.entry = &entry
 }
 
