scheduler: a new leader acknowledges no run that the last one gave up

A run that is presumed lapsed is started again, and its end, if it was a success after all, is never acknowledged. Only the leader that gave it up knew that: its successor acknowledged the end, and the task counted as done twice. A new leader now compares the ends that a worker lists with the records of jobs that have not ended. Not covered: a job that has ended meanwhile, whose tasks are no longer in the records.

--- a/pollendockd/internal/scheduler/faults_test.go
+++ b/pollendockd/internal/scheduler/faults_test.go
@@ -332,3 +332,26 @@
 		t.Errorf("job %s is %v, want %d waiting jobs", id, j.Phase(), want)
 	}
 }
+
+// TestNewLeaderAcknowledgesNoGivenUpRun guards against a new leader that acknowledges the
+// success of a run which the last one had presumed lapsed and started again.
+func TestNewLeaderAcknowledgesNoGivenUpRun(t *testing.T) {
+	inCell(t, 2, func(c *cell) {
+		c.outcome = func(_ site.TaskID, run int64, _ string) (time.Duration, site.EndKind) {
+			return time.Duration(2+10*(run-1)) * time.Second, site.Done
+		}
+		a := c.start("a")
+		time.Sleep(time.Second)
+		v := c.start("b")
+		time.Sleep(time.Second)
+		c.submit("j1", tasks(1, 4))
+		time.Sleep(500 * time.Millisecond)
+		c.fleet.Worker("w0").SetSilent(true)
+		time.Sleep(8 * time.Second)
+		expectStarts(c, "j1", 0, 2)
+		a.kill()
+		time.Sleep(time.Second)
+		c.fleet.Worker("w0").SetSilent(false)
+		expectPhase(c, v, "j1", 20*time.Second, job.Completed)
+	})
+}
--- a/pollendockd/internal/scheduler/hold.go
+++ b/pollendockd/internal/scheduler/hold.go
@@ -178,7 +178,7 @@
 		key := runKey{e.Task, e.Run}
 		r := wk.runs[key]
 		if r == nil {
-			if wk.presumedLapsed[key] && !wk.ackCapped && (e.Kind == site.Done || e.Kind == site.Failed) && !lapsedAfter(h, e.Number) {
+			if !wk.ackCapped && (wk.presumedLapsed[key] || l.notRecorded(e)) && (e.Kind == site.Done || e.Kind == site.Failed) && !lapsedAfter(h, e.Number) {
 				wk.ackCapped = true
 				wk.ackLimit = e.Number - 1
 				_ = level.Warn(l.s.deps.Logger).Log("msg", "end of a run that was presumed lapsed; no further ends of this worker will be acknowledged",
@@ -192,6 +192,24 @@
 	}
 }
 
+// notRecorded reports whether the records of a job that has not ended lack the outcome of
+// a run that is listed as ended: an earlier leader has presumed it lapsed.
+func (l *leadership) notRecorded(e *site.RunEnd) bool {
+	tj := l.jobs[e.Task.Job]
+	if tj == nil || tj.state.Phase.Final() || e.Task.Step >= len(tj.state.Steps) || tj.sub.Steps[e.Task.Step].Endless {
+		return false
+	}
+	tasks := tj.state.Steps[e.Task.Step]
+	if e.Task.Index >= len(tasks) {
+		return false
+	}
+	if e.Kind == site.Failed {
+		return tasks[tj.representative(e.Task).Index].FailedRun < e.Run
+	}
+	t := &tasks[e.Task.Index]
+	return t.Status != job.Succeeded || t.Run != e.Run
+}
+
 // lapsedAfter reports whether a run was killed at the expiry of its lease after the end
 // with that number. Ends before that no longer count.
 func lapsedAfter(h *site.HoldReply, number int64) bool {
