advice: routes are kept free for quick queries of work in time only

The load by quick queries decides how many routes slow ones may use. TestLateQueriesKeepNoRoutes fails before.

--- a/cell/advice/dispatcher.go
+++ b/cell/advice/dispatcher.go
@@ -29,7 +29,9 @@
 	Dispatcher struct {
 		routes Routes
 		shares shares
-		quick  arrivals
+		// quick is the load by quick queries of work that can complete in time. No route
+		// is kept for other quick queries: they would keep slow ones of such work waiting.
+		quick arrivals
 	}
 )
 
@@ -94,7 +96,7 @@
 // Sent notes that the query for a demand has been sent and is expected to take that
 // long.
 func (d *Dispatcher) Sent(m *Demand, through string, takes time.Duration) {
-	d.routes.sent(through, m.Slow)
+	d.routes.sent(through, m)
 	d.shares.charge(m.Queue, takes)
 }
 
@@ -103,7 +105,7 @@
 	p := d.routes.byName[through]
 	p.busy = false
 	p.backoff = 0
-	if !p.slow {
+	if !p.slow && p.inTime {
 		d.quick.count(now, took)
 	}
 }
--- a/cell/advice/dispatcher_test.go
+++ b/cell/advice/dispatcher_test.go
@@ -149,3 +149,27 @@
 	d.Routes().Failed("vm00", "1", now)
 	expectNext(t, "after the late failure", d, now, quick, 0)
 }
+
+// TestLateQueriesKeepNoRoutes checks that routes are kept free for quick queries of work
+// in time only. Those of overdue work used to count too, and slow ones of work in time
+// waited for ten seconds while routes were idle.
+func TestLateQueriesKeepNoRoutes(t *testing.T) {
+	now := time.Now()
+	for _, c := range []struct {
+		name string
+		rank placement.Rank
+		want int
+	}{
+		{"quick queries in time", placement.InTime, -1},
+		{"overdue quick queries", placement.Overdue, 0},
+	} {
+		d := withRoutes(4)
+		quick, slow := ranked("quick", false, c.rank, 1), ranked("slow", true, placement.InTime, 2)
+		for range 100 {
+			d.Sent(&quick, "vm00", quickCall)
+			d.Answered(now, "vm00", quickCall)
+		}
+		d.Sent(&slow, "vm01", slowCall)
+		expectNext(t, c.name, d, now, []Demand{slow}, c.want)
+	}
+}
--- a/cell/advice/routes.go
+++ b/cell/advice/routes.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"pollendock.example/cell/placement"
 )
 
 type (
@@ -23,7 +25,8 @@
 	route struct {
 		incarnation string
 		busy        bool
-		slow        bool
+		// slow and inTime are those of the query in progress.
+		slow, inTime bool
 		// backoffUntil is set after a failure.
 		backoffUntil time.Time
 		backoff      time.Duration
@@ -129,8 +132,9 @@
 	return n
 }
 
-func (r *Routes) sent(name string, slow bool) {
+func (r *Routes) sent(name string, m *Demand) {
 	p := r.byName[name]
 	p.busy = true
-	p.slow = slow
+	p.slow = m.Slow
+	p.inTime = m.SortKey.Rank == placement.InTime
 }
