scheduler: suspects take workers that are empty, and what others do not wait for

A worker that was chosen for a suspect was kept although another was empty already, so most of the workers kept free for suspects were waiting to become empty. The one that is empty soonest is taken now. Suspects got a quarter of the workers as soon as anything in time waited for capacity, they themselves included; now they leave others what these wait for, at least a quarter remains. TestVacateOrder, TestSuspectLimit, TestSuspectsDoNotCrowdThemselves.

TestEveryJobEnds also has jobs of two steps, limits per worker and failing routes to the advisor.

--- a/pollendockd/internal/scheduler/advice.go
+++ b/pollendockd/internal/scheduler/advice.go
@@ -285,6 +285,7 @@
 	ws.tj.lastReason = noCapacity
 	l.waitReasons[asking]--
 	l.waitReasons[noCapacity]++
+	l.noteCrowding(l.advice.pass, ws)
 }
 
 // claim returns the worker's total of claims that includes those of this query.
--- a/pollendockd/internal/scheduler/isolation.go
+++ b/pollendockd/internal/scheduler/isolation.go
@@ -22,27 +22,31 @@
 		taken int
 		// emptyIn is the expected time until a worker runs nothing.
 		emptyIn map[*worker]time.Duration
-		// share is the share of the workers that suspects may take.
-		share float64
+		// limits is how many workers of each service suspects may take.
+		limits map[string]int
 	}
 
 	// vacateRank orders workers by how soon a suspect is likely to start there.
 	vacateRank struct {
-		// own is set if the worker was kept free for the same job, allowed if it may run
-		// the step, chosen if it was kept free for any job.
-		own, allowed, chosen bool
-		emptyIn              time.Duration
-		id                   string
+		// allowed is set if the step is known to be allowed on the worker, and needs
+		// several such workers; empty if no other job runs there; own if it was kept free
+		// for the same job, chosen if it was kept free for any job.
+		allowed, empty, own, chosen bool
+		emptyIn                     time.Duration
+		id                          string
 	}
 )
 
 const (
-	// Suspects may take crowdedShare of the workers from other jobs that wait for
-	// capacity, and uncrowdedShare while none do.
+	// Suspects may take uncrowdedShare of the workers, less what other jobs wait for. They
+	// may take crowdedShare whatever others wait for.
 	crowdedShare   = 0.25
 	uncrowdedShare = 0.6
 	// maxSuspectWait is how long a suspect may wait behind those that came later.
 	maxSuspectWait = 4 * time.Second
+	// emptyInStep is the difference between two expected times that counts when a worker
+	// is chosen, since they are rough.
+	emptyInStep = 500 * time.Millisecond
 	// endlessTime is the expected time of a task that runs until its job is canceled.
 	endlessTime = 365 * 24 * time.Hour
 )
@@ -60,7 +64,7 @@
 
 // newIsolation returns the state at the beginning of a pass.
 func (l *leadership) newIsolation() isolation {
-	iso := isolation{holders: map[*worker]*trackedJob{}, vacated: map[*worker]*trackedJob{}, emptyIn: map[*worker]time.Duration{}}
+	iso := isolation{holders: map[*worker]*trackedJob{}, vacated: map[*worker]*trackedJob{}, emptyIn: map[*worker]time.Duration{}, limits: map[string]int{}}
 	for r := range l.isolatedRuns {
 		if r.cleared() {
 			continue
@@ -70,13 +74,41 @@
 		}
 		iso.holders[r.wk] = r.tj
 	}
-	iso.share = uncrowdedShare
-	if l.waitReasons[noCapacity]+l.waitReasons[behindOthers]+l.waitReasons[reserved]+l.waitReasons[unreserved] > 0 {
-		iso.share = crowdedShare
-	}
 	return iso
 }
 
+// noteCrowding adds what a step waits for that can complete in time, if suspects may have
+// it. The suspects themselves do not count.
+func (l *leadership) noteCrowding(p *pass, ws *waitingStep) {
+	if ws.isolated || ws.sortKey.Rank != placement.InTime {
+		return
+	}
+	switch ws.why {
+	case noCapacity, behindOthers, reserved, unreserved:
+		service, _ := l.serviceOf(p, ws.tj)
+		waiting := int64(ws.tj.countWaiting(ws.step, ws.isolated))
+		l.crowdingCPU[service] += waiting * ws.tj.sub.Steps[ws.step].Size.MilliCPU
+	}
+}
+
+// limitSuspects computes how many workers of each service suspects may take.
+func (l *leadership) limitSuspects(p *pass) {
+	for service, workers := range p.usable {
+		total := int64(0)
+		for _, wk := range workers {
+			total += wk.upstream.Capacity.MilliCPU
+		}
+		p.isolation.limits[service] = suspectLimit(len(workers), total, l.crowdingCPU[service])
+	}
+}
+
+// suspectLimit returns how many of n workers suspects may take. The workers have cpu
+// thousandths of a core, of which other jobs wait for wanted.
+func suspectLimit(n int, cpu, wanted int64) int {
+	share := max(crowdedShare, uncrowdedShare-float64(wanted)/float64(max(1, cpu)))
+	return max(1, int(share*float64(n)))
+}
+
 // admits reports whether a step may start tasks on a worker as far as suspects are
 // concerned.
 func (iso *isolation) admits(wk *worker, ws *waitingStep) bool {
@@ -104,8 +136,11 @@
 }
 
 // vacateWorkers chooses the workers that get no new runs until the suspects that wait
-// have run there. A worker that was chosen before is kept, since it may be empty soon.
+// have run there. A worker that was chosen before is kept, since it may be empty soon,
+// unless another is empty already: one that has returned from a crash, or that a suspect
+// has just left.
 func (l *leadership) vacateWorkers(p *pass, steps []*waitingStep) {
+	l.limitSuspects(p)
 	for _, ws := range suspectsInTurn(steps, p.now) {
 		l.vacateFor(p, ws)
 	}
@@ -153,7 +188,7 @@
 	if spec.Gang && advice != nil && !l.knowsWorkers(p, ws, service, advice) {
 		return
 	}
-	limit := max(1, int(p.isolation.share*float64(len(p.usable[service]))))
+	limit := p.isolation.limits[service]
 	if p.isolation.taken+len(p.isolation.vacated) == 0 {
 		// A gang may need more than the share, and would never start.
 		limit = len(p.usable[service])
@@ -247,22 +282,26 @@
 	if !spec.Size.Fits(wk.upstream.Capacity) || !wk.upstream.HasLabel(spec.Label) {
 		return vacateRank{}, false
 	}
-	rank := vacateRank{own: l.vacated[wk] == ws.tj, chosen: l.vacated[wk] != nil, emptyIn: p.emptyIn(wk), id: wk.id}
+	rank := vacateRank{empty: wk.runsOnly(ws.tj), own: l.vacated[wk] == ws.tj, chosen: l.vacated[wk] != nil, emptyIn: p.emptyIn(wk), id: wk.id}
 	if answers := ws.tj.advice[ws.step]; answers != nil {
 		if answers.refused[wk.id] {
 			return vacateRank{}, false
 		}
-		rank.allowed = answers.known(wk)
+		rank.allowed = spec.Gang && answers.known(wk)
 	}
 	return rank, true
 }
 
 func (a *vacateRank) before(b *vacateRank) bool {
 	switch {
-	case a.own != b.own:
-		return a.own
 	case a.allowed != b.allowed:
 		return a.allowed
+	case a.empty != b.empty:
+		return a.empty
+	case a.emptyIn/emptyInStep != b.emptyIn/emptyInStep:
+		return a.emptyIn < b.emptyIn
+	case a.own != b.own:
+		return a.own
 	case a.chosen != b.chosen:
 		return a.chosen
 	case a.emptyIn != b.emptyIn:
--- /dev/null
+++ b/pollendockd/internal/scheduler/isolation_test.go
@@ -0,0 +1,99 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"pollendock.example/cell/job"
+	"pollendock.example/cell/placement"
+	"pollendock.example/cell/resource"
+	"pollendock.example/cell/site"
+)
+
+// TestSuspectLimit checks how many of 40 workers suspects may take, by what others wait for.
+func TestSuspectLimit(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		wanted int64
+		want   int
+	}{
+		{"nobody waits", 0, 24},
+		{"others wait for a tenth of the capacity", 40_000, 20},
+		{"others wait for twice the capacity", 800_000, 10},
+	} {
+		if got := suspectLimit(40, 400_000, c.wanted); got != c.want {
+			t.Errorf("%s: %d workers, want %d", c.name, got, c.want)
+		}
+	}
+	if got := suspectLimit(1, 10_000, 800_000); got != 1 {
+		t.Errorf("%d of one worker, want 1", got)
+	}
+}
+
+// TestSuspectsDoNotCrowdThemselves checks which steps leave fewer workers to suspects by
+// waiting. Suspects that waited used to count, and got a quarter of the workers while
+// nobody else wanted any.
+func TestSuspectsDoNotCrowdThemselves(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		ws   waitingStep
+		want int64
+	}{
+		{"waits for capacity", waitingStep{why: noCapacity}, 6000},
+		{"waits for a reservation", waitingStep{why: unreserved}, 6000},
+		{"a suspect", waitingStep{why: noCapacity, isolated: true}, 0},
+		{"waits for the advisor", waitingStep{why: asking}, 0},
+		{"past its deadline", waitingStep{why: noCapacity, sortKey: placement.SortKey{Rank: placement.Late}}, 0},
+	} {
+		sub := &job.Submission{Service: "s", Queue: "q", Steps: []job.Step{tasks(2, 3)}}
+		c.ws.tj = newTrackedJob("j", sub, &job.Job{State: job.NewState(sub)})
+		l := &leadership{s: &Scheduler{}, crowdingCPU: map[string]int64{}}
+		l.noteCrowding(&pass{catalog: (&site.Catalog{}).Index()}, &c.ws)
+		if got := l.crowdingCPU["s"]; got != c.want {
+			t.Errorf("%s: %d, want %d", c.name, got, c.want)
+		}
+	}
+}
+
+// TestVacateOrder checks which of two workers is kept free for a suspect. One that is empty
+// already used to come after one that was chosen before and still runs other jobs.
+func TestVacateOrder(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		better, worse vacateRank
+	}{
+		{"allowed to a gang", vacateRank{allowed: true, emptyIn: time.Second}, vacateRank{empty: true}},
+		{"empty", vacateRank{empty: true}, vacateRank{own: true, emptyIn: time.Second}},
+		{"empty much sooner", vacateRank{emptyIn: 200 * time.Millisecond}, vacateRank{own: true, emptyIn: 2 * time.Second}},
+		{"chosen before, empty about as soon", vacateRank{own: true, emptyIn: 400 * time.Millisecond}, vacateRank{emptyIn: 200 * time.Millisecond}},
+		{"chosen for another", vacateRank{chosen: true, emptyIn: 400 * time.Millisecond}, vacateRank{emptyIn: 200 * time.Millisecond}},
+	} {
+		if !c.better.before(&c.worse) || c.worse.before(&c.better) {
+			t.Errorf("%s: does not come first", c.name)
+		}
+	}
+}
+
+// TestSuspectsInTurn checks the order in which suspects get workers.
+func TestSuspectsInTurn(t *testing.T) {
+	now := time.Now()
+	waits := []time.Duration{time.Second, 10 * time.Second, 0, 20 * time.Second}
+	var steps []*waitingStep
+	for _, d := range waits {
+		sub := &job.Submission{Steps: []job.Step{{Count: 1, Size: resource.Vector{MilliCPU: 1}}}}
+		ws := &waitingStep{tj: newTrackedJob("j", sub, &job.Job{State: job.NewState(sub)}), isolated: true}
+		ws.tj.waits[ws.key()] = &stepWait{since: now.Add(-d)}
+		steps = append(steps, ws)
+	}
+	steps = append(steps, &waitingStep{tj: steps[0].tj})
+	got := suspectsInTurn(steps, now)
+	want := []*waitingStep{steps[3], steps[1], steps[0], steps[2]}
+	if len(got) != len(want) {
+		t.Fatalf("%d suspects, want %d", len(got), len(want))
+	}
+	for i := range want {
+		if got[i] != want[i] {
+			t.Errorf("place %d: the wrong suspect", i)
+		}
+	}
+}
--- a/pollendockd/internal/scheduler/leadership.go
+++ b/pollendockd/internal/scheduler/leadership.go
@@ -32,6 +32,9 @@
 		// kept free for them.
 		isolatedRuns map[*run]bool
 		vacated      map[*worker]*trackedJob
+		// crowdingCPU is the processor time, in thousandths of a core, for which jobs
+		// waited in the last pass that suspects may have, by service.
+		crowdingCPU map[string]int64
 
 		flush    flushState
 		advice   adviceQueue
@@ -127,6 +130,7 @@
 	l.cancel()
 	l.flush.abandon()
 	s.deps.Follower.SetLeading(false)
+	s.deps.Counts.Gauge(starvedGauge, 0)
 	_ = level.Warn(s.deps.Logger).Log("msg", "leadership ended", "epoch", l.term.Epoch, "why", why,
 		"ledMs", time.Since(l.startedAt).Milliseconds())
 	if l.handoverDone != nil {
--- a/pollendockd/internal/scheduler/pass.go
+++ b/pollendockd/internal/scheduler/pass.go
@@ -142,6 +142,7 @@
 	l.vacateWorkers(p, steps)
 	onTime := len(steps) - l.waiting[placement.Overdue]
 	l.waitReasons = map[waitReason]int{}
+	l.crowdingCPU = map[string]int64{}
 	for _, ws := range steps[:onTime] {
 		why := l.placeStep(p, ws)
 		if ws.sortKey.Rank == placement.InTime {
@@ -149,6 +150,7 @@
 		}
 		l.recordWait(ws, why)
 		ws.why = why
+		l.noteCrowding(p, ws)
 	}
 	l.placeOverdue(p, steps[onTime:])
 	l.checkStarvation(p, steps)
--- a/pollendockd/internal/scheduler/settle_test.go
+++ b/pollendockd/internal/scheduler/settle_test.go
@@ -156,6 +156,7 @@
 		step = gang(2+s.rnd.IntN(5), int64(4+s.rnd.IntN(5)))
 	case "w":
 		step = tasks(5+s.rnd.IntN(15), int64(1+s.rnd.IntN(2)))
+		step.PerWorker = s.rnd.IntN(3)
 	}
 	step.Estimate = time.Second
 	kind := "n"
@@ -170,7 +171,11 @@
 	if kind != "x" || queue == "w" {
 		s.open = append(s.open, id)
 	}
-	s.submitTo(queue, id, step)
+	steps := []job.Step{step}
+	if s.rnd.IntN(4) == 0 {
+		steps = append(steps, after(step, 0))
+	}
+	s.submitTo(queue, id, steps...)
 }
 
 // injectSome injects a fault, which ends by itself.
@@ -180,7 +185,7 @@
 	}
 	wk := s.fleet.Worker(fmt.Sprintf("w%02d", s.rnd.IntN(settleWorkers)))
 	lasts := time.Duration(500+s.rnd.IntN(5000)) * time.Millisecond
-	switch s.rnd.IntN(8) {
+	switch s.rnd.IntN(9) {
 	case 0:
 		wk.Crash()
 	case 1:
@@ -199,6 +204,10 @@
 		s.evacuate()
 	case 7:
 		s.replaceLeader()
+	case 8:
+		routes := []string{"b", "c"}
+		s.queueAdvisor.setDown(routes, true)
+		time.AfterFunc(lasts, func() { s.queueAdvisor.setDown(routes, false) })
 	}
 }
 
--- a/pollendockd/internal/scheduler/starvation.go
+++ b/pollendockd/internal/scheduler/starvation.go
@@ -67,6 +67,8 @@
 }
 
 const (
+	// starvedGauge is the gauge of starved steps.
+	starvedGauge = "starved_steps"
 	// starvationCheckInterval is the time between two checks.
 	starvationCheckInterval = time.Second
 	// starvedAfter is how long a step waits until it can count as starved.
@@ -103,7 +105,7 @@
 			l.logStarved(w.ws, waited, room, counts)
 		}
 	}
-	l.s.deps.Counts.Gauge("starved_steps", int64(sw.starved))
+	l.s.deps.Counts.Gauge(starvedGauge, int64(sw.starved))
 }
 
 // longWaits notes which steps wait, and returns those that have waited for starvedAfter,
