--- a/pollendockd/internal/cluster/peers.go
+++ b/pollendockd/internal/cluster/peers.go
@@ -78,6 +78,7 @@
 		follower Follower
 		relay    Relay
 		logger   log.Logger
+		encoder  catalogEncoder
 	}
 
 	// Peers calls the other entry VMs.
@@ -107,6 +108,9 @@
 		// than lastLeader.
 		leaderChanged chan struct{}
 		lastLeader    string
+
+		// partialCatalog is what has arrived of another VM's catalog.
+		partialCatalog partialCatalog
 	}
 
 	// connKey identifies a connection by peer and use. Uses have separate
--- a/pollendockd/internal/replica/follower.go
+++ b/pollendockd/internal/replica/follower.go
@@ -11,6 +11,7 @@
 
 	"pollendock.example/cell/job"
 	"pollendock.example/cell/site"
+	"pollendock.example/cell/transfer"
 	"pollendock.example/pollendockd/internal/retry"
 )
 
@@ -48,9 +49,10 @@
 		lastOfferAt atomic.Int64
 		// readNow triggers a read without delay.
 		readNow chan struct{}
-		// lastReadAt is the time since start at which the stream last answered or
-		// offered records were last applied.
-		lastReadAt atomic.Int64
+		// lastAnswerAt is the time since start at which the stream last answered or
+		// records were offered, lastReadAt the time as of which they were sent.
+		lastAnswerAt atomic.Int64
+		lastReadAt   atomic.Int64
 		// lastLeaderRecordAt is the time since start at which records of a leader were
 		// last applied.
 		lastLeaderRecordAt atomic.Int64
@@ -63,6 +65,9 @@
 		// availableSince is the time since start at which the stream began to answer
 		// after the last outage.
 		availableSince atomic.Int64
+		// firstReadAt is the time since start of the first answer of the stream; 0 before
+		// it.
+		firstReadAt atomic.Int64
 	}
 )
 
@@ -124,7 +129,10 @@
 		if site.ErrTrimmed.Has(err) {
 			return nil
 		}
-		page.CompareAndSwap(nil, p)
+		if p != nil {
+			p.BeganAt = transfer.BeganAt(ctx)
+			page.CompareAndSwap(nil, p)
+		}
 		return err
 	})
 	if err != nil {
@@ -243,11 +251,12 @@
 }
 
 func (f *Follower) readPage(ctx context.Context, wait time.Duration) (*site.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
+	ctx, cancel := transfer.WithTimeout(ctx, wait+readTimeout)
 	defer cancel()
 	began := time.Now()
 	p, err := f.stream.Read(ctx, f.view.Next(), wait)
 	if err == nil {
+		p.BeganAt = transfer.BeganAt(ctx)
 		f.recordLatency(time.Since(began), wait, len(p.Entries) == 0)
 	}
 	return p, err
@@ -283,6 +292,10 @@
 
 func (f *Follower) applyPage(p *site.Page) {
 	now := int64(time.Since(f.start))
+	asOf := now
+	if !p.BeganAt.IsZero() {
+		asOf = int64(p.BeganAt.Sub(f.start))
+	}
 	for i := range p.Entries {
 		if job.LeaderOnly(p.Entries[i].Key) {
 			f.lastLeaderRecordAt.Store(now)
@@ -294,14 +307,19 @@
 	if n := len(p.Entries); n > 0 && contiguousLen(p.Entries) == n && p.Entries[n-1].Offset+1 == p.Next {
 		f.recentRecords.add(p.Entries)
 	}
+	if p.Skipped > 0 {
+		_ = level.Error(f.logger).Log("msg", "records that cannot be read are left out", "records", p.Skipped, "next", p.Next)
+	}
 	ids, err := f.view.Apply(p)
 	if err != nil {
 		_ = level.Error(f.logger).Log("msg", "failed to decode record", "err", err)
 	}
 	if f.loaded.Load() && p.Next >= p.End {
-		f.upToDateAt.Store(now)
+		f.upToDateAt.Store(max(asOf, f.upToDateAt.Load()))
 	}
-	if time.Duration(now-f.lastReadAt.Swap(now)) > outageGap {
+	f.lastReadAt.Store(max(asOf, f.lastReadAt.Load()))
+	f.firstReadAt.CompareAndSwap(0, now)
+	if time.Duration(now-f.lastAnswerAt.Swap(now)) > outageGap {
 		f.availableSince.Store(now)
 	}
 	if len(ids) > 0 {
@@ -357,3 +375,14 @@
 	last := max(f.lastLeaderRecordAt.Load(), f.availableSince.Load())
 	return time.Since(f.start) - time.Duration(last)
 }
+
+// AvailableSince returns since when the stream has answered, or another VM has offered durable
+// records, without an outage. During an outage it returns the present.
+func (f *Follower) AvailableSince() time.Time {
+	now := time.Since(f.start)
+	if now-time.Duration(f.lastAnswerAt.Load()) > outageGap {
+		return f.start.Add(now)
+	}
+	since := max(f.availableSince.Load(), f.firstReadAt.Load())
+	return f.start.Add(time.Duration(since))
+}
--- a/pollendockd/internal/scheduler/leadership.go
+++ b/pollendockd/internal/scheduler/leadership.go
@@ -33,6 +33,11 @@
 		isolatedRuns map[*run]bool
 		vacated      map[*worker]*trackedJob
 
+		// heldWorkers counts the workers that are held for their capacity; there have been
+		// some since heldSince.
+		heldWorkers int
+		heldSince   time.Time
+
 		flush    flushState
 		advice   adviceQueue
 		placedAt time.Time
@@ -54,6 +59,7 @@
 		// counts why steps wait that can still meet their deadline.
 		limitedSteps int
 		waitReasons  map[waitReason]int
+		starvation   starvationWatch
 		reportedAt   time.Time
 		load         loadForecast
 		// handoverDone is closed once the leadership has ended. It is nil unless a
@@ -242,10 +248,10 @@
 		"surplus", l.waiting[placement.Surplus], "late", l.waiting[placement.Late], "overdue", l.waiting[placement.Overdue],
 		"limited", l.limitedSteps, "held", len(l.heldCapacity),
 		"asking", l.waitReasons[asking], "noRoom", l.waitReasons[noCapacity], "teamLimit", l.waitReasons[teamLimit], "behindOthers", l.waitReasons[behindOthers],
-		"reserved", l.waitReasons[reserved], "unreserved", l.waitReasons[unreserved], "runs", runs, "workers", len(l.workers), "usable", usable, "evacuated", evacuated, "evacuatedRuns", evacuatedRuns, "suspects", suspects, "longestSuspectMs", longestSuspect.Milliseconds(), "vacated", len(l.vacated), "freeMilliCpu", free.MilliCPU, "milliCpu", total.MilliCPU,
+		"reserved", l.waitReasons[reserved], "unreserved", l.waitReasons[unreserved], "runs", runs, "workers", len(l.workers), "usable", usable, "evacuated", evacuated, "evacuatedRuns", evacuatedRuns, "heldForCapacity", l.heldWorkers, "suspects", suspects, "longestSuspectMs", longestSuspect.Milliseconds(), "vacated", len(l.vacated), "freeMilliCpu", free.MilliCPU, "milliCpu", total.MilliCPU,
 		"freeMb", free.MemoryMB, "queries", queries.waiting, "waitingSlow", queries.waitingSlow, "queryWaitMs", queries.longestWait.Milliseconds(),
 		"underWay", queries.underWay, "underWaySlow", queries.underWaySlow, "routesResting", queries.resting, "passMs", l.passTime.Milliseconds(), "slow", slow, "speedSpread", l.s.speeds.spread,
-		"refused", l.load.refused, "forecastAgeMs", now.Sub(l.load.updatedAt).Milliseconds())
+		"starved", l.starvation.starved, "longestStarvedMs", l.starvation.longest.Milliseconds(), "refused", l.load.refused, "forecastAgeMs", now.Sub(l.load.updatedAt).Milliseconds())
 	l.load.refused = 0
 	l.load.forgetRefused(now)
 }
--- a/pollendockd/internal/scheduler/pass_bench_test.go
+++ b/pollendockd/internal/scheduler/pass_bench_test.go
@@ -28,6 +28,7 @@
 func (currentFollower) Loaded() bool                                { return true }
 func (currentFollower) Fresh(time.Duration) bool                    { return true }
 func (currentFollower) LeaderSilence() time.Duration                { return 0 }
+func (currentFollower) AvailableSince() time.Time                   { return time.Time{} }
 func (currentFollower) ReadLatency() time.Duration                  { return 0 }
 func (currentFollower) SetLeading(bool)                             {}
 func (currentFollower) Offer([]site.Entry) (next int64, reads bool) { return 0, true }
@@ -76,7 +77,7 @@
 	s.listedAt = time.Now().Add(time.Hour)
 	l := &leadership{
 		s: s, ctx: ctx, jobs: map[string]*trackedJob{}, workers: map[string]*worker{}, teamUse: map[string]resource.Vector{},
-		meters: map[string]*placement.RateMeter{}, workersKnownOnce: true, isolatedRuns: map[*run]bool{},
+		meters: map[string]*placement.RateMeter{}, workersKnownOnce: true, isolatedRuns: map[*run]bool{}, headroom: map[string]*placement.Headroom{},
 	}
 	l.advice.init()
 	s.lead = l
--- a/pollendockd/internal/scheduler/requests.go
+++ b/pollendockd/internal/scheduler/requests.go
@@ -40,7 +40,7 @@
 		return
 	}
 	now := time.Now()
-	if r.startAttempts > 0 && l.mustNotResend(r) {
+	if r.startAttempts > 0 && (l.mustNotResend(r) || !r.wk.capacityKnown(now)) {
 		l.verifyRun(r, now)
 		return
 	}
@@ -86,7 +86,7 @@
 		l.logRun(r, "run started", "answerMs", now.Sub(r.sentAt).Milliseconds())
 		if r.stage == starting {
 			r.confirm(now)
-			r.tj.begun = true
+			r.tj.runBegun(r)
 		}
 		if !r.wk.holdBusy {
 			r.wk.holdAt = now
@@ -174,6 +174,7 @@
 	switch {
 	case e.err == nil:
 		r.stopped = true
+		r.stoppedAt = now
 		l.logRun(r, "run stopped")
 		if r.stage == unconfirmed {
 			r.listValidAfter = now
--- a/pollendockd/internal/scheduler/scheduler.go
+++ b/pollendockd/internal/scheduler/scheduler.go
@@ -33,6 +33,8 @@
 		// Available reports whether the stream answers this VM.
 		Available() bool
 		LeaderSilence() time.Duration
+		// AvailableSince returns since when the stream has answered without an outage.
+		AvailableSince() time.Time
 		// ReadLatency returns how long the stream takes to answer a read.
 		ReadLatency() time.Duration
 		SetLeading(leading bool)
@@ -51,9 +53,9 @@
 
 	// Upstreams watches the list of workers.
 	Upstreams interface {
-		// Next returns the complete list, or nil if nothing has changed, and the ids of
-		// entries that do not describe a worker.
-		Next(ctx context.Context) ([]site.Upstream, []string, error)
+		// Next returns the complete list, or nil if nothing has changed, and the entries
+		// that do not describe a worker.
+		Next(ctx context.Context) ([]site.Upstream, []site.InvalidEntry, error)
 	}
 
 	// Worker executes requests. After an error that is not a site.RefusalError it is
@@ -97,9 +99,10 @@
 		Counts       Counts
 	}
 
-	// Counts records counters and durations.
+	// Counts records counters, gauges and durations.
 	Counts interface {
 		Count(name string, n int64)
+		Gauge(name string, n int64)
 		Time(name string, d time.Duration)
 	}
 
@@ -151,10 +154,15 @@
 		upstreams []site.Upstream
 		listedAt  time.Time
 		polledAt  time.Time
+		// listSince is since when reads of the list have been answered without a gap.
+		listSince time.Time
+		// entriesRewritten is set once a worker has rewritten its entry without a change.
+		entriesRewritten bool
 		// polls counts the reads of the list that are in progress.
 		polls int
 		// listFailing is set while reads of the list fail.
 		listFailing bool
+		invalid     invalidEntries
 	}
 
 	// event is handled by the goroutine that owns the scheduler's state.
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -1,13 +1,13 @@
 package scheduler
 
 import (
-	"context"
 	"time"
 
 	"github.com/go-kit/log/level"
 
 	"pollendock.example/cell/resource"
 	"pollendock.example/cell/site"
+	"pollendock.example/cell/transfer"
 )
 
 type (
@@ -29,14 +29,16 @@
 		// clock is the worker's clock, read shortly before clockAt.
 		clock   time.Duration
 		clockAt time.Time
+		// clockAskedAt is when the request was sent to which it answered with clock.
+		clockAskedAt time.Time
 		// reachableSince is when it answered again after it was unreachable.
 		reachableSince time.Time
 		// leaseEnd is the latest lease end that was sent, on the worker's clock. No run
 		// that was requested in this term outlives it.
 		leaseEnd time.Duration
 
-		// seen is the number of the last run end that was read, acked that of the last
-		// one whose outcome is durable.
+		// seen is the number of the last run end up to which all were read, acked that of
+		// the last one whose outcome is durable.
 		seen, acked int64
 		// presumedLapsed holds runs that were presumed to have lapsed and may have been
 		// restarted elsewhere. A success of such a run must never be acknowledged,
@@ -45,6 +47,12 @@
 		presumedLapsed map[runKey]bool
 		ackCapped      bool
 		ackLimit       int64
+		unreadable     unreadableEnds
+		// unreadableRuns is the number of unreadable rows in the last list of running
+		// ones.
+		unreadableRuns int
+		// strangers holds runs of unknown tasks that were logged.
+		strangers map[runKey]bool
 
 		runs map[runKey]*run
 		used resource.Vector
@@ -55,6 +63,15 @@
 		// other such gangs leave it free.
 		gangClaimedCPU int64
 
+		// writtenAt is when the worker wrote its entry, zero if that is not known.
+		writtenAt time.Time
+		// capacityUntil is the time until which starts may rely on upstream.Capacity. It
+		// counts only if capacityExpires is set.
+		capacityUntil   time.Time
+		capacityExpires bool
+		// held is set if the worker got no starts for that reason at the last tick.
+		held bool
+
 		holdBusy    bool
 		holdAt      time.Time
 		holdFails   int
@@ -76,10 +93,10 @@
 	}
 
 	upstreamsDone struct {
-		list       []site.Upstream
-		unreadable []string
-		at         time.Time
-		err        error
+		list    []site.Upstream
+		invalid []site.InvalidEntry
+		at      time.Time
+		err     error
 	}
 )
 
@@ -121,10 +138,10 @@
 	s.polls++
 	s.polledAt = now
 	go func() {
-		ctx, cancel := context.WithTimeout(s.ctx, pollTimeout)
+		ctx, cancel := transfer.WithTimeout(s.ctx, pollTimeout)
 		defer cancel()
-		list, unreadable, err := s.deps.Upstreams.Next(ctx)
-		s.post(upstreamsDone{list, unreadable, now, err})
+		list, invalid, err := s.deps.Upstreams.Next(ctx)
+		s.post(upstreamsDone{list, invalid, now, err})
 	}()
 }
 
@@ -141,16 +158,21 @@
 		s.listFailing = false
 		_ = level.Info(s.deps.Logger).Log("msg", "list of workers readable again", "awayMs", time.Since(s.listedAt).Milliseconds())
 	}
-	s.listedAt = later(s.listedAt, e.at)
-	if e.list == nil {
-		return
+	s.noteListRead(e.at, time.Now())
+	if e.list != nil {
+		s.setUpstreams(&e)
 	}
-	for _, id := range e.unreadable {
-		_ = level.Debug(s.deps.Logger).Log("msg", "entry does not describe a worker", "worker", id)
+	if s.lead != nil {
+		s.lead.confirmListed(time.Now())
 	}
-	s.upstreams = e.list
+}
+
+func (s *Scheduler) setUpstreams(e *upstreamsDone) {
+	list, others := ofKnownServices(e.list, s.deps.Catalog())
+	s.reportInvalid(append(others, e.invalid...), time.Now())
+	s.upstreams = list
 	if s.lead != nil {
-		s.lead.applyList(e.list)
+		s.lead.applyList(list)
 	}
 }
 
@@ -184,7 +206,12 @@
 	if wk.client == nil || wk.upstream.Addr != u.Addr {
 		wk.client = l.s.deps.Dial(u.ID, u.Addr)
 	}
+	l.s.entriesRewritten = l.s.entriesRewritten || onlyClockChanged(&wk.upstream, u)
+	if wk.upstream.Boot != u.Boot {
+		wk.capacityUntil, wk.writtenAt = time.Time{}, time.Time{}
+	}
 	wk.upstream = *u
+	l.confirmWritten(wk)
 	l.s.largestWorker[u.Service] = l.s.largestWorker[u.Service].Max(u.Capacity)
 	wk.listed = true
 	wk.unlistedAt = time.Time{}
@@ -199,17 +226,17 @@
 func (l *leadership) workerOf(id string) *worker {
 	wk := l.workers[id]
 	if wk == nil {
-		wk = &worker{id: id, runs: map[runKey]*run{}}
+		wk = &worker{id: id, runs: map[runKey]*run{}, capacityExpires: l.s.maxCapacityAge() > 0}
 		l.workers[id] = wk
 	}
 	return wk
 }
 
 // usable reports whether the worker accepts new runs. Its current incarnation must be
-// known to obey this term.
+// known to obey this term, and its capacity must be known.
 func (wk *worker) usable(now time.Time) bool {
 	return wk.listed && !wk.upstream.Draining && !wk.evacuated && wk.boot != 0 && wk.boot == wk.upstream.Boot && wk.holdFails == 0 &&
-		!now.Before(wk.backoffUntil) && wk.stalledSince.IsZero()
+		!now.Before(wk.backoffUntil) && wk.stalledSince.IsZero() && wk.capacityKnown(now)
 }
 
 func (wk *worker) free() resource.Vector {
@@ -254,6 +281,7 @@
 }
 
 func (l *leadership) tickWorkers(now time.Time) {
+	l.watchCapacities(now)
 	for _, wk := range l.workers {
 		if wk.client == nil {
 			if wk.unlistedAt.IsZero() && !l.s.listedAt.Before(l.startedAt) {
@@ -285,10 +313,7 @@
 		if r.stage == planned || r.stage == starting {
 			continue
 		}
-		if wk.presumedLapsed == nil {
-			wk.presumedLapsed = map[runKey]bool{}
-		}
-		wk.presumedLapsed[r.key()] = true
+		wk.presumeLapsed(r)
 		l.endRun(r, site.LeaseExpired, "the worker did not answer before its leases expired")
 	}
 }
--- a/standin/fleet/worker.go
+++ b/standin/fleet/worker.go
@@ -31,6 +31,11 @@
 		// does not respond.
 		gone   bool
 		silent bool
+		// entry is what the worker last wrote to the registry, nil if it is not there.
+		entry       *site.Upstream
+		heartbeatAt time.Time
+		// cutFromStore is set while the worker's heartbeats are lost.
+		cutFromStore bool
 		// largerCapacity is the capacity before it shrank last, at shrunkAt.
 		largerCapacity resource.Vector
 		shrunkAt       time.Time
@@ -46,6 +51,7 @@
 		delayNext  int
 		loseNext   int
 		startDelay time.Duration
+		alterReply func(reply *site.HoldReply)
 	}
 
 	// endedRun is an end that was not acknowledged yet.
@@ -75,8 +81,9 @@
 const (
 	tickInterval = 10 * time.Millisecond
 	gangTimeout  = 3 * time.Second
-	// shrinkNotice is how long starts may still rely on a capacity that has shrunk.
-	shrinkNotice = time.Second
+	// defaultShrinkNotice is how long starts may rely on a capacity that has shrunk if the
+	// list shows each change at once.
+	defaultShrinkNotice = time.Second
 
 	// StalledRunTime is the shortest duration of a run that reports no progress.
 	StalledRunTime = time.Hour
@@ -115,6 +122,7 @@
 	if w.gone {
 		return
 	}
+	w.sendHeartbeat(now)
 	lapsed := w.leaseEnd > 0 && w.clock(now) >= w.leaseEnd && len(w.runs) > 0
 	for i := range w.ended {
 		w.ended[i].lapsed = w.ended[i].lapsed || lapsed
@@ -230,6 +238,20 @@
 	w.loseNext = n
 }
 
+// Unacknowledged returns the number of ends that were not acknowledged yet.
+func (w *Worker) Unacknowledged() int {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	return len(w.ended)
+}
+
+// AlterReplies passes each reply to a hold to fn, which may change it; nil for none.
+func (w *Worker) AlterReplies(fn func(reply *site.HoldReply)) {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	w.alterReply = fn
+}
+
 // SetDataCentre sets the data centre of the worker.
 func (w *Worker) SetDataCentre(name string) {
 	w.fleet.mu.Lock()
@@ -376,7 +398,7 @@
 		total = total.Add(size)
 	}
 	capacity := w.upstream.Capacity
-	if time.Since(w.shrunkAt) < shrinkNotice {
+	if time.Since(w.shrunkAt) < f.shrinkNotice {
 		capacity = w.largerCapacity
 	}
 	if !total.Fits(capacity) {
@@ -448,6 +470,9 @@
 	for _, r := range w.sortedRuns() {
 		reply.Running = append(reply.Running, site.RunStatus{Task: r.task, Run: r.number, Percent: r.percent(time.Now())})
 	}
+	if w.alterReply != nil {
+		w.alterReply(reply)
+	}
 	return reply, nil
 }
 
