--- a/pollendockd/internal/scheduler/unreadable_rows.go
+++ b/pollendockd/internal/scheduler/unreadable_rows.go
@@ -22,7 +22,7 @@
 
 // unreadableEnds are the ends of a worker that could not be read.
 type unreadableEnds struct {
-	// rows is the number of them in the last reply, since is when it last increased.
+	// rows is the number of them in the last reply, since is when the last one was new.
 	rows  int
 	since time.Time
 	// before is the number of the end before the first of them.
@@ -40,6 +40,9 @@
 func (l *leadership) noteUnreadableRows(wk *worker, h *site.HoldReply, now time.Time) {
 	u := &wk.unreadable
 	rows, before := wk.unreadEnds(h)
+	if rows+h.UnreadableRuns+u.rows+wk.unreadableRuns == 0 {
+		return
+	}
 	if more := rows + h.UnreadableRuns - u.rows - wk.unreadableRuns; more > 0 {
 		l.s.deps.Counts.Count("worker_rows_unreadable", int64(more))
 		_ = level.Error(l.s.deps.Logger).Log("msg", "worker lists rows that cannot be read", "worker", wk.id, "boot", wk.boot,
