scheduler: given-up runs of ended jobs are not acknowledged either

The tasks of a job that has ended stay in the records while a run of it is presumed lapsed, so that a later leader can tell.

--- a/pollendockd/internal/scheduler/hold.go
+++ b/pollendockd/internal/scheduler/hold.go
@@ -192,11 +192,14 @@
 	}
 }
 
-// notRecorded reports whether the records of a job that has not ended lack the outcome of
-// a run that is listed as ended: an earlier leader has presumed it lapsed.
+// notRecorded reports whether the records lack the outcome of a run that is listed as
+// ended: an earlier leader has presumed it lapsed.
 func (l *leadership) notRecorded(e *site.RunEnd) bool {
 	tj := l.jobs[e.Task.Job]
-	if tj == nil || tj.state.Phase.Final() || e.Task.Step >= len(tj.state.Steps) || tj.sub.Steps[e.Task.Step].Endless {
+	if tj == nil || tj.state.Phase.Final() {
+		return e.Kind == site.Done && l.restartedBeforeEnd(e)
+	}
+	if e.Task.Step >= len(tj.state.Steps) || tj.sub.Steps[e.Task.Step].Endless {
 		return false
 	}
 	tasks := tj.state.Steps[e.Task.Step]
@@ -210,6 +213,16 @@
 	return t.Status != job.Succeeded || t.Run != e.Run
 }
 
+// restartedBeforeEnd reports whether the records of a job that has ended show a later run
+// of the task. They keep its tasks as long as runs are presumed lapsed; see trim.
+func (l *leadership) restartedBeforeEnd(e *site.RunEnd) bool {
+	j := l.s.deps.View.Job(e.Task.Job)
+	if j == nil || e.Task.Step >= len(j.State.Steps) || e.Task.Index >= len(j.State.Steps[e.Task.Step]) {
+		return false
+	}
+	return j.State.Steps[e.Task.Step][e.Task.Index].Run > e.Run
+}
+
 // lapsedAfter reports whether a run was killed at the expiry of its lease after the end
 // with that number. Ends before that no longer count.
 func lapsedAfter(h *site.HoldReply, number int64) bool {
