scheduler: one entry that changes in nothing but the clock is no proof that entries are rewritten

A worker that shrank and grew again between two reads of the list seemed to have rewritten its entry. Where entries are not rewritten all workers were then held for ever. Two such entries in a row are needed, each within two heartbeats of the one before. TestChangeAndBackBetweenReads fails before and passes after.

--- a/pollendockd/internal/scheduler/capacity.go
+++ b/pollendockd/internal/scheduler/capacity.go
@@ -16,6 +16,10 @@
 	maxListGap = pollTimeout + 2*tickInterval
 	// An entry counts as rewritten for rewriteHeartbeats heartbeats.
 	rewriteHeartbeats = 2
+	// minRewrites is how often in a row a worker rewrites its entry without a change where entries
+	// are rewritten with each heartbeat. Once is no proof: the worker may have changed and changed
+	// back between two reads.
+	minRewrites = 2
 	// entryDelay covers the delay of a heartbeat, by a store that did not answer the one before
 	// for example, and the time until a read returns the entry.
 	entryDelay = 500 * time.Millisecond
@@ -64,8 +68,8 @@
 
 // entriesRewritten reports whether workers rewrite their entries with each heartbeat. A worker
 // whose entry stays the same has then written nothing, for example because it is cut off from the
-// store. Until an entry has been seen to change in nothing but the clock, the majority of the
-// workers decides; until half of them have answered in this term, the answer is yes.
+// store. Until a worker has been seen to do so, the majority of the workers decides; until half of
+// them have answered in this term, the answer is yes.
 func (l *leadership) entriesRewritten(now time.Time) bool {
 	if l.s.entriesRewritten {
 		return true
@@ -90,12 +94,24 @@
 	return 2*rewritten > answering
 }
 
-// onlyClockChanged reports whether a worker has rewritten its entry without any other change.
-func onlyClockChanged(old, u *site.Upstream) bool {
-	if old.Clock == 0 || u.Clock == 0 || old.Clock == u.Clock {
-		return false
+// countRewrites counts how often in a row the worker has rewritten its entry, now to u, without a
+// change.
+func (l *leadership) countRewrites(wk *worker, u *site.Upstream) {
+	old := &wk.upstream
+	if old.Clock == u.Clock {
+		return
+	}
+	wk.rewrites++
+	if !onlyClockChanged(old, u) || u.Clock-old.Clock > rewriteHeartbeats*l.s.opt.Bounds.Heartbeat {
+		wk.rewrites = 0
 	}
-	if !old.ColdUntil.IsZero() || !u.ColdUntil.IsZero() {
+	l.s.entriesRewritten = l.s.entriesRewritten || wk.rewrites >= minRewrites
+}
+
+// onlyClockChanged reports whether two entries of a worker differ in nothing but the clock. Those
+// of a worker that is cold change with the time.
+func onlyClockChanged(old, u *site.Upstream) bool {
+	if old.Clock == 0 || u.Clock == 0 || !old.ColdUntil.IsZero() || !u.ColdUntil.IsZero() {
 		return false
 	}
 	return old.Service == u.Service && old.Addr == u.Addr && old.DataCentre == u.DataCentre && slices.Equal(old.Labels, u.Labels) &&
--- a/pollendockd/internal/scheduler/capacity_test.go
+++ b/pollendockd/internal/scheduler/capacity_test.go
@@ -395,3 +395,30 @@
 		})
 	}
 }
+
+// TestChangeAndBackBetweenReads guards against holding all workers for ever where entries are not
+// rewritten: a worker that had shrunk and grown again while the list could not be read seemed to have
+// rewritten its entry.
+func TestChangeAndBackBetweenReads(t *testing.T) {
+	inCell(t, 2, func(c *cell) {
+		c.register(2)
+		c.fleet.WriteChangesOnly()
+		a := c.start("a")
+		time.Sleep(5 * time.Second)
+		for i := range 3 {
+			a.stream.listSilent.Store(true)
+			time.Sleep(time.Second)
+			c.shrinkAll(2)
+			time.Sleep(2 * testHeartbeat)
+			for _, id := range []string{"w0", "w1"} {
+				c.fleet.Worker(id).SetCapacity(cores(10))
+			}
+			time.Sleep(2 * testHeartbeat)
+			a.stream.listSilent.Store(false)
+			time.Sleep(10 * time.Second)
+			id := fmt.Sprintf("job%d", i)
+			c.submit(id, tasks(1, 4))
+			expectPhase(c, a, id, 6*time.Second, job.Completed)
+		}
+	})
+}
--- a/pollendockd/internal/scheduler/scheduler.go
+++ b/pollendockd/internal/scheduler/scheduler.go
@@ -155,7 +155,8 @@
 		polledAt  time.Time
 		// listSince is since when reads of the list have been answered without a gap.
 		listSince time.Time
-		// entriesRewritten is set once a worker has rewritten its entry without a change.
+		// entriesRewritten is set once a worker has been seen to rewrite its entry with each
+		// heartbeat.
 		entriesRewritten bool
 		// polls counts the reads of the list that are in progress.
 		polls int
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -59,6 +59,8 @@
 
 		// writtenAt is when the worker wrote its entry, zero if that is not known.
 		writtenAt time.Time
+		// rewrites is how often in a row it has rewritten its entry without a change.
+		rewrites int
 		// capacityUntil is the time until which starts may rely on upstream.Capacity. It
 		// counts only if capacityExpires is set.
 		capacityUntil   time.Time
@@ -201,7 +203,7 @@
 	if wk.client == nil || wk.upstream.Addr != u.Addr {
 		wk.client = l.s.deps.Dial(u.ID, u.Addr)
 	}
-	l.s.entriesRewritten = l.s.entriesRewritten || onlyClockChanged(&wk.upstream, u)
+	l.countRewrites(wk, u)
 	if wk.upstream.Boot != u.Boot {
 		wk.capacityUntil, wk.writtenAt = time.Time{}, time.Time{}
 	}
