scheduler: gangs learn about more workers only if they are unlikely to fit otherwise

A gang in time that needs no reservation had asked about three times the workers that it needs, the emptiest first and without a claim, since gangs past their deadline learn where they may run. It queries as before again, and asks about others only when the query would not be sent at all.

--- a/pollendockd/internal/scheduler/isolation.go
+++ b/pollendockd/internal/scheduler/isolation.go
@@ -136,9 +136,8 @@
 }
 
 // vacateWorkers chooses the workers that get no new runs until the suspects that wait
-// have run there. A worker that was chosen before is kept, since it may be empty soon,
-// unless another is empty already: one that has returned from a crash, or that a suspect
-// has just left.
+// have run there. A worker that was chosen before is kept unless another is likely to be
+// empty sooner: one that has returned from a crash, or that a suspect has just left.
 func (l *leadership) vacateWorkers(p *pass, steps []*waitingStep) {
 	l.limitSuspects(p)
 	for _, ws := range suspectsInTurn(steps, p.now) {
--- a/pollendockd/internal/scheduler/pass.go
+++ b/pollendockd/internal/scheduler/pass.go
@@ -309,41 +309,27 @@
 	return l.waitForAdvice(p, ws, req, service, advice)
 }
 
-// gangAdvice queries for a gang without reserved capacity: for tickets if it fits on the
-// workers that it knows it may use, or about others if it could fit with them. The share
-// of workers that the advisor is expected to allow does not count: a gang that is
-// unlikely to fit would never find out. As each worker is asked about once, it soon does.
+// gangAdvice queries for a gang without reserved capacity, if it could fit on the workers
+// that the advisor has not refused.
 func (l *leadership) gangAdvice(p *pass, ws *waitingStep, req placement.Request, service string, advice *site.Advice) waitReason {
-	if ws.tj.adviceOf(ws.step).asking || p.unclaimedCPU[service] <= 0 {
-		return l.waitForAdvice(p, ws, req, service, advice)
-	}
-	known, unknown := l.fitByAnswer(p, ws, req, service)
-	switch {
-	case known >= req.Count:
-		return l.waitForAdvice(p, ws, req, service, advice)
-	case known+unknown < req.Count:
+	if !ws.tj.adviceOf(ws.step).asking && p.unclaimedCPU[service] > 0 && l.mostPlaceable(p, ws, req, service) < req.Count {
 		return noCapacity
 	}
-	l.want(p, demand{ws: ws, req: req, service: service, settings: advice, kind: toReserve})
-	return asking
+	return l.waitForAdvice(p, ws, req, service, advice)
 }
 
-// fitByAnswer returns how many tasks of a gang fit now on workers that the advisor has
-// allowed, and on those that it has not been asked about.
-func (l *leadership) fitByAnswer(p *pass, ws *waitingStep, req placement.Request, service string) (known, unknown int) {
+// mostPlaceable returns how many tasks of a gang fit now on workers that the advisor has
+// not refused.
+func (l *leadership) mostPlaceable(p *pass, ws *waitingStep, req placement.Request, service string) int {
 	answers := ws.tj.adviceOf(ws.step)
+	n := 0
 	for _, wk := range p.withCapacity(ws, req.Size, service) {
-		if answers.refused[wk.id] {
-			continue
-		}
-		state := l.workerState(ws, wk, p.free(wk, ws))
-		if answers.known(wk) {
-			known += placement.FitCount(req, &state)
-		} else {
-			unknown += placement.FitCount(req, &state)
+		if !answers.refused[wk.id] {
+			state := l.workerState(ws, wk, p.free(wk, ws))
+			n += placement.FitCount(req, &state)
 		}
 	}
-	return known, unknown
+	return n
 }
 
 // patientCount returns how many tasks of a step that can wait may start now: as many as
--- a/pollendockd/internal/scheduler/query_workers.go
+++ b/pollendockd/internal/scheduler/query_workers.go
@@ -61,12 +61,23 @@
 	q := placement.QueryParams{AllowedFraction: l.queueStatsOf(m.ws.tj.sub.Queue).allowedShare(), CapacityFactor: candidateFactor, MinWorkers: minCandidates, OnlyFitting: !m.req.Gang}
 	ids, expected := placement.SelectForQuery(m.req, q, l.queryCandidates(m, candidates))
 	if m.req.Gang && expected < float64(m.req.Count) {
-		// The tickets would expire before there is capacity for the gang.
-		return nil
+		return l.workersToLearn(m)
 	}
 	return l.workersOf(ids)
 }
 
+// workersToLearn returns workers to ask about for a gang that is unlikely to fit on those
+// that the advisor will allow. Only an answer can tell: with the expected share of allowed
+// workers alone it would never ask. As each worker is asked about once, it soon knows.
+// Gangs of suspects learn before workers are kept free for them.
+func (l *leadership) workersToLearn(m *demand) []*worker {
+	if m.ws.isolated {
+		return nil
+	}
+	m.kind = toReserve
+	return l.workersForGang(m)
+}
+
 // workersForGang returns workers that the step has no answer for, the emptiest first
 // and as many as are likely to suffice. Each worker in a query takes the advisor's
 // time, and the answer for a large gang would otherwise take a second or more.
