--- a/pollendockd/internal/scheduler/settle_test.go
+++ b/pollendockd/internal/scheduler/fault_series_test.go
@@ -19,9 +19,9 @@
 )
 
 type (
-	// settlement plays random jobs and faults on a cell, then removes the faults: whatever
+	// faultSeries plays random jobs and faults on a cell, then removes the faults: whatever
 	// went before, each job that can run has to end soon after.
-	settlement struct {
+	faultSeries struct {
 		*cell
 		seed uint64
 		rnd  *rand.Rand
@@ -34,25 +34,25 @@
 )
 
 const (
-	settleWorkers = 12
-	settleCores   = 10
-	// faultTime is how long faults come, settleTime how long the jobs may take after that.
+	seriesWorkers = 12
+	seriesCores   = 10
+	// faultTime is how long faults come, seriesTime how long the jobs may take after that.
 	faultTime  = 40 * time.Second
-	settleTime = 40 * time.Second
-	// defaultSettleSeeds is the number of seeds unless SETTLE_SEEDS is set.
-	defaultSettleSeeds = 16
+	seriesTime = 40 * time.Second
+	// defaultSeriesSeeds is the number of seeds unless SERIES_SEEDS is set.
+	defaultSeriesSeeds = 16
 )
 
 // TestEveryJobEnds checks with random series of crashes, silences, evacuations, shrinking
 // workers, refused starts and changes of leader that all jobs end once the faults are over:
-// nothing that has room and its turn waits for ever. SETTLE_SEEDS is the number of seeds,
-// SETTLE_FIRST the first one.
+// nothing that has room and its turn waits for ever. SERIES_SEEDS is the number of seeds,
+// SERIES_FIRST the first one.
 func TestEveryJobEnds(t *testing.T) {
-	first, seeds := envNumber("SETTLE_FIRST", 1), envNumber("SETTLE_SEEDS", defaultSettleSeeds)
+	first, seeds := envNumber("SERIES_FIRST", 1), envNumber("SERIES_SEEDS", defaultSeriesSeeds)
 	for seed := first; seed < first+seeds; seed++ {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			inCell(t, 0, func(c *cell) {
-				s := &settlement{cell: c, seed: seed, rnd: rand.New(rand.NewPCG(seed, seed))}
+				s := &faultSeries{cell: c, seed: seed, rnd: rand.New(rand.NewPCG(seed, seed))}
 				s.play()
 			})
 		})
@@ -67,7 +67,7 @@
 	return n
 }
 
-func (s *settlement) play() {
+func (s *faultSeries) play() {
 	s.prepare()
 	began := time.Now()
 	for time.Since(began) < faultTime {
@@ -78,27 +78,27 @@
 	s.evacuate()
 	// The last faults end, and the workers that have crashed return.
 	time.Sleep(6 * time.Second)
-	for i := range settleWorkers {
-		s.worker(i).SetCapacity(settleCapacity(settleCores))
+	for i := range seriesWorkers {
+		s.worker(i).SetCapacity(seriesCapacity(seriesCores))
 	}
 	healed := time.Now()
 	open := s.stillOpen()
-	for time.Since(healed) < settleTime && len(open) > 0 {
+	for time.Since(healed) < seriesTime && len(open) > 0 {
 		time.Sleep(time.Second)
 		open = s.stillOpen()
 	}
 	if len(open) > 0 {
-		s.t.Errorf("seed %d: %d of %d jobs have not ended %v after the last fault: %s", s.seed, len(open), len(s.open), settleTime, strings.Join(open, " "))
+		s.t.Errorf("seed %d: %d of %d jobs have not ended %v after the last fault: %s", s.seed, len(open), len(s.open), seriesTime, strings.Join(open, " "))
 	}
 }
 
 // prepare adds workers, two queues with advice and one without, and VMs.
-func (s *settlement) prepare() {
+func (s *faultSeries) prepare() {
 	advice := map[string]site.Advice{
 		"l": {Base: 10 * time.Millisecond, PerUpstream: time.Millisecond, TicketLifetime: 1500 * time.Millisecond},
 		"g": {Base: 300 * time.Millisecond, PerUpstream: 5 * time.Millisecond, TicketLifetime: 1500 * time.Millisecond},
 	}
-	s.queueAdvisor = &queueAdvisor{vms: map[string]*sync.Mutex{}, down: map[string]bool{}, advice: advice, allows: settleAllows}
+	s.queueAdvisor = &queueAdvisor{vms: map[string]*sync.Mutex{}, down: map[string]bool{}, advice: advice, allows: seriesAllows}
 	quick, slow := advice["l"], advice["g"]
 	s.catalog.Queues = []site.Queue{
 		{Name: "l", Service: "s", Priority: 0, MaxAttempts: 3, Stretch: 1.5, Objective: time.Second, Advice: &quick},
@@ -106,10 +106,10 @@
 		{Name: "w", Service: "s", Priority: 2, MaxAttempts: 3, Stretch: 4, Objective: 3 * time.Second},
 	}
 	s.catalog.Index()
-	s.outcome = settleOutcome
-	for i := range settleWorkers {
+	s.outcome = seriesOutcome
+	for i := range seriesWorkers {
 		id := fmt.Sprintf("w%02d", i)
-		s.fleet.Add(id, "s", settleCapacity(settleCores))
+		s.fleet.Add(id, "s", seriesCapacity(seriesCores))
 		s.fleet.Worker(id).SetDataCentre([]string{"north", "south"}[i%2])
 	}
 	if s.rnd.IntN(2) == 0 {
@@ -122,13 +122,13 @@
 	time.Sleep(2 * time.Second)
 }
 
-func settleCapacity(cores int64) resource.Vector {
+func seriesCapacity(cores int64) resource.Vector {
 	return resource.Vector{MilliCPU: cores * 1000, MemoryMB: 10_000}
 }
 
-// settleAllows allows each job two thirds of the workers, by the place of the worker, which
+// seriesAllows allows each job two thirds of the workers, by the place of the worker, which
 // keeps it when it returns under another id. Blocked jobs may run nowhere.
-func settleAllows(job, worker string) bool {
+func seriesAllows(job, worker string) bool {
 	if strings.HasSuffix(job, "x") {
 		return false
 	}
@@ -138,9 +138,9 @@
 	return (place+int(h.Sum32()%3))%3 > 0
 }
 
-// settleOutcome lets the first task of poison jobs crash its worker, and other tasks work
+// seriesOutcome lets the first task of poison jobs crash its worker, and other tasks work
 // for up to two seconds.
-func settleOutcome(t site.TaskID, _ int64, _ string) (time.Duration, site.EndKind) {
+func seriesOutcome(t site.TaskID, _ int64, _ string) (time.Duration, site.EndKind) {
 	if t.Index == 0 && strings.HasSuffix(t.Job, "p") {
 		return atStart, site.Crashed
 	}
@@ -148,7 +148,7 @@
 }
 
 // submitSome submits a few jobs, so that the cell is about half full.
-func (s *settlement) submitSome() {
+func (s *faultSeries) submitSome() {
 	if s.rnd.IntN(3) > 0 {
 		return
 	}
@@ -185,11 +185,11 @@
 }
 
 // injectSome injects a fault, which ends by itself.
-func (s *settlement) injectSome() {
+func (s *faultSeries) injectSome() {
 	if s.rnd.IntN(4) > 0 {
 		return
 	}
-	wk := s.worker(s.rnd.IntN(settleWorkers))
+	wk := s.worker(s.rnd.IntN(seriesWorkers))
 	lasts := time.Duration(500+s.rnd.IntN(5000)) * time.Millisecond
 	switch s.rnd.IntN(9) {
 	case 0:
@@ -198,8 +198,8 @@
 		wk.SetSilent(true)
 		time.AfterFunc(lasts, func() { wk.SetSilent(false) })
 	case 2:
-		wk.SetCapacity(settleCapacity(3))
-		time.AfterFunc(lasts, func() { wk.SetCapacity(settleCapacity(settleCores)) })
+		wk.SetCapacity(seriesCapacity(3))
+		time.AfterFunc(lasts, func() { wk.SetCapacity(seriesCapacity(seriesCores)) })
 	case 3:
 		wk.RefuseStarts(1 + s.rnd.IntN(3))
 	case 4:
@@ -218,7 +218,7 @@
 }
 
 // worker returns the worker at a place, under the id of its newest successor.
-func (s *settlement) worker(place int) *fleet.Worker {
+func (s *faultSeries) worker(place int) *fleet.Worker {
 	id := fmt.Sprintf("w%02d", place)
 	for s.fleet.Worker(id+"+") != nil {
 		id += "+"
@@ -227,7 +227,7 @@
 }
 
 // replaceLeader kills the VM that leads and starts another one.
-func (s *settlement) replaceLeader() {
+func (s *faultSeries) replaceLeader() {
 	for i, v := range s.alive {
 		if leads(v) {
 			v.kill()
@@ -253,7 +253,7 @@
 }
 
 // stillOpen returns the jobs that can run and have not ended.
-func (s *settlement) stillOpen() []string {
+func (s *faultSeries) stillOpen() []string {
 	var open []string
 	for _, id := range s.open {
 		if j := s.alive[0].replica.Job(id); j == nil || !j.Phase().Final() {
