--- a/soak/odd.go
+++ b/soak/odd.go
@@ -1,11 +1,13 @@
 package main
 
 import (
+	"context"
 	"math/rand/v2"
 	"strings"
 	"time"
 
 	"pollendock.example/cell/site"
+	"pollendock.example/standin/fleet"
 )
 
 // Entries and records that no worker and no entry VM writes. Another writer adds them to the
@@ -42,13 +44,20 @@
 	value := []byte(oddEntries[r.IntN(len(oddEntries))])
 	end := time.Now().Add(time.Duration(500+r.IntN(4000)) * time.Millisecond)
 	for time.Now().Before(end) && c.ctx.Err() == nil {
-		// Errors are ignored: the next entry replaces a lost one.
-		_, _ = c.serverStore.Append(c.ctx, []site.Entry{{Key: id, Value: value}, {Key: "odd-" + id, Value: value}})
+		c.appendOdd(c.serverStore, site.Entry{Key: id, Value: value}, site.Entry{Key: "odd-" + id, Value: value})
 		time.Sleep(oddEntryInterval)
 	}
 }
 
 // writeOddRecord adds a record to those of the entry VMs.
 func writeOddRecord(c *cell, r *rand.Rand) {
-	_, _ = c.cellStore.Append(c.ctx, []site.Entry{oddRecords[r.IntN(len(oddRecords))]})
+	c.appendOdd(c.cellStore, oddRecords[r.IntN(len(oddRecords))])
+}
+
+// appendOdd appends entries. Errors are ignored: entries that a silent or unavailable store
+// does not take are no fault of the cell.
+func (c *cell) appendOdd(store *fleet.Store, entries ...site.Entry) {
+	ctx, cancel := context.WithTimeout(c.ctx, oddEntryInterval)
+	defer cancel()
+	_, _ = store.Append(ctx, entries)
 }
