Tests of slow links share one link, and use the project's own words

The test of a large configuration wrote the store's topic and settings by hand; it uses the adapter's encoders. The scheduler's test of a slow uplink uses loopback.Link in place of a copy of it.

--- a/cell/loopback/link.go
+++ b/cell/loopback/link.go
@@ -49,8 +49,8 @@
 	return l.sent
 }
 
-// reserve returns how long a connection waits until n bytes have left the link.
-func (l *Link) reserve(n int) time.Duration {
+// Reserve takes the link for n bytes and returns how long it takes until they have left it.
+func (l *Link) Reserve(n int) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
@@ -76,7 +76,7 @@
 	written := 0
 	for written < len(data) {
 		chunk := data[written:min(len(data), written+linkChunkBytes)]
-		time.Sleep(c.link.reserve(len(chunk)))
+		time.Sleep(c.link.Reserve(len(chunk)))
 		n, err := c.Conn.Write(chunk)
 		written += n
 		if err != nil {
--- a/pollendockd/internal/scheduler/harness_test.go
+++ b/pollendockd/internal/scheduler/harness_test.go
@@ -13,6 +13,7 @@
 	"github.com/go-kit/log"
 
 	"pollendock.example/cell/job"
+	"pollendock.example/cell/loopback"
 	"pollendock.example/cell/resource"
 	"pollendock.example/cell/site"
 	"pollendock.example/platform"
@@ -67,7 +68,7 @@
 		// listSilent is set while this VM gets no answers to reads of the list of workers.
 		listSilent atomic.Bool
 		// uplink is the link of this VM, nil for one that takes no time.
-		uplink atomic.Pointer[uplink]
+		uplink atomic.Pointer[loopback.Link]
 		// largest is the size of the largest append, in bytes.
 		largest atomic.Int64
 	}
@@ -133,7 +134,7 @@
 	if size > s.largest.Load() {
 		s.largest.Store(size)
 	}
-	if l := s.uplink.Load(); l != nil && !l.send(ctx, int(size)) {
+	if l := s.uplink.Load(); l != nil && !sendOver(ctx, l, int(size)) {
 		return 0, site.ErrUnknown.Wrap(ctx.Err())
 	}
 	return s.Store.AppendAs(ctx, t, entries)
--- a/pollendockd/internal/scheduler/uplink_test.go
+++ b/pollendockd/internal/scheduler/uplink_test.go
@@ -9,40 +9,20 @@
 	"time"
 
 	"pollendock.example/cell/job"
+	"pollendock.example/cell/loopback"
 	"pollendock.example/cell/site"
 	"pollendock.example/pollendockd/internal/sleep"
 )
 
-// uplink is a link of limited speed that the calls of a VM share.
-type uplink struct {
-	bytesPerSecond int
-
-	mu     sync.Mutex
-	freeAt time.Time
-	sent   int
-}
-
-// send returns once n bytes have left the link. It reports false if ctx ends before.
-func (l *uplink) send(ctx context.Context, n int) bool {
+// sendOver returns once n bytes have left the link. It reports false if ctx ends before.
+func sendOver(ctx context.Context, link *loopback.Link, n int) bool {
 	const chunkBytes = 2 << 10
 	for ; n > 0 && ctx.Err() == nil; n -= chunkBytes {
-		sleep.For(ctx, l.reserve(min(n, chunkBytes)))
+		sleep.For(ctx, link.Reserve(min(n, chunkBytes)))
 	}
 	return ctx.Err() == nil
 }
 
-func (l *uplink) reserve(n int) time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	now := time.Now()
-	if l.freeAt.Before(now) {
-		l.freeAt = now
-	}
-	l.freeAt = l.freeAt.Add(time.Duration(n) * time.Second / time.Duration(l.bytesPerSecond))
-	l.sent += n
-	return l.freeAt.Sub(now)
-}
-
 // TestLargeAppendOverSlowLink: a burst of jobs is accepted by a leader over a link on which the
 // records take one second. The append is not sent several times at once, and it ends.
 func TestLargeAppendOverSlowLink(t *testing.T) {
@@ -55,7 +35,7 @@
 	inCell(t, 10, func(c *cell) {
 		v := c.start("a")
 		time.Sleep(3 * time.Second)
-		link := &uplink{bytesPerSecond: linkBytes}
+		link := loopback.NewLink(linkBytes)
 		v.stream.uplink.Store(link)
 		var wg sync.WaitGroup
 		var mu sync.Mutex
@@ -88,12 +68,12 @@
 		}
 		wg.Wait()
 		took := time.Since(began)
-		t.Logf("%d of %d accepted after %v, %d bytes of records, %d sent, %v", accepted, jobs, took, bytes, link.sent, failures)
+		t.Logf("%d of %d accepted after %v, %d bytes of records, %d sent, %v", accepted, jobs, took, bytes, link.Sent(), failures)
 		if accepted < jobs {
 			t.Errorf("%d of %d jobs are accepted", accepted, jobs)
 		}
-		if link.sent > 2*bytes {
-			t.Errorf("%d bytes were sent for records of %d", link.sent, bytes)
+		if link.Sent() > int64(2*bytes) {
+			t.Errorf("%d bytes were sent for records of %d", link.Sent(), bytes)
 		}
 	})
 }
--- a/pollendockd/large_catalog_test.go
+++ b/pollendockd/large_catalog_test.go
@@ -5,9 +5,9 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"path/filepath"
-	"strings"
 	"testing"
 	"time"
 
@@ -22,26 +22,11 @@
 
 const (
 	// slowLink is the speed at which the store's responses reach the VM, in bytes a
-	// second; a configuration of configurationBytes takes longer than any call may
-	// wait for its first byte.
+	// second; a configuration of configurationBytes takes longer than any call may wait
+	// for its first byte.
 	slowLink           = 400 << 10
 	configurationBytes = 700 << 10
-
-	settingsFile = `
-node-name = "n1"
-ip = "127.0.0.1"
-zone = "z1"
-port-range = [7001, 7016]
-[listen-addrs]
-frontend = "127.0.0.1:9002"
-ready = "127.0.0.1:9003"
-[bounds]
-grace-s = 5
-hold-max-ms = 4000
-stop-timeout-ms = 250
-[platform]
-address = "%s"
-`
+	queues             = 6000
 )
 
 // noGauges drops all values.
@@ -50,14 +35,20 @@
 func (noGauges) Gauge(string, int64) {}
 
 // configurationOf returns the operators' record of a large configuration.
-func configurationOf(version int) site.Entry {
-	var b strings.Builder
-	fmt.Fprintf(&b, `{"version":%d,"routes":[{"name":"first","host":"h","path-prefix":"/first/"}`, version)
-	for i := 0; b.Len() < configurationBytes; i++ {
-		fmt.Fprintf(&b, `,{"name":"route-%d","host":"host-%d.example","path-prefix":"/path-%d/","service":"service"}`, i, i, i)
+func configurationOf(t *testing.T, version int64) site.Entry {
+	t.Helper()
+	c := &site.Catalog{Version: version}
+	for i := range queues {
+		c.Queues = append(c.Queues, site.Queue{Name: fmt.Sprint("queue-", i), Host: fmt.Sprint(i, ".example"), PathPrefix: fmt.Sprint("/", i, "/"), Service: "service"})
+	}
+	value, err := platform.EncodeCatalog(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(value) < configurationBytes {
+		t.Fatalf("a configuration of %d bytes", len(value))
 	}
-	b.WriteString("]}")
-	return site.Entry{Key: "config", Value: []byte(b.String())}
+	return site.Entry{Key: platform.ConfigKey, Value: value}
 }
 
 // TestLargeConfigurationArrivesOverSlowLink: a configuration that takes seconds to transfer
@@ -68,14 +59,19 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := &http.Server{Handler: platform.StoreHandler(map[string]platform.Topic{"keyed.op": store})}
+	server := &http.Server{Handler: platform.StoreHandler(map[string]platform.Topic{platform.ConfigTopic: store})}
 	go func() { _ = server.Serve(loopback.NewLink(slowLink).Listener(ln)) }()
 	t.Cleanup(func() { _ = server.Close() })
+	loop := netip.MustParseAddrPort("127.0.0.1:9002")
+	settings := &platform.Settings{Store: netip.MustParseAddrPort(ln.Addr().String()), Local: site.Local{
+		Name: "n1", DataCentre: "dc", Listen: loop, Ready: loop, Peer: loop,
+		Bounds: site.Bounds{MaxLease: 4 * time.Second, StopTime: 250 * time.Millisecond, Grace: 5 * time.Second},
+	}}
 	path := filepath.Join(t.TempDir(), "settings.toml")
-	if err := os.WriteFile(path, fmt.Appendf(nil, settingsFile, ln.Addr()), 0o600); err != nil {
+	if err := os.WriteFile(path, platform.EncodeSettings(settings), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	t.Setenv("POLLENDOCK_NODE_FILE", path)
+	t.Setenv(platform.SettingsVariable, path)
 	p, err := platform.Open()
 	if err != nil {
 		t.Fatal(err)
@@ -83,14 +79,14 @@
 	watcher := request.NewCatalogWatcher(p.Catalogs, log.NewNopLogger(), noGauges{})
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 	defer cancel()
-	for version := 1; version <= 2; version++ {
-		if _, err := store.Append(ctx, []site.Entry{configurationOf(version)}); err != nil {
+	for version := int64(1); version <= 2; version++ {
+		if _, err := store.Append(ctx, []site.Entry{configurationOf(t, version)}); err != nil {
 			t.Fatal(err)
 		}
 		if version == 1 {
 			go func() { _ = watcher.Run(ctx) }()
 		}
-		for c := watcher.Current(); c == nil || c.Version != int64(version); c = watcher.Current() {
+		for c := watcher.Current(); c == nil || c.Version != version; c = watcher.Current() {
 			if ctx.Err() != nil {
 				t.Fatalf("version %d did not arrive", version)
 			}
