--- a/pollendockd/internal/request/shared_catalog.go
+++ b/pollendockd/internal/request/shared_catalog.go
@@ -116,7 +116,7 @@
 		s.take(a)
 		mu.Lock()
 		defer mu.Unlock()
-		if a.newerThan(s.catalog.Current()) && (newest == nil || a.Version > newest.Version || a.Revision > newest.Revision) {
+		if a.newerThan(s.catalog.Current()) && (newest == nil || a.newerThan(newest.catalog())) {
 			newest = a
 		}
 	})
@@ -125,8 +125,12 @@
 
 // newerThan reports whether the described catalog is newer than c, which may be nil.
 func (a *PeerCatalog) newerThan(c *site.Catalog) bool {
-	described := site.Catalog{Version: a.Version, Revision: a.Revision}
-	return a.Version > 0 && described.NewerThan(c)
+	return a.Version > 0 && a.catalog().NewerThan(c)
+}
+
+// catalog returns the described catalog without its contents.
+func (a *PeerCatalog) catalog() *site.Catalog {
+	return &site.Catalog{Version: a.Version, Revision: a.Revision}
 }
 
 // take notes the catalog of another VM. A VM without a catalog may have just started, so its
