--- a/review/standin/case_silence.go
+++ b/review/standin/case_silence.go
@@ -22,6 +22,8 @@
 		// the 4 s before them are calm.
 		restart = 6 * time.Second
 		calm    = 4 * time.Second
+		// margin covers the delay of the timers.
+		margin = 500 * time.Millisecond
 	)
 	// The rate of the jobs rises until it is steady.
 	rates := []struct {
@@ -74,7 +76,7 @@
 				flow(steady.perSecond, flowAfter)
 				close(done)
 			}()
-			watchFrom := began.Add(max(failAfter+restart, down+calm))
+			watchFrom := began.Add(max(failAfter+restart, down+calm) + margin)
 			time.Sleep(time.Until(watchFrom))
 			cl.watchLasting(lasting, done)
 			c.rec.note("end of the traffic")
