scheduler: callers' records no longer hide the leader

Cause: VMs hear a leader only by records that leaders alone append. A batch of callers' records held none, and it postponed the heartbeat. So a leader whose jobs all wait, while submissions come less than 0.12 s apart, counted as silent after 0.45 s. Its successor began anew, and what it had asked the advisor was lost with the term.

Fix: a batch without a record of the leader gets one if the last is 60 ms old. Then at most 0.18 s and an append lie between two of them. Records that other VMs append for their callers still say nothing of the leader. Traffic in quiet times is unchanged: no further appends, and no further record while states are stored. Counting any append under the producer's epoch was considered; the pages that VMs read don't tell who appended.

--- a/pollendockd/internal/scheduler/flush.go
+++ b/pollendockd/internal/scheduler/flush.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -23,6 +24,8 @@
 		finalSent bool
 		sentAt    time.Time
 		ackedAt   time.Time
+		// leaderRecordAt is when the last batch with a record of the leader was made.
+		leaderRecordAt time.Time
 		// latency is an estimate of the time that an append takes.
 		latency time.Duration
 		// attempts counts the attempts of the append in progress.
@@ -59,6 +62,9 @@
 	minAppendInterval = 12 * time.Millisecond
 	// maxBatchBytes limits the size of an append.
 	maxBatchBytes = 400 << 10
+	// maxLeaderRecordAge is the age of the leader's last record from which a batch of
+	// callers' records gets another one. A batch postpones the heartbeat.
+	maxLeaderRecordAge = heartbeatInterval / 2
 )
 
 func (f *flushState) init(now time.Time) {
@@ -79,7 +85,7 @@
 	default:
 		return
 	}
-	b, err := l.makeBatch()
+	b, err := l.makeBatch(now)
 	if err != nil {
 		_ = level.Error(l.s.deps.Logger).Log("msg", "cannot encode state", "err", err)
 		l.s.endLeadership("cannot encode state")
@@ -88,7 +94,7 @@
 	l.send(b)
 }
 
-func (l *leadership) makeBatch() (*batch, error) {
+func (l *leadership) makeBatch(now time.Time) (*batch, error) {
 	f := &l.flush
 	b := &batch{ackUpTo: map[*worker]ackUpTo{}}
 	size := 0
@@ -142,14 +148,28 @@
 		}
 		b.entries = append(b.entries, e)
 	}
-	if len(b.entries) == 0 {
-		e, err := job.LeaderEntry(&job.Leader{Epoch: l.term.Epoch, Incarnation: l.s.opt.Incarnation})
-		if err != nil {
-			return nil, err
-		}
-		b.entries = append(b.entries, e)
+	return b, l.addLeaderRecord(b, now)
+}
+
+// addLeaderRecord adds a record of the leader to a batch that has none, if one is due:
+// the other VMs hear a leader only by its own records, since those of callers may come from
+// any VM.
+func (l *leadership) addLeaderRecord(b *batch, now time.Time) error {
+	f := &l.flush
+	hasOwn := slices.ContainsFunc(b.entries, func(e site.Entry) bool { return job.LeaderOnly(e.Key) })
+	if !hasOwn && len(b.entries) > 0 && now.Sub(f.leaderRecordAt) < maxLeaderRecordAge {
+		return nil
+	}
+	f.leaderRecordAt = now
+	if hasOwn {
+		return nil
+	}
+	e, err := job.LeaderEntry(&job.Leader{Epoch: l.term.Epoch, Incarnation: l.s.opt.Incarnation})
+	if err != nil {
+		return err
 	}
-	return b, nil
+	b.entries = append(b.entries, e)
+	return nil
 }
 
 // entries returns the entries that make the job's present state durable. For a job that
--- a/pollendockd/internal/scheduler/leader_test.go
+++ b/pollendockd/internal/scheduler/leader_test.go
@@ -220,3 +220,42 @@
 		})
 	}
 }
+
+// TestCallersRecordsDoNotSilenceLeader: appends of callers' records alone postponed the heartbeat, so that leaders changed twice a second.
+func TestCallersRecordsDoNotSilenceLeader(t *testing.T) {
+	for _, gap := range []time.Duration{5 * time.Millisecond, 50 * time.Millisecond, 110 * time.Millisecond} {
+		inCell(t, 0, func(c *cell) {
+			a := c.start("a")
+			time.Sleep(time.Second)
+			c.start("b")
+			time.Sleep(time.Second)
+			for i := range 5 * time.Second / gap {
+				go func() {
+					_ = a.scheduler.Accept(c.ctx, []site.Entry{c.entry(time.Now(), fmt.Sprintf("j%d", i), tasks(1, 1))})
+				}()
+				time.Sleep(gap)
+			}
+			if list := leaders(c); len(list) != 1 {
+				t.Errorf("a record every %v: leaders are %v", gap, list)
+			}
+		})
+	}
+}
+
+// TestOtherVMsRecordsDoNotHideDeadLeader: records that a VM appends for its callers are no sign of the leader.
+func TestOtherVMsRecordsDoNotHideDeadLeader(t *testing.T) {
+	inCell(t, 0, func(c *cell) {
+		c.start("a")
+		time.Sleep(time.Second)
+		b := c.start("b")
+		time.Sleep(time.Second)
+		c.vms["a"].kill()
+		for i := range 40 {
+			c.submit(fmt.Sprintf("j%d", i), tasks(1, 1))
+			time.Sleep(20 * time.Millisecond)
+		}
+		if l, _ := b.replica.Leader(); l.Incarnation != "b/1" {
+			t.Errorf("leader is %q", l.Incarnation)
+		}
+	})
+}
