A job keeps the advice of its queue when the queue is removed

Cause: for a queue that the catalog lacks, the scheduler took the service of the submission and no advice. The step was placed without asking the advisor, its starts carried no ticket, and each worker refused them for ever. The time limit was lost likewise under a new leader, so that the job counted as late at once.

Fix: the VM that accepts a job appends the queue's settings (advice, stretch, objective, with the catalog's version) under queues/NAME in the same append, if the newest record differs and is not newer. The scheduler takes them for a queue that the catalog lacks. So they are as durable as the job and survive a change of leader. Priority, attempts and service are in the submission already.

Considered, too: the last catalog that had the queue, in the leader's memory; it is lost with the leader. A record by the leader would miss versions that it has not read. One record a queue and change costs 30 to 60 bytes; the records of queues that are gone stay. Jobs that an earlier version accepted still have no settings if their queue is removed.

The workers of the stand-in can require tickets now.

--- a/cell/job/odd_records_test.go
+++ b/cell/job/odd_records_test.go
@@ -81,6 +81,13 @@
 		{"speeds that are cut off", "speeds", "\x81\xa2\x01\x82\x01\x02"},
 		{"speed out of range", "speeds", &WorkerSpeeds{Workers: map[uint32]WorkerSpeed{7: {Mean: math.MaxInt}}}},
 		{"negative deviation", "speeds", &WorkerSpeeds{Workers: map[uint32]WorkerSpeed{7: {StdDev: -1}}}},
+		{"queue that is no record", "queues/q", "\x00"},
+		{"queue whose stretch is no number", "queues/q", &QueueSettings{Stretch: math.NaN()}},
+		{"queue with a negative stretch", "queues/q", &QueueSettings{Stretch: -1}},
+		{"queue with an objective that overflows", "queues/q", &QueueSettings{Objective: math.MinInt64}},
+		{"queue with two settings of advice", "queues/q", &QueueSettings{Advice: make([]AdviceSettings, 2)}},
+		{"queue with advice that takes too long", "queues/q", &QueueSettings{Advice: []AdviceSettings{{Base: math.MaxInt64}}}},
+		{"queue without a name", "queues/", &QueueSettings{}},
 		{"unknown kind", "x/a", "\x00"},
 		{"empty key", "", "\x00"},
 		{"no id", "j/", goodSubmission()},
@@ -111,14 +118,19 @@
 		recordOf(t, "m/n1", &Member{Name: "n1", Incarnation: "n1/1", CPUCores: 0.4}),
 		recordOf(t, "leader", &Leader{Epoch: 3, Incarnation: "n1/1"}),
 		recordOf(t, "speeds", &WorkerSpeeds{Workers: map[uint32]WorkerSpeed{7: {Mean: -20, StdDev: 5}}}),
+		recordOf(t, "queues/q", &QueueSettings{Version: 3, Stretch: 2, Objective: time.Second, Advice: []AdviceSettings{{Base: 5, TicketLifetime: time.Second}}}),
 	}
 }
 
-// describe returns all that a view tells of job a, the members, the leader and the speeds.
+// describe returns all that a view tells of job a, queue q, the members, the leader and the
+// speeds.
 func describe(v *View) string {
 	leader, _ := v.Leader()
 	text := fmt.Sprintf("ids %v members %v leader %v speeds %v waiting %d ended %v", v.IDs(), v.Members(), leader, *v.Speeds(), v.Waiting("q"),
 		v.EndedBefore(time.Now(), 10))
+	if q := v.Queue("q"); q != nil && q.Advice != nil {
+		text += fmt.Sprintf(" queue stretch %v objective %v advice %+v", q.Stretch, q.Objective, *q.Advice)
+	}
 	if j := v.Job("a"); j != nil {
 		text += fmt.Sprintf(" job %+v %+v %v phase %v", *j.Submission, *j.State, j.Crashes, j.Phase())
 		if j.Crashes != nil {
--- a/cell/job/view.go
+++ b/cell/job/view.go
@@ -22,6 +22,7 @@
 		// leaderAt is the offset of the entry that set leader.
 		leaderAt int64
 		speeds   WorkerSpeeds
+		queues   map[string]*QueueSettings
 		// offsets holds the newest applied offset of each key, which makes
 		// applying a page idempotent.
 		offsets map[string]int64
@@ -57,6 +58,7 @@
 	return &View{
 		jobs:    map[string]*Job{},
 		members: map[string]Member{},
+		queues:  map[string]*QueueSettings{},
 		offsets: map[string]int64{},
 		waiting: map[string]int{},
 	}
@@ -105,6 +107,8 @@
 		return name, v.applyCrashes(name, e)
 	case memberKey:
 		return "", v.applyMember(name, e)
+	case queueKey:
+		return "", v.applyQueue(name, e)
 	}
 	return "", Class.New("unknown kind of key")
 }
--- a/pollendockd/internal/request/handler.go
+++ b/pollendockd/internal/request/handler.go
@@ -197,6 +197,7 @@
 
 // SubmitLocal accepts a job without forwarding the request.
 func (h *Handler) SubmitLocal(ctx context.Context, addr site.Address, draft *job.Submission) error {
+	version := h.Version()
 	q, team, id, err := h.resolve(addr)
 	if err != nil {
 		return err
@@ -221,18 +222,35 @@
 	if err := sub.Validate(); err != nil {
 		return err
 	}
-	e, err := job.SubmissionEntry(&sub)
+	entries, err := h.submissionEntries(&sub, q, version)
 	if err != nil {
-		return code.New(code.Internal, "%v", err)
+		return err
+	}
+	return h.makeDurable(ctx, entries...)
+}
+
+// submissionEntries returns the entries that store a job and, if the records lack them, the
+// settings of its queue, which is from a catalog of that version.
+func (h *Handler) submissionEntries(sub *job.Submission, q *site.Queue, version int64) ([]site.Entry, error) {
+	e, err := job.SubmissionEntry(sub)
+	if err != nil {
+		return nil, code.New(code.Internal, "%v", err)
+	}
+	settings := job.NewQueueSettings(q, version)
+	if !h.deps.View.LacksQueue(q.Name, settings) {
+		return []site.Entry{e}, nil
+	}
+	queue, err := job.QueueEntry(q.Name, settings)
+	if err != nil {
+		return nil, code.New(code.Internal, "%v", err)
 	}
-	return h.makeDurable(ctx, e)
+	return []site.Entry{queue, e}, nil
 }
 
-// makeDurable makes an entry durable; its errors carry the result code. If the leader
-// does not accept the entry, this VM appends it itself, which is safe because entries of
+// makeDurable makes entries durable; its errors carry the result code. If the leader
+// does not accept them, this VM appends them itself, which is safe because entries of
 // requests may be appended twice.
-func (h *Handler) makeDurable(ctx context.Context, e site.Entry) error {
-	entries := []site.Entry{e}
+func (h *Handler) makeDurable(ctx context.Context, entries ...site.Entry) error {
 	leaderErr := h.deps.Leader.Accept(ctx, entries)
 	if leaderErr == nil {
 		return nil
--- a/pollendockd/internal/request/handler_test.go
+++ b/pollendockd/internal/request/handler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -206,6 +207,43 @@
 	})
 }
 
+// TestSettingsOfRemovedQueueAreKept: the records had no settings of a queue, so that its jobs lost their advice with its removal.
+func TestSettingsOfRemovedQueueAreKept(t *testing.T) {
+	withFixture(t, func(s *fixture) {
+		publish := func(version int64, a *site.Advice) {
+			c := catalogOf(version, "ka")
+			c.Queues[0].Advice = a
+			s.source.set(c, false)
+			for s.handler.Version() != version {
+				time.Sleep(100 * time.Millisecond)
+			}
+		}
+		for i, step := range []struct {
+			version int64
+			advice  *site.Advice
+			records int
+		}{
+			{2, &site.Advice{Base: time.Second}, 2},
+			{3, &site.Advice{Base: time.Second}, 3},
+			{4, &site.Advice{Base: 2 * time.Second}, 5},
+			{5, nil, 7},
+			{6, nil, 8},
+		} {
+			publish(step.version, step.advice)
+			id := fmt.Sprintf("%016x", i+1)
+			expectCode(t, "submit", s.handler.Submit(s.ctx, address("/q/"+id, "ka"), draft()), code.OK)
+			time.Sleep(time.Second)
+			if n := len(s.store.Entries()); n != step.records {
+				t.Errorf("version %d: %d records, want %d", step.version, n, step.records)
+			}
+			q := s.replica.Queue("q")
+			if q == nil || (q.Advice == nil) != (step.advice == nil) || q.Advice != nil && *q.Advice != *step.advice {
+				t.Errorf("version %d: the records have %+v, want advice %+v", step.version, q, step.advice)
+			}
+		}
+	})
+}
+
 // TestStatusRightAfterAccept: a job that another VM has just accepted is searched for
 // in the stream before NoSuchJob is answered.
 func TestStatusRightAfterAccept(t *testing.T) {
--- a/pollendockd/internal/scheduler/isolation_test.go
+++ b/pollendockd/internal/scheduler/isolation_test.go
@@ -47,7 +47,7 @@
 	} {
 		sub := &job.Submission{Service: "s", Queue: "q", Steps: []job.Step{tasks(2, 3)}}
 		c.ws.tj = newTrackedJob("j", sub, &job.Job{State: job.NewState(sub)})
-		l := &leadership{s: &Scheduler{}, crowdingCPU: map[string]int64{}}
+		l := &leadership{s: &Scheduler{deps: Deps{View: job.NewView()}}, crowdingCPU: map[string]int64{}}
 		l.noteCrowding(&pass{catalog: (&site.Catalog{}).Index()}, &c.ws)
 		if got := l.crowdingCPU["s"]; got != c.want {
 			t.Errorf("%s: %d, want %d", c.name, got, c.want)
--- a/pollendockd/internal/scheduler/pass.go
+++ b/pollendockd/internal/scheduler/pass.go
@@ -351,7 +351,7 @@
 
 // serviceOf returns the service that runs a job, and the advice settings of its queue.
 func (l *leadership) serviceOf(p *pass, tj *trackedJob) (string, *site.Advice) {
-	q := p.catalog.Queue(tj.sub.Queue)
+	q := l.queueOf(p.catalog, tj)
 	switch {
 	case q == nil:
 		return tj.sub.Service, nil
@@ -361,6 +361,19 @@
 	return q.Service, q.Advice
 }
 
+// queueOf returns the queue of a job. If operators have removed it, its settings are those
+// recorded when jobs were accepted. It returns nil if they were not.
+func (l *leadership) queueOf(catalog *site.Catalog, tj *trackedJob) *site.Queue {
+	if q := catalog.Queue(tj.sub.Queue); q != nil {
+		return q
+	}
+	q := l.s.deps.View.Queue(tj.sub.Queue)
+	if q != nil {
+		q.Service = tj.sub.Service
+	}
+	return q
+}
+
 // waitForAdvice queues the remaining tasks of a step for a query. For a step further
 // back in the order a query would be useless if the free capacity goes to the steps
 // before it, as its tickets would expire meanwhile. A step that found no worker to ask
--- a/pollendockd/internal/scheduler/stats.go
+++ b/pollendockd/internal/scheduler/stats.go
@@ -141,7 +141,7 @@
 	if catalog == nil {
 		return
 	}
-	if q := catalog.Queue(tj.sub.Queue); q != nil {
+	if q := l.queueOf(catalog, tj); q != nil {
 		tj.timeLimit = time.Duration(q.Stretch*float64(longest+tj.overhead(q.Advice))) + q.Objective
 	}
 }
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -40,6 +40,8 @@
 		// silentCrashes is set if calls to a worker that has crashed get no answer.
 		// Otherwise their connections are refused.
 		silentCrashes bool
+		// needsTickets is set if workers refuse starts without a ticket.
+		needsTickets bool
 	}
 )
 
@@ -58,6 +60,13 @@
 	}
 }
 
+// RequireTickets makes the workers refuse starts without a ticket.
+func (f *Fleet) RequireTickets() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.needsTickets = true
+}
+
 // Add adds a worker.
 func (f *Fleet) Add(id, service string, capacity resource.Vector) *Worker {
 	f.mu.Lock()
--- a/standin/fleet/worker.go
+++ b/standin/fleet/worker.go
@@ -352,6 +352,8 @@
 		return &site.RefusalError{Reason: site.RefusedStaleRun}
 	case req.LeaseEnd <= w.clock(now):
 		return &site.RefusalError{Reason: site.RefusedLeaseExpired}
+	case f.needsTickets && req.Ticket == "":
+		return &site.RefusalError{Reason: site.RefusedTicket}
 	case w.refuseNext > 0:
 		w.refuseNext--
 		return &site.RefusalError{Reason: site.RefusedUnavailable}
