scheduler: an endless task that ended starts before work that can wait

Cause: a step's latest start follows from its estimate, which for an endless task is as long as it is meant to run, 24 days in the trace. So each job of the queue went first at the advisor: 12 a second beside a backlog from the outage, at 14 queries a second. The same holds for any resource that is in demand.

Fix: an endless step is due one second after it began to wait, and does not count as late or as surplus: it has no end to be in time for. Jobs that are due earlier still go first.

--- a/pollendockd/internal/scheduler/waiting.go
+++ b/pollendockd/internal/scheduler/waiting.go
@@ -23,9 +23,14 @@
 	why waitReason
 }
 
-// patienceFactor is how many times the expected time of the rest of its job a
-// patient step can wait.
-const patienceFactor = 1.8
+const (
+	// patienceFactor is how many times the expected time of the rest of its job a
+	// patient step can wait.
+	patienceFactor = 1.8
+	// endlessStartLimit is how long an endless task may wait to start, or to start again.
+	// By its estimate it could wait for as long as it runs.
+	endlessStartLimit = time.Second
+)
 
 // waitingSteps returns the steps with tasks to place, in scheduling order.
 func (l *leadership) waitingSteps(p *pass) []*waitingStep {
@@ -42,6 +47,10 @@
 					continue
 				}
 				ws := &waitingStep{tj: tj, step: step, sortKey: l.sortKeyOf(p, tj, step), isolated: isolated}
+				if tj.sub.Steps[step].Endless {
+					ws.sortKey.Rank = placement.InTime
+					ws.sortKey.LatestStart = ws.waitsSince(p.now).Add(endlessStartLimit)
+				}
 				l.waiting[ws.sortKey.Rank]++
 				steps = append(steps, ws)
 			}
