A job of thousands of tasks at once no longer changes the leader

Callers saw: a job of 10,000 tasks that all run at once: leaders changed four times a second and the rest of the job did not start; other jobs got through between the changes.

Cause: a state record names the worker and its start of each running task. With 10,000 of them it takes 340,011 bytes (ids as in the test), and a record takes 262,144, so that each append of it was refused for good.

Considered: an admission bound refuses jobs that run today, as most of their tasks wait. A bound on the tasks that run at once would leave lasting tasks without a run. Records for ranges of tasks would save bytes for all wide jobs, but loading, removal and checks would all have to know them; that is worth a look if wide jobs become common.

The leader's batches count keys, too: at most 400 KB and the records of one job.

The store of the stand-in has the two limits now.

--- a/cell/job/record.go
+++ b/cell/job/record.go
@@ -122,7 +122,11 @@
 
 // StateEntry returns the entry that stores the state of a job.
 func StateEntry(id string, s *State) (site.Entry, error) {
-	return encode(stateKey+id, s)
+	e, err := encode(stateKey+id, s)
+	if err != nil {
+		return site.Entry{}, err
+	}
+	return compressLarge(e)
 }
 
 // CancelEntry returns the entry that requests the cancellation of a job.
--- a/cell/job/view.go
+++ b/cell/job/view.go
@@ -183,6 +183,10 @@
 	if len(e.Value) == 0 {
 		return nil
 	}
+	e, err := expandLarge(e)
+	if err != nil {
+		return err
+	}
 	s := &State{}
 	if err := decode(e, s); err != nil {
 		return err
--- a/pollendockd/internal/request/batch_appender.go
+++ b/pollendockd/internal/request/batch_appender.go
@@ -30,6 +30,8 @@
 	appendTimeout    = 1500 * time.Millisecond
 	queueCapacity    = 256
 	maxBatchRequests = 64
+	// maxBatchBytes is the size from which on a batch takes no further request.
+	maxBatchBytes = 400 << 10
 )
 
 func newBatchAppender(stream Stream) *batchAppender {
@@ -50,10 +52,12 @@
 
 func (a *batchAppender) collectBatch(first appendRequest) []appendRequest {
 	batch := []appendRequest{first}
-	for len(batch) < maxBatchRequests {
+	size := first.size()
+	for len(batch) < maxBatchRequests && size < maxBatchBytes {
 		select {
 		case next := <-a.queue:
 			batch = append(batch, next)
+			size += next.size()
 		default:
 			return batch
 		}
@@ -61,6 +65,15 @@
 	return batch
 }
 
+// size returns the length of the entries in bytes.
+func (r *appendRequest) size() int {
+	total := 0
+	for i := range r.entries {
+		total += r.entries[i].Size()
+	}
+	return total
+}
+
 func (a *batchAppender) appendBatch(ctx context.Context, batch []appendRequest) {
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
--- a/pollendockd/internal/request/handler.go
+++ b/pollendockd/internal/request/handler.go
@@ -236,6 +236,9 @@
 	if err != nil {
 		return nil, code.New(code.Internal, "%v", err)
 	}
+	if e.Size() > job.MaxRecordBytes {
+		return nil, code.New(code.TooLarge, "the job takes %d bytes of a record, at most %d are taken", e.Size(), job.MaxRecordBytes)
+	}
 	settings := job.NewQueueSettings(q, version)
 	if !h.deps.View.LacksQueue(q.Name, settings) {
 		return []site.Entry{e}, nil
--- a/pollendockd/internal/request/handler_test.go
+++ b/pollendockd/internal/request/handler_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -428,3 +429,35 @@
 		}
 	})
 }
+
+// TestJobLargerThanRecordIsRefused: a job whose record the store never takes was handed to the leader, whose appends then failed.
+func TestJobLargerThanRecordIsRefused(t *testing.T) {
+	withFixture(t, func(s *fixture) {
+		for _, c := range []struct {
+			id    string
+			label int
+			want  code.Code
+		}{{goodID, 100 << 10, code.OK}, {otherID, job.MaxRecordBytes, code.TooLarge}} {
+			d := draft()
+			d.Steps[0].Label = strings.Repeat("x", c.label)
+			expectCode(t, "submit", s.handler.Submit(s.ctx, address("/q/"+c.id, "ka"), d), c.want)
+		}
+	})
+}
+
+// TestDirectAppendsFitCall: 64 large requests were put into one append, which the store never takes.
+func TestDirectAppendsFitCall(t *testing.T) {
+	const most = 1 << 20
+	a := newBatchAppender(fleet.NewStore())
+	large := appendRequest{entries: []site.Entry{{Key: "j/a", Value: make([]byte, 250<<10)}}}
+	for range maxBatchRequests {
+		a.queue <- large
+	}
+	size := 0
+	for _, r := range a.collectBatch(large) {
+		size += r.entries[0].Size()
+	}
+	if size > most {
+		t.Errorf("an append of %d bytes, want at most %d", size, most)
+	}
+}
--- a/pollendockd/internal/scheduler/flush.go
+++ b/pollendockd/internal/scheduler/flush.go
@@ -60,8 +60,11 @@
 const (
 	// minAppendInterval groups changes that occur close together into one append.
 	minAppendInterval = 12 * time.Millisecond
-	// maxBatchBytes limits the size of an append.
+	// maxBatchBytes is the size from which on an append takes no further job. The records
+	// of one job are at most as large again.
 	maxBatchBytes = 400 << 10
+	// entryOverhead is what an entry adds to an append besides its key and value, in bytes.
+	entryOverhead = 5
 	// maxLeaderRecordAge is the age of the leader's last record from which a batch of
 	// callers' records gets another one. A batch postpones the heartbeat.
 	maxLeaderRecordAge = heartbeatInterval / 2
@@ -100,10 +103,8 @@
 	size := 0
 	n := 0
 	for n < len(f.accepts) && size < maxBatchBytes {
-		for _, e := range f.accepts[n].entries {
-			size += len(e.Value)
-			b.entries = append(b.entries, e)
-		}
+		size += sizeOf(f.accepts[n].entries)
+		b.entries = append(b.entries, f.accepts[n].entries...)
 		n++
 	}
 	b.accepts, f.accepts = f.accepts[:n], f.accepts[n:]
@@ -113,9 +114,7 @@
 		if err != nil {
 			return nil, err
 		}
-		for _, e := range entries {
-			size += len(e.Value)
-		}
+		size += sizeOf(entries)
 		b.entries = append(b.entries, entries...)
 		n++
 	}
@@ -151,6 +150,15 @@
 	return b, l.addLeaderRecord(b, now)
 }
 
+// sizeOf returns what entries add to an append, in bytes.
+func sizeOf(entries []site.Entry) int {
+	size := 0
+	for i := range entries {
+		size += entries[i].Size() + entryOverhead
+	}
+	return size
+}
+
 // addLeaderRecord adds a record of the leader to a batch that has none, if one is due:
 // the other VMs hear a leader only by its own records, since those of callers may come from
 // any VM.
--- a/standin/fleet/store.go
+++ b/standin/fleet/store.go
@@ -41,8 +41,13 @@
 	dropEvery, appends int
 }
 
-// defaultPageSize is the maximum number of entries on a page.
-const defaultPageSize = 500
+const (
+	// defaultPageSize is the maximum number of entries on a page.
+	defaultPageSize = 500
+	// maxRecordBytes and maxCallBytes limit an entry and an append.
+	maxRecordBytes = 256 << 10
+	maxCallBytes   = 2 << 20
+)
 
 // NewStore returns an empty stream.
 func NewStore() *Store {
@@ -150,16 +155,38 @@
 	if err := s.available(ctx); err != nil {
 		return 0, err
 	}
+	if err := checkSizes(entries); err != nil {
+		return 0, err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.add(entries)
 }
 
+// checkSizes refuses what the store has no space for in one record or one call.
+func checkSizes(entries []site.Entry) error {
+	total := 0
+	for i := range entries {
+		size := 1 + entries[i].Size()
+		if size > maxRecordBytes {
+			return site.ErrRefused.New("a record of %d bytes", size)
+		}
+		total += size
+	}
+	if total > maxCallBytes {
+		return site.ErrRefused.New("an append of %d bytes", total)
+	}
+	return nil
+}
+
 // AppendAs appends entries in a term.
 func (s *Store) AppendAs(ctx context.Context, t site.Term, entries []site.Entry) (int64, error) {
 	if err := s.available(ctx); err != nil {
 		return 0, err
 	}
+	if err := checkSizes(entries); err != nil {
+		return 0, err
+	}
 	if wait := s.appendWait(); wait > 0 {
 		return s.appendDelayed(ctx, t, entries, wait)
 	}
