pollendockd: SIGHUP does not end a process that starts

Cause: the signal was taken only once the servers ran. Until then its default action applied, and for SIGTERM as well between the settings and that moment.

Fix: all three signals are taken before anything else on the platform, and stay in one channel: while the settings are read, SIGHUP reads them again at once and the others end the process; later ones are handled as before. What arrives before main cannot be taken.

--- a/pollendockd/main.go
+++ b/pollendockd/main.go
@@ -56,7 +56,7 @@
 	var opt options
 	p := arg.MustParse(&opt)
 	if opt.Platform {
-		if err := servePlatform(opt.Refuse); err != nil {
+		if err := servePlatform(opt.Refuse, notifyPlatformSignals()); err != nil {
 			fmt.Fprintln(os.Stderr, "pollendockd:", err)
 			os.Exit(1)
 		}
--- a/pollendockd/platform.go
+++ b/pollendockd/platform.go
@@ -35,6 +35,7 @@
 		// refuseOverload is set if the leader refuses jobs under overload.
 		refuseOverload bool
 		local          site.Local
+		signals        <-chan os.Signal
 		member         job.Member
 		logger         log.Logger
 		metrics        *telemetry.Metrics
@@ -71,20 +72,29 @@
 	joinTimeout           = time.Second
 	settingsRetryInterval = time.Second
 	sinkFlushTimeout      = 200 * time.Millisecond
+	signalBufferSize      = 4
 )
 
+// notifyPlatformSignals returns the signals that servePlatform handles. A process that
+// starts would be ended by one of them.
+func notifyPlatformSignals() <-chan os.Signal {
+	signals := make(chan os.Signal, signalBufferSize)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	return signals
+}
+
 // servePlatform runs an entry VM on the users' platform until it receives a signal.
-func servePlatform(refuseOverload bool) error {
+func servePlatform(refuseOverload bool, signals <-chan os.Signal) error {
 	sink := telemetry.NewSink(os.Stdout)
 	defer sink.Close(sinkFlushTimeout)
 	logger := telemetry.NewLogger(sink, "info", "")
-	p, err := openPlatform(logger)
+	p, err := openPlatform(logger, signals)
 	if err != nil {
 		return err
 	}
 	local := p.Local()
 	s := &platformProcess{
-		platform: p, local: local, refuseOverload: refuseOverload, metrics: telemetry.NewMetrics(), replica: job.NewView(),
+		platform: p, local: local, signals: signals, refuseOverload: refuseOverload, metrics: telemetry.NewMetrics(), replica: job.NewView(),
 		logger: telemetry.NewLogger(sink, "info", local.Name),
 		member: job.Member{
 			Name: local.Name, Incarnation: local.Name + "/" + uuid.NewString()[:8],
@@ -97,12 +107,9 @@
 	return s.run()
 }
 
-// openPlatform reads the settings and retries until they are valid. If the process exited
-// instead, it would only be restarted with the same file.
-func openPlatform(logger log.Logger) (*platform.Platform, error) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
-	defer signal.Stop(signals)
+// openPlatform reads the settings and retries until they are valid, at once after SIGHUP. If
+// the process exited instead, it would only be restarted with the same file.
+func openPlatform(logger log.Logger, signals <-chan os.Signal) (*platform.Platform, error) {
 	for {
 		p, err := platform.Open()
 		if err == nil {
@@ -110,8 +117,10 @@
 		}
 		_ = level.Error(logger).Log("msg", "invalid settings; retrying", "err", err)
 		select {
-		case <-signals:
-			return nil, err
+		case sig := <-signals:
+			if sig != syscall.SIGHUP {
+				return nil, err
+			}
 		case <-time.After(settingsRetryInterval):
 		}
 	}
@@ -273,14 +282,11 @@
 // awaitSignals stops gracefully after SIGTERM or an interrupt. On SIGHUP it only checks
 // and logs whether the settings have changed, because they take effect at the next start.
 func (s *platformProcess) awaitSignals(ctx context.Context, server *http.Server) error {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
-	defer signal.Stop(signals)
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case sig := <-signals:
+		case sig := <-s.signals:
 			if sig == syscall.SIGHUP {
 				s.reload()
 				continue
