scheduler: a run that is not in the records has no forecast

Cause: such a run belongs to a copy of its job that was never assessed. updateMeanTime takes the forecast of each running task's step, and the copy has none.

Fix: these runs do not count in the mean time of running tasks. They are being stopped, and of a job that has ended not even the size is known. The other readers of forecasts see jobs of the scheduler's own list only, which are assessed, or check the length already (reserve.go).

Evidence: TestForecastSurvivesUnrecordedRun: "index out of range [0] with length 0" before, passes after.

--- a/pollendockd/internal/scheduler/overload.go
+++ b/pollendockd/internal/scheduler/overload.go
@@ -166,11 +166,14 @@
 }
 
 // updateMeanTime computes the mean time of the running tasks, weighted by processor
-// capacity.
+// capacity. Runs that are not in the records have no forecast, and are being stopped.
 func (l *leadership) updateMeanTime() {
 	used, work := 0.0, 0.0
 	for _, wk := range l.workers {
 		for _, r := range wk.runs {
+			if r.task.Step >= len(r.tj.forecast.tasks) {
+				continue
+			}
 			spec := &r.tj.sub.Steps[r.task.Step]
 			used += float64(spec.Size.MilliCPU)
 			work += float64(spec.Size.MilliCPU) * float64(r.tj.forecast.tasks[r.task.Step])
--- a/pollendockd/internal/scheduler/overload_test.go
+++ b/pollendockd/internal/scheduler/overload_test.go
@@ -177,3 +177,25 @@
 		}
 	})
 }
+
+// TestForecastSurvivesUnrecordedRun: a run that was not in the records had no forecast, and the mean time of running tasks ended the process.
+func TestForecastSurvivesUnrecordedRun(t *testing.T) {
+	inCell(t, 1, func(c *cell) {
+		a := c.start("a")
+		time.Sleep(2 * time.Second)
+		step := tasks(1, 1)
+		step.Label = "none"
+		c.submit("canceled", step)
+		c.cancel("canceled")
+		expectPhase(c, a, "canceled", time.Second, job.Canceled)
+		time.Sleep(time.Second)
+		l, _ := a.replica.Leader()
+		worker := c.fleet.Worker("w0")
+		worker.SetDelay(200 * time.Millisecond)
+		if _, err := worker.Start(c.ctx, &site.StartRequest{Task: site.TaskID{Job: "canceled"}, Run: 1, Token: l.Epoch, LeaseEnd: time.Hour}); err != nil {
+			t.Fatal(err)
+		}
+		c.submit("j1", tasks(1, 1))
+		expectPhase(c, a, "j1", workTime+3*time.Second, job.Completed)
+	})
+}
