--- a/pollendockd/internal/request/handler_test.go
+++ b/pollendockd/internal/request/handler_test.go
@@ -132,6 +132,7 @@
 		defer cancel()
 		logger := log.NewNopLogger()
 		s := &fixture{ctx: ctx, store: fleet.NewStore(), replica: job.NewView(), source: &source{next: catalogOf(1, "ka")}, peers: &peers{}, catalogs: &catalogPeers{}}
+		s.store.LimitSizes()
 		s.leader = &leader{store: s.store}
 		follower := replica.NewFollower(s.store, s.replica, logger, func([]string) {})
 		s.catalog = NewCatalogWatcher(s.source, logger, noCounts{})
--- a/pollendockd/internal/scheduler/harness_test.go
+++ b/pollendockd/internal/scheduler/harness_test.go
@@ -175,6 +175,7 @@
 		defer synctest.Wait()
 		defer cancel()
 		c := &cell{t: t, ctx: ctx, store: fleet.NewStore(), vms: map[string]*vm{}, subs: map[string]*job.Submission{}}
+		c.store.LimitSizes()
 		c.bounds = site.Bounds{MaxLease: 6 * time.Second, StopTime: 200 * time.Millisecond}
 		c.catalog = (&site.Catalog{
 			Version:  1,
