replica: the answers of a slow stream do not count as the ends of outages

A leader that lost power while the store took 0.45 s for an answer was never replaced.

Cause: a gap of more than a second between two answers counts as an outage, after which the silence of a leader is counted anew, because it could not append either. A follower reads with a wait of 0.5 s, 0.1 s apart. From a latency of 0.4 s on each of its answers follows such a gap, the silence never passed a second or so, and the limit on a slow stream is several seconds.

Fix: the gap has to be a second longer than the stream takes for a read.

--- a/pollendockd/internal/replica/follower.go
+++ b/pollendockd/internal/replica/follower.go
@@ -74,10 +74,10 @@
 const (
 	readWait    = 500 * time.Millisecond
 	readTimeout = 1200 * time.Millisecond
-	// outageGap is the time without an answer that counts as an outage of the
-	// stream. The leader could not append during an outage either, so LeaderSilence
+	// minOutageGap is the time without an answer that counts as an outage of a stream that
+	// answers at once. The leader could not append during an outage either, so LeaderSilence
 	// starts over after it.
-	outageGap = time.Second
+	minOutageGap = time.Second
 	// idleReadInterval is the delay between reads that wait for records. It lets
 	// one call return several appends.
 	idleReadInterval = 100 * time.Millisecond
@@ -319,7 +319,7 @@
 	}
 	f.lastReadAt.Store(max(asOf, f.lastReadAt.Load()))
 	f.firstReadAt.CompareAndSwap(0, now)
-	if time.Duration(now-f.lastAnswerAt.Swap(now)) > outageGap {
+	if time.Duration(now-f.lastAnswerAt.Swap(now)) > f.outageGap() {
 		f.availableSince.Store(now)
 	}
 	if len(ids) > 0 {
@@ -369,6 +369,12 @@
 	return !f.failing.Load()
 }
 
+// outageGap is the time without an answer that counts as an outage of the stream. Answers
+// of a slow one are further apart.
+func (f *Follower) outageGap() time.Duration {
+	return minOutageGap + f.ReadLatency()
+}
+
 // LeaderSilence returns how long the stream has been available without a new record
 // of a leader.
 func (f *Follower) LeaderSilence() time.Duration {
@@ -380,7 +386,7 @@
 // records, without an outage. During an outage it returns the present.
 func (f *Follower) AvailableSince() time.Time {
 	now := time.Since(f.start)
-	if now-time.Duration(f.lastAnswerAt.Load()) > outageGap {
+	if now-time.Duration(f.lastAnswerAt.Load()) > f.outageGap() {
 		return f.start.Add(now)
 	}
 	since := max(f.availableSince.Load(), f.firstReadAt.Load())
--- a/pollendockd/internal/scheduler/leader_test.go
+++ b/pollendockd/internal/scheduler/leader_test.go
@@ -259,3 +259,22 @@
 		}
 	})
 }
+
+// TestDeadLeaderIsReplacedOnSlowStream: each answer of a stream that takes 0.45 s counted as the end of an outage, and the silence of a dead leader began anew.
+func TestDeadLeaderIsReplacedOnSlowStream(t *testing.T) {
+	for _, delay := range []time.Duration{300 * time.Millisecond, 450 * time.Millisecond, 700 * time.Millisecond} {
+		inCell(t, 2, func(c *cell) {
+			c.start("a")
+			time.Sleep(3 * time.Second)
+			b := c.start("b")
+			time.Sleep(2 * time.Second)
+			c.store.SetReadDelay(delay)
+			time.Sleep(3 * time.Second)
+			c.vms["a"].kill()
+			time.Sleep(leaderTimeout + 3*readTimeFactor*delay)
+			if l, _ := b.replica.Leader(); l.Incarnation != "b/1" {
+				t.Errorf("delay %v: leader is %q", delay, l.Incarnation)
+			}
+		})
+	}
+}
