scheduler: runs of an unlisted worker are not given up while an old leader may renew their leases

Cause: a leader renews leases for streamTimeout (10 s) after its last append. lapseAt of its successor counted these 10 s for a worker that does not answer, but not if the worker was missing from the list. A worker that is cut off from the store together with the old leader is missing, and lives.

Change: one bound for all workers that have not answered in the term. That a worker is unlisted has no part in it any more, so unlistedAt and unlistedTimeout go. Price: after a change of leader, runs of a worker that went with the old leader start again 16.3 s later instead of 6.3 s.

--- a/pollendockd/internal/scheduler/harness_test.go
+++ b/pollendockd/internal/scheduler/harness_test.go
@@ -71,6 +71,17 @@
 		uplink atomic.Pointer[loopback.Link]
 		// largest is the size of the largest append, in bytes.
 		largest atomic.Int64
+		// readsSilent is set while this VM gets no answers to reads of the records.
+		readsSilent atomic.Bool
+		// cutWorkers holds the ids of the workers that this VM does not reach.
+		cutWorkers sync.Map
+	}
+
+	// vmWorker is a worker as seen by one VM.
+	vmWorker struct {
+		Worker
+		id     string
+		stream *vmStream
 	}
 
 	// silentWorker answers no call.
@@ -140,6 +151,42 @@
 	return s.Store.AppendAs(ctx, t, entries)
 }
 
+// Read fails as set by the test.
+func (s *vmStream) Read(ctx context.Context, from int64, wait time.Duration) (*site.Page, error) {
+	if s.readsSilent.Load() {
+		<-ctx.Done()
+		return nil, site.ErrUnknown.Wrap(ctx.Err())
+	}
+	return s.Store.Read(ctx, from, wait)
+}
+
+// cutOff cuts the path to the store, or restores it.
+func (s *vmStream) cutOff(cut bool) {
+	s.silent.Store(cut)
+	s.readsSilent.Store(cut)
+	s.listSilent.Store(cut)
+}
+
+// reached returns the worker, or one that answers no call while the path to it is cut.
+func (w vmWorker) reached() Worker {
+	if _, cut := w.stream.cutWorkers.Load(w.id); cut {
+		return silentWorker{}
+	}
+	return w.Worker
+}
+
+func (w vmWorker) Start(ctx context.Context, req *site.StartRequest) (time.Duration, error) {
+	return w.reached().Start(ctx, req)
+}
+
+func (w vmWorker) Stop(ctx context.Context, req *site.StopRequest) (time.Duration, error) {
+	return w.reached().Stop(ctx, req)
+}
+
+func (w vmWorker) Hold(ctx context.Context, req *site.HoldRequest) (*site.HoldReply, error) {
+	return w.reached().Hold(ctx, req)
+}
+
 func (silentWorker) Start(ctx context.Context, _ *site.StartRequest) (time.Duration, error) {
 	<-ctx.Done()
 	return 0, ctx.Err()
@@ -227,10 +274,12 @@
 	logger := log.NewNopLogger()
 	stream := &vmStream{Store: c.store}
 	v.stream = stream
-	follower := replica.NewFollower(c.store, v.replica, logger, func(ids []string) { v.scheduler.JobsChanged(ids) })
+	follower := replica.NewFollower(stream, v.replica, logger, func(ids []string) { v.scheduler.JobsChanged(ids) })
 	deps := Deps{
 		Stream: stream, Follower: follower, View: v.replica, Peers: testPeers{c, name}, Upstreams: vmUpstreams{c.fleet, stream},
-		Dial:         c.dial,
+		Dial: func(id string, addr netip.AddrPort) Worker {
+			return vmWorker{c.dial(id, addr), id, stream}
+		},
 		Catalog:      c.currentCatalog,
 		CatalogFresh: func(within time.Duration) bool { return time.Duration(c.catalogAge.Load()) <= within },
 		Logger:       logger, Counts: noCounts{},
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -18,8 +18,6 @@
 		client   Worker
 		// listed is set while the worker is on the platform's list.
 		listed bool
-		// unlistedAt is when it was first missing from a current list.
-		unlistedAt time.Time
 		// evacuated is set if its data centre was evacuated when the last pass began.
 		evacuated bool
 
@@ -114,9 +112,6 @@
 	maxListAge = 1500 * time.Millisecond
 
 	lease = 4500 * time.Millisecond
-	// unlistedTimeout is how long a live worker may be missing from the list after an
-	// outage of the store.
-	unlistedTimeout = 2500 * time.Millisecond
 	// maxAnswerAge is the maximum age of a worker's last answer for a lease renewal.
 	maxAnswerAge = 2 * time.Second
 	// leaseMargin keeps leases below the maximum that a worker grants.
@@ -191,9 +186,6 @@
 		if wk.listed {
 			_ = level.Info(l.s.deps.Logger).Log("msg", "worker no longer listed", "worker", id, "runs", len(wk.runs))
 		}
-		if wk.unlistedAt.IsZero() {
-			wk.unlistedAt = time.Now()
-		}
 		wk.listed = false
 		if len(wk.runs) == 0 && !wk.holdBusy {
 			delete(l.workers, id)
@@ -216,7 +208,6 @@
 	l.confirmWritten(wk)
 	l.s.largestWorker[u.Service] = l.s.largestWorker[u.Service].Max(u.Capacity)
 	wk.listed = true
-	wk.unlistedAt = time.Time{}
 	if changed {
 		_ = level.Info(l.s.deps.Logger).Log("msg", "worker listed", "worker", u.ID, "boot", u.Boot, "draining", u.Draining,
 			"dataCentre", u.DataCentre, "capacity", u.Capacity)
@@ -273,14 +264,10 @@
 // does not answer until then.
 func (l *leadership) lapseAt(wk *worker) time.Time {
 	if wk.boot == 0 {
-		// The last leader may renew leases until it has been without the stream for
-		// streamTimeout.
+		// An earlier leader may renew leases until it has been without the stream for
+		// streamTimeout. It may reach a worker that is cut off from the stream, too, and
+		// so from the list.
 		longest := time.Duration(float64(l.s.opt.Bounds.MaxLease) / minClockRate)
-		if !wk.unlistedAt.IsZero() {
-			// A worker that stays off a current list is gone, but a lease granted by
-			// the last leader must expire all the same.
-			return later(wk.unlistedAt.Add(unlistedTimeout), l.startedAt.Add(longest+lapseSlack))
-		}
 		return l.startedAt.Add(streamTimeout + longest + lapseSlack)
 	}
 	left := max(0, wk.leaseEnd-wk.clock)
@@ -291,9 +278,6 @@
 	l.watchCapacities(now)
 	for _, wk := range l.workers {
 		if wk.client == nil {
-			if wk.unlistedAt.IsZero() && !l.s.listedAt.Before(l.startedAt) {
-				wk.unlistedAt = now
-			}
 			l.lapseIfDue(wk, now)
 			continue
 		}
