scheduler: a term is counted from when its last append was sent, not from when the answer was read

Cause: ackedAt, from which a leader renews leases for streamTimeout without the stream, was the time at which it read the answer of an append, and the time at which it began the term.

Evidence: TestPausedLeaderDoesNotRenewLonger (a pause of 3.5 s with an append under way, then a cut; "run 2 started while run 1 was running on w0") and TestCampaignWonLongAgoBeginsNoTerm fail before, pass after.

The class is a permission whose time counts from its arrival instead of its request.

--- a/pollendockd/internal/scheduler/append.go
+++ b/pollendockd/internal/scheduler/append.go
@@ -155,7 +155,8 @@
 	case e.err == nil:
 		s.deps.Counts.Time("append", now.Sub(f.sentAt))
 		f.sent = nil
-		f.ackedAt = now
+		// The stream may have accepted a later term between the first attempt and now.
+		f.ackedAt = f.sentAt
 		f.refused = 0
 		f.recordLatency(now.Sub(e.sentAt))
 		l.term.Sequence++
--- a/pollendockd/internal/scheduler/campaign.go
+++ b/pollendockd/internal/scheduler/campaign.go
@@ -17,8 +17,10 @@
 type (
 	campaignDone struct {
 		epoch int64
-		won   bool
-		err   error
+		// sentAt is when the campaign began.
+		sentAt time.Time
+		won    bool
+		err    error
 	}
 )
 
@@ -65,7 +67,7 @@
 	if l.Incarnation == s.opt.Incarnation && l.Epoch > s.endedEpoch {
 		// The record of a campaign that got no answer has taken effect, possibly after
 		// this VM has campaigned again.
-		s.beginLeadership(l.Epoch)
+		s.beginLeadership(l.Epoch, time.Now().Add(-maxReadAge))
 		return
 	}
 	silence := f.LeaderSilence()
@@ -153,11 +155,12 @@
 	s.campaignedAt = time.Now()
 	_ = level.Info(s.deps.Logger).Log("msg", "campaigning for leadership", "epoch", epoch,
 		"lastEpoch", l.Epoch, "lastLeader", l.Incarnation, "silenceMs", silence.Milliseconds())
+	began := s.campaignedAt
 	go func() {
 		ctx, cancel := context.WithTimeout(s.ctx, campaignTimeout)
 		defer cancel()
 		won, err := s.runCampaign(ctx, l, epoch, limit, gone)
-		s.post(campaignDone{epoch, won, err})
+		s.post(campaignDone{epoch, began, won, err})
 	}()
 }
 
@@ -219,6 +222,6 @@
 	s.campaigning = false
 	_ = level.Info(s.deps.Logger).Log("msg", "campaign ended", "epoch", e.epoch, "won", e.won, "err", e.err)
 	if e.won && s.lead == nil && !s.stopping && e.epoch > s.endedEpoch {
-		s.beginLeadership(e.epoch)
+		s.beginLeadership(e.epoch, e.sentAt)
 	}
 }
--- a/pollendockd/internal/scheduler/cut_data_centre_test.go
+++ b/pollendockd/internal/scheduler/cut_data_centre_test.go
@@ -51,3 +51,56 @@
 		})
 	}
 }
+
+// pause stops the process of a scheduler for a while. Answers to its calls wait meanwhile.
+type pause struct {
+	length time.Duration
+}
+
+func (e pause) handle(*Scheduler) {
+	time.Sleep(e.length)
+}
+
+// TestPausedLeaderDoesNotRenewLonger guards against counting the time that a leader may renew
+// leases from when it read an answer of the stream, before which its process may have stood
+// still.
+func TestPausedLeaderDoesNotRenewLonger(t *testing.T) {
+	const (
+		appendTime = 60 * time.Millisecond
+		pauseTime  = 3500 * time.Millisecond
+	)
+	for offset := time.Duration(0); offset < heartbeatInterval; offset += 20 * time.Millisecond {
+		inCell(t, 1, func(c *cell) {
+			c.outcome = func(site.TaskID, int64, string) (time.Duration, site.EndKind) { return time.Minute, site.Done }
+			c.fleet.Register(fleet.NewStore(), registerInterval)
+			a := c.start("a")
+			time.Sleep(3 * time.Second)
+			b := c.start("b")
+			c.submit("j1", tasks(1, 4))
+			time.Sleep(time.Second)
+			c.fleet.Add("w1", "s", c.fleet.Worker("w0").Capacity())
+			c.store.SetAppendTime(appendTime)
+			time.Sleep(time.Second + offset)
+			go a.scheduler.post(pause{pauseTime})
+			time.Sleep(2 * appendTime)
+			c.cutDataCentre(a, b, "w0", "w1", 30*time.Second)
+			expectPhase(c, b, "j1", 2*time.Minute, job.Completed)
+		})
+	}
+}
+
+// TestCampaignWonLongAgoBeginsNoTerm guards against a VM that begins a term after its process
+// has stood still since its campaign, while others have led and relied on its end.
+func TestCampaignWonLongAgoBeginsNoTerm(t *testing.T) {
+	inCell(t, 1, func(c *cell) {
+		c.start("a")
+		time.Sleep(3 * time.Second)
+		b := c.start("b")
+		time.Sleep(time.Second)
+		b.scheduler.post(campaignDone{epoch: 9, sentAt: time.Now().Add(-2 * streamTimeout), won: true})
+		time.Sleep(2 * time.Second)
+		if list := leaders(c); len(list) != 1 {
+			t.Errorf("leaders are %v", list)
+		}
+	})
+}
--- a/pollendockd/internal/scheduler/flush.go
+++ b/pollendockd/internal/scheduler/flush.go
@@ -22,7 +22,9 @@
 		// finalSent is set once the append that ends the term has been built.
 		finalSent bool
 		sentAt    time.Time
-		ackedAt   time.Time
+		// ackedAt is when the last successful append was sent: until then no later term
+		// had begun.
+		ackedAt time.Time
 		// latency is an estimate of the time that an append takes.
 		latency time.Duration
 		// attempts counts the attempts of the append in progress.
@@ -61,8 +63,9 @@
 	maxBatchBytes = 400 << 10
 )
 
-func (f *flushState) init(now time.Time) {
-	f.ackedAt = now
+// init prepares for a term that had not been followed by another at the time asOf.
+func (f *flushState) init(asOf time.Time) {
+	f.ackedAt = asOf
 }
 
 // flushIfDue appends pending changes, or a heartbeat if there are none.
--- a/pollendockd/internal/scheduler/leadership.go
+++ b/pollendockd/internal/scheduler/leadership.go
@@ -92,8 +92,9 @@
 )
 
 // beginLeadership starts a term from the state of the view. The view holds all appends
-// of earlier terms, since the stream refuses them from the record of this term on.
-func (s *Scheduler) beginLeadership(epoch int64) {
+// of earlier terms, since the stream refuses them from the record of this term on. At the
+// time asOf no later term had begun.
+func (s *Scheduler) beginLeadership(epoch int64, asOf time.Time) {
 	now := time.Now()
 	ctx, cancel := context.WithCancel(s.ctx)
 	l := &leadership{
@@ -107,7 +108,7 @@
 		isolatedRuns: map[*run]bool{},
 		placeNeeded:  true,
 	}
-	l.flush.init(now)
+	l.flush.init(asOf)
 	l.advice.init()
 	l.load.init()
 	s.lead = l
@@ -207,7 +208,7 @@
 }
 
 func (l *leadership) tick(now time.Time) {
-	if now.Sub(l.flush.ackedAt) > streamTimeout {
+	if !l.mayRenew(now) {
 		l.s.endLeadership("no successful append for too long")
 		return
 	}
@@ -260,6 +261,12 @@
 	l.load.forgetRefused(now)
 }
 
+// mayRenew reports whether this term may still renew leases. Its successor relies on the end
+// of that.
+func (l *leadership) mayRenew(now time.Time) bool {
+	return now.Sub(l.flush.ackedAt) <= streamTimeout
+}
+
 // step runs a scheduling pass and an append if they are due.
 func (l *leadership) step(now time.Time) {
 	if l.placeNeeded && now.Sub(l.placedAt) >= max(minPassInterval, passCostFactor*l.passTime) {
