scheduler: after a worker's first answer in a term the leases of the old leader count, too

Cause: resetBoot set leaseEnd to 0 on the first answer, though the old leader may have renewed the lease just before. Until the next hold the worker counted as lapsed 0.15 s after that answer. If the new leader's process then stood still for over 2 s, the hold after it renewed nothing (maxAnswerAge), and the runs were given up at once; they live for up to 6 s.

Evidence: TestLeasesOfTheOldLeaderCountAfterTheFirstAnswer ("run 22 started while run 1 was running on w0") fails before, passes after.

Change: the longest lease counts from the first answer, which fences the old leader.

--- a/pollendockd/internal/scheduler/cut_data_centre_test.go
+++ b/pollendockd/internal/scheduler/cut_data_centre_test.go
@@ -104,3 +104,42 @@
 		}
 	})
 }
+
+// pauseOnAnswer stops the process of a scheduler as soon as a worker has answered it.
+type pauseOnAnswer struct {
+	worker string
+	length time.Duration
+}
+
+func (e pauseOnAnswer) handle(s *Scheduler) {
+	if s.lead != nil && s.lead.workers[e.worker] != nil && s.lead.workers[e.worker].boot != 0 {
+		time.Sleep(e.length)
+		return
+	}
+	go func() {
+		time.Sleep(time.Millisecond)
+		s.post(e)
+	}()
+}
+
+// TestLeasesOfTheOldLeaderCountAfterTheFirstAnswer guards against a new leader that counts
+// only the leases that it has granted itself.
+func TestLeasesOfTheOldLeaderCountAfterTheFirstAnswer(t *testing.T) {
+	inCell(t, 1, func(c *cell) {
+		c.outcome = func(site.TaskID, int64, string) (time.Duration, site.EndKind) { return time.Minute, site.Done }
+		a := c.start("a")
+		time.Sleep(3 * time.Second)
+		b := c.start("b")
+		c.submit("j1", tasks(1, 4))
+		time.Sleep(time.Second)
+		c.fleet.Add("w1", "s", c.fleet.Worker("w0").Capacity())
+		time.Sleep(time.Second)
+		a.kill()
+		go b.scheduler.post(pauseOnAnswer{"w0", maxAnswerAge + 100*time.Millisecond})
+		time.Sleep(time.Second)
+		b.stream.cutWorkers.Store("w0", true)
+		time.Sleep(10 * time.Second)
+		b.stream.cutWorkers.Delete("w0")
+		expectPhase(c, b, "j1", 2*time.Minute, job.Completed)
+	})
+}
--- a/pollendockd/internal/scheduler/hold.go
+++ b/pollendockd/internal/scheduler/hold.go
@@ -111,7 +111,7 @@
 		wk.holdAt = now.Add(unackedHoldInterval)
 	}
 	if wk.boot != e.reply.Boot {
-		l.resetBoot(wk, e.reply.Boot)
+		l.resetBoot(wk, e.reply)
 		wk.holdAt = now
 	}
 	wk.clock = e.reply.Clock
@@ -156,14 +156,16 @@
 
 // resetBoot resets the state of a worker on the first answer of an incarnation, which
 // has no knowledge of earlier requests to the worker.
-func (l *leadership) resetBoot(wk *worker, boot int64) {
+func (l *leadership) resetBoot(wk *worker, first *site.HoldReply) {
+	boot := first.Boot
 	_ = level.Info(l.s.deps.Logger).Log("msg", "first answer of a worker incarnation in this term", "worker", wk.id, "boot", boot, "lastBoot", wk.boot, "runs", len(wk.runs))
 	wk.boot = boot
 	// This takes over an earlier leader's estimate.
 	l.s.speeds.of(wk.id, boot)
 	wk.seen = 0
 	wk.acked = 0
-	wk.leaseEnd = 0
+	// An earlier leader may have renewed the lease until this answer.
+	wk.leaseEnd = first.Clock + l.s.opt.Bounds.MaxLease
 	wk.claimedCPU, wk.gangClaimedCPU = 0, 0
 	wk.presumedLapsed = nil
 	wk.ackCapped = false
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -31,8 +31,8 @@
 		clockAskedAt time.Time
 		// reachableSince is when it answered again after it was unreachable.
 		reachableSince time.Time
-		// leaseEnd is the latest lease end that was sent, on the worker's clock. No run
-		// that was requested in this term outlives it.
+		// leaseEnd is the latest lease end that this or an earlier leader may have sent, on
+		// the worker's clock. No run outlives it without a further answer.
 		leaseEnd time.Duration
 
 		// seen is the number of the last run end up to which all were read, acked that of
