scheduler: the end of a run that the records have given up is not acknowledged, also if the run is tracked

Cause: a run that a worker lists though the records have given it up is tracked again in order to stop it. If it ended done before the stop, processEnds took its end for that of a run of its own, and the end was acknowledged while the task ran again elsewhere or was about to. Only ends of runs that the leader does not track were held back.

Change: whether an end may be acknowledged follows from the records alone, for tracked runs as well.

--- a/pollendockd/internal/scheduler/tracked_job.go
+++ b/pollendockd/internal/scheduler/tracked_job.go
@@ -262,11 +262,8 @@
 	l.logRun(r, "run ended", "how", how, "why", why)
 	l.s.deps.Counts.Count("ends_"+how.String(), 1)
 	tj := r.tj
-	if len(tj.state.Steps) == 0 {
-		return
-	}
-	t := &tj.state.Steps[r.task.Step][r.task.Index]
-	if t.Status != job.Dispatched || t.Run != r.number {
+	t := r.recordedTask()
+	if t == nil {
 		return
 	}
 	l.recordRun(r, how, time.Now())
@@ -299,6 +296,19 @@
 	l.afterEnd(tj)
 }
 
+// recordedTask returns the task of a run that is its current one by the records, else nil.
+func (r *run) recordedTask() *job.Task {
+	steps := r.tj.state.Steps
+	if len(steps) == 0 {
+		return nil
+	}
+	t := &steps[r.task.Step][r.task.Index]
+	if t.Status != job.Dispatched || t.Run != r.number {
+		return nil
+	}
+	return t
+}
+
 // backToQueue returns a job to the queue if no run of it has begun after all. While the
 // stream is unavailable tickets expire, and a hundred planned runs may be refused at
 // once.
