scheduler: a leader that was suspended does not renew leases for longer

Callers could see: TWICE, two runs at once, if a VM that leads is cut off and suspended for seconds (DEPLOY.md: its steady clock does not count that time).

Cause: the 10 s for which a leader renews leases without the stream were measured by the steady clock alone. The workers' clocks and the successor's go on.

Change: the time since the last append is taken by the steady clock and by the time of day, the longer of the two counts. A time of day that is set ahead by 10 s or more costs a term.

--- a/pollendockd/internal/scheduler/append.go
+++ b/pollendockd/internal/scheduler/append.go
@@ -156,7 +156,7 @@
 		s.deps.Counts.Time("append", now.Sub(f.sentAt))
 		f.sent = nil
 		// The stream may have accepted a later term between the first attempt and now.
-		f.ackedAt = f.sentAt
+		f.noteAcked(f.sentAt)
 		f.refused = 0
 		f.recordLatency(now.Sub(e.sentAt))
 		l.term.Sequence++
--- a/pollendockd/internal/scheduler/flush.go
+++ b/pollendockd/internal/scheduler/flush.go
@@ -25,6 +25,9 @@
 		// ackedAt is when the last successful append was sent: until then no later term
 		// had begun.
 		ackedAt time.Time
+		// ackedTimeOfDay is the same by the time of day, which goes on while the VM is
+		// suspended.
+		ackedTimeOfDay time.Time
 		// latency is an estimate of the time that an append takes.
 		latency time.Duration
 		// attempts counts the attempts of the append in progress.
@@ -65,7 +68,13 @@
 
 // init prepares for a term that had not been followed by another at the time asOf.
 func (f *flushState) init(asOf time.Time) {
-	f.ackedAt = asOf
+	f.noteAcked(asOf)
+}
+
+// noteAcked notes that no later term had begun at the given time.
+func (f *flushState) noteAcked(at time.Time) {
+	f.ackedAt = at
+	f.ackedTimeOfDay = at.Round(0)
 }
 
 // flushIfDue appends pending changes, or a heartbeat if there are none.
--- a/pollendockd/internal/scheduler/leadership.go
+++ b/pollendockd/internal/scheduler/leadership.go
@@ -264,7 +264,8 @@
 // mayRenew reports whether this term may still renew leases. Its successor relies on the end
 // of that.
 func (l *leadership) mayRenew(now time.Time) bool {
-	return now.Sub(l.flush.ackedAt) <= streamTimeout
+	f := &l.flush
+	return now.Sub(f.ackedAt) <= streamTimeout && now.Round(0).Sub(f.ackedTimeOfDay) <= streamTimeout
 }
 
 // step runs a scheduling pass and an append if they are due.
