scheduler: logs and a gauge that tell an overlap of leaders from other causes of second runs

The users' lines show runs without the term that decided them, and the end of the 10 s without the stream only when it is over. The lines of a run now tell the epoch and the data centre; the line on expired leases the epoch, the age of the term and whether the worker is listed; the leader's line of each second and the gauge leader_append_age_ms the time since its last successful append.

--- a/pollendockd/internal/scheduler/leadership.go
+++ b/pollendockd/internal/scheduler/leadership.go
@@ -86,6 +86,9 @@
 	maxForgetPerAppend = 50
 	// reportInterval is the time between log lines on the state of the cell.
 	reportInterval = time.Second
+	// appendAgeGauge is how long the leader has been without a successful append, in
+	// milliseconds. Above a second it renews leases without the stream.
+	appendAgeGauge = "leader_append_age_ms"
 	// streamTimeout is how long a leader continues without a successful append. It
 	// renews leases during that time, as the stream may be unavailable to all VMs.
 	streamTimeout = 10 * time.Second
@@ -137,6 +140,7 @@
 	l.flush.abandon()
 	s.deps.Follower.SetLeading(false)
 	s.deps.Counts.Gauge(starvedGauge, 0)
+	s.deps.Counts.Gauge(appendAgeGauge, 0)
 	_ = level.Warn(s.deps.Logger).Log("msg", "leadership ended", "epoch", l.term.Epoch, "why", why,
 		"ledMs", time.Since(l.startedAt).Milliseconds())
 	if l.handoverDone != nil {
@@ -256,7 +260,9 @@
 		"reserved", l.waitReasons[reserved], "unreserved", l.waitReasons[unreserved], "runs", runs, "workers", len(l.workers), "usable", usable, "evacuated", evacuated, "evacuatedRuns", evacuatedRuns, "heldForCapacity", l.heldWorkers, "suspects", suspects, "longestSuspectMs", longestSuspect.Milliseconds(), "vacated", len(l.vacated), "freeMilliCpu", free.MilliCPU, "milliCpu", total.MilliCPU,
 		"freeMb", free.MemoryMB, "queries", queries.waiting, "waitingSlow", queries.waitingSlow, "queryWaitMs", queries.longestWait.Milliseconds(),
 		"underWay", queries.underWay, "underWaySlow", queries.underWaySlow, "routesResting", queries.resting, "passMs", l.passTime.Milliseconds(), "slow", slow, "speedSpread", l.s.speeds.spread,
-		"starved", l.starvation.starved, "longestStarvedMs", l.starvation.longest.Milliseconds(), "refused", l.load.refused, "forecastAgeMs", now.Sub(l.load.updatedAt).Milliseconds())
+		"starved", l.starvation.starved, "longestStarvedMs", l.starvation.longest.Milliseconds(), "refused", l.load.refused, "forecastAgeMs", now.Sub(l.load.updatedAt).Milliseconds(),
+		"appendAgeMs", now.Sub(l.flush.ackedAt).Milliseconds())
+	l.s.deps.Counts.Gauge(appendAgeGauge, now.Sub(l.flush.ackedAt).Milliseconds())
 	l.load.refused = 0
 	l.load.forgetRefused(now)
 }
--- a/pollendockd/internal/scheduler/tracked_job.go
+++ b/pollendockd/internal/scheduler/tracked_job.go
@@ -491,6 +491,6 @@
 
 func (l *leadership) logRun(r *run, msg string, more ...any) {
 	fields := []any{"msg", msg, "job", r.task.Job, "step", r.task.Step, "index", r.task.Index, "run", r.number, "worker", r.wk.id,
-		"ageMs", time.Since(r.decidedAt).Milliseconds()}
+		"epoch", l.term.Epoch, "dataCentre", r.wk.upstream.DataCentre, "ageMs", time.Since(r.decidedAt).Milliseconds()}
 	_ = level.Info(l.s.deps.Logger).Log(append(fields, more...)...)
 }
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -297,6 +297,7 @@
 		return
 	}
 	_ = level.Warn(l.s.deps.Logger).Log("msg", "all leases of the worker have expired", "worker", wk.id, "boot", wk.boot, "runs", len(wk.runs),
+		"epoch", l.term.Epoch, "dataCentre", wk.upstream.DataCentre, "listed", wk.listed, "termAgeMs", now.Sub(l.startedAt).Milliseconds(),
 		"clockMs", wk.clock.Milliseconds(), "clockAgeMs", now.Sub(wk.clockAt).Milliseconds(), "leaseEndMs", wk.leaseEnd.Milliseconds())
 	if alive, evidence := wk.endedWithoutNotice(); evidence != "" {
 		l.markCrashed(wk, alive, evidence)
