scheduler: the records of an ended job keep its tasks if one was started again

Cause: a run that was given up must not be acknowledged when its worker comes back. Once the job has ended, only the run numbers in its record tell; trim dropped them unless *this* term had given up a run of the job on a worker that it still knew. A run that an earlier term had given up, one whose worker had left the list, or one whose end this term had only held back by the records, did not count: the next leader acknowledged its end. After the removal of the whole record, too.

TestLaterLeadersAcknowledgeNoGivenUpRun (three of its cases before the change) and TestUnlistedWorkerKeepsGivenUpRuns fail before, pass after.

The class is a fact in the memory of one term that another term needs.

--- a/cell/job/state.go
+++ b/cell/job/state.go
@@ -148,6 +148,18 @@
 	return false
 }
 
+// AnyRestarted reports whether a task may have been started more than once.
+func (s *State) AnyRestarted() bool {
+	for _, tasks := range s.Steps {
+		for i := range tasks {
+			if tasks[i].Run > 1 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Final reports whether the phase is terminal.
 func (p Phase) Final() bool {
 	return p >= Completed
--- a/pollendockd/internal/scheduler/given_up_run_test.go
+++ b/pollendockd/internal/scheduler/given_up_run_test.go
@@ -7,6 +7,7 @@
 	"pollendock.example/cell/job"
 	"pollendock.example/cell/resource"
 	"pollendock.example/cell/site"
+	"pollendock.example/standin/fleet"
 )
 
 // TestEndOfRunThatIsNotRecordedIsNotAcknowledged guards against acknowledging the success of a
@@ -38,3 +39,76 @@
 		})
 	}
 }
+
+// TestLaterLeadersAcknowledgeNoGivenUpRun guards against a leader that drops the records by
+// which its successors tell that the success of a run must not be acknowledged.
+func TestLaterLeadersAcknowledgeNoGivenUpRun(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// firstTerm and secondTerm are how long the first leader leads once the worker is
+		// silent, and the second one.
+		firstTerm, secondTerm time.Duration
+		// back is how long the worker is silent.
+		back time.Duration
+		// thirdTerm is how long the third leader leads before the last check.
+		thirdTerm time.Duration
+	}{
+		{"given up by the first, ended under the second leader", 8 * time.Second, 10 * time.Second, 9 * time.Second, 5 * time.Second},
+		{"given up and ended under the second leader", time.Second, 30 * time.Second, 20 * time.Second, 5 * time.Second},
+		{"given up by the first, ended under the second leader before the worker is back", 8 * time.Second, 30 * time.Second, 25 * time.Second, 5 * time.Second},
+		{"the job has been forgotten", 8 * time.Second, 2 * minRetention, 9 * time.Second, minRetention},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inCell(t, 2, func(cell *cell) {
+				cell.outcome = func(_ site.TaskID, run int64, _ string) (time.Duration, site.EndKind) {
+					if run == 1 {
+						return 2 * time.Second, site.Done
+					}
+					return 5 * time.Second, site.Done
+				}
+				a := cell.start("a")
+				time.Sleep(time.Second)
+				cell.submit("j1", tasks(1, 4))
+				time.Sleep(500 * time.Millisecond)
+				w := cell.fleet.Worker("w0")
+				w.SetSilent(true)
+				go func() {
+					time.Sleep(c.back)
+					w.SetSilent(false)
+				}()
+				b := cell.start("b")
+				time.Sleep(c.firstTerm)
+				a.kill()
+				time.Sleep(c.secondTerm)
+				expectPhase(cell, b, "j1", 20*time.Second, job.Completed)
+				time.Sleep(time.Second)
+				cell.start("d")
+				time.Sleep(time.Second)
+				b.kill()
+				time.Sleep(c.thirdTerm)
+			})
+		})
+	}
+}
+
+// TestUnlistedWorkerKeepsGivenUpRuns guards against forgetting which runs were given up when
+// their worker leaves the list, as it may return.
+func TestUnlistedWorkerKeepsGivenUpRuns(t *testing.T) {
+	inCell(t, 2, func(c *cell) {
+		c.fleet.Register(fleet.NewStore(), registerInterval)
+		v := c.start("a")
+		time.Sleep(3 * time.Second)
+		c.submit("j1", tasks(1, 4))
+		time.Sleep(500 * time.Millisecond)
+		w := c.fleet.Worker("w0")
+		w.SetSilent(true)
+		w.SetCutFromStore(true)
+		time.Sleep(missedHeartbeats * registerInterval)
+		c.fleet.DropEntries()
+		time.Sleep(time.Minute)
+		expectPhase(c, v, "j1", time.Second, job.Completed)
+		w.SetSilent(false)
+		w.SetCutFromStore(false)
+		time.Sleep(5 * time.Second)
+	})
+}
--- a/pollendockd/internal/scheduler/hold.go
+++ b/pollendockd/internal/scheduler/hold.go
@@ -219,7 +219,7 @@
 func (l *leadership) notRecorded(e *site.RunEnd) bool {
 	tj := l.jobs[e.Task.Job]
 	if tj == nil || tj.state.Phase.Final() {
-		return e.Kind == site.Done && l.restartedBeforeEnd(e)
+		return e.Kind == site.Done && l.mayHaveRestarted(e)
 	}
 	if e.Task.Step >= len(tj.state.Steps) || tj.sub.Steps[e.Task.Step].Endless {
 		return false
@@ -235,11 +235,14 @@
 	return t.Status != job.Succeeded || t.Run != e.Run
 }
 
-// restartedBeforeEnd reports whether the records of a job that has ended show a later run
-// of the task. They keep its tasks as long as runs are presumed lapsed; see trim.
-func (l *leadership) restartedBeforeEnd(e *site.RunEnd) bool {
+// mayHaveRestarted reports whether the records of a job that has ended show a later run
+// of the task, or are removed.
+func (l *leadership) mayHaveRestarted(e *site.RunEnd) bool {
 	j := l.s.deps.View.Job(e.Task.Job)
-	if j == nil || e.Task.Step >= len(j.State.Steps) || e.Task.Index >= len(j.State.Steps[e.Task.Step]) {
+	if j == nil {
+		return true
+	}
+	if e.Task.Step >= len(j.State.Steps) || e.Task.Index >= len(j.State.Steps[e.Task.Step]) {
 		return false
 	}
 	return j.State.Steps[e.Task.Step][e.Task.Index].Run > e.Run
--- a/pollendockd/internal/scheduler/tracked_job.go
+++ b/pollendockd/internal/scheduler/tracked_job.go
@@ -460,27 +460,14 @@
 }
 
 // trim removes the tasks of a job that has ended, once none of them runs. They are kept if
-// a run of the job is presumed lapsed: by them a later leader tells that its end must not
-// be acknowledged.
+// one was started again: by them any later leader tells that the end of an earlier run, whose
+// worker may have been away since, must not be acknowledged.
 func (l *leadership) trim(tj *trackedJob) {
-	if tj.state.Phase.Final() && !tj.state.AnyDispatched() && !l.presumesLapsed(tj.id) {
+	if tj.state.Phase.Final() && !tj.state.AnyDispatched() && !tj.state.AnyRestarted() {
 		tj.state.Steps = nil
 	}
 }
 
-// presumesLapsed reports whether a worker may still list the end of a run of the job that
-// was presumed lapsed.
-func (l *leadership) presumesLapsed(id string) bool {
-	for _, wk := range l.workers {
-		for key := range wk.presumedLapsed {
-			if key.task.Job == id {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // touch schedules the job's state for the next append.
 func (l *leadership) touch(tj *trackedJob) {
 	if !tj.dirty {
