scheduler: a worker that was cut off and lives on has not crashed

Callers saw: LOST, a job shown as failed without cause.

Cause: a worker that is silent and off the list when its leases expire counts as crashed, and the third such crash while a task is alone there makes it a poison task. A worker that is cut off from the store and the leader looks the same, and nothing took the count back when it answered again.

TestCutWorkersAreNoCrashes ends with the job given up before, passes after. TestPoisonTaskIsGivenUp holds, with workers that fall silent as well. Not counting such crashes at all was tried: tasks that crash silent workers late were never given up.

Change: a crash without proof that the process has ended (a later incarnation, or a refused connection) is taken back if the same incarnation answers in that term. What remains: a crash that an earlier leader has counted stays.

--- a/pollendockd/internal/scheduler/crash.go
+++ b/pollendockd/internal/scheduler/crash.go
@@ -48,6 +48,7 @@
 			continue
 		}
 		r.crashed = true
+		r.crashDoubtful = !wk.processEnded(alive)
 		jobs[r.task.Job] = true
 		if r.survivedStart() || r.inheritedBefore(aliveAt.Add(-inheritedProbation)) {
 			survivors = append(survivors, r)
@@ -104,6 +105,9 @@
 	}
 	tj.crashes = tj.crashes.With(after)
 	tj.crashesDirty = true
+	if r.crashDoubtful && after.Count > before.Count {
+		l.noteDoubtfulCrash(r)
+	}
 	l.s.deps.Counts.Count("tasks_"+after.Verdict.String(), 1)
 	l.logRun(r, "worker crashed under a run", "crashes", after.Count, "early", after.Early, "verdict", after.Verdict,
 		"begun", r.scene.Begun, "alone", r.scene.Alone, "survived", r.scene.Survived, "sudden", r.scene.Sudden, "earlyOthers", r.scene.EarlyOthers)
--- a/pollendockd/internal/scheduler/cut_data_centre_test.go
+++ b/pollendockd/internal/scheduler/cut_data_centre_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -143,3 +144,40 @@
 		expectPhase(c, b, "j1", 2*time.Minute, job.Completed)
 	})
 }
+
+// TestCutWorkersAreNoCrashes guards against giving up a task as one that crashes its workers
+// after they were cut off under it, from the list as well, and lived on.
+func TestCutWorkersAreNoCrashes(t *testing.T) {
+	inCell(t, 4, func(c *cell) {
+		c.outcome = func(site.TaskID, int64, string) (time.Duration, site.EndKind) { return 30 * time.Second, site.Done }
+		c.fleet.Register(fleet.NewStore(), registerInterval)
+		a := c.start("a")
+		time.Sleep(3 * time.Second)
+		c.submit("j1", tasks(1, 4))
+		for range 4 {
+			time.Sleep(5 * time.Second)
+			w := c.workerOf("j1")
+			w.SetSilent(true)
+			w.SetCutFromStore(true)
+			time.Sleep(missedHeartbeats * registerInterval)
+			c.fleet.DropEntries()
+			time.Sleep(8 * time.Second)
+			w.SetSilent(false)
+			w.SetCutFromStore(false)
+		}
+		expectPhase(c, a, "j1", time.Minute, job.Completed)
+	})
+}
+
+// workerOf returns a worker that runs a task while it can be reached.
+func (c *cell) workerOf(id string) *fleet.Worker {
+	c.t.Helper()
+	for i := range 4 {
+		w := c.fleet.Worker(fmt.Sprintf("w%d", i))
+		if w.Running() > 0 {
+			return w
+		}
+	}
+	c.t.Fatalf("%s does not run", id)
+	return nil
+}
--- a/pollendockd/internal/scheduler/hold.go
+++ b/pollendockd/internal/scheduler/hold.go
@@ -102,6 +102,7 @@
 	if wk.boot != e.reply.Boot {
 		l.markCrashed(wk, e.reply.Boot, "a later incarnation answered")
 	}
+	l.revokeCrashes(wk, e.reply.Boot)
 	wk.recordAnswer(now)
 	wk.holdAt = now.Add(holdInterval)
 	if len(wk.runs) == 0 {
--- a/pollendockd/internal/scheduler/leadership.go
+++ b/pollendockd/internal/scheduler/leadership.go
@@ -28,6 +28,9 @@
 		// are being stopped.
 		teamUse map[string]resource.Vector
 
+		// doubtfulCrashes holds the crashes of each worker, by its id, that may have been
+		// none.
+		doubtfulCrashes map[string][]doubtfulCrash
 		// isolatedRuns holds the runs of suspects, vacated the workers that the last pass
 		// kept free for them.
 		isolatedRuns map[*run]bool
@@ -102,14 +105,15 @@
 	ctx, cancel := context.WithCancel(s.ctx)
 	l := &leadership{
 		s: s, ctx: ctx, cancel: cancel, startedAt: now,
-		term:         site.Term{Epoch: epoch, Sequence: 1},
-		jobs:         map[string]*trackedJob{},
-		workers:      map[string]*worker{},
-		teamUse:      map[string]resource.Vector{},
-		meters:       map[string]*placement.RateMeter{},
-		headroom:     map[string]*placement.Headroom{},
-		isolatedRuns: map[*run]bool{},
-		placeNeeded:  true,
+		term:            site.Term{Epoch: epoch, Sequence: 1},
+		jobs:            map[string]*trackedJob{},
+		workers:         map[string]*worker{},
+		teamUse:         map[string]resource.Vector{},
+		meters:          map[string]*placement.RateMeter{},
+		headroom:        map[string]*placement.Headroom{},
+		isolatedRuns:    map[*run]bool{},
+		doubtfulCrashes: map[string][]doubtfulCrash{},
+		placeNeeded:     true,
 	}
 	l.flush.init(asOf)
 	l.advice.init()
--- a/pollendockd/internal/scheduler/tracked_job.go
+++ b/pollendockd/internal/scheduler/tracked_job.go
@@ -92,6 +92,8 @@
 		// crashed is set if that incarnation has crashed while the run may have been at
 		// work.
 		crashed bool
+		// crashDoubtful is set if nothing shows that its process has ended.
+		crashDoubtful bool
 		// scene is what was known of the run at that time.
 		scene crash.Scene
 		// listValidAfter is the local time after which a hold must have been sent for
