--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -296,21 +297,30 @@
 	if len(wk.runs) == 0 || now.Before(l.lapseAt(wk)) {
 		return
 	}
+	lapsed := wk.requestedRuns()
+	if len(lapsed) == 0 {
+		return
+	}
 	_ = level.Warn(l.s.deps.Logger).Log("msg", "all leases of the worker have expired", "worker", wk.id, "boot", wk.boot, "runs", len(wk.runs),
 		"epoch", l.term.Epoch, "dataCentre", wk.upstream.DataCentre, "listed", wk.listed, "termAgeMs", now.Sub(l.startedAt).Milliseconds(),
 		"clockMs", wk.clock.Milliseconds(), "clockAgeMs", now.Sub(wk.clockAt).Milliseconds(), "leaseEndMs", wk.leaseEnd.Milliseconds())
 	if alive, evidence := wk.endedWithoutNotice(); evidence != "" {
 		l.markCrashed(wk, alive, evidence)
 	}
-	for _, r := range wk.runList() {
-		if r.stage == planned || r.stage == starting {
-			continue
-		}
+	for _, r := range lapsed {
 		wk.presumeLapsed(r)
 		l.endRun(r, site.LeaseExpired, "the worker did not answer before its leases expired")
 	}
 }
 
+// requestedRuns returns the runs whose start request is not under way and may have been
+// executed.
+func (wk *worker) requestedRuns() []*run {
+	return slices.DeleteFunc(wk.runList(), func(r *run) bool {
+		return r.stage == planned || r.stage == starting
+	})
+}
+
 // runList returns a copy of the runs, so that runs can be ended during iteration.
 func (wk *worker) runList() []*run {
 	runs := make([]*run, 0, len(wk.runs))
