Leader: a run of an ended job no longer ends the process

Cause: adoptUnrecorded tracks such a run with a job that has no forecast. reserve.go expected that, updateMeanTime indexed the empty forecast.

Change: both ask run.predictedTime, which is 0 without a forecast.

Evidence: TestRunOfEndedJobEndsNoLeader on the parent commit: panic, index out of range [0] with length 0 in updateMeanTime; passes now.

Why it works: both readers of a run's forecast go through the one function.

--- a/pollendockd/internal/scheduler/overload.go
+++ b/pollendockd/internal/scheduler/overload.go
@@ -173,7 +173,7 @@
 		for _, r := range wk.runs {
 			spec := &r.tj.sub.Steps[r.task.Step]
 			used += float64(spec.Size.MilliCPU)
-			work += float64(spec.Size.MilliCPU) * float64(r.tj.forecast.tasks[r.task.Step])
+			work += float64(spec.Size.MilliCPU) * float64(r.predictedTime())
 		}
 	}
 	l.load.meanTime = 0
--- a/pollendockd/internal/scheduler/reserve.go
+++ b/pollendockd/internal/scheduler/reserve.go
@@ -251,11 +251,16 @@
 
 // expected is the expected duration of the run on its worker.
 func (p *pass) expected(r *run) time.Duration {
-	if r.task.Step < len(r.tj.forecast.tasks) {
-		return time.Duration(float64(r.tj.forecast.tasks[r.task.Step]) * p.timeFactor(r.wk))
+	return time.Duration(float64(r.predictedTime()) * p.timeFactor(r.wk))
+}
+
+// predictedTime is the predicted duration of the run on a worker of average speed. It is 0
+// for an unrecorded run, whose job has no forecast.
+func (r *run) predictedTime() time.Duration {
+	if r.task.Step >= len(r.tj.forecast.tasks) {
+		return 0
 	}
-	// An unrecorded run, of a job that is no longer in the records.
-	return 0
+	return r.tj.forecast.tasks[r.task.Step]
 }
 
 // remaining estimates the time until a run ends. It extrapolates from the progress made
--- a/pollendockd/internal/scheduler/strange_run_test.go
+++ b/pollendockd/internal/scheduler/strange_run_test.go
@@ -8,6 +8,25 @@
 	"pollendock.example/cell/site"
 )
 
+// TestRunOfEndedJobEndsNoLeader guards against a process that exits because a worker runs a task
+// of a job that has ended.
+func TestRunOfEndedJobEndsNoLeader(t *testing.T) {
+	inCell(t, 3, func(c *cell) {
+		v := c.start("n1")
+		c.submit("a", tasks(1, 2))
+		expectPhase(c, v, "a", 10*time.Second, job.Completed)
+		time.Sleep(time.Second)
+		c.fleet.Worker("w0").AlterReplies(func(h *site.HoldReply) {
+			h.Running = append(h.Running, site.RunStatus{Task: site.TaskID{Job: "a"}, Run: 1})
+		})
+		time.Sleep(2 * time.Second)
+		c.submit("b", tasks(4, 4))
+		c.submit("c", gang(2, 6))
+		expectPhase(c, v, "b", 15*time.Second, job.Completed)
+		expectPhase(c, v, "c", 15*time.Second, job.Completed)
+	})
+}
+
 // TestStrangeRun checks that a run of a task that a known job does not have costs neither
 // the process nor the job.
 func TestStrangeRun(t *testing.T) {
