Leader: a start executed late by a restarted worker no longer runs a task twice

A start request got no answer and was executed seconds later, by a later incarnation of its worker under the same id, beside run 2 of the task on another worker or after the task had ended.

Cause: neither the id in the request nor the fencing token of the same term tells incarnations apart. When another incarnation answered, only runs in stage `unconfirmed` were barred there; attempts of runs whose retry was answered, and of runs that had ended, were forgotten. A run that was stopped on one incarnation counted as stopped on the next. A worker that was silent until its leases expired and then restarted was not expected to start anything.

On the first answer of another incarnation it stops those runs there that are not listed; until a list taken after the stops, they are not taken for ended, and the worker gets no new runs. Again for each further incarnation. While no incarnation answers, the task of such a run waits until the 12.5 s are over, if the worker left the request unanswered although it answered others 0.25 s later or after; a request that was lost with the worker delays nothing. For runs of an earlier leader, whose attempts are unknown, it waits 13.25 s from the last read of the job's state; a leader's first request to an incarnation fences theirs. A start is not resent to another incarnation. The stand-in of the tests executes late starts on the process that then runs under the id.

Why it works: a stop that was sent after an incarnation's first answer, and answered before a later list of the same incarnation, was executed by it; from then on it refuses the run, and what it had started before is in that list.

Open: between the start of a new process and its first answer (0.15 s while the leader polls it) it may execute such a request of a run that has ended, or was barred on the incarnation before.

--- a/pollendockd/internal/scheduler/hold.go
+++ b/pollendockd/internal/scheduler/hold.go
@@ -60,7 +60,7 @@
 func (l *leadership) hold(wk *worker, now time.Time) {
 	wk.holdBusy = true
 	wait := time.Duration(0)
-	if wk.boot != 0 && len(wk.runs) > 0 && wk.holdFails == 0 {
+	if wk.boot != 0 && wk.watched() && wk.holdFails == 0 {
 		wait = holdWait
 	}
 	l.sendHold(wk, now, wait, true)
@@ -99,18 +99,19 @@
 		wk.unreachable = false
 		_ = level.Info(s.deps.Logger).Log("msg", "worker reachable again", "worker", wk.id, "boot", e.reply.Boot)
 	}
-	if wk.boot != e.reply.Boot {
+	restarted := wk.boot != e.reply.Boot
+	if restarted {
 		l.markCrashed(wk, e.reply.Boot, "a later incarnation answered")
 	}
 	wk.recordAnswer(now)
 	wk.holdAt = now.Add(holdInterval)
-	if len(wk.runs) == 0 {
+	if !wk.watched() {
 		wk.holdAt = now.Add(idleHoldInterval)
 	} else if wk.ackCapped || wk.unreadable.rows > 0 {
 		// Unacknowledged ends cause the worker to answer each hold at once.
 		wk.holdAt = now.Add(unackedHoldInterval)
 	}
-	if wk.boot != e.reply.Boot {
+	if restarted {
 		l.resetBoot(wk, e.reply)
 		wk.holdAt = now
 	}
@@ -119,9 +120,15 @@
 	l.confirmWritten(wk)
 	l.processEnds(wk, e.reply)
 	l.noteUnreadableRows(wk, e.reply, now)
+	l.barLateStarts(wk, e.reply, restarted, e.sentAt, now)
 	l.processRuns(wk, e.reply, e.sentAt, now)
 }
 
+// watched reports whether holds wait at the worker, so that its restart is noticed at once.
+func (wk *worker) watched() bool {
+	return len(wk.runs) > 0 || len(wk.lateStarts.unanswered) > 0
+}
+
 // recordAnswer notes that the worker has answered, and since when it does so after an
 // outage.
 func (wk *worker) recordAnswer(now time.Time) {
@@ -174,6 +181,10 @@
 	wk.strangers = nil
 	wk.failures = 0
 	wk.backoffUntil = time.Time{}
+	for _, r := range wk.runs {
+		// A stop that an earlier incarnation has confirmed bars nothing on this one.
+		r.stopped = false
+	}
 	l.placeNeeded = true
 }
 
@@ -293,7 +304,7 @@
 		return
 	}
 	for _, r := range wk.runList() {
-		if !listed[r.key()] && !l.inconclusive(r, sentAt, now) {
+		if !listed[r.key()] && !wk.lateStarts.undecided(r.key()) && !l.inconclusive(r, sentAt, now) {
 			l.resolveMissing(r, sentAt, now)
 		}
 	}
--- /dev/null
+++ b/pollendockd/internal/scheduler/late_starts.go
@@ -0,0 +1,196 @@
+package scheduler
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"pollendock.example/cell/site"
+)
+
+// This file handles start requests that are executed late, by a later incarnation of their
+// worker. Such a request carries the current fencing token and the worker's id, so nothing
+// but a stop of the run keeps the new incarnation from executing it. The stops are sent as
+// soon as an incarnation has answered for the first time. Until a list shows what was
+// started there before them, the worker gets no new runs, and the runs in question are not
+// taken for ended.
+//
+// While no incarnation answers, the task of such a run waits until the request can no longer
+// be executed, unless the request may have been lost in the crash itself.
+
+type (
+	// lateStarts holds the start requests of a worker that may still be executed.
+	lateStarts struct {
+		// unanswered holds when they were sent, by run.
+		unanswered map[runKey][]time.Time
+		// barring is set while it is not certain which of them the present incarnation has
+		// executed, or will execute.
+		barring bool
+		// unbarred holds the runs whose stop it has not confirmed, and when the next stop
+		// request is due.
+		unbarred map[runKey]time.Time
+		// barredAt is when the last of them was confirmed.
+		barredAt time.Time
+	}
+
+	barDone struct {
+		l    *leadership
+		wk   *worker
+		boot int64
+		key  runKey
+		err  error
+	}
+)
+
+// maxRequestDelay is the longest time after which a request without an answer is executed.
+const maxRequestDelay = 12500 * time.Millisecond
+
+func (s *lateStarts) sent(key runKey, at time.Time) {
+	if s.unanswered == nil {
+		s.unanswered = map[runKey][]time.Time{}
+	}
+	s.unanswered[key] = append(s.unanswered[key], at)
+}
+
+// answered removes a request that will not be executed again.
+func (s *lateStarts) answered(key runKey, sentAt time.Time) {
+	left := s.unanswered[key]
+	if i := slices.Index(left, sentAt); i >= 0 {
+		left = slices.Delete(left, i, i+1)
+	}
+	s.keep(key, left)
+}
+
+// expire removes the requests that can no longer be executed.
+func (s *lateStarts) expire(now time.Time) {
+	for key, sent := range s.unanswered {
+		s.keep(key, slices.DeleteFunc(sent, func(at time.Time) bool { return now.Sub(at) >= maxRequestDelay }))
+	}
+}
+
+func (s *lateStarts) keep(key runKey, left []time.Time) {
+	if len(left) == 0 {
+		delete(s.unanswered, key)
+		return
+	}
+	s.unanswered[key] = left
+}
+
+// pending reports whether a start request of the run may still be executed.
+func (s *lateStarts) pending(key runKey) bool {
+	return len(s.unanswered[key]) > 0
+}
+
+// pendingSince reports whether one that was sent by the given time may still be executed.
+func (s *lateStarts) pendingSince(key runKey, by time.Time) bool {
+	return slices.ContainsFunc(s.unanswered[key], func(at time.Time) bool { return !at.After(by) })
+}
+
+// undecided reports whether the present incarnation may have executed a start request of the
+// run that was sent to an earlier one, or may yet do so.
+func (s *lateStarts) undecided(key runKey) bool {
+	return s.barring && s.pending(key)
+}
+
+// begin begins to bar the runs on a new incarnation. Those that it lists are there, and their
+// requests have no further effect.
+func (s *lateStarts) begin(h *site.HoldReply, now time.Time) {
+	s.unbarred = map[runKey]time.Time{}
+	for key := range s.unanswered {
+		s.unbarred[key] = now
+	}
+	for i := range h.Running {
+		delete(s.unbarred, runKey{h.Running[i].Task, h.Running[i].Run})
+	}
+	s.barring = len(s.unbarred) > 0
+}
+
+// barred notes that the present incarnation has confirmed a stop, and reports whether it was
+// the last one.
+func (s *lateStarts) barred(key runKey, now time.Time) bool {
+	if _, found := s.unbarred[key]; !found {
+		return false
+	}
+	delete(s.unbarred, key)
+	s.barredAt = now
+	return len(s.unbarred) == 0
+}
+
+// listed notes that a list was read that was requested at the given time.
+func (s *lateStarts) listed(sentAt time.Time) {
+	if s.barring && len(s.unbarred) == 0 && !sentAt.Before(s.barredAt) {
+		s.barring = false
+	}
+}
+
+// barLateStarts updates what is known of late starts from an answer, which is the first one
+// of an incarnation if restarted is set.
+func (l *leadership) barLateStarts(wk *worker, h *site.HoldReply, restarted bool, sentAt, now time.Time) {
+	if !restarted {
+		wk.lateStarts.listed(sentAt)
+		return
+	}
+	wk.lateStarts.begin(h, now)
+	if !wk.lateStarts.barring {
+		return
+	}
+	l.s.deps.Counts.Count("late_starts_barred", int64(len(wk.lateStarts.unbarred)))
+	_ = level.Info(l.s.deps.Logger).Log("msg", "start requests without an answer may still be executed by a later incarnation; stopping their runs",
+		"worker", wk.id, "boot", wk.boot, "runs", len(wk.lateStarts.unbarred))
+	l.sendBars(wk, now)
+}
+
+// sendBars sends the stop requests that are due.
+func (l *leadership) sendBars(wk *worker, now time.Time) {
+	for key, due := range wk.lateStarts.unbarred {
+		if now.Before(due) {
+			continue
+		}
+		wk.lateStarts.unbarred[key] = now.Add(stopTimeout + stopRetryDelay)
+		l.bar(wk, key)
+	}
+}
+
+func (l *leadership) bar(wk *worker, key runKey) {
+	req := &site.StopRequest{Task: key.task, Run: key.number, Token: l.term.Epoch}
+	client, boot := wk.client, wk.boot
+	l.spawn(func(ctx context.Context) event {
+		ctx, cancel := context.WithTimeout(ctx, stopTimeout)
+		defer cancel()
+		_, err := client.Stop(ctx, req)
+		return barDone{l, wk, boot, key, err}
+	})
+}
+
+func (e barDone) handle(s *Scheduler) {
+	l, wk := e.l, e.wk
+	if !l.current() || wk.boot != e.boot {
+		return
+	}
+	var refusal *site.RefusalError
+	if errors.As(e.err, &refusal) && refusal.Reason == site.RefusedFenced {
+		s.endLeadership("a worker has received requests of a later term")
+		return
+	}
+	now := time.Now()
+	if e.err == nil && wk.lateStarts.barred(e.key, now) {
+		l.requestLists(wk, now)
+	}
+}
+
+// mayStartLater reports whether a later incarnation of a worker that no longer answers may
+// still execute a start request of the run. One that the worker has left unanswered while it
+// answered others may; one after which it has answered nothing was lost with the worker.
+func (l *leadership) mayStartLater(r *run, now time.Time) bool {
+	if r.stage == planned {
+		return false
+	}
+	if r.startAttempts == 0 {
+		// An earlier leader has sent the requests when the dispatch was durable.
+		return now.Before(r.tj.inheritedAt.Add(maxStartAttempts*startTimeout + maxRequestDelay))
+	}
+	return r.wk.lateStarts.pendingSince(r.key(), r.wk.clockAt.Add(-startTimeout))
+}
--- /dev/null
+++ b/pollendockd/internal/scheduler/late_starts_test.go
@@ -0,0 +1,134 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pollendock.example/cell/job"
+	"pollendock.example/cell/site"
+	"pollendock.example/standin/fleet"
+)
+
+// TestLateStartOnRestartedWorkerRunsNoTaskTwice guards against a start request that is executed
+// by a later incarnation of its worker beside another run of the task, or after its end.
+func TestLateStartOnRestartedWorkerRunsNoTaskTwice(t *testing.T) {
+	const delay = 8 * time.Second
+	reboot := func(_ *cell, on *fleet.Worker) { on.Reboot() }
+	for _, c := range []struct {
+		name string
+		step job.Step
+		// attempts is how many start requests are executed late, of each task.
+		attempts int
+		takes    time.Duration
+		// fault happens 1.5 s after the job was submitted.
+		fault func(c *cell, on *fleet.Worker)
+	}{
+		{"restart", tasks(1, 4), 1, 9 * time.Second, reboot},
+		{"restart, no attempt answered", tasks(1, 4), 3, 9 * time.Second, reboot},
+		{"restart after the end", tasks(1, 4), 1, 400 * time.Millisecond, reboot},
+		{"restart of an idle worker", tasks(1, 4), 3, time.Second, func(_ *cell, on *fleet.Worker) {
+			time.Sleep(3 * time.Second)
+			on.Reboot()
+		}},
+		{"gang", gang(3, 6), 1, 9 * time.Second, reboot},
+		{"two restarts", tasks(1, 4), 1, 9 * time.Second, func(_ *cell, on *fleet.Worker) {
+			on.Reboot()
+			time.Sleep(2 * time.Second)
+			on.Reboot()
+		}},
+		{"crash", tasks(1, 4), 1, 9 * time.Second, func(_ *cell, on *fleet.Worker) { on.Crash() }},
+		{"restart after the leases", tasks(1, 4), 1, 9 * time.Second, func(_ *cell, on *fleet.Worker) {
+			on.SetSilent(true)
+			time.Sleep(6 * time.Second)
+			on.Reboot()
+			time.Sleep(3 * time.Second)
+			on.SetSilent(false)
+		}},
+		{"restart and stops without an answer", tasks(1, 4), 1, 9 * time.Second, func(_ *cell, on *fleet.Worker) {
+			on.Reboot()
+			time.Sleep(10 * time.Millisecond)
+			on.SetDelay(400 * time.Millisecond)
+			time.Sleep(time.Second)
+			on.SetDelay(0)
+		}},
+		{"restart and new leader", tasks(1, 4), 1, 9 * time.Second, func(c *cell, on *fleet.Worker) {
+			on.Reboot()
+			c.vms["a"].kill()
+		}},
+		{"new leader and restart", tasks(1, 4), 1, 9 * time.Second, func(c *cell, on *fleet.Worker) {
+			c.vms["a"].kill()
+			time.Sleep(2 * time.Second)
+			on.Reboot()
+		}},
+		{"new leader and restart after the leases", tasks(1, 4), 1, 9 * time.Second, func(c *cell, on *fleet.Worker) {
+			c.vms["a"].kill()
+			time.Sleep(time.Second)
+			on.SetSilent(true)
+			time.Sleep(5300 * time.Millisecond)
+			on.Reboot()
+			time.Sleep(3 * time.Second)
+			on.SetSilent(false)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inCell(t, 4, func(cl *cell) {
+				cl.fleet.KeepIDs()
+				cl.outcome = func(site.TaskID, int64, string) (time.Duration, site.EndKind) { return c.takes, site.Done }
+				cl.start("a")
+				time.Sleep(2 * time.Second)
+				v := cl.start("b")
+				time.Sleep(time.Second)
+				for i := range 4 {
+					cl.fleet.Worker(fmt.Sprintf("w%d", i)).DelayStarts(c.attempts, delay)
+				}
+				at := time.Now()
+				cl.submit("j1", c.step)
+				on := workerOfFirstTask(cl, v, "j1")
+				time.Sleep(1500*time.Millisecond - time.Since(at))
+				c.fault(cl, on)
+				expectPhase(cl, v, "j1", 60*time.Second, job.Completed)
+				time.Sleep(15 * time.Second)
+			})
+		})
+	}
+}
+
+// TestRequestLostInCrashDelaysNoTask checks for how long the task of a run on a worker that no
+// longer answers waits because of a start request without an answer.
+func TestRequestLostInCrashDelaysNoTask(t *testing.T) {
+	sentAt := time.Now()
+	for _, c := range []struct {
+		name string
+		// answeredAt is when the worker answered last, after the start request was sent.
+		answeredAt, now time.Duration
+		want            bool
+	}{
+		{"left unanswered", time.Second, 6 * time.Second, true},
+		{"left unanswered long ago", time.Second, maxRequestDelay, false},
+		{"no answer since", 100 * time.Millisecond, 6 * time.Second, false},
+	} {
+		wk := &worker{clockAt: sentAt.Add(c.answeredAt)}
+		r := &run{wk: wk, stage: unconfirmed, startAttempts: 1}
+		wk.lateStarts.sent(r.key(), sentAt)
+		now := sentAt.Add(c.now)
+		wk.lateStarts.expire(now)
+		if got := (&leadership{}).mayStartLater(r, now); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// workerOfFirstTask returns the worker for which the first task of a job was decided. The
+// others execute their start requests at once from now on.
+func workerOfFirstTask(c *cell, v *vm, id string) *fleet.Worker {
+	c.t.Helper()
+	expectPhase(c, v, id, 500*time.Millisecond, job.Running)
+	on := c.fleet.Worker(v.replica.Job(id).State.Steps[0][0].Worker)
+	for i := range 4 {
+		if w := c.fleet.Worker(fmt.Sprintf("w%d", i)); w != on {
+			w.DelayStarts(0, 0)
+		}
+	}
+	return on
+}
--- a/pollendockd/internal/scheduler/requests.go
+++ b/pollendockd/internal/scheduler/requests.go
@@ -10,15 +10,18 @@
 
 type (
 	startDone struct {
-		l   *leadership
-		r   *run
-		err error
+		l      *leadership
+		r      *run
+		sentAt time.Time
+		err    error
 	}
 
 	stopDone struct {
-		l   *leadership
-		r   *run
-		err error
+		l *leadership
+		r *run
+		// boot is the incarnation that had answered last when the request was sent.
+		boot int64
+		err  error
 	}
 )
 
@@ -40,7 +43,7 @@
 		return
 	}
 	now := time.Now()
-	if r.startAttempts > 0 && (l.mustNotResend(r) || !r.wk.capacityKnown(now)) {
+	if r.startAttempts > 0 && (r.wk.boot != r.boot || l.mustNotResend(r) || !r.wk.capacityKnown(now)) {
 		l.verifyRun(r, now)
 		return
 	}
@@ -64,23 +67,27 @@
 	r.stage = starting
 	r.sentAt = now
 	r.startAttempts++
+	r.wk.lateStarts.sent(r.key(), now)
 	client := r.wk.client
 	l.spawn(func(ctx context.Context) event {
 		ctx, cancel := context.WithTimeout(ctx, startTimeout)
 		defer cancel()
 		_, err := client.Start(ctx, req)
-		return startDone{l, r, err}
+		return startDone{l, r, now, err}
 	})
 }
 
 func (e startDone) handle(s *Scheduler) {
 	l, r := e.l, e.r
+	var refusal *site.RefusalError
+	if e.err == nil || errors.As(e.err, &refusal) {
+		r.wk.lateStarts.answered(r.key(), e.sentAt)
+	}
 	if !l.current() || !r.bound() {
 		return
 	}
 	now := time.Now()
 	s.deps.Counts.Time("start", now.Sub(r.sentAt))
-	var refusal *site.RefusalError
 	switch {
 	case e.err == nil:
 		l.logRun(r, "run started", "answerMs", now.Sub(r.sentAt).Milliseconds())
@@ -91,7 +98,7 @@
 		if !r.wk.holdBusy {
 			r.wk.holdAt = now
 		}
-	case errors.As(e.err, &refusal):
+	case refusal != nil:
 		l.startRefused(r, now, refusal)
 	case r.stage == starting:
 		l.logRun(r, "start request got no answer", "sends", r.startAttempts, "err", e.err)
@@ -154,12 +161,12 @@
 func (l *leadership) stop(r *run) {
 	r.stopBusy = true
 	req := &site.StopRequest{Task: r.task, Run: r.number, Token: l.term.Epoch}
-	client := r.wk.client
+	client, boot := r.wk.client, r.wk.boot
 	l.spawn(func(ctx context.Context) event {
 		ctx, cancel := context.WithTimeout(ctx, stopTimeout)
 		defer cancel()
 		_, err := client.Stop(ctx, req)
-		return stopDone{l, r, err}
+		return stopDone{l, r, boot, err}
 	})
 }
 
@@ -172,6 +179,8 @@
 	r.stopBusy = false
 	var refusal *site.RefusalError
 	switch {
+	case e.err == nil && r.wk.boot != e.boot:
+		r.stopAt = now
 	case e.err == nil:
 		r.stopped = true
 		r.stoppedAt = now
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -49,6 +49,8 @@
 		// unreadableRuns is the number of unreadable rows in the last list of running
 		// ones.
 		unreadableRuns int
+		// lateStarts holds the start requests that may still be executed.
+		lateStarts lateStarts
 		// strangers holds runs of unknown tasks that were logged.
 		strangers map[runKey]bool
 
@@ -187,7 +189,7 @@
 			_ = level.Info(l.s.deps.Logger).Log("msg", "worker no longer listed", "worker", id, "runs", len(wk.runs))
 		}
 		wk.listed = false
-		if len(wk.runs) == 0 && !wk.holdBusy {
+		if len(wk.runs) == 0 && !wk.holdBusy && len(wk.lateStarts.unanswered) == 0 {
 			delete(l.workers, id)
 			delete(l.s.speeds.workers, id)
 		}
@@ -229,7 +231,7 @@
 // known to obey this term, and its capacity must be known.
 func (wk *worker) usable(now time.Time) bool {
 	return wk.listed && !wk.upstream.Draining && !wk.evacuated && wk.answersAsListed() && wk.holdFails == 0 &&
-		!now.Before(wk.backoffUntil) && wk.stalledSince.IsZero() && wk.capacityKnown(now)
+		!now.Before(wk.backoffUntil) && wk.stalledSince.IsZero() && wk.capacityKnown(now) && !wk.lateStarts.barring
 }
 
 // answersAsListed reports whether the last answer came from the incarnation that is listed.
@@ -278,6 +280,7 @@
 func (l *leadership) tickWorkers(now time.Time) {
 	l.watchCapacities(now)
 	for _, wk := range l.workers {
+		wk.lateStarts.expire(now)
 		if wk.client == nil {
 			l.lapseIfDue(wk, now)
 			continue
@@ -287,6 +290,7 @@
 		}
 		l.lapseIfDue(wk, now)
 		l.sendDueStops(wk, now)
+		l.sendBars(wk, now)
 	}
 }
 
@@ -296,21 +300,33 @@
 	if len(wk.runs) == 0 || now.Before(l.lapseAt(wk)) {
 		return
 	}
-	_ = level.Warn(l.s.deps.Logger).Log("msg", "all leases of the worker have expired", "worker", wk.id, "boot", wk.boot, "runs", len(wk.runs),
-		"epoch", l.term.Epoch, "dataCentre", wk.upstream.DataCentre, "listed", wk.listed, "termAgeMs", now.Sub(l.startedAt).Milliseconds(),
-		"clockMs", wk.clock.Milliseconds(), "clockAgeMs", now.Sub(wk.clockAt).Milliseconds(), "leaseEndMs", wk.leaseEnd.Milliseconds())
 	if alive, evidence := wk.endedWithoutNotice(); evidence != "" {
 		l.markCrashed(wk, alive, evidence)
 	}
-	for _, r := range wk.runList() {
-		if r.stage == planned || r.stage == starting {
-			continue
-		}
+	lapsed := l.lapsedRuns(wk, now)
+	if len(lapsed) == 0 {
+		return
+	}
+	_ = level.Warn(l.s.deps.Logger).Log("msg", "all leases of the worker have expired", "worker", wk.id, "boot", wk.boot, "runs", len(lapsed),
+		"epoch", l.term.Epoch, "dataCentre", wk.upstream.DataCentre, "listed", wk.listed, "termAgeMs", now.Sub(l.startedAt).Milliseconds(),
+		"clockMs", wk.clock.Milliseconds(), "clockAgeMs", now.Sub(wk.clockAt).Milliseconds(), "leaseEndMs", wk.leaseEnd.Milliseconds())
+	for _, r := range lapsed {
 		wk.presumeLapsed(r)
 		l.endRun(r, site.LeaseExpired, "the worker did not answer before its leases expired")
 	}
 }
 
+// lapsedRuns returns the runs that have ended with their leases and cannot start again.
+func (l *leadership) lapsedRuns(wk *worker, now time.Time) []*run {
+	var runs []*run
+	for _, r := range wk.runs {
+		if r.stage != planned && r.stage != starting && !l.mayStartLater(r, now) {
+			runs = append(runs, r)
+		}
+	}
+	return runs
+}
+
 // runList returns a copy of the runs, so that runs can be ended during iteration.
 func (wk *worker) runList() []*run {
 	runs := make([]*run, 0, len(wk.runs))
--- a/standin/fleet/worker.go
+++ b/standin/fleet/worker.go
@@ -223,7 +223,7 @@
 }
 
 // DelayStarts makes the next n starts take effect after a delay, without a
-// response.
+// response, at the process that then runs under the worker's id.
 func (w *Worker) DelayStarts(n int, d time.Duration) {
 	w.fleet.mu.Lock()
 	defer w.fleet.mu.Unlock()
@@ -313,12 +313,11 @@
 	}
 	if w.delayNext > 0 {
 		w.delayNext--
-		delayed, boot := *req, w.boot
+		delayed := *req
 		time.AfterFunc(w.startDelay, func() {
 			w.fleet.mu.Lock()
 			defer w.fleet.mu.Unlock()
-			if w.boot != boot {
-				// The request was lost with the process that received it.
+			if w.gone {
 				return
 			}
 			// The caller no longer waits for the result.
