Leader: a list of runs that a later one overtook changes nothing

What callers saw: LOST. After a few seconds of lost packets between the leader and a worker, the worker got no more tasks in that term although it answered and ran nothing; once all workers were lost that way, nothing was started any more.

Cause: several holds of a worker may be in progress, and their answers overtake each other. A list that was made before a run ended was processed after the answer with its end. The leader took the run for one that is not in the records, and tracked it in order to stop it. Such a run was never removed, as no list counted as conclusive about it (listValidAfter zero); it kept its capacity, and as it made no progress, the worker counted as stalled. The same old answer set the worker's clock, progress and checkpoints back; one of an earlier incarnation made the leader take that for the present one.

Change: an answer to a hold that was sent before another answer was read is not used if the worker's clock in it is lower, if the clock is equal and it lists fewer ends than were read, or if it is of another incarnation than that answer. A run that is tracked in order to stop it is removed by the next list without it.

Why it works: what a list says is used only if no later one was; a request that was sent after an answer was read is always later, whatever the clock says.

--- a/pollendockd/internal/scheduler/hold.go
+++ b/pollendockd/internal/scheduler/hold.go
@@ -95,6 +95,10 @@
 		l.holdFailed(wk, e.sentAt, e.err)
 		return
 	}
+	if wk.overtaken(e.reply, e.sentAt) {
+		l.dropOvertaken(&e, now)
+		return
+	}
 	if wk.unreachable {
 		wk.unreachable = false
 		_ = level.Info(s.deps.Logger).Log("msg", "worker reachable again", "worker", wk.id, "boot", e.reply.Boot)
@@ -167,6 +171,7 @@
 	boot := first.Boot
 	_ = level.Info(l.s.deps.Logger).Log("msg", "first answer of a worker incarnation in this term", "worker", wk.id, "boot", boot, "lastBoot", wk.boot, "runs", len(wk.runs))
 	wk.boot = boot
+	wk.bootAt = time.Now()
 	// This takes over an earlier leader's estimate.
 	l.s.speeds.of(wk.id, boot)
 	wk.seen = 0
@@ -417,7 +422,9 @@
 		l.logStranger(wk, key)
 		return nil
 	}
-	r := &run{task: key.task, number: key.number, tj: tj, boot: wk.boot, stage: running, decidedAt: time.Now(), stopWanted: true, confirmedAt: time.Now(), percentAt: time.Now()}
+	now := time.Now()
+	r := &run{task: key.task, number: key.number, tj: tj, boot: wk.boot, decidedAt: now, stopWanted: true}
+	r.confirm(now)
 	l.bind(r, wk)
 	l.logRun(r, "run is not in the records; stopping it")
 	return r
--- /dev/null
+++ b/pollendockd/internal/scheduler/overtaken_test.go
@@ -0,0 +1,91 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"pollendock.example/cell/job"
+	"pollendock.example/cell/placement"
+	"pollendock.example/cell/resource"
+	"pollendock.example/cell/site"
+)
+
+// TestOvertakenListTakesNoWorkerOutOfUse guards against tracking an ended run that an older list
+// shows as running for the rest of the term.
+func TestOvertakenListTakesNoWorkerOutOfUse(t *testing.T) {
+	inCell(t, 1, func(c *cell) {
+		v := c.start("n1")
+		w := c.fleet.Worker("w0")
+		var older site.HoldReply
+		w.AlterReplies(func(h *site.HoldReply) {
+			if len(h.Running) > 0 {
+				older = *h
+			}
+		})
+		c.submit("a", tasks(1, 2))
+		expectPhase(c, v, "a", 10*time.Second, job.Completed)
+		replayed := false
+		w.AlterReplies(func(h *site.HoldReply) {
+			if !replayed {
+				*h, replayed = older, true
+			}
+		})
+		time.Sleep(5 * time.Second)
+		c.submit("b", tasks(1, 10))
+		expectPhase(c, v, "b", 5*time.Second, job.Completed)
+	})
+}
+
+// TestOvertakenAnswerChangesNothing checks which answers to holds are used, whatever the order
+// in which they arrive.
+func TestOvertakenAnswerChangesNothing(t *testing.T) {
+	const tick = time.Millisecond
+	task := site.TaskID{Job: "j"}
+	running := []site.RunStatus{{Task: task, Run: 1, Percent: 10}}
+	ended := []site.RunEnd{{Number: 1, Task: task, Run: 1, Kind: site.Done}}
+	for _, c := range []struct {
+		name string
+		// first and second are the answers in the order in which they are read. The second
+		// hold was sent after the first answer was read unless overlap is set.
+		first, second site.HoldReply
+		overlap       bool
+		wantRuns      int
+		wantBoot      int64
+	}{
+		{"older list", site.HoldReply{Boot: 1, Clock: 20 * tick, Ended: ended}, site.HoldReply{Boot: 1, Clock: 19 * tick, Running: running}, true, 0, 1},
+		{"older list of the same tick", site.HoldReply{Boot: 1, Clock: 20 * tick, Ended: ended}, site.HoldReply{Boot: 1, Clock: 20 * tick, Running: running}, true, 0, 1},
+		{"newer list", site.HoldReply{Boot: 1, Clock: 20 * tick}, site.HoldReply{Boot: 1, Clock: 21 * tick, Running: running}, true, 1, 1},
+		{"newer list of the same tick", site.HoldReply{Boot: 1, Clock: 20 * tick}, site.HoldReply{Boot: 1, Clock: 20 * tick, Running: running}, true, 1, 1},
+		{"clock that was set back", site.HoldReply{Boot: 1, Clock: 20 * tick}, site.HoldReply{Boot: 1, Clock: 19 * tick, Running: running}, false, 1, 1},
+		{"earlier incarnation", site.HoldReply{Boot: 2, Clock: tick}, site.HoldReply{Boot: 1, Clock: 20 * tick, Running: running}, true, 0, 2},
+		{"later incarnation", site.HoldReply{Boot: 1, Clock: 20 * tick}, site.HoldReply{Boot: 2, Clock: tick, Running: running}, false, 1, 2},
+	} {
+		l := leadershipOf("j", tasks(1, 1))
+		wk := l.workerOf("w")
+		before := time.Now().Add(-time.Second)
+		holdDone{l: l, wk: wk, sentAt: before, reply: &c.first}.handle(l.s)
+		sentAt := time.Now()
+		if c.overlap {
+			sentAt = before
+		}
+		holdDone{l: l, wk: wk, sentAt: sentAt, reply: &c.second}.handle(l.s)
+		if len(wk.runs) != c.wantRuns || wk.boot != c.wantBoot {
+			t.Errorf("%s: %d runs of incarnation %d, want %d of %d", c.name, len(wk.runs), wk.boot, c.wantRuns, c.wantBoot)
+		}
+	}
+}
+
+// leadershipOf returns a leader with one job and no workers.
+func leadershipOf(id string, steps ...job.Step) *leadership {
+	s := New(Options{}, Deps{View: job.NewView(), Logger: log.NewNopLogger(), Counts: noCounts{}})
+	l := &leadership{
+		s: s, jobs: map[string]*trackedJob{}, workers: map[string]*worker{}, teamUse: map[string]resource.Vector{},
+		meters: map[string]*placement.RateMeter{}, isolatedRuns: map[*run]bool{},
+	}
+	s.lead = l
+	sub := &job.Submission{ID: id, Team: "team", Queue: "q", Service: "s", MaxAttempts: 2, Steps: steps}
+	l.jobs[id] = newTrackedJob(id, sub, &job.Job{State: job.NewState(sub)})
+	return l
+}
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -22,8 +22,9 @@
 		evacuated bool
 
 		// boot identifies the incarnation that answered the last hold. It is 0 before
-		// the first answer.
-		boot int64
+		// the first answer. bootAt is when its first answer was read.
+		boot   int64
+		bootAt time.Time
 		// clock is the worker's clock, read shortly before clockAt.
 		clock   time.Duration
 		clockAt time.Time
