Leader: an acknowledgement executed late by a restarted worker loses no end

What callers could see: TWICE, a start after an end that was acknowledged.

Cause: a hold with the acknowledgement of ends up to N got no answer and was executed seconds later, by a later incarnation under the same id. That numbers its ends from 1 again, and forgot those up to N although nobody had read them. Their runs were missing from the lists, and ran again.

Change: a restarted worker gets no runs until 12.5 s after the last hold with an acknowledgement that got no answer. A hold whose connection broke does not count unless the same incarnation answers again: it was lost with the process. A hold to a worker that has stopped answering carries no acknowledgement. A run that was decided for one incarnation is not started on the next.

Why it works: while a late acknowledgement can arrive, the new incarnation has no ends of ours. A new leader's first hold fences those of the old one.

Price: a worker that restarts under its id right after such a hold is not used for up to 12.5 s.

--- a/pollendockd/internal/scheduler/hold.go
+++ b/pollendockd/internal/scheduler/hold.go
@@ -17,8 +17,10 @@
 		wk      *worker
 		sentAt  time.Time
 		regular bool
-		reply   *site.HoldReply
-		err     error
+		// acks is set if the hold acknowledges ends.
+		acks  bool
+		reply *site.HoldReply
+		err   error
 	}
 )
 
@@ -72,13 +74,13 @@
 }
 
 func (l *leadership) sendHold(wk *worker, now time.Time, wait time.Duration, regular bool) {
-	req := &site.HoldRequest{Token: l.term.Epoch, Acked: wk.acked, LeaseEnd: l.nextLease(wk, now), Wait: wait}
+	req := &site.HoldRequest{Token: l.term.Epoch, Acked: wk.ackable(), LeaseEnd: l.nextLease(wk, now), Wait: wait}
 	client := wk.client
 	l.spawn(func(ctx context.Context) event {
 		ctx, cancel := context.WithTimeout(ctx, wait+holdTimeout)
 		defer cancel()
 		reply, err := client.Hold(ctx, req)
-		return holdDone{l, wk, now, regular, reply, err}
+		return holdDone{l, wk, now, regular, req.Acked > 0, reply, err}
 	})
 }
 
@@ -92,6 +94,7 @@
 		wk.holdBusy = false
 	}
 	if e.err != nil {
+		wk.lateHolds.failed(&e)
 		l.holdFailed(wk, e.sentAt, e.err)
 		return
 	}
@@ -108,6 +111,7 @@
 		l.markCrashed(wk, e.reply.Boot, "a later incarnation answered")
 	}
 	wk.recordAnswer(now)
+	wk.lateHolds.answered(restarted)
 	wk.holdAt = now.Add(holdInterval)
 	if !wk.watched() {
 		wk.holdAt = now.Add(idleHoldInterval)
@@ -117,6 +121,7 @@
 	}
 	if restarted {
 		l.resetBoot(wk, e.reply)
+		l.awaitLateAcks(wk, now)
 		wk.holdAt = now
 	}
 	wk.clock = e.reply.Clock
--- a/pollendockd/internal/scheduler/requests.go
+++ b/pollendockd/internal/scheduler/requests.go
@@ -47,6 +47,10 @@
 		l.verifyRun(r, now)
 		return
 	}
+	if r.startAttempts == 0 && r.wk.boot != r.boot {
+		l.endRun(r, site.NotRun, "the worker has restarted")
+		return
+	}
 	if r.startAttempts == 0 && r.wk.holdFails > 0 {
 		l.endRun(r, site.NotRun, "the worker has stopped answering")
 		return
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -52,6 +52,9 @@
 		unreadableRuns int
 		// lateStarts holds the start requests that may still be executed.
 		lateStarts lateStarts
+		// startsAfter is when the incarnation may get runs at the earliest, because of lateHolds.
+		lateHolds   lateHolds
+		startsAfter time.Time
 		// strangers holds runs of unknown tasks that were logged.
 		strangers map[runKey]bool
 
@@ -232,7 +235,7 @@
 // known to obey this term, and its capacity must be known.
 func (wk *worker) usable(now time.Time) bool {
 	return wk.listed && !wk.upstream.Draining && !wk.evacuated && wk.answersAsListed() && wk.holdFails == 0 &&
-		!now.Before(wk.backoffUntil) && wk.stalledSince.IsZero() && wk.capacityKnown(now) && !wk.lateStarts.barring
+		!now.Before(wk.backoffUntil) && wk.stalledSince.IsZero() && wk.capacityKnown(now) && !wk.lateStarts.barring && !now.Before(wk.startsAfter)
 }
 
 // answersAsListed reports whether the last answer came from the incarnation that is listed.
--- a/standin/fleet/worker.go
+++ b/standin/fleet/worker.go
@@ -51,6 +51,8 @@
 		delayNext  int
 		loseNext   int
 		startDelay time.Duration
+		delayHolds int
+		holdDelay  time.Duration
 		alterReply func(reply *site.HoldReply)
 	}
 
@@ -231,6 +233,15 @@
 	w.startDelay = d
 }
 
+// DelayHolds makes the next n holds take effect after a delay, without a response, at the
+// process that then runs under the worker's id.
+func (w *Worker) DelayHolds(n int, d time.Duration) {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	w.delayHolds = n
+	w.holdDelay = d
+}
+
 // LoseStarts makes the next n starts neither take effect nor get a response.
 func (w *Worker) LoseStarts(n int) {
 	w.fleet.mu.Lock()
@@ -430,15 +441,24 @@
 		return nil, err
 	}
 	w.fleet.mu.Lock()
-	if req.Token < w.token {
+	if w.delayHolds > 0 {
+		w.delayHolds--
+		delayed := *req
+		time.AfterFunc(w.holdDelay, func() {
+			w.fleet.mu.Lock()
+			defer w.fleet.mu.Unlock()
+			if !w.gone {
+				// The caller no longer waits for the result.
+				_ = w.applyHold(&delayed)
+			}
+		})
 		w.fleet.mu.Unlock()
-		return nil, &site.RefusalError{Reason: site.RefusedFenced}
+		<-ctx.Done()
+		return nil, ctx.Err()
 	}
-	w.token = req.Token
-	w.leaseEnd = max(w.leaseEnd, req.LeaseEnd)
-	for len(w.ended) > 0 && w.ended[0].Number <= req.Acked {
-		w.fleet.acknowledge(&w.ended[0])
-		w.ended = w.ended[1:]
+	if err := w.applyHold(req); err != nil {
+		w.fleet.mu.Unlock()
+		return nil, err
 	}
 	wake, wait := w.wake, len(w.ended) == 0
 	w.fleet.mu.Unlock()
@@ -475,6 +495,20 @@
 	return reply, nil
 }
 
+// applyHold renews the lease and forgets the ends that are acknowledged.
+func (w *Worker) applyHold(req *site.HoldRequest) error {
+	if req.Token < w.token {
+		return &site.RefusalError{Reason: site.RefusedFenced}
+	}
+	w.token = req.Token
+	w.leaseEnd = max(w.leaseEnd, req.LeaseEnd)
+	for len(w.ended) > 0 && w.ended[0].Number <= req.Acked {
+		w.fleet.acknowledge(&w.ended[0])
+		w.ended = w.ended[1:]
+	}
+	return nil
+}
+
 // SetCapacity shrinks or grows the worker. What runs there goes on.
 func (w *Worker) SetCapacity(capacity resource.Vector) {
 	w.fleet.mu.Lock()
