Leader: leases that a restarted worker grants to late requests count

What callers could see: TWICE, two runs at once.

Cause: a hold or start to one incarnation got no answer and was executed seconds later by the next, whose clock starts anew. The end of the lease in the request was far in its future, and it granted the longest lease. The leader, which counted only the leases that it had sent to this incarnation, gave its runs up behind a partition while they went on.

Change: after a restart the runs of a worker lapse no earlier than the longest lease after the last time at which such a request can be executed.

Price: behind a partition within 12.5 s of a restart under the same id, and only after a request without an answer, tasks start again up to 18.8 s after that request.

--- a/pollendockd/internal/scheduler/hold.go
+++ b/pollendockd/internal/scheduler/hold.go
@@ -17,10 +17,11 @@
 		wk      *worker
 		sentAt  time.Time
 		regular bool
-		// acks is set if the hold acknowledges ends.
-		acks  bool
-		reply *site.HoldReply
-		err   error
+		// acks is set if the hold acknowledges ends, renews if it renews the lease.
+		acks   bool
+		renews bool
+		reply  *site.HoldReply
+		err    error
 	}
 )
 
@@ -80,7 +81,7 @@
 		ctx, cancel := context.WithTimeout(ctx, wait+holdTimeout)
 		defer cancel()
 		reply, err := client.Hold(ctx, req)
-		return holdDone{l, wk, now, regular, req.Acked > 0, reply, err}
+		return holdDone{l, wk, now, regular, req.Acked > 0, req.LeaseEnd > 0, reply, err}
 	})
 }
 
@@ -94,7 +95,7 @@
 		wk.holdBusy = false
 	}
 	if e.err != nil {
-		wk.lateHolds.failed(&e)
+		l.noteUnansweredHold(&e, now)
 		l.holdFailed(wk, e.sentAt, e.err)
 		return
 	}
@@ -121,7 +122,7 @@
 	}
 	if restarted {
 		l.resetBoot(wk, e.reply)
-		l.awaitLateAcks(wk, now)
+		l.awaitLateHolds(wk, now)
 		wk.holdAt = now
 	}
 	wk.clock = e.reply.Clock
--- a/pollendockd/internal/scheduler/late_holds.go
+++ b/pollendockd/internal/scheduler/late_holds.go
@@ -13,41 +13,81 @@
 // This file handles holds that are executed late, by a later incarnation of their worker. It
 // numbers its ends from 1 again, so that it takes the acknowledgement of an earlier one's ends
 // for one of its own, and forgets ends that nobody has read. So it gets no runs while that can
-// happen.
+// happen. Its clock starts anew, too, so that an old end of a lease is far in its future, and it
+// grants the longest lease. So its runs count as lapsed later.
 
-// lateHolds holds until when holds without an answer may still be executed.
-type lateHolds struct {
-	// acksUntil is the time of those that acknowledge ends.
-	acksUntil time.Time
-	// brokenAt is when the last one of them was sent whose connection broke. It was lost with
-	// the process of the worker, unless that answers again.
-	brokenAt time.Time
-}
+type (
+	// lateHolds holds until when holds without an answer may still be executed.
+	lateHolds struct {
+		acks, renewals lateRequests
+	}
 
-// failed notes that a hold got no answer.
-func (h *lateHolds) failed(e *holdDone) {
+	// lateRequests are requests of one kind that got no answer.
+	lateRequests struct {
+		// until is when none of them can be executed any more.
+		until time.Time
+		// brokenAt is when the last one was sent whose connection broke. It was lost with the
+		// process of the worker, unless that answers again.
+		brokenAt time.Time
+	}
+)
+
+func (r *lateRequests) failed(sentAt time.Time, err error) {
 	var refusal *site.RefusalError
 	switch {
-	case errors.As(e.err, &refusal) || !e.acks:
-	case errors.Is(e.err, context.DeadlineExceeded):
-		h.acksUntil = later(h.acksUntil, e.sentAt.Add(maxRequestDelay))
+	case errors.As(err, &refusal):
+	case errors.Is(err, context.DeadlineExceeded):
+		r.until = later(r.until, sentAt.Add(maxRequestDelay))
 	default:
-		h.brokenAt = e.sentAt
+		r.brokenAt = sentAt
+	}
+}
+
+// answered notes an answer to another request, which is the first one of an incarnation if
+// restarted is set.
+func (r *lateRequests) answered(restarted bool) {
+	if !restarted && !r.brokenAt.IsZero() {
+		r.until = later(r.until, r.brokenAt.Add(maxRequestDelay))
+	}
+	r.brokenAt = time.Time{}
+}
+
+// failed notes that a hold got no answer.
+func (h *lateHolds) failed(e *holdDone) {
+	if e.acks {
+		h.acks.failed(e.sentAt, e.err)
+	}
+	if e.renews {
+		h.renewals.failed(e.sentAt, e.err)
 	}
 }
 
-// answered notes an answer, which is the first one of an incarnation if restarted is set.
 func (h *lateHolds) answered(restarted bool) {
-	if !restarted && !h.brokenAt.IsZero() {
-		h.acksUntil = later(h.acksUntil, h.brokenAt.Add(maxRequestDelay))
+	h.acks.answered(restarted)
+	h.renewals.answered(restarted)
+}
+
+// lateLeaseEnd is when the leases have expired that the present incarnation has granted, or may
+// grant, to requests that were sent to an earlier one.
+func (l *leadership) lateLeaseEnd(wk *worker) time.Time {
+	longest := time.Duration(float64(l.s.opt.Bounds.MaxLease) / minClockRate)
+	return wk.renewedUntil.Add(longest + lapseSlack)
+}
+
+// noteUnansweredHold notes that a hold got no answer. If another incarnation has answered
+// meanwhile, that one may execute it.
+func (l *leadership) noteUnansweredHold(e *holdDone, now time.Time) {
+	e.wk.lateHolds.failed(e)
+	if e.sentAt.Before(e.wk.bootAt) {
+		l.awaitLateHolds(e.wk, now)
 	}
-	h.brokenAt = time.Time{}
 }
 
-// awaitLateAcks keeps new runs away from a new incarnation while it may execute acknowledgements
-// that were sent to an earlier one.
-func (l *leadership) awaitLateAcks(wk *worker, now time.Time) {
-	wk.startsAfter = wk.lateHolds.acksUntil
+// awaitLateHolds keeps new runs away from a new incarnation while it may execute acknowledgements
+// that were sent to an earlier one, and notes until when it may grant leases to those.
+func (l *leadership) awaitLateHolds(wk *worker, now time.Time) {
+	wk.startsAfter = wk.lateHolds.acks.until
+	wk.renewedUntil = later(wk.lateHolds.renewals.until, wk.lateStarts.until())
 	if now.Before(wk.startsAfter) {
 		l.s.deps.Counts.Count("workers_held_for_late_acks", 1)
 		_ = level.Info(l.s.deps.Logger).Log("msg", "starts held: the worker may still execute acknowledgements that were sent to an earlier incarnation",
--- a/pollendockd/internal/scheduler/late_holds_test.go
+++ b/pollendockd/internal/scheduler/late_holds_test.go
@@ -1,10 +1,13 @@
 package scheduler
 
 import (
+	"context"
+	"io"
 	"testing"
 	"time"
 
 	"pollendock.example/cell/job"
+	"pollendock.example/cell/site"
 )
 
 // TestLateAcknowledgementLosesNoEnd guards against a hold that is executed by a later incarnation
@@ -33,3 +36,59 @@
 		time.Sleep(5 * time.Second)
 	})
 }
+
+// TestLateHoldKeepsNoRunForLonger guards against a hold that is executed by a later incarnation
+// of its worker and renews a lease that was taken for expired.
+func TestLateHoldKeepsNoRunForLonger(t *testing.T) {
+	inCell(t, 2, func(c *cell) {
+		v := c.start("a")
+		time.Sleep(6800 * time.Millisecond)
+		w := c.fleet.Worker("w0")
+		w.DelayHolds(1, 8*time.Second)
+		lateAt := time.Now().Add(8 * time.Second)
+		time.Sleep(2500 * time.Millisecond)
+		w.Reboot()
+		time.Sleep(1500 * time.Millisecond)
+		c.outcome = func(_ site.TaskID, _ int64, worker string) (time.Duration, site.EndKind) {
+			if worker == "w0" {
+				return 20 * time.Second, site.Done
+			}
+			return workTime, site.Done
+		}
+		c.submit("j1", tasks(2, 10))
+		time.Sleep(time.Until(lateAt) - 500*time.Millisecond)
+		w.SetSilent(true)
+		time.Sleep(12 * time.Second)
+		w.SetSilent(false)
+		expectPhase(c, v, "j1", 60*time.Second, job.Completed)
+	})
+}
+
+// TestUnansweredHoldsThatMayBeExecuted checks until when a hold that got no answer counts as one
+// that a later incarnation may execute.
+func TestUnansweredHoldsThatMayBeExecuted(t *testing.T) {
+	sentAt := time.Now()
+	refused := &site.RefusalError{Reason: site.RefusedConnection}
+	for _, c := range []struct {
+		name string
+		err  error
+		// answersBefore is set if the same incarnation answers before the next one does.
+		answersBefore bool
+		want          time.Time
+	}{
+		{"timeout", context.DeadlineExceeded, false, sentAt.Add(maxRequestDelay)},
+		{"broken connection, worker restarts", io.EOF, false, time.Time{}},
+		{"broken connection, worker goes on", io.EOF, true, sentAt.Add(maxRequestDelay)},
+		{"not delivered", refused, true, time.Time{}},
+	} {
+		var r lateRequests
+		r.failed(sentAt, c.err)
+		if c.answersBefore {
+			r.answered(false)
+		}
+		r.answered(true)
+		if !r.until.Equal(c.want) {
+			t.Errorf("%s: until %v, want %v", c.name, r.until, c.want)
+		}
+	}
+}
--- a/pollendockd/internal/scheduler/late_starts.go
+++ b/pollendockd/internal/scheduler/late_starts.go
@@ -79,6 +79,15 @@
 	s.unanswered[key] = left
 }
 
+// until returns when none of them can be executed any more.
+func (s *lateStarts) until() time.Time {
+	last := time.Time{}
+	for _, sent := range s.unanswered {
+		last = later(last, sent[len(sent)-1].Add(maxRequestDelay))
+	}
+	return last
+}
+
 // pending reports whether a start request of the run may still be executed.
 func (s *lateStarts) pending(key runKey) bool {
 	return len(s.unanswered[key]) > 0
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -55,6 +55,9 @@
 		// startsAfter is when the incarnation may get runs at the earliest, because of lateHolds.
 		lateHolds   lateHolds
 		startsAfter time.Time
+		// renewedUntil is until when the incarnation may execute requests that renew the lease of
+		// an earlier one.
+		renewedUntil time.Time
 		// strangers holds runs of unknown tasks that were logged.
 		strangers map[runKey]bool
 
@@ -301,7 +304,7 @@
 // lapseIfDue ends the runs of a worker that has not answered for so long that all its
 // leases have expired.
 func (l *leadership) lapseIfDue(wk *worker, now time.Time) {
-	if len(wk.runs) == 0 || now.Before(l.lapseAt(wk)) {
+	if len(wk.runs) == 0 || now.Before(later(l.lapseAt(wk), l.lateLeaseEnd(wk))) {
 		return
 	}
 	if alive, evidence := wk.endedWithoutNotice(); evidence != "" {
