--- a/pollendockd/internal/scheduler/doubtful_crash.go
+++ b/pollendockd/internal/scheduler/doubtful_crash.go
@@ -34,6 +34,11 @@
 func (l *leadership) revokeCrashes(wk *worker, boot int64) {
 	crashes := l.doubtfulCrashes[wk.id]
 	delete(l.doubtfulCrashes, wk.id)
+	for _, r := range wk.runs {
+		if r.boot == boot && r.crashDoubtful {
+			r.crashed = false
+		}
+	}
 	for _, c := range crashes {
 		if c.boot == boot && !c.tj.state.Phase.Final() {
 			l.revokeCrash(wk, c)
--- a/pollendockd/internal/scheduler/hold.go
+++ b/pollendockd/internal/scheduler/hold.go
@@ -17,8 +17,11 @@
 		wk      *worker
 		sentAt  time.Time
 		regular bool
-		reply   *site.HoldReply
-		err     error
+		// acks is set if the hold acknowledges ends, renews if it renews the lease.
+		acks   bool
+		renews bool
+		reply  *site.HoldReply
+		err    error
 	}
 )
 
@@ -60,7 +63,7 @@
 func (l *leadership) hold(wk *worker, now time.Time) {
 	wk.holdBusy = true
 	wait := time.Duration(0)
-	if wk.boot != 0 && len(wk.runs) > 0 && wk.holdFails == 0 {
+	if wk.boot != 0 && wk.watched() && wk.holdFails == 0 {
 		wait = holdWait
 	}
 	l.sendHold(wk, now, wait, true)
@@ -72,13 +75,13 @@
 }
 
 func (l *leadership) sendHold(wk *worker, now time.Time, wait time.Duration, regular bool) {
-	req := &site.HoldRequest{Token: l.term.Epoch, Acked: wk.acked, LeaseEnd: l.nextLease(wk, now), Wait: wait}
+	req := &site.HoldRequest{Token: l.term.Epoch, Acked: wk.ackable(), LeaseEnd: l.nextLease(wk, now), Wait: wait}
 	client := wk.client
 	l.spawn(func(ctx context.Context) event {
 		ctx, cancel := context.WithTimeout(ctx, wait+holdTimeout)
 		defer cancel()
 		reply, err := client.Hold(ctx, req)
-		return holdDone{l, wk, now, regular, reply, err}
+		return holdDone{l, wk, now, regular, req.Acked > 0, req.LeaseEnd > 0, reply, err}
 	})
 }
 
@@ -92,27 +95,35 @@
 		wk.holdBusy = false
 	}
 	if e.err != nil {
+		l.noteUnansweredHold(&e, now)
 		l.holdFailed(wk, e.sentAt, e.err)
 		return
 	}
+	if wk.overtaken(e.reply, e.sentAt) {
+		l.dropOvertaken(&e, now)
+		return
+	}
 	if wk.unreachable {
 		wk.unreachable = false
 		_ = level.Info(s.deps.Logger).Log("msg", "worker reachable again", "worker", wk.id, "boot", e.reply.Boot)
 	}
-	if wk.boot != e.reply.Boot {
+	restarted := wk.boot != e.reply.Boot
+	if restarted {
 		l.markCrashed(wk, e.reply.Boot, "a later incarnation answered")
 	}
 	l.revokeCrashes(wk, e.reply.Boot)
 	wk.recordAnswer(now)
+	wk.lateHolds.answered(restarted)
 	wk.holdAt = now.Add(holdInterval)
-	if len(wk.runs) == 0 {
+	if !wk.watched() {
 		wk.holdAt = now.Add(idleHoldInterval)
 	} else if wk.ackCapped || wk.unreadable.rows > 0 {
 		// Unacknowledged ends cause the worker to answer each hold at once.
 		wk.holdAt = now.Add(unackedHoldInterval)
 	}
-	if wk.boot != e.reply.Boot {
+	if restarted {
 		l.resetBoot(wk, e.reply)
+		l.awaitLateHolds(wk, now)
 		wk.holdAt = now
 	}
 	wk.clock = e.reply.Clock
@@ -120,9 +131,15 @@
 	l.confirmWritten(wk)
 	l.processEnds(wk, e.reply)
 	l.noteUnreadableRows(wk, e.reply, now)
+	l.barLateStarts(wk, e.reply, restarted, e.sentAt, now)
 	l.processRuns(wk, e.reply, e.sentAt, now)
 }
 
+// watched reports whether holds wait at the worker, so that its restart is noticed at once.
+func (wk *worker) watched() bool {
+	return len(wk.runs) > 0 || len(wk.lateStarts.unanswered) > 0
+}
+
 // recordAnswer notes that the worker has answered, and since when it does so after an
 // outage.
 func (wk *worker) recordAnswer(now time.Time) {
@@ -161,6 +178,7 @@
 	boot := first.Boot
 	_ = level.Info(l.s.deps.Logger).Log("msg", "first answer of a worker incarnation in this term", "worker", wk.id, "boot", boot, "lastBoot", wk.boot, "runs", len(wk.runs))
 	wk.boot = boot
+	wk.bootAt = time.Now()
 	// This takes over an earlier leader's estimate.
 	l.s.speeds.of(wk.id, boot)
 	wk.seen = 0
@@ -175,6 +193,10 @@
 	wk.strangers = nil
 	wk.failures = 0
 	wk.backoffUntil = time.Time{}
+	for _, r := range wk.runs {
+		// A stop that an earlier incarnation has confirmed bars nothing on this one.
+		r.stopped = false
+	}
 	l.placeNeeded = true
 }
 
@@ -294,7 +316,7 @@
 		return
 	}
 	for _, r := range wk.runList() {
-		if !listed[r.key()] && !l.inconclusive(r, sentAt, now) {
+		if !listed[r.key()] && !wk.lateStarts.undecided(r.key()) && !l.inconclusive(r, sentAt, now) {
 			l.resolveMissing(r, sentAt, now)
 		}
 	}
@@ -407,7 +429,9 @@
 		l.logStranger(wk, key)
 		return nil
 	}
-	r := &run{task: key.task, number: key.number, tj: tj, boot: wk.boot, stage: running, decidedAt: time.Now(), stopWanted: true, confirmedAt: time.Now(), percentAt: time.Now()}
+	now := time.Now()
+	r := &run{task: key.task, number: key.number, tj: tj, boot: wk.boot, decidedAt: now, stopWanted: true}
+	r.confirm(now)
 	l.bind(r, wk)
 	l.logRun(r, "run is not in the records; stopping it")
 	return r
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -23,8 +22,9 @@
 		evacuated bool
 
 		// boot identifies the incarnation that answered the last hold. It is 0 before
-		// the first answer.
-		boot int64
+		// the first answer. bootAt is when its first answer was read.
+		boot   int64
+		bootAt time.Time
 		// clock is the worker's clock, read shortly before clockAt.
 		clock   time.Duration
 		clockAt time.Time
@@ -50,6 +50,14 @@
 		// unreadableRuns is the number of unreadable rows in the last list of running
 		// ones.
 		unreadableRuns int
+		// lateStarts holds the start requests that may still be executed.
+		lateStarts lateStarts
+		// startsAfter is when the incarnation may get runs at the earliest, because of lateHolds.
+		lateHolds   lateHolds
+		startsAfter time.Time
+		// renewedUntil is until when the incarnation may execute requests that renew the lease of
+		// an earlier one.
+		renewedUntil time.Time
 		// strangers holds runs of unknown tasks that were logged.
 		strangers map[runKey]bool
 
@@ -188,7 +196,7 @@
 			_ = level.Info(l.s.deps.Logger).Log("msg", "worker no longer listed", "worker", id, "runs", len(wk.runs))
 		}
 		wk.listed = false
-		if len(wk.runs) == 0 && !wk.holdBusy {
+		if len(wk.runs) == 0 && !wk.holdBusy && len(wk.lateStarts.unanswered) == 0 {
 			delete(l.workers, id)
 			delete(l.s.speeds.workers, id)
 		}
@@ -230,7 +238,7 @@
 // known to obey this term, and its capacity must be known.
 func (wk *worker) usable(now time.Time) bool {
 	return wk.listed && !wk.upstream.Draining && !wk.evacuated && wk.answersAsListed() && wk.holdFails == 0 &&
-		!now.Before(wk.backoffUntil) && wk.stalledSince.IsZero() && wk.capacityKnown(now)
+		!now.Before(wk.backoffUntil) && wk.stalledSince.IsZero() && wk.capacityKnown(now) && !wk.lateStarts.barring && !now.Before(wk.startsAfter)
 }
 
 // answersAsListed reports whether the last answer came from the incarnation that is listed.
@@ -279,6 +287,7 @@
 func (l *leadership) tickWorkers(now time.Time) {
 	l.watchCapacities(now)
 	for _, wk := range l.workers {
+		wk.lateStarts.expire(now)
 		if wk.client == nil {
 			l.lapseIfDue(wk, now)
 			continue
@@ -288,37 +297,41 @@
 		}
 		l.lapseIfDue(wk, now)
 		l.sendDueStops(wk, now)
+		l.sendBars(wk, now)
 	}
 }
 
 // lapseIfDue ends the runs of a worker that has not answered for so long that all its
 // leases have expired.
 func (l *leadership) lapseIfDue(wk *worker, now time.Time) {
-	if len(wk.runs) == 0 || now.Before(l.lapseAt(wk)) {
+	if len(wk.runs) == 0 || now.Before(later(l.lapseAt(wk), l.lateLeaseEnd(wk))) {
 		return
 	}
-	lapsed := wk.requestedRuns()
+	if alive, evidence := wk.endedWithoutNotice(); evidence != "" {
+		l.markCrashed(wk, alive, evidence)
+	}
+	lapsed := l.lapsedRuns(wk, now)
 	if len(lapsed) == 0 {
 		return
 	}
-	_ = level.Warn(l.s.deps.Logger).Log("msg", "all leases of the worker have expired", "worker", wk.id, "boot", wk.boot, "runs", len(wk.runs),
+	_ = level.Warn(l.s.deps.Logger).Log("msg", "all leases of the worker have expired", "worker", wk.id, "boot", wk.boot, "runs", len(lapsed),
 		"epoch", l.term.Epoch, "dataCentre", wk.upstream.DataCentre, "listed", wk.listed, "termAgeMs", now.Sub(l.startedAt).Milliseconds(),
 		"clockMs", wk.clock.Milliseconds(), "clockAgeMs", now.Sub(wk.clockAt).Milliseconds(), "leaseEndMs", wk.leaseEnd.Milliseconds())
-	if alive, evidence := wk.endedWithoutNotice(); evidence != "" {
-		l.markCrashed(wk, alive, evidence)
-	}
 	for _, r := range lapsed {
 		wk.presumeLapsed(r)
 		l.endRun(r, site.LeaseExpired, "the worker did not answer before its leases expired")
 	}
 }
 
-// requestedRuns returns the runs whose start request is not under way and may have been
-// executed.
-func (wk *worker) requestedRuns() []*run {
-	return slices.DeleteFunc(wk.runList(), func(r *run) bool {
-		return r.stage == planned || r.stage == starting
-	})
+// lapsedRuns returns the runs that have ended with their leases and cannot start again.
+func (l *leadership) lapsedRuns(wk *worker, now time.Time) []*run {
+	var runs []*run
+	for _, r := range wk.runs {
+		if r.stage != planned && r.stage != starting && !l.mayStartLater(r, now) {
+			runs = append(runs, r)
+		}
+	}
+	return runs
 }
 
 // runList returns a copy of the runs, so that runs can be ended during iteration.
