A gang that waits for its team's limit holds back only what it can use

Cause: reserveLimit took the gang's full size off the limit from the moment at which it waited, whether or not it could start soon, or at all: beside tasks without an end it never fits. Class of fault: a reservation without an end.

Now the leader computes when enough of the team's runs end, reserves only what the gang needs beyond what those release, lets work pass that ends before, makes no reservation if the gang cannot start, and holds back nobody once half of the limit has been idle for 2 s.

TestLimitReservedInVain fails in all of its cases that existed then on the old limit.go and passes now; the last case, the idle limit, was added after that.

--- a/pollendockd/internal/scheduler/limit.go
+++ b/pollendockd/internal/scheduler/limit.go
@@ -1,22 +1,32 @@
 package scheduler
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"pollendock.example/cell/placement"
 	"pollendock.example/cell/resource"
+	"pollendock.example/cell/site"
 )
 
 // limitReservation is the part of a team's limit that a gang waits for.
 type limitReservation struct {
+	// size is what the gang needs of the limit beyond what runs release until its start.
 	size resource.Vector
+	// in is the expected time until the gang can start.
+	in time.Duration
 	// latestStart is the latest start of the gang.
 	latestStart time.Time
 }
 
-// lowPriorityShare is the share of a team's limit that work below the first priority
-// may use while other work is running.
-const lowPriorityShare = 0.9
+const (
+	// lowPriorityShare is the share of a team's limit that work below the first priority
+	// may use while other work is running.
+	lowPriorityShare = 0.9
+	// maxLimitIdle is how long reservations may keep half of a team's limit idle.
+	maxLimitIdle = 2 * time.Second
+)
 
 // withinLimit returns how many of n tasks the team's limit allows. Work below the first
 // priority leaves part of the limit to work of the first priority. Otherwise a lookup
@@ -27,7 +37,7 @@
 	if team == nil {
 		return n
 	}
-	use := l.teamUse[tj.sub.Team].Add(p.reservedLimitFor(ws))
+	use := l.teamUse[tj.sub.Team].Add(l.reservedLimitFor(p, ws))
 	share := 1.0
 	if tj.sub.Priority > 0 && use.MilliCPU > 0 {
 		share = lowPriorityShare
@@ -47,8 +57,8 @@
 // reserveLimit reserves capacity that becomes free within the team's limit for a gang
 // that can still meet its deadline. Otherwise small tasks of the same team, which can
 // wait longer, would take each piece as it becomes free, and the gang would never get
-// all that it needs.
-func (p *pass) reserveLimit(ws *waitingStep, size resource.Vector) {
+// all that it needs. What is free at the gang's start besides is left to others.
+func (l *leadership) reserveLimit(p *pass, ws *waitingStep, size resource.Vector) {
 	team := p.catalog.Team(ws.tj.sub.Team)
 	spec := &ws.tj.sub.Steps[ws.step]
 	if !spec.Gang || ws.sortKey.Rank != placement.InTime || team == nil {
@@ -58,17 +68,95 @@
 	if team.Limit.MilliCPU > 0 && float64(total.MilliCPU) > lowPriorityShare*float64(team.Limit.MilliCPU) {
 		return
 	}
-	p.limitReservations[team.Name] = append(p.limitReservations[team.Name], limitReservation{total, ws.sortKey.LatestStart})
+	released, in, ok := l.releaseWithin(p, team, total)
+	if !ok {
+		return
+	}
+	needed := total.Sub(released).Max(resource.Vector{})
+	p.limitReservations[team.Name] = append(p.limitReservations[team.Name], limitReservation{needed, in, ws.sortKey.LatestStart})
+}
+
+// releaseWithin returns how soon the runs of a team are expected to leave enough of its
+// limit for a gang, and what those that end until then use. It reports false if too
+// many of them have no end.
+func (l *leadership) releaseWithin(p *pass, team *site.Team, total resource.Vector) (released resource.Vector, in time.Duration, ok bool) {
+	use := l.teamUse[team.Name]
+	for _, r := range l.teamReleases(p, team.Name) {
+		if r.Delay > in && fitsLimit(use.Add(total), team.Limit) {
+			break
+		}
+		use = use.Sub(r.Size)
+		released = released.Add(r.Size)
+		in = r.Delay
+	}
+	return released, in, fitsLimit(use.Add(total), team.Limit)
+}
+
+// fitsLimit reports whether a use is within a limit. A component of 0 is no limit.
+func fitsLimit(use, limit resource.Vector) bool {
+	return (limit.MilliCPU == 0 || use.MilliCPU <= limit.MilliCPU) &&
+		(limit.MemoryMB == 0 || use.MemoryMB <= limit.MemoryMB) &&
+		(limit.Accelerators == 0 || use.Accelerators <= limit.Accelerators)
+}
+
+// teamReleases returns the runs of a team that are expected to end, the first one first.
+func (l *leadership) teamReleases(p *pass, team string) []placement.Release {
+	if p.teamReleases == nil {
+		p.teamReleases = l.releasesByTeam(p)
+	}
+	return p.teamReleases[team]
+}
+
+func (l *leadership) releasesByTeam(p *pass) map[string][]placement.Release {
+	byTeam := map[string][]placement.Release{}
+	for _, wk := range l.workers {
+		for _, r := range wk.runs {
+			step := &r.tj.sub.Steps[r.task.Step]
+			if step.Endless {
+				continue
+			}
+			team := r.tj.sub.Team
+			byTeam[team] = append(byTeam[team], placement.Release{Worker: wk.id, Delay: l.releaseIn(p, r), Size: step.Size})
+		}
+	}
+	for _, releases := range byTeam {
+		slices.SortFunc(releases, func(a, b placement.Release) int { return cmp.Compare(a.Delay, b.Delay) })
+	}
+	return byTeam
 }
 
 // reservedLimitFor returns what a step leaves to gangs of its team that must start
-// earlier.
-func (p *pass) reservedLimitFor(ws *waitingStep) resource.Vector {
+// earlier. It leaves nothing to a gang that is expected to start only after the step's
+// tasks have ended, nor if reservations have kept half of the limit idle for too long.
+func (l *leadership) reservedLimitFor(p *pass, ws *waitingStep) resource.Vector {
 	var total resource.Vector
+	if since, idle := l.limitIdleSince[ws.tj.sub.Team]; idle && p.now.Sub(since) >= maxLimitIdle {
+		return total
+	}
+	spec := &ws.tj.sub.Steps[ws.step]
+	expected := time.Duration(estimateMargin * float64(ws.tj.forecast.tasks[ws.step]))
 	for _, s := range p.limitReservations[ws.tj.sub.Team] {
-		if ws.sortKey.LatestStart.After(s.latestStart) {
+		endsBefore := !spec.Endless && expected <= s.in
+		if !endsBefore && ws.sortKey.LatestStart.After(s.latestStart) {
 			total = total.Add(s.size)
 		}
 	}
 	return total
 }
+
+// watchLimitIdle notes since when teams with reservations use less than half of their
+// limit.
+func (l *leadership) watchLimitIdle(p *pass) {
+	idle := map[string]time.Time{}
+	for name := range p.limitReservations {
+		use := l.teamUse[name]
+		if !fitsLimit(use.Add(use), p.catalog.Team(name).Limit) {
+			continue
+		}
+		idle[name] = p.now
+		if since, before := l.limitIdleSince[name]; before {
+			idle[name] = since
+		}
+	}
+	l.limitIdleSince = idle
+}
--- a/pollendockd/internal/scheduler/limit_test.go
+++ b/pollendockd/internal/scheduler/limit_test.go
@@ -74,3 +74,46 @@
 		expectPhase(c, a, "gang", 0, job.Completed)
 	})
 }
+
+// TestLimitReservedInVain guards against a job that waits for a gang of its team although
+// the team uses little of its limit and the job takes nothing that the gang can use.
+func TestLimitReservedInVain(t *testing.T) {
+	const longTime = 10 * workTime
+	estimated := func(s job.Step, d time.Duration) job.Step {
+		s.Estimate = d
+		return s
+	}
+	endless := tasks(3, 4)
+	endless.Endless = true
+	for _, c := range []struct {
+		name    string
+		running job.Step
+		waiting job.Step
+		small   job.Step
+		within  time.Duration
+	}{
+		{"the gang cannot start beside tasks without an end", endless, gang(8, 4), estimated(tasks(2, 1), longTime), time.Second},
+		{"there is capacity for both once the gang can start", estimated(gang(6, 3), longTime), gang(6, 4), estimated(tasks(2, 3), 2*longTime), time.Second},
+		{"the job ends before the gang can start", estimated(gang(6, 3), longTime), gang(9, 4), tasks(2, 3), time.Second},
+		{"the team uses less than half of its limit", estimated(gang(5, 3), longTime), gang(9, 4), estimated(tasks(2, 3), 2*longTime), 3 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inCell(t, 8, func(cl *cell) {
+				cl.limitTeam(40_000, 20)
+				cl.outcome = func(t site.TaskID, _ int64, _ string) (time.Duration, site.EndKind) {
+					return cl.subs[t.Job].Steps[t.Step].Estimate, site.Done
+				}
+				cl.start("a")
+				time.Sleep(time.Second)
+				cl.submit("running", c.running)
+				time.Sleep(time.Second)
+				cl.submit("gang", c.waiting)
+				time.Sleep(200 * time.Millisecond)
+				cl.submit("small", c.small)
+				time.Sleep(c.within)
+				expectStarts(cl, "gang", 0, 0)
+				expectStarts(cl, "small", 0, 1)
+			})
+		})
+	}
+}
--- a/pollendockd/internal/scheduler/pass.go
+++ b/pollendockd/internal/scheduler/pass.go
@@ -39,7 +39,9 @@
 		gangEnds map[gangKey]time.Duration
 		// limitReservations is what gangs wait for within their team's limit, by team.
 		limitReservations map[string][]limitReservation
-		isolation         isolation
+		// teamReleases holds the runs that are expected to end, by team; nil until needed.
+		teamReleases map[string][]placement.Release
+		isolation    isolation
 	}
 
 	// gangKey identifies the gang of a step.
@@ -155,6 +157,7 @@
 	l.placeOverdue(p, steps[onTime:])
 	l.checkStarvation(p, steps)
 	l.heldCapacity = p.heldCapacity
+	l.watchLimitIdle(p)
 	l.updateLoad(p, steps[:onTime])
 	// dispatch counts the claims in worker.claimedCPU instead.
 	clear(p.claimedCPU)
@@ -266,7 +269,7 @@
 	}
 	if req.Count == 0 || spec.Gang && req.Count < len(ws.tasks) {
 		l.limitedSteps++
-		p.reserveLimit(ws, req.Size)
+		l.reserveLimit(p, ws, req.Size)
 		return teamLimit
 	}
 	wanted := req.Count
