A suspect that survived its start is cleared at once

Cause: the proof, an answer of the worker 0.3 s after the start, came only with the end of the hold under way, which waits 0.6 s.

The leader now requests the worker's lists once the time of probation is over, and lets a pass use the worker when the answer clears the suspect.

--- a/pollendockd/internal/scheduler/crash_test.go
+++ b/pollendockd/internal/scheduler/crash_test.go
@@ -328,3 +328,38 @@
 		expectPhase(c, v, "other", workTime+4*time.Second, job.Completed)
 	})
 }
+
+// TestSuspectIsClearedAtOnce guards against a worker that stays closed to others long after
+// the suspect there has survived its start.
+func TestSuspectIsClearedAtOnce(t *testing.T) {
+	inCell(t, 1, func(c *cell) {
+		c.outcome = func(t site.TaskID, run int64, _ string) (time.Duration, site.EndKind) {
+			if t.Job == "suspect" && run == 1 {
+				return atStart, site.Crashed
+			}
+			return workTime, site.Done
+		}
+		c.start("a")
+		time.Sleep(time.Second)
+		c.submit("suspect", tasks(1, 2))
+		awaitStarts(c, "suspect", 2)
+		began := time.Now()
+		c.submit("other", tasks(1, 2))
+		awaitStarts(c, "other", 1)
+		if took := time.Since(began); took > probation+150*time.Millisecond {
+			t.Errorf("the worker was closed for %v after the suspect's start", took)
+		}
+	})
+}
+
+// awaitStarts waits until the first task of a job has been started n times.
+func awaitStarts(c *cell, id string, n int) {
+	c.t.Helper()
+	deadline := time.Now().Add(20 * time.Second)
+	for c.fleet.Starts(site.TaskID{Job: id}) < n {
+		if time.Now().After(deadline) {
+			c.t.Fatalf("job %s is not started %d times", id, n)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
--- a/pollendockd/internal/scheduler/isolation.go
+++ b/pollendockd/internal/scheduler/isolation.go
@@ -62,6 +62,27 @@
 	return r.survivedStart() && (r.tj.crashesOf(r.task).Count <= 1 || r.tj.sub.Steps[r.task.Step].Endless)
 }
 
+// endProbation requests the lists of the workers whose suspects may have survived their
+// start by now, and lets a pass use the workers of those that have. Without it a worker
+// stays empty until its hold ends, twice as long as probation.
+func (l *leadership) endProbation(now time.Time) {
+	due := map[*worker]bool{}
+	for r := range l.isolatedRuns {
+		switch {
+		case r.released || r.stage != running || r.wk.holdFails > 0:
+		case r.cleared():
+			r.released = true
+			l.placeNeeded = true
+		case !r.survivedStart() && now.Sub(later(r.confirmedAt, r.probedAt)) >= probation:
+			r.probedAt = now
+			due[r.wk] = true
+		}
+	}
+	for wk := range due {
+		l.requestLists(wk, now)
+	}
+}
+
 // newIsolation returns the state at the beginning of a pass.
 func (l *leadership) newIsolation() isolation {
 	iso := isolation{holders: map[*worker]*trackedJob{}, vacated: map[*worker]*trackedJob{}, emptyIn: map[*worker]time.Duration{}, limits: map[string]int{}}
--- a/pollendockd/internal/scheduler/leadership.go
+++ b/pollendockd/internal/scheduler/leadership.go
@@ -216,6 +216,7 @@
 	l.maybeHandOver(now)
 	l.s.pollUpstreams(now)
 	l.tickWorkers(now)
+	l.endProbation(now)
 	l.placeNeeded = true
 	if now.Sub(l.reportedAt) >= reportInterval {
 		l.reportedAt = now
--- a/pollendockd/internal/scheduler/tracked_job.go
+++ b/pollendockd/internal/scheduler/tracked_job.go
@@ -89,6 +89,10 @@
 		// isolated is set for a suspect: until it is cleared no other job starts on its
 		// worker.
 		isolated bool
+		// probedAt is when the worker's lists were last requested in order to clear the
+		// run, released whether a pass knows that it is cleared.
+		probedAt time.Time
+		released bool
 		// crashed is set if that incarnation has crashed while the run may have been at
 		// work.
 		crashed bool
