--- a/pollendockd/internal/scheduler/isolation.go
+++ b/pollendockd/internal/scheduler/isolation.go
@@ -98,14 +98,14 @@
 	return iso
 }
 
-// noteCrowding adds what a step waits for that can complete in time, if suspects may have
-// it. The suspects themselves do not count.
+// noteCrowding adds what a step waits for, if suspects may have it. The suspects
+// themselves do not count.
 func (l *leadership) noteCrowding(p *pass, ws *waitingStep) {
-	if ws.isolated || ws.sortKey.Rank != placement.InTime {
+	if ws.isolated {
 		return
 	}
 	switch ws.why {
-	case noCapacity, behindOthers, reserved, unreserved:
+	case noCapacity, behindOthers, reserved, unreserved, laterPass:
 		service, _ := l.serviceOf(p, ws.tj)
 		waiting := int64(ws.tj.countWaiting(ws.step, ws.isolated))
 		l.crowdingCPU[service] += waiting * ws.tj.sub.Steps[ws.step].Size.MilliCPU
--- a/pollendockd/internal/scheduler/isolation_test.go
+++ b/pollendockd/internal/scheduler/isolation_test.go
@@ -43,7 +43,8 @@
 		{"waits for a reservation", waitingStep{why: unreserved}, 6000},
 		{"a suspect", waitingStep{why: noCapacity, isolated: true}, 0},
 		{"waits for the advisor", waitingStep{why: asking}, 0},
-		{"past its deadline", waitingStep{why: noCapacity, sortKey: placement.SortKey{Rank: placement.Late}}, 0},
+		{"past its deadline", waitingStep{why: noCapacity, sortKey: placement.SortKey{Rank: placement.Late}}, 6000},
+		{"long past its deadline", waitingStep{why: laterPass, sortKey: placement.SortKey{Rank: placement.Overdue}}, 6000},
 	} {
 		sub := &job.Submission{Service: "s", Queue: "q", Steps: []job.Step{tasks(2, 3)}}
 		c.ws.tj = newTrackedJob("j", sub, &job.Job{State: job.NewState(sub)})
--- a/pollendockd/internal/scheduler/pass.go
+++ b/pollendockd/internal/scheduler/pass.go
@@ -240,6 +240,9 @@
 		ws := rest[l.overdueCursor%len(rest)]
 		ws.why = l.placeStep(p, ws)
 	}
+	for _, ws := range steps {
+		l.noteCrowding(p, ws)
+	}
 }
 
 // placeStep starts as many tasks of a step as it can, and returns why the rest waits.
