Overdue gangs reserve capacity in turn

Cause: only gangs in time reserved capacity. Class of fault: work that needs several things at once, served one by one, starves.

Late gangs now reserve what those in time leave. Overdue ones do so in turn, as many at a time as a pass reserves for, each for 6 s; those without a turn ask the advisor only as the next ones. So the capacity that is free gets used: a gang in its turn collects it.

--- a/pollendockd/internal/scheduler/leadership.go
+++ b/pollendockd/internal/scheduler/leadership.go
@@ -59,6 +59,8 @@
 		// waiting counts the steps of the last pass by rank.
 		waiting map[placement.Rank]int
 		// overdueCursor rotates through the overdue steps.
+		// overdueTurns counts the overdue gangs that may have capacity reserved.
+		overdueTurns  int
 		overdueCursor int
 		// limitedSteps counts the steps held back by their team's limit. waitReasons
 		// counts why steps wait that can still meet their deadline.
--- a/pollendockd/internal/scheduler/pass.go
+++ b/pollendockd/internal/scheduler/pass.go
@@ -223,17 +223,26 @@
 }
 
 // placeOverdue considers all overdue steps that have tickets, which would expire before
-// their next turn, and suspects, which have workers kept free. Of the others it considers a few, and continues with the next ones
-// in the next pass, since the first ones may be unplaceable.
+// their next turn, suspects, which have workers kept free, and first of all gangs whose
+// turn it is to have capacity reserved. Of the others it considers a few, and continues
+// with the next ones in the next pass, since the first ones may be unplaceable.
 func (l *leadership) placeOverdue(p *pass, steps []*waitingStep) {
-	var rest []*waitingStep
+	l.overdueTurns = 0
+	var turns, ready, rest []*waitingStep
 	for _, ws := range steps {
-		if a := ws.tj.advice[ws.step]; ws.isolated || a != nil && a.anyValidTicket(p.now) {
-			ws.why = l.placeStep(p, ws)
-			continue
+		switch {
+		case ws.hasTurn(p.now):
+			l.overdueTurns++
+			turns = append(turns, ws)
+		case ws.isolated || ws.hasTicket(p.now):
+			ready = append(ready, ws)
+		default:
+			ws.why = laterPass
+			rest = append(rest, ws)
 		}
-		ws.why = laterPass
-		rest = append(rest, ws)
+	}
+	for _, ws := range append(turns, ready...) {
+		ws.why = l.placeStep(p, ws)
 	}
 	for range min(overduePerPass, len(rest)) {
 		l.overdueCursor++
@@ -245,6 +254,12 @@
 	}
 }
 
+// hasTicket reports whether the step may start on a worker now.
+func (ws *waitingStep) hasTicket(now time.Time) bool {
+	a := ws.tj.advice[ws.step]
+	return a != nil && a.anyValidTicket(now)
+}
+
 // placeStep starts as many tasks of a step as it can, and returns why the rest waits.
 func (l *leadership) placeStep(p *pass, ws *waitingStep) waitReason {
 	tj := ws.tj
@@ -302,7 +317,7 @@
 		}
 		return notWaiting
 	}
-	if p.spansWorkers(service, req) && ws.sortKey.Rank == placement.InTime {
+	if p.spansWorkers(service, req) && (!ws.isolated || ws.sortKey.Rank == placement.InTime) {
 		return l.reserve(p, ws, req, service, advice)
 	}
 	if answers == nil {
--- a/pollendockd/internal/scheduler/reserve.go
+++ b/pollendockd/internal/scheduler/reserve.go
@@ -19,7 +19,15 @@
 	askMore bool
 }
 
+// overdueTurn is the time in which capacity may be reserved for an overdue gang.
+type overdueTurn struct {
+	step  int
+	until time.Time
+}
+
 const (
+	// overdueTurnTime is how long the turn of an overdue gang lasts.
+	overdueTurnTime = 6 * time.Second
 	// maxReservationAge is how long a reservation is kept. Recomputing reservations
 	// takes most of a pass in a full cell.
 	maxReservationAge = 80 * time.Millisecond
@@ -83,7 +91,7 @@
 // tickets in time for its start.
 func (l *leadership) reserve(p *pass, ws *waitingStep, req placement.Request, service string, a *site.Advice) waitReason {
 	limit := max(minHeldGangs, len(p.usable[service])/workersPerHeldGang)
-	if p.gangs >= limit {
+	if p.gangs >= limit || ws.sortKey.Rank == placement.Overdue && !l.takeTurn(p, ws, limit) {
 		l.askAhead(p, ws, req, service, a, limit)
 		return unreserved
 	}
@@ -107,6 +115,28 @@
 	return reserved
 }
 
+// hasTurn reports whether it is the turn of an overdue gang to have capacity reserved.
+func (ws *waitingStep) hasTurn(now time.Time) bool {
+	t := ws.tj.turn
+	return !ws.isolated && t.step == ws.step && now.Before(t.until)
+}
+
+// takeTurn gives an overdue gang a turn to have capacity reserved, if it is not its turn
+// already and less than limit gangs have theirs. Without reservations such gangs wait for
+// ever while smaller work takes each piece of capacity; with one for each of them, none
+// would start.
+func (l *leadership) takeTurn(p *pass, ws *waitingStep, limit int) bool {
+	if ws.hasTurn(p.now) {
+		return true
+	}
+	if l.overdueTurns >= limit {
+		return false
+	}
+	l.overdueTurns++
+	ws.tj.turn = overdueTurn{step: ws.step, until: p.now.Add(overdueTurnTime)}
+	return true
+}
+
 // askAhead queries for the next gangs in the order, up to a limit, so that they know
 // where they may run when gangs before them start. Without that the capacity that becomes
 // free meanwhile, while the answer takes a second or more, goes to other work.
--- a/pollendockd/internal/scheduler/reserve_test.go
+++ b/pollendockd/internal/scheduler/reserve_test.go
@@ -1,9 +1,11 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
+	"pollendock.example/cell/job"
 	"pollendock.example/cell/site"
 )
 
@@ -71,3 +73,25 @@
 type inspect func(s *Scheduler)
 
 func (f inspect) handle(s *Scheduler) { f(s) }
+
+// TestOverdueGangGetsItsTurn guards against a gang past its deadline that never starts,
+// since smaller work past its deadline takes each piece of capacity that becomes free.
+func TestOverdueGangGetsItsTurn(t *testing.T) {
+	inCell(t, 4, func(c *cell) {
+		c.outcome = func(t site.TaskID, _ int64, _ string) (time.Duration, site.EndKind) {
+			spread := time.Duration(t.Index+2*int(t.Job[len(t.Job)-1])) % 7
+			return workTime * (7 + spread) / 10, site.Done
+		}
+		v := c.start("a")
+		time.Sleep(time.Second)
+		long := time.Now().Add(-5 * time.Minute)
+		for n := range 300 {
+			c.submitAt(long, fmt.Sprintf("small%d", n), tasks(2, 2))
+		}
+		for n := range 10 {
+			c.submitAt(long, fmt.Sprintf("gang%d", n), gang(4, 8))
+		}
+		expectPhase(c, v, "gang0", 10*workTime, job.Completed)
+		expectPhase(c, v, "gang9", 20*workTime, job.Completed)
+	})
+}
--- a/pollendockd/internal/scheduler/tracked_job.go
+++ b/pollendockd/internal/scheduler/tracked_job.go
@@ -39,6 +39,7 @@
 		overRate bool
 		// reservation is the last reservation for a gang of the job.
 		reservation *reservation
+		turn        overdueTurn
 		// advice holds the advisor's answers for each step.
 		advice []*stepAdvice
 		// checkpoints holds the newest checkpoint of each task. A gang uses that of its
