A new leader sends holds to silent workers a few at a time

Cause, one of two: a new leader sends a hold to each worker at once, more than its VM can process within the 400 ms after which a hold times out, and sends each again at once. Class of fault: retries that use up what the first tries need.

Holds to workers that have not answered this leader, or not the last time, now have 128 places, workers with runs first, since their leases expire; an answer or a timeout makes room for the next one. Workers that answer get theirs as before.

--- a/pollendockd/internal/scheduler/harness_test.go
+++ b/pollendockd/internal/scheduler/harness_test.go
@@ -39,6 +39,9 @@
 		// entries holds the entries of the workers, as the platform encodes them. If it is
 		// nil, the VMs get the list from the fleet.
 		entries *fleet.Store
+		// linkTo returns the client for a worker as seen through the VM's link; nil for one
+		// that takes no time.
+		linkTo func(w Worker) Worker
 		// dialedOthers counts the ids that were dialled but are not those of workers.
 		dialedOthers atomic.Int64
 		vms          map[string]*vm
@@ -214,6 +217,9 @@
 // dial returns the worker with that id, or one that does not answer.
 func (c *cell) dial(id string, _ netip.AddrPort) Worker {
 	if w := c.fleet.Worker(id); w != nil {
+		if c.linkTo != nil {
+			return c.linkTo(w)
+		}
 		return w
 	}
 	c.dialedOthers.Add(1)
--- a/pollendockd/internal/scheduler/hold.go
+++ b/pollendockd/internal/scheduler/hold.go
@@ -90,6 +90,7 @@
 	now := time.Now()
 	if e.regular {
 		wk.holdBusy = false
+		l.endPacedHold(wk, now)
 	}
 	if e.err != nil {
 		l.holdFailed(wk, e.sentAt, e.err)
--- a/pollendockd/internal/scheduler/leadership.go
+++ b/pollendockd/internal/scheduler/leadership.go
@@ -27,6 +27,8 @@
 		// teamUse is the capacity used by the runs of each team, including runs that
 		// are being stopped.
 		teamUse map[string]resource.Vector
+		// pacedHolds are the holds to workers that may not answer.
+		pacedHolds pacedHolds
 		// limitIdleSince is since when reservations keep half of a team's limit idle.
 		limitIdleSince map[string]time.Time
 
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -74,7 +74,11 @@
 		// held is set if the worker got no starts for that reason at the last tick.
 		held bool
 
-		holdBusy    bool
+		holdBusy bool
+		// holdQueued is set while a hold waits for its turn, holdPaced while one that has
+		// had its turn is under way.
+		holdQueued  bool
+		holdPaced   bool
 		holdAt      time.Time
 		holdFails   int
 		unreachable bool
@@ -297,12 +301,13 @@
 			l.lapseIfDue(wk, now)
 			continue
 		}
-		if !wk.holdBusy && !now.Before(wk.holdAt) && (wk.listed || len(wk.runs) > 0) {
-			l.hold(wk, now)
+		if wk.holdDue(now) {
+			l.holdOrQueue(wk, now)
 		}
 		l.lapseIfDue(wk, now)
 		l.sendDueStops(wk, now)
 	}
+	l.sendQueuedHolds(now)
 }
 
 // lapseIfDue ends the runs of a worker that has not answered for so long that all its
