A scheduling pass is limited in time

Cause, the other of two: a pass looks at all workers for each step, and the choice of workers for queries does so again for each free route. By the leader's log it took 259 ms for the first 43 jobs, 1,617 ms for 457. Class of fault: work of unbounded length on the loop that keeps a lease alive.

A pass now places steps for at most 60 ms, and chooses workers for queries for 60 ms at most: half of the time goes to the head of the order, the rest continues where the last pass ended, so that each step has its turn.

--- a/pollendockd/internal/scheduler/advice.go
+++ b/pollendockd/internal/scheduler/advice.go
@@ -226,7 +226,7 @@
 			list[i].SortKey.Rank = placement.InTime
 		}
 	}
-	for {
+	for began := time.Now(); time.Since(began) < maxPassTime; {
 		i, through, ok := d.dispatcher.Next(now, list)
 		if !ok {
 			return
--- a/pollendockd/internal/scheduler/leadership.go
+++ b/pollendockd/internal/scheduler/leadership.go
@@ -61,6 +61,8 @@
 		// waiting counts the steps of the last pass by rank.
 		waiting map[placement.Rank]int
 		// overdueCursor rotates through the overdue steps.
+		// passCursor is the place in the order at which the last pass ended.
+		passCursor int
 		// overdueTurns counts the overdue gangs that may have capacity reserved.
 		overdueTurns  int
 		overdueCursor int
--- a/pollendockd/internal/scheduler/pass.go
+++ b/pollendockd/internal/scheduler/pass.go
@@ -14,9 +14,11 @@
 type (
 	// pass is the state of one scheduling pass over the waiting steps.
 	pass struct {
-		now     time.Time
-		catalog *site.Catalog
-		speeds  *speedTable
+		now time.Time
+		// startedAt is when it began to place tasks.
+		startedAt time.Time
+		catalog   *site.Catalog
+		speeds    *speedTable
 		// workersKnown is set once the leader has heard from most workers.
 		workersKnown bool
 		// usable holds the workers that accept new runs, by service.
@@ -106,6 +108,9 @@
 	// does not keep the leader from its leases and appends.
 	minPassInterval = 4 * time.Millisecond
 	passCostFactor  = 4
+	// maxPassTime limits a pass, and again the choice of workers for queries at its end.
+	// Meanwhile the leader appends nothing, and after leaderTimeout others campaign.
+	maxPassTime = 60 * time.Millisecond
 	// overduePerPass limits the overdue steps, whose callers have given up, that a pass
 	// considers. There may be a thousand after a burst.
 	overduePerPass = 16
@@ -145,15 +150,8 @@
 	onTime := len(steps) - l.waiting[placement.Overdue]
 	l.waitReasons = map[waitReason]int{}
 	l.crowdingCPU = map[string]int64{}
-	for _, ws := range steps[:onTime] {
-		why := l.placeStep(p, ws)
-		if ws.sortKey.Rank == placement.InTime {
-			l.waitReasons[why]++
-		}
-		l.recordWait(ws, why)
-		ws.why = why
-		l.noteCrowding(p, ws)
-	}
+	p.startedAt = time.Now()
+	l.placeInOrder(p, steps[:onTime])
 	l.placeOverdue(p, steps[onTime:])
 	l.checkStarvation(p, steps)
 	l.heldCapacity = p.heldCapacity
@@ -165,6 +163,46 @@
 	l.passTime = time.Since(now)
 }
 
+// placeInOrder places the steps that are not overdue, in scheduling order. A pass that
+// takes too long to reach all of them spends half of its time on the first ones, and
+// continues where the last pass ended.
+func (l *leadership) placeInOrder(p *pass, steps []*waitingStep) {
+	next := 0
+	for ; next < len(steps) && !p.spent(maxPassTime/2); next++ {
+		l.placeNext(p, steps[next])
+	}
+	resumed := next
+	if l.passCursor < len(steps) {
+		resumed = max(next, l.passCursor)
+	}
+	last := resumed
+	for ; last < len(steps) && !p.spent(maxPassTime); last++ {
+		l.placeNext(p, steps[last])
+	}
+	l.passCursor = last
+	for i := next; i < len(steps); i++ {
+		if i < resumed || i >= last {
+			steps[i].why = laterPass
+		}
+	}
+}
+
+// placeNext places a step that is not overdue, and notes why the rest of it waits.
+func (l *leadership) placeNext(p *pass, ws *waitingStep) {
+	why := l.placeStep(p, ws)
+	if ws.sortKey.Rank == placement.InTime {
+		l.waitReasons[why]++
+	}
+	l.recordWait(ws, why)
+	ws.why = why
+	l.noteCrowding(p, ws)
+}
+
+// spent reports whether the pass has taken longer than a part of the time that it may take.
+func (p *pass) spent(limit time.Duration) bool {
+	return time.Since(p.startedAt) >= limit
+}
+
 // newPass returns the state of a pass that has looked at no step yet.
 func (l *leadership) newPass(now time.Time, catalog *site.Catalog) *pass {
 	return &pass{
@@ -242,9 +280,16 @@
 		}
 	}
 	for _, ws := range append(turns, ready...) {
+		if p.spent(maxPassTime) {
+			ws.why = laterPass
+			continue
+		}
 		ws.why = l.placeStep(p, ws)
 	}
 	for range min(overduePerPass, len(rest)) {
+		if p.spent(maxPassTime) {
+			break
+		}
 		l.overdueCursor++
 		ws := rest[l.overdueCursor%len(rest)]
 		ws.why = l.placeStep(p, ws)
--- a/pollendockd/internal/scheduler/pass_bench_test.go
+++ b/pollendockd/internal/scheduler/pass_bench_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-kit/log"
 
+	"pollendock.example/cell/advice"
 	"pollendock.example/cell/job"
 	"pollendock.example/cell/placement"
 	"pollendock.example/cell/resource"
@@ -51,8 +52,48 @@
 	}
 }
 
+// TestPassLeavesTimeForAppends guards against a pass over a large cell that takes so long
+// that other VMs campaign for leadership.
+func TestPassLeavesTimeForAppends(t *testing.T) {
+	l := fullCell(t, 3000, 3000)
+	var vms []advice.VM
+	for i := range 300 {
+		vms = append(vms, advice.VM{Name: fmt.Sprintf("vm%d", i), Incarnation: "1"})
+	}
+	l.advice.dispatcher.Routes().Set(vms)
+	l.advice.routesUpdatedAt = time.Now().Add(time.Hour)
+	began := time.Now()
+	l.placeAll(began)
+	if took := time.Since(began); took >= leaderTimeout {
+		t.Errorf("a pass takes %v, and others campaign after %v", took, leaderTimeout)
+	}
+}
+
+// TestEachStepHasItsTurn guards against steps that no pass reaches, since those before them
+// take all of its time.
+func TestEachStepHasItsTurn(t *testing.T) {
+	l := fullCell(t, 3000, 800)
+	const notLookedAt = waitReason(-1)
+	for _, tj := range l.jobs {
+		tj.lastReason = notLookedAt
+	}
+	missing := len(l.jobs)
+	for passes := 0; passes < 100 && missing > 0; passes++ {
+		l.placeAll(time.Now())
+		missing = 0
+		for _, tj := range l.jobs {
+			if tj.lastReason == notLookedAt {
+				missing++
+			}
+		}
+	}
+	if missing > 0 {
+		t.Errorf("no pass has reached %d of %d jobs", missing, len(l.jobs))
+	}
+}
+
 // fullCell returns a leadership with busy workers and waiting jobs of three queues.
-func fullCell(b *testing.B, workers, waiting int) *leadership {
+func fullCell(b testing.TB, workers, waiting int) *leadership {
 	rnd := rand.New(rand.NewPCG(1, 2))
 	advice := func(base, each time.Duration) *site.Advice {
 		return &site.Advice{Base: base, PerUpstream: each, TicketLifetime: 2 * time.Second}
