--- a/pollendockd/internal/scheduler/hold.go
+++ b/pollendockd/internal/scheduler/hold.go
@@ -93,6 +93,7 @@
 	now := time.Now()
 	if e.regular {
 		wk.holdBusy = false
+		l.endPacedHold(wk, now)
 	}
 	if e.err != nil {
 		l.noteUnansweredHold(&e, now)
--- a/pollendockd/internal/scheduler/leadership.go
+++ b/pollendockd/internal/scheduler/leadership.go
@@ -27,6 +27,10 @@
 		// teamUse is the capacity used by the runs of each team, including runs that
 		// are being stopped.
 		teamUse map[string]resource.Vector
+		// pacedHolds are the holds to workers that may not answer.
+		pacedHolds pacedHolds
+		// limitIdleSince is since when reservations keep half of a team's limit idle.
+		limitIdleSince map[string]time.Time
 
 		// doubtfulCrashes holds the crashes of each worker, by its id, that may have been
 		// none.
@@ -47,6 +51,8 @@
 		flush    flushState
 		advice   adviceQueue
 		placedAt time.Time
+		// since is how long ago a time is: time.Since outside of tests.
+		since func(time.Time) time.Duration
 		// passTime is how long the last pass took.
 		passTime    time.Duration
 		placeNeeded bool
@@ -59,6 +65,10 @@
 		heldCapacity map[*worker]heldCapacity
 		// waiting counts the steps of the last pass by rank.
 		waiting map[placement.Rank]int
+		// passCursor is the place in the order at which the last pass ended.
+		passCursor int
+		// overdueTurns counts the overdue gangs that may have capacity reserved.
+		overdueTurns int
 		// overdueCursor rotates through the overdue steps.
 		overdueCursor int
 		// limitedSteps counts the steps held back by their team's limit. waitReasons
@@ -114,6 +124,7 @@
 		isolatedRuns:    map[*run]bool{},
 		doubtfulCrashes: map[string][]doubtfulCrash{},
 		placeNeeded:     true,
+		since:           time.Since,
 	}
 	l.flush.init(asOf)
 	l.advice.init()
@@ -223,6 +234,7 @@
 	l.maybeHandOver(now)
 	l.s.pollUpstreams(now)
 	l.tickWorkers(now)
+	l.endProbation(now)
 	l.placeNeeded = true
 	if now.Sub(l.reportedAt) >= reportInterval {
 		l.reportedAt = now
--- a/pollendockd/internal/scheduler/pass.go
+++ b/pollendockd/internal/scheduler/pass.go
@@ -14,7 +14,11 @@
 type (
 	// pass is the state of one scheduling pass over the waiting steps.
 	pass struct {
-		now     time.Time
+		now time.Time
+		// startedAt is when it began to place tasks.
+		startedAt time.Time
+		// since is how long ago a time is: time.Since outside of tests.
+		since   func(time.Time) time.Duration
 		catalog *site.Catalog
 		speeds  *speedTable
 		// workersKnown is set once the leader has heard from most workers.
@@ -39,7 +43,9 @@
 		gangEnds map[gangKey]time.Duration
 		// limitReservations is what gangs wait for within their team's limit, by team.
 		limitReservations map[string][]limitReservation
-		isolation         isolation
+		// teamReleases holds the runs that are expected to end, by team; nil until needed.
+		teamReleases map[string][]placement.Release
+		isolation    isolation
 	}
 
 	// gangKey identifies the gang of a step.
@@ -104,6 +110,9 @@
 	// does not keep the leader from its leases and appends.
 	minPassInterval = 4 * time.Millisecond
 	passCostFactor  = 4
+	// maxPassTime limits a pass, and again the choice of workers for queries at its end.
+	// Meanwhile the leader appends nothing, and after leaderTimeout others campaign.
+	maxPassTime = 60 * time.Millisecond
 	// overduePerPass limits the overdue steps, whose callers have given up, that a pass
 	// considers. There may be a thousand after a burst.
 	overduePerPass = 16
@@ -143,18 +152,12 @@
 	onTime := len(steps) - l.waiting[placement.Overdue]
 	l.waitReasons = map[waitReason]int{}
 	l.crowdingCPU = map[string]int64{}
-	for _, ws := range steps[:onTime] {
-		why := l.placeStep(p, ws)
-		if ws.sortKey.Rank == placement.InTime {
-			l.waitReasons[why]++
-		}
-		l.recordWait(ws, why)
-		ws.why = why
-		l.noteCrowding(p, ws)
-	}
+	p.startedAt = time.Now()
+	l.placeInOrder(p, steps[:onTime])
 	l.placeOverdue(p, steps[onTime:])
 	l.checkStarvation(p, steps)
 	l.heldCapacity = p.heldCapacity
+	l.watchLimitIdle(p)
 	l.updateLoad(p, steps[:onTime])
 	// dispatch counts the claims in worker.claimedCPU instead.
 	clear(p.claimedCPU)
@@ -162,9 +165,50 @@
 	l.passTime = time.Since(now)
 }
 
+// placeInOrder places the steps that are not overdue, in scheduling order. A pass that
+// takes too long to reach all of them spends half of its time on the first ones, and
+// continues where the last pass ended.
+func (l *leadership) placeInOrder(p *pass, steps []*waitingStep) {
+	next := 0
+	for ; next < len(steps) && !p.spent(maxPassTime/2); next++ {
+		l.placeNext(p, steps[next])
+	}
+	resumed := next
+	if l.passCursor < len(steps) {
+		resumed = max(next, l.passCursor)
+	}
+	last := resumed
+	for ; last < len(steps) && !p.spent(maxPassTime); last++ {
+		l.placeNext(p, steps[last])
+	}
+	l.passCursor = last
+	for i := next; i < len(steps); i++ {
+		if i < resumed || i >= last {
+			steps[i].why = laterPass
+		}
+	}
+}
+
+// placeNext places a step that is not overdue, and notes why the rest of it waits.
+func (l *leadership) placeNext(p *pass, ws *waitingStep) {
+	why := l.placeStep(p, ws)
+	if ws.sortKey.Rank == placement.InTime {
+		l.waitReasons[why]++
+	}
+	l.recordWait(ws, why)
+	ws.why = why
+	l.noteCrowding(p, ws)
+}
+
+// spent reports whether the pass has taken longer than a part of the time that it may take.
+func (p *pass) spent(limit time.Duration) bool {
+	return p.since(p.startedAt) >= limit
+}
+
 // newPass returns the state of a pass that has looked at no step yet.
 func (l *leadership) newPass(now time.Time, catalog *site.Catalog) *pass {
 	return &pass{
+		since:             l.since,
 		now:               now,
 		catalog:           catalog,
 		speeds:            l.s.speeds,
@@ -220,23 +264,48 @@
 }
 
 // placeOverdue considers all overdue steps that have tickets, which would expire before
-// their next turn, and suspects, which have workers kept free. Of the others it considers a few, and continues with the next ones
-// in the next pass, since the first ones may be unplaceable.
+// their next turn, suspects, which have workers kept free, and first of all gangs whose
+// turn it is to have capacity reserved. Of the others it considers a few, and continues
+// with the next ones in the next pass, since the first ones may be unplaceable.
 func (l *leadership) placeOverdue(p *pass, steps []*waitingStep) {
-	var rest []*waitingStep
+	l.overdueTurns = 0
+	var turns, ready, rest []*waitingStep
 	for _, ws := range steps {
-		if a := ws.tj.advice[ws.step]; ws.isolated || a != nil && a.anyValidTicket(p.now) {
-			ws.why = l.placeStep(p, ws)
+		switch {
+		case ws.hasTurn(p.now):
+			l.overdueTurns++
+			turns = append(turns, ws)
+		case ws.isolated || ws.hasTicket(p.now):
+			ready = append(ready, ws)
+		default:
+			ws.why = laterPass
+			rest = append(rest, ws)
+		}
+	}
+	for _, ws := range append(turns, ready...) {
+		if p.spent(maxPassTime) {
+			ws.why = laterPass
 			continue
 		}
-		ws.why = laterPass
-		rest = append(rest, ws)
+		ws.why = l.placeStep(p, ws)
 	}
 	for range min(overduePerPass, len(rest)) {
+		if p.spent(maxPassTime) {
+			break
+		}
 		l.overdueCursor++
 		ws := rest[l.overdueCursor%len(rest)]
 		ws.why = l.placeStep(p, ws)
 	}
+	for _, ws := range steps {
+		l.noteCrowding(p, ws)
+	}
+}
+
+// hasTicket reports whether the step may start on a worker now.
+func (ws *waitingStep) hasTicket(now time.Time) bool {
+	a := ws.tj.advice[ws.step]
+	return a != nil && a.anyValidTicket(now)
 }
 
 // placeStep starts as many tasks of a step as it can, and returns why the rest waits.
@@ -266,7 +335,7 @@
 	}
 	if req.Count == 0 || spec.Gang && req.Count < len(ws.tasks) {
 		l.limitedSteps++
-		p.reserveLimit(ws, req.Size)
+		l.reserveLimit(p, ws, req.Size)
 		return teamLimit
 	}
 	wanted := req.Count
@@ -296,7 +365,7 @@
 		}
 		return notWaiting
 	}
-	if p.spansWorkers(service, req) && ws.sortKey.Rank == placement.InTime {
+	if p.spansWorkers(service, req) && (!ws.isolated || ws.sortKey.Rank == placement.InTime) {
 		return l.reserve(p, ws, req, service, advice)
 	}
 	if answers == nil {
--- a/pollendockd/internal/scheduler/pass_bench_test.go
+++ b/pollendockd/internal/scheduler/pass_bench_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-kit/log"
 
+	"pollendock.example/cell/advice"
 	"pollendock.example/cell/job"
 	"pollendock.example/cell/placement"
 	"pollendock.example/cell/resource"
@@ -51,8 +52,73 @@
 	}
 }
 
+// TestPassLeavesTimeForAppends guards against a pass over a large cell that takes so long
+// that other VMs campaign for leadership.
+func TestPassLeavesTimeForAppends(t *testing.T) {
+	l := slowCell(t, 3000, 3000)
+	var vms []advice.VM
+	for i := range 300 {
+		vms = append(vms, advice.VM{Name: fmt.Sprintf("vm%d", i), Incarnation: "1"})
+	}
+	l.advice.dispatcher.Routes().Set(vms)
+	l.advice.routesUpdatedAt = time.Now().Add(time.Hour)
+	l.placeAll(time.Now())
+	took := time.Duration(len(l.jobs)-unseen(l)+l.advice.report(time.Now()).underWay) * lookTime
+	if took >= leaderTimeout {
+		t.Errorf("a pass takes %v, and others campaign after %v", took, leaderTimeout)
+	}
+}
+
+// TestEachStepHasItsTurn guards against steps that no pass reaches, since those before them
+// take all of its time.
+func TestEachStepHasItsTurn(t *testing.T) {
+	l := slowCell(t, 3000, 800)
+	for range 100 {
+		l.placeAll(time.Now())
+	}
+	if n := unseen(l); n > 0 {
+		t.Errorf("no pass has reached %d of %d jobs", n, len(l.jobs))
+	}
+}
+
+const (
+	// notLookedAt is the last reason of a job that no pass has looked at.
+	notLookedAt = waitReason(-1)
+	// lookTime is how long the passes of a slow cell take for each step that they look at.
+	lookTime = time.Millisecond
+)
+
+// slowCell returns a full cell whose passes take lookTime for each step.
+func slowCell(t *testing.T, workers, waiting int) *leadership {
+	l := fullCell(t, workers, waiting)
+	elapsed := time.Duration(0)
+	start := time.Time{}
+	l.since = func(began time.Time) time.Duration {
+		if began != start {
+			start, elapsed = began, 0
+		}
+		elapsed += lookTime
+		return elapsed
+	}
+	for _, tj := range l.jobs {
+		tj.lastReason = notLookedAt
+	}
+	return l
+}
+
+// unseen returns how many jobs no pass has looked at.
+func unseen(l *leadership) int {
+	n := 0
+	for _, tj := range l.jobs {
+		if tj.lastReason == notLookedAt {
+			n++
+		}
+	}
+	return n
+}
+
 // fullCell returns a leadership with busy workers and waiting jobs of three queues.
-func fullCell(b *testing.B, workers, waiting int) *leadership {
+func fullCell(b testing.TB, workers, waiting int) *leadership {
 	rnd := rand.New(rand.NewPCG(1, 2))
 	advice := func(base, each time.Duration) *site.Advice {
 		return &site.Advice{Base: base, PerUpstream: each, TicketLifetime: 2 * time.Second}
@@ -78,6 +144,7 @@
 	l := &leadership{
 		s: s, ctx: ctx, jobs: map[string]*trackedJob{}, workers: map[string]*worker{}, teamUse: map[string]resource.Vector{},
 		meters: map[string]*placement.RateMeter{}, workersKnownOnce: true, isolatedRuns: map[*run]bool{}, headroom: map[string]*placement.Headroom{},
+		since: time.Since,
 	}
 	l.advice.init()
 	s.lead = l
--- a/pollendockd/internal/scheduler/tracked_job.go
+++ b/pollendockd/internal/scheduler/tracked_job.go
@@ -39,6 +39,7 @@
 		overRate bool
 		// reservation is the last reservation for a gang of the job.
 		reservation *reservation
+		turn        overdueTurn
 		// advice holds the advisor's answers for each step.
 		advice []*stepAdvice
 		// checkpoints holds the newest checkpoint of each task. A gang uses that of its
@@ -89,6 +90,10 @@
 		// isolated is set for a suspect: until it is cleared no other job starts on its
 		// worker.
 		isolated bool
+		// probedAt is when the worker's lists were last requested in order to clear the
+		// run, released whether a pass knows that it is cleared.
+		probedAt time.Time
+		released bool
 		// crashed is set if that incarnation has crashed while the run may have been at
 		// work.
 		crashed bool
