Leader: a refused retry no longer puts a listed run in doubt

What callers could see: LOST. A run whose first start request got no answer was listed by its worker while the retry was under way, and the retry was refused (429, 503, or the run had just ended). If the worker then restarted, the run was never resolved: its task did not run again, and its capacity stayed counted.

Cause: the refusal put the run into stage unconfirmed though the worker had confirmed it, and a list without it neither ends such a run nor stops it, as the lists count as conclusive since the confirmation.

Change: the refusal of a retry changes nothing about a run that was confirmed.

Evidence: TestRefusedRetryOfListedRunLosesNoTask fails on the parent commit ("the run is neither ended nor stopped"), passes now.

Why it works: the run stays in the stage in which a list without it ends it.

--- a/pollendockd/internal/scheduler/requests.go
+++ b/pollendockd/internal/scheduler/requests.go
@@ -136,7 +136,9 @@
 	}
 	if r.startAttempts > 1 {
 		l.logRun(r, "retried start request refused", "err", refusal)
-		l.verifyRun(r, now)
+		if r.stage == starting {
+			l.verifyRun(r, now)
+		}
 		return
 	}
 	l.endRun(r, site.NotRun, refusal.Error())
--- a/pollendockd/internal/scheduler/requests_test.go
+++ b/pollendockd/internal/scheduler/requests_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -64,3 +65,27 @@
 		})
 	}
 }
+
+// TestRefusedRetryOfListedRunLosesNoTask guards against a run that the worker has listed, and that
+// is never resolved once it is missing, because a retry of its start request was refused.
+func TestRefusedRetryOfListedRunLosesNoTask(t *testing.T) {
+	l := leadershipOf("j", tasks(1, 1))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	l.ctx = ctx
+	wk := l.workerOf("w")
+	wk.client = silentWorker{}
+	wk.boot = 1
+	r := &run{task: site.TaskID{Job: "j"}, number: 1, tj: l.jobs["j"], boot: 1, stage: starting, startAttempts: 2}
+	l.bind(r, wk)
+	hold := func(h site.HoldReply) {
+		time.Sleep(time.Millisecond)
+		holdDone{l: l, wk: wk, sentAt: time.Now(), reply: &h}.handle(l.s)
+	}
+	hold(site.HoldReply{Boot: 1, Running: []site.RunStatus{{Task: r.task, Run: 1}}})
+	startDone{l: l, r: r, err: &site.RefusalError{Reason: site.RefusedUnavailable}}.handle(l.s)
+	hold(site.HoldReply{Boot: 2})
+	if r.bound() && !r.stopWanted {
+		t.Error("the run is neither ended nor stopped")
+	}
+}
