--- a/pollendockd/internal/scheduler/hold.go
+++ b/pollendockd/internal/scheduler/hold.go
@@ -131,6 +131,7 @@
 	wk.clockAskedAt = e.sentAt
 	l.confirmWritten(wk)
 	l.processEnds(wk, e.reply)
+	l.noteKeptEnds(wk, e.reply)
 	l.noteUnreadableRows(wk, e.reply, now)
 	l.barLateStarts(wk, e.reply, restarted, e.sentAt, now)
 	l.processRuns(wk, e.reply, e.sentAt, now)
@@ -189,6 +190,7 @@
 	wk.claimedCPU, wk.gangClaimedCPU = 0, 0
 	wk.presumedLapsed = nil
 	wk.ackCapped = false
+	wk.keptEnds = 0
 	wk.unreadable = unreadableEnds{}
 	wk.unreadableRuns = 0
 	wk.strangers = nil
@@ -314,6 +316,7 @@
 	if len(h.Ended) >= maxEndedRows {
 		// The list of ends may be truncated, so absence from both lists is
 		// inconclusive.
+		l.giveUpHidden(wk, listed, sentAt, now)
 		return
 	}
 	for _, r := range wk.runList() {
--- a/pollendockd/internal/scheduler/leadership.go
+++ b/pollendockd/internal/scheduler/leadership.go
@@ -156,6 +156,7 @@
 	s.deps.Follower.SetLeading(false)
 	s.deps.Counts.Gauge(starvedGauge, 0)
 	s.deps.Counts.Gauge(appendAgeGauge, 0)
+	s.deps.Counts.Gauge(fullGauge, 0)
 	_ = level.Warn(s.deps.Logger).Log("msg", "leadership ended", "epoch", l.term.Epoch, "why", why,
 		"ledMs", time.Since(l.startedAt).Milliseconds())
 	if l.handoverDone != nil {
@@ -264,6 +265,7 @@
 			total = total.Add(wk.upstream.Capacity)
 		}
 	}
+	l.countFullOfEnds()
 	slow := l.reportSpeeds()
 	l.storeSpeeds(now)
 	queries := l.advice.report(now)
