--- a/pollendockd/internal/scheduler/flush.go
+++ b/pollendockd/internal/scheduler/flush.go
@@ -23,7 +23,12 @@
 		// finalSent is set once the append that ends the term has been built.
 		finalSent bool
 		sentAt    time.Time
-		ackedAt   time.Time
+		// ackedAt is when the last successful append was sent: until then no later term
+		// had begun.
+		ackedAt time.Time
+		// ackedTimeOfDay is the same by the time of day, which goes on while the VM is
+		// suspended.
+		ackedTimeOfDay time.Time
 		// leaderRecordAt is when the last batch with a record of the leader was made.
 		leaderRecordAt time.Time
 		// latency is an estimate of the time that an append takes.
@@ -70,8 +75,15 @@
 	maxLeaderRecordAge = heartbeatInterval / 2
 )
 
-func (f *flushState) init(now time.Time) {
-	f.ackedAt = now
+// init prepares for a term that had not been followed by another at the time asOf.
+func (f *flushState) init(asOf time.Time) {
+	f.noteAcked(asOf)
+}
+
+// noteAcked notes that no later term had begun at the given time.
+func (f *flushState) noteAcked(at time.Time) {
+	f.ackedAt = at
+	f.ackedTimeOfDay = at.Round(0)
 }
 
 // flushIfDue appends pending changes, or a heartbeat if there are none.
--- a/pollendockd/internal/scheduler/hold.go
+++ b/pollendockd/internal/scheduler/hold.go
@@ -17,8 +17,11 @@
 		wk      *worker
 		sentAt  time.Time
 		regular bool
-		reply   *site.HoldReply
-		err     error
+		// acks is set if the hold acknowledges ends, renews if it renews the lease.
+		acks   bool
+		renews bool
+		reply  *site.HoldReply
+		err    error
 	}
 )
 
@@ -60,7 +63,7 @@
 func (l *leadership) hold(wk *worker, now time.Time) {
 	wk.holdBusy = true
 	wait := time.Duration(0)
-	if wk.boot != 0 && len(wk.runs) > 0 && wk.holdFails == 0 {
+	if wk.boot != 0 && wk.watched() && wk.holdFails == 0 {
 		wait = holdWait
 	}
 	l.sendHold(wk, now, wait, true)
@@ -72,13 +75,13 @@
 }
 
 func (l *leadership) sendHold(wk *worker, now time.Time, wait time.Duration, regular bool) {
-	req := &site.HoldRequest{Token: l.term.Epoch, Acked: wk.acked, LeaseEnd: l.nextLease(wk, now), Wait: wait}
+	req := &site.HoldRequest{Token: l.term.Epoch, Acked: wk.ackable(), LeaseEnd: l.nextLease(wk, now), Wait: wait}
 	client := wk.client
 	l.spawn(func(ctx context.Context) event {
 		ctx, cancel := context.WithTimeout(ctx, wait+holdTimeout)
 		defer cancel()
 		reply, err := client.Hold(ctx, req)
-		return holdDone{l, wk, now, regular, reply, err}
+		return holdDone{l, wk, now, regular, req.Acked > 0, req.LeaseEnd > 0, reply, err}
 	})
 }
 
@@ -90,28 +93,38 @@
 	now := time.Now()
 	if e.regular {
 		wk.holdBusy = false
+		l.endPacedHold(wk, now)
 	}
 	if e.err != nil {
+		l.noteUnansweredHold(&e, now)
 		l.holdFailed(wk, e.sentAt, e.err)
 		return
 	}
+	if wk.overtaken(e.reply, e.sentAt) {
+		l.dropOvertaken(&e, now)
+		return
+	}
 	if wk.unreachable {
 		wk.unreachable = false
 		_ = level.Info(s.deps.Logger).Log("msg", "worker reachable again", "worker", wk.id, "boot", e.reply.Boot)
 	}
-	if wk.boot != e.reply.Boot {
+	restarted := wk.boot != e.reply.Boot
+	if restarted {
 		l.markCrashed(wk, e.reply.Boot, "a later incarnation answered")
 	}
+	l.revokeCrashes(wk, e.reply.Boot)
 	wk.recordAnswer(now)
+	wk.lateHolds.answered(restarted)
 	wk.holdAt = now.Add(holdInterval)
-	if len(wk.runs) == 0 {
+	if !wk.watched() {
 		wk.holdAt = now.Add(idleHoldInterval)
 	} else if wk.ackCapped || wk.unreadable.rows > 0 {
 		// Unacknowledged ends cause the worker to answer each hold at once.
 		wk.holdAt = now.Add(unackedHoldInterval)
 	}
-	if wk.boot != e.reply.Boot {
-		l.resetBoot(wk, e.reply.Boot)
+	if restarted {
+		l.resetBoot(wk, e.reply)
+		l.awaitLateHolds(wk, now)
 		wk.holdAt = now
 	}
 	wk.clock = e.reply.Clock
@@ -120,9 +133,15 @@
 	l.processEnds(wk, e.reply)
 	l.noteKeptEnds(wk, e.reply)
 	l.noteUnreadableRows(wk, e.reply, now)
+	l.barLateStarts(wk, e.reply, restarted, e.sentAt, now)
 	l.processRuns(wk, e.reply, e.sentAt, now)
 }
 
+// watched reports whether holds wait at the worker, so that its restart is noticed at once.
+func (wk *worker) watched() bool {
+	return len(wk.runs) > 0 || len(wk.lateStarts.unanswered) > 0
+}
+
 // recordAnswer notes that the worker has answered, and since when it does so after an
 // outage.
 func (wk *worker) recordAnswer(now time.Time) {
@@ -157,14 +176,17 @@
 
 // resetBoot resets the state of a worker on the first answer of an incarnation, which
 // has no knowledge of earlier requests to the worker.
-func (l *leadership) resetBoot(wk *worker, boot int64) {
+func (l *leadership) resetBoot(wk *worker, first *site.HoldReply) {
+	boot := first.Boot
 	_ = level.Info(l.s.deps.Logger).Log("msg", "first answer of a worker incarnation in this term", "worker", wk.id, "boot", boot, "lastBoot", wk.boot, "runs", len(wk.runs))
 	wk.boot = boot
+	wk.bootAt = time.Now()
 	// This takes over an earlier leader's estimate.
 	l.s.speeds.of(wk.id, boot)
 	wk.seen = 0
 	wk.acked = 0
-	wk.leaseEnd = 0
+	// An earlier leader may have renewed the lease until this answer.
+	wk.leaseEnd = first.Clock + l.s.opt.Bounds.MaxLease
 	wk.claimedCPU, wk.gangClaimedCPU = 0, 0
 	wk.presumedLapsed = nil
 	wk.ackCapped = false
@@ -174,6 +196,10 @@
 	wk.strangers = nil
 	wk.failures = 0
 	wk.backoffUntil = time.Time{}
+	for _, r := range wk.runs {
+		// A stop that an earlier incarnation has confirmed bars nothing on this one.
+		r.stopped = false
+	}
 	l.placeNeeded = true
 }
 
@@ -191,12 +217,12 @@
 		}
 		key := runKey{e.Task, e.Run}
 		r := wk.runs[key]
+		if !wk.ackCapped && l.givenUp(wk, r, e) && !lapsedAfter(h, e.Number) {
+			wk.capAcks(e.Number - 1)
+			_ = level.Warn(l.s.deps.Logger).Log("msg", "end of a run that was presumed lapsed; no further ends of this worker will be acknowledged",
+				"worker", wk.id, "job", e.Task.Job, "step", e.Task.Step, "index", e.Task.Index, "run", e.Run, "how", e.Kind)
+		}
 		if r == nil {
-			if !wk.ackCapped && (wk.presumedLapsed[key] || l.notRecorded(e)) && (e.Kind == site.Done || e.Kind == site.Failed) && !lapsedAfter(h, e.Number) {
-				wk.capAcks(e.Number - 1)
-				_ = level.Warn(l.s.deps.Logger).Log("msg", "end of a run that was presumed lapsed; no further ends of this worker will be acknowledged",
-					"worker", wk.id, "job", e.Task.Job, "step", e.Task.Step, "index", e.Task.Index, "run", e.Run, "how", e.Kind)
-			}
 			continue
 		}
 		l.keepCheckpoint(r, e.Checkpoint)
@@ -205,12 +231,21 @@
 	}
 }
 
+// givenUp reports whether an end must not be acknowledged, because its run was given up: the
+// task may run again. The run r is nil unless the worker was still known to have it.
+func (l *leadership) givenUp(wk *worker, r *run, e *site.RunEnd) bool {
+	if e.Kind != site.Done && e.Kind != site.Failed || r != nil && r.recordedTask() != nil {
+		return false
+	}
+	return wk.presumedLapsed[runKey{e.Task, e.Run}] || l.notRecorded(e)
+}
+
 // notRecorded reports whether the records lack the outcome of a run that is listed as
 // ended: an earlier leader has presumed it lapsed.
 func (l *leadership) notRecorded(e *site.RunEnd) bool {
 	tj := l.jobs[e.Task.Job]
 	if tj == nil || tj.state.Phase.Final() {
-		return e.Kind == site.Done && l.restartedBeforeEnd(e)
+		return e.Kind == site.Done && l.mayHaveRestarted(e)
 	}
 	if e.Task.Step >= len(tj.state.Steps) || tj.sub.Steps[e.Task.Step].Endless {
 		return false
@@ -226,11 +261,14 @@
 	return t.Status != job.Succeeded || t.Run != e.Run
 }
 
-// restartedBeforeEnd reports whether the records of a job that has ended show a later run
-// of the task. They keep its tasks as long as runs are presumed lapsed; see trim.
-func (l *leadership) restartedBeforeEnd(e *site.RunEnd) bool {
+// mayHaveRestarted reports whether the records of a job that has ended show a later run
+// of the task, or are removed.
+func (l *leadership) mayHaveRestarted(e *site.RunEnd) bool {
 	j := l.s.deps.View.Job(e.Task.Job)
-	if j == nil || e.Task.Step >= len(j.State.Steps) || e.Task.Index >= len(j.State.Steps[e.Task.Step]) {
+	if j == nil {
+		return true
+	}
+	if e.Task.Step >= len(j.State.Steps) || e.Task.Index >= len(j.State.Steps[e.Task.Step]) {
 		return false
 	}
 	return j.State.Steps[e.Task.Step][e.Task.Index].Run > e.Run
@@ -282,7 +320,7 @@
 		return
 	}
 	for _, r := range wk.runList() {
-		if !listed[r.key()] && !l.inconclusive(r, sentAt, now) {
+		if !listed[r.key()] && !wk.lateStarts.undecided(r.key()) && !l.inconclusive(r, sentAt, now) {
 			l.resolveMissing(r, sentAt, now)
 		}
 	}
@@ -395,7 +433,9 @@
 		l.logStranger(wk, key)
 		return nil
 	}
-	r := &run{task: key.task, number: key.number, tj: tj, boot: wk.boot, stage: running, decidedAt: time.Now(), stopWanted: true, confirmedAt: time.Now(), percentAt: time.Now()}
+	now := time.Now()
+	r := &run{task: key.task, number: key.number, tj: tj, boot: wk.boot, decidedAt: now, stopWanted: true}
+	r.confirm(now)
 	l.bind(r, wk)
 	l.logRun(r, "run is not in the records; stopping it")
 	return r
--- a/pollendockd/internal/scheduler/leadership.go
+++ b/pollendockd/internal/scheduler/leadership.go
@@ -27,7 +27,14 @@
 		// teamUse is the capacity used by the runs of each team, including runs that
 		// are being stopped.
 		teamUse map[string]resource.Vector
+		// pacedHolds are the holds to workers that may not answer.
+		pacedHolds pacedHolds
+		// limitIdleSince is since when reservations keep half of a team's limit idle.
+		limitIdleSince map[string]time.Time
 
+		// doubtfulCrashes holds the crashes of each worker, by its id, that may have been
+		// none.
+		doubtfulCrashes map[string][]doubtfulCrash
 		// isolatedRuns holds the runs of suspects, vacated the workers that the last pass
 		// kept free for them.
 		isolatedRuns map[*run]bool
@@ -44,6 +51,8 @@
 		flush    flushState
 		advice   adviceQueue
 		placedAt time.Time
+		// since is how long ago a time is: time.Since outside of tests.
+		since func(time.Time) time.Duration
 		// passTime is how long the last pass took.
 		passTime    time.Duration
 		placeNeeded bool
@@ -56,6 +65,10 @@
 		heldCapacity map[*worker]heldCapacity
 		// waiting counts the steps of the last pass by rank.
 		waiting map[placement.Rank]int
+		// passCursor is the place in the order at which the last pass ended.
+		passCursor int
+		// overdueTurns counts the overdue gangs that may have capacity reserved.
+		overdueTurns int
 		// overdueCursor rotates through the overdue steps.
 		overdueCursor int
 		// limitedSteps counts the steps held back by their team's limit. waitReasons
@@ -86,28 +99,34 @@
 	maxForgetPerAppend = 50
 	// reportInterval is the time between log lines on the state of the cell.
 	reportInterval = time.Second
+	// appendAgeGauge is how long the leader has been without a successful append, in
+	// milliseconds. Above a second it renews leases without the stream.
+	appendAgeGauge = "leader_append_age_ms"
 	// streamTimeout is how long a leader continues without a successful append. It
 	// renews leases during that time, as the stream may be unavailable to all VMs.
 	streamTimeout = 10 * time.Second
 )
 
 // beginLeadership starts a term from the state of the view. The view holds all appends
-// of earlier terms, since the stream refuses them from the record of this term on.
-func (s *Scheduler) beginLeadership(epoch int64) {
+// of earlier terms, since the stream refuses them from the record of this term on. At the
+// time asOf no later term had begun.
+func (s *Scheduler) beginLeadership(epoch int64, asOf time.Time) {
 	now := time.Now()
 	ctx, cancel := context.WithCancel(s.ctx)
 	l := &leadership{
 		s: s, ctx: ctx, cancel: cancel, startedAt: now,
-		term:         site.Term{Epoch: epoch, Sequence: 1},
-		jobs:         map[string]*trackedJob{},
-		workers:      map[string]*worker{},
-		teamUse:      map[string]resource.Vector{},
-		meters:       map[string]*placement.RateMeter{},
-		headroom:     map[string]*placement.Headroom{},
-		isolatedRuns: map[*run]bool{},
-		placeNeeded:  true,
+		term:            site.Term{Epoch: epoch, Sequence: 1},
+		jobs:            map[string]*trackedJob{},
+		workers:         map[string]*worker{},
+		teamUse:         map[string]resource.Vector{},
+		meters:          map[string]*placement.RateMeter{},
+		headroom:        map[string]*placement.Headroom{},
+		isolatedRuns:    map[*run]bool{},
+		doubtfulCrashes: map[string][]doubtfulCrash{},
+		placeNeeded:     true,
+		since:           time.Since,
 	}
-	l.flush.init(now)
+	l.flush.init(asOf)
 	l.advice.init()
 	l.load.init()
 	s.lead = l
@@ -136,6 +155,7 @@
 	l.flush.abandon()
 	s.deps.Follower.SetLeading(false)
 	s.deps.Counts.Gauge(starvedGauge, 0)
+	s.deps.Counts.Gauge(appendAgeGauge, 0)
 	s.deps.Counts.Gauge(fullGauge, 0)
 	_ = level.Warn(s.deps.Logger).Log("msg", "leadership ended", "epoch", l.term.Epoch, "why", why,
 		"ledMs", time.Since(l.startedAt).Milliseconds())
@@ -208,13 +228,14 @@
 }
 
 func (l *leadership) tick(now time.Time) {
-	if now.Sub(l.flush.ackedAt) > streamTimeout {
+	if !l.mayRenew(now) {
 		l.s.endLeadership("no successful append for too long")
 		return
 	}
 	l.maybeHandOver(now)
 	l.s.pollUpstreams(now)
 	l.tickWorkers(now)
+	l.endProbation(now)
 	l.placeNeeded = true
 	if now.Sub(l.reportedAt) >= reportInterval {
 		l.reportedAt = now
@@ -257,11 +278,20 @@
 		"reserved", l.waitReasons[reserved], "unreserved", l.waitReasons[unreserved], "runs", runs, "workers", len(l.workers), "usable", usable, "evacuated", evacuated, "evacuatedRuns", evacuatedRuns, "heldForCapacity", l.heldWorkers, "suspects", suspects, "longestSuspectMs", longestSuspect.Milliseconds(), "vacated", len(l.vacated), "freeMilliCpu", free.MilliCPU, "milliCpu", total.MilliCPU,
 		"freeMb", free.MemoryMB, "queries", queries.waiting, "waitingSlow", queries.waitingSlow, "queryWaitMs", queries.longestWait.Milliseconds(),
 		"underWay", queries.underWay, "underWaySlow", queries.underWaySlow, "routesResting", queries.resting, "passMs", l.passTime.Milliseconds(), "slow", slow, "speedSpread", l.s.speeds.spread,
-		"starved", l.starvation.starved, "longestStarvedMs", l.starvation.longest.Milliseconds(), "refused", l.load.refused, "forecastAgeMs", now.Sub(l.load.updatedAt).Milliseconds())
+		"starved", l.starvation.starved, "longestStarvedMs", l.starvation.longest.Milliseconds(), "refused", l.load.refused, "forecastAgeMs", now.Sub(l.load.updatedAt).Milliseconds(),
+		"appendAgeMs", now.Sub(l.flush.ackedAt).Milliseconds())
+	l.s.deps.Counts.Gauge(appendAgeGauge, now.Sub(l.flush.ackedAt).Milliseconds())
 	l.load.refused = 0
 	l.load.forgetRefused(now)
 }
 
+// mayRenew reports whether this term may still renew leases. Its successor relies on the end
+// of that.
+func (l *leadership) mayRenew(now time.Time) bool {
+	f := &l.flush
+	return now.Sub(f.ackedAt) <= streamTimeout && now.Round(0).Sub(f.ackedTimeOfDay) <= streamTimeout
+}
+
 // step runs a scheduling pass and an append if they are due.
 func (l *leadership) step(now time.Time) {
 	if l.placeNeeded && now.Sub(l.placedAt) >= max(minPassInterval, passCostFactor*l.passTime) {
--- a/pollendockd/internal/scheduler/reserve.go
+++ b/pollendockd/internal/scheduler/reserve.go
@@ -19,7 +19,15 @@
 	askMore bool
 }
 
+// overdueTurn is the time in which capacity may be reserved for an overdue gang.
+type overdueTurn struct {
+	step  int
+	until time.Time
+}
+
 const (
+	// overdueTurnTime is how long the turn of an overdue gang lasts.
+	overdueTurnTime = 6 * time.Second
 	// maxReservationAge is how long a reservation is kept. Recomputing reservations
 	// takes most of a pass in a full cell.
 	maxReservationAge = 80 * time.Millisecond
@@ -83,7 +91,7 @@
 // tickets in time for its start.
 func (l *leadership) reserve(p *pass, ws *waitingStep, req placement.Request, service string, a *site.Advice) waitReason {
 	limit := max(minHeldGangs, len(p.usable[service])/workersPerHeldGang)
-	if p.gangs >= limit {
+	if p.gangs >= limit || ws.sortKey.Rank == placement.Overdue && !l.takeTurn(p, ws, limit) {
 		l.askAhead(p, ws, req, service, a, limit)
 		return unreserved
 	}
@@ -107,6 +115,28 @@
 	return reserved
 }
 
+// hasTurn reports whether it is the turn of an overdue gang to have capacity reserved.
+func (ws *waitingStep) hasTurn(now time.Time) bool {
+	t := ws.tj.turn
+	return !ws.isolated && t.step == ws.step && now.Before(t.until)
+}
+
+// takeTurn gives an overdue gang a turn to have capacity reserved, if it is not its turn
+// already and less than limit gangs have theirs. Without reservations such gangs wait for
+// ever while smaller work takes each piece of capacity; with one for each of them, none
+// would start.
+func (l *leadership) takeTurn(p *pass, ws *waitingStep, limit int) bool {
+	if ws.hasTurn(p.now) {
+		return true
+	}
+	if l.overdueTurns >= limit {
+		return false
+	}
+	l.overdueTurns++
+	ws.tj.turn = overdueTurn{step: ws.step, until: p.now.Add(overdueTurnTime)}
+	return true
+}
+
 // askAhead queries for the next gangs in the order, up to a limit, so that they know
 // where they may run when gangs before them start. Without that the capacity that becomes
 // free meanwhile, while the answer takes a second or more, goes to other work.
@@ -251,11 +281,16 @@
 
 // expected is the expected duration of the run on its worker.
 func (p *pass) expected(r *run) time.Duration {
-	if r.task.Step < len(r.tj.forecast.tasks) {
-		return time.Duration(float64(r.tj.forecast.tasks[r.task.Step]) * p.timeFactor(r.wk))
+	return time.Duration(float64(r.predictedTime()) * p.timeFactor(r.wk))
+}
+
+// predictedTime is the predicted duration of the run on a worker of average speed. It is 0
+// for an unrecorded run, whose job has no forecast.
+func (r *run) predictedTime() time.Duration {
+	if r.task.Step >= len(r.tj.forecast.tasks) {
+		return 0
 	}
-	// An unrecorded run, of a job that is no longer in the records.
-	return 0
+	return r.tj.forecast.tasks[r.task.Step]
 }
 
 // remaining estimates the time until a run ends. It extrapolates from the progress made
--- a/pollendockd/internal/scheduler/tracked_job.go
+++ b/pollendockd/internal/scheduler/tracked_job.go
@@ -39,6 +39,7 @@
 		overRate bool
 		// reservation is the last reservation for a gang of the job.
 		reservation *reservation
+		turn        overdueTurn
 		// advice holds the advisor's answers for each step.
 		advice []*stepAdvice
 		// checkpoints holds the newest checkpoint of each task. A gang uses that of its
@@ -89,9 +90,15 @@
 		// isolated is set for a suspect: until it is cleared no other job starts on its
 		// worker.
 		isolated bool
+		// probedAt is when the worker's lists were last requested in order to clear the
+		// run, released whether a pass knows that it is cleared.
+		probedAt time.Time
+		released bool
 		// crashed is set if that incarnation has crashed while the run may have been at
 		// work.
 		crashed bool
+		// crashDoubtful is set if nothing shows that its process has ended.
+		crashDoubtful bool
 		// scene is what was known of the run at that time.
 		scene crash.Scene
 		// listValidAfter is the local time after which a hold must have been sent for
@@ -262,11 +269,8 @@
 	l.logRun(r, "run ended", "how", how, "why", why)
 	l.s.deps.Counts.Count("ends_"+how.String(), 1)
 	tj := r.tj
-	if len(tj.state.Steps) == 0 {
-		return
-	}
-	t := &tj.state.Steps[r.task.Step][r.task.Index]
-	if t.Status != job.Dispatched || t.Run != r.number {
+	t := r.recordedTask()
+	if t == nil {
 		return
 	}
 	l.recordRun(r, how, time.Now())
@@ -299,6 +303,19 @@
 	l.afterEnd(tj)
 }
 
+// recordedTask returns the task of a run that is its current one by the records, else nil.
+func (r *run) recordedTask() *job.Task {
+	steps := r.tj.state.Steps
+	if len(steps) == 0 {
+		return nil
+	}
+	t := &steps[r.task.Step][r.task.Index]
+	if t.Status != job.Dispatched || t.Run != r.number {
+		return nil
+	}
+	return t
+}
+
 // backToQueue returns a job to the queue if no run of it has begun after all. While the
 // stream is unavailable tickets expire, and a hundred planned runs may be refused at
 // once.
@@ -450,27 +467,14 @@
 }
 
 // trim removes the tasks of a job that has ended, once none of them runs. They are kept if
-// a run of the job is presumed lapsed: by them a later leader tells that its end must not
-// be acknowledged.
+// one was started again: by them any later leader tells that the end of an earlier run, whose
+// worker may have been away since, must not be acknowledged.
 func (l *leadership) trim(tj *trackedJob) {
-	if tj.state.Phase.Final() && !tj.state.AnyDispatched() && !l.presumesLapsed(tj.id) {
+	if tj.state.Phase.Final() && !tj.state.AnyDispatched() && !tj.state.AnyRestarted() {
 		tj.state.Steps = nil
 	}
 }
 
-// presumesLapsed reports whether a worker may still list the end of a run of the job that
-// was presumed lapsed.
-func (l *leadership) presumesLapsed(id string) bool {
-	for _, wk := range l.workers {
-		for key := range wk.presumedLapsed {
-			if key.task.Job == id {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // touch schedules the job's state for the next append.
 func (l *leadership) touch(tj *trackedJob) {
 	if !tj.dirty {
@@ -481,6 +485,6 @@
 
 func (l *leadership) logRun(r *run, msg string, more ...any) {
 	fields := []any{"msg", msg, "job", r.task.Job, "step", r.task.Step, "index", r.task.Index, "run", r.number, "worker", r.wk.id,
-		"ageMs", time.Since(r.decidedAt).Milliseconds()}
+		"epoch", l.term.Epoch, "dataCentre", r.wk.upstream.DataCentre, "ageMs", time.Since(r.decidedAt).Milliseconds()}
 	_ = level.Info(l.s.deps.Logger).Log(append(fields, more...)...)
 }
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -18,14 +18,13 @@
 		client   Worker
 		// listed is set while the worker is on the platform's list.
 		listed bool
-		// unlistedAt is when it was first missing from a current list.
-		unlistedAt time.Time
 		// evacuated is set if its data centre was evacuated when the last pass began.
 		evacuated bool
 
 		// boot identifies the incarnation that answered the last hold. It is 0 before
-		// the first answer.
-		boot int64
+		// the first answer. bootAt is when its first answer was read.
+		boot   int64
+		bootAt time.Time
 		// clock is the worker's clock, read shortly before clockAt.
 		clock   time.Duration
 		clockAt time.Time
@@ -33,8 +32,8 @@
 		clockAskedAt time.Time
 		// reachableSince is when it answered again after it was unreachable.
 		reachableSince time.Time
-		// leaseEnd is the latest lease end that was sent, on the worker's clock. No run
-		// that was requested in this term outlives it.
+		// leaseEnd is the latest lease end that this or an earlier leader may have sent, on
+		// the worker's clock. No run outlives it without a further answer.
 		leaseEnd time.Duration
 
 		// seen is the number of the last run end up to which all were read, acked that of
@@ -53,6 +52,14 @@
 		// unreadableRuns is the number of unreadable rows in the last list of running
 		// ones.
 		unreadableRuns int
+		// lateStarts holds the start requests that may still be executed.
+		lateStarts lateStarts
+		// startsAfter is when the incarnation may get runs at the earliest, because of lateHolds.
+		lateHolds   lateHolds
+		startsAfter time.Time
+		// renewedUntil is until when the incarnation may execute requests that renew the lease of
+		// an earlier one.
+		renewedUntil time.Time
 		// strangers holds runs of unknown tasks that were logged.
 		strangers map[runKey]bool
 
@@ -76,7 +83,11 @@
 		// held is set if the worker got no starts for that reason at the last tick.
 		held bool
 
-		holdBusy    bool
+		holdBusy bool
+		// holdQueued is set while a hold waits for its turn, holdPaced while one that has
+		// had its turn is under way.
+		holdQueued  bool
+		holdPaced   bool
 		holdAt      time.Time
 		holdFails   int
 		unreachable bool
@@ -116,9 +127,6 @@
 	maxListAge = 1500 * time.Millisecond
 
 	lease = 4500 * time.Millisecond
-	// unlistedTimeout is how long a live worker may be missing from the list after an
-	// outage of the store.
-	unlistedTimeout = 2500 * time.Millisecond
 	// maxAnswerAge is the maximum age of a worker's last answer for a lease renewal.
 	maxAnswerAge = 2 * time.Second
 	// leaseMargin keeps leases below the maximum that a worker grants.
@@ -193,11 +201,8 @@
 		if wk.listed {
 			_ = level.Info(l.s.deps.Logger).Log("msg", "worker no longer listed", "worker", id, "runs", len(wk.runs))
 		}
-		if wk.unlistedAt.IsZero() {
-			wk.unlistedAt = time.Now()
-		}
 		wk.listed = false
-		if len(wk.runs) == 0 && !wk.holdBusy {
+		if len(wk.runs) == 0 && !wk.holdBusy && len(wk.lateStarts.unanswered) == 0 {
 			delete(l.workers, id)
 			delete(l.s.speeds.workers, id)
 		}
@@ -218,7 +223,6 @@
 	l.confirmWritten(wk)
 	l.s.largestWorker[u.Service] = l.s.largestWorker[u.Service].Max(u.Capacity)
 	wk.listed = true
-	wk.unlistedAt = time.Time{}
 	if changed {
 		_ = level.Info(l.s.deps.Logger).Log("msg", "worker listed", "worker", u.ID, "boot", u.Boot, "draining", u.Draining,
 			"dataCentre", u.DataCentre, "capacity", u.Capacity)
@@ -240,7 +244,8 @@
 // known to obey this term, and its capacity must be known.
 func (wk *worker) usable(now time.Time) bool {
 	return wk.listed && !wk.upstream.Draining && !wk.evacuated && wk.answersAsListed() && wk.holdFails == 0 &&
-		!now.Before(wk.backoffUntil) && wk.stalledSince.IsZero() && wk.capacityKnown(now) && !wk.fullOfEnds()
+		!now.Before(wk.backoffUntil) && wk.stalledSince.IsZero() && wk.capacityKnown(now) && !wk.fullOfEnds() &&
+		!wk.lateStarts.barring && !now.Before(wk.startsAfter)
 }
 
 // answersAsListed reports whether the last answer came from the incarnation that is listed.
@@ -258,9 +263,10 @@
 }
 
 // nextLease returns the end of a lease that begins now, and records it as sent. It
-// returns 0, which renews nothing, for a worker that has not answered for maxAnswerAge.
+// returns 0, which renews nothing, for a worker that has not answered for maxAnswerAge, and
+// once the term may not renew leases.
 func (l *leadership) nextLease(wk *worker, now time.Time) time.Duration {
-	if wk.boot == 0 || now.Sub(wk.clockAt) > maxAnswerAge || wk.refusesConnections {
+	if !l.mayRenew(now) || wk.boot == 0 || now.Sub(wk.clockAt) > maxAnswerAge || wk.refusesConnections {
 		// An unanswered request may have been executed, so each new lease end postpones
 		// the time at which all runs have certainly lapsed.
 		return 0
@@ -275,14 +281,10 @@
 // does not answer until then.
 func (l *leadership) lapseAt(wk *worker) time.Time {
 	if wk.boot == 0 {
-		// The last leader may renew leases until it has been without the stream for
-		// streamTimeout.
+		// An earlier leader may renew leases until it has been without the stream for
+		// streamTimeout. It may reach a worker that is cut off from the stream, too, and
+		// so from the list.
 		longest := time.Duration(float64(l.s.opt.Bounds.MaxLease) / minClockRate)
-		if !wk.unlistedAt.IsZero() {
-			// A worker that stays off a current list is gone, but a lease granted by
-			// the last leader must expire all the same.
-			return later(wk.unlistedAt.Add(unlistedTimeout), l.startedAt.Add(longest+lapseSlack))
-		}
 		return l.startedAt.Add(streamTimeout + longest + lapseSlack)
 	}
 	left := max(0, wk.leaseEnd-wk.clock)
@@ -292,41 +294,54 @@
 func (l *leadership) tickWorkers(now time.Time) {
 	l.watchCapacities(now)
 	for _, wk := range l.workers {
+		wk.lateStarts.expire(now)
 		if wk.client == nil {
-			if wk.unlistedAt.IsZero() && !l.s.listedAt.Before(l.startedAt) {
-				wk.unlistedAt = now
-			}
 			l.lapseIfDue(wk, now)
 			continue
 		}
-		if !wk.holdBusy && !now.Before(wk.holdAt) && (wk.listed || len(wk.runs) > 0) {
-			l.hold(wk, now)
+		if wk.holdDue(now) {
+			l.holdOrQueue(wk, now)
 		}
 		l.lapseIfDue(wk, now)
 		l.sendDueStops(wk, now)
+		l.sendBars(wk, now)
 	}
+	l.sendQueuedHolds(now)
 }
 
 // lapseIfDue ends the runs of a worker that has not answered for so long that all its
 // leases have expired.
 func (l *leadership) lapseIfDue(wk *worker, now time.Time) {
-	if len(wk.runs) == 0 || now.Before(l.lapseAt(wk)) {
+	if len(wk.runs) == 0 || now.Before(later(l.lapseAt(wk), l.lateLeaseEnd(wk))) {
 		return
 	}
-	_ = level.Warn(l.s.deps.Logger).Log("msg", "all leases of the worker have expired", "worker", wk.id, "boot", wk.boot, "runs", len(wk.runs),
-		"clockMs", wk.clock.Milliseconds(), "clockAgeMs", now.Sub(wk.clockAt).Milliseconds(), "leaseEndMs", wk.leaseEnd.Milliseconds())
 	if alive, evidence := wk.endedWithoutNotice(); evidence != "" {
 		l.markCrashed(wk, alive, evidence)
 	}
-	for _, r := range wk.runList() {
-		if r.stage == planned || r.stage == starting {
-			continue
-		}
+	lapsed := l.lapsedRuns(wk, now)
+	if len(lapsed) == 0 {
+		return
+	}
+	_ = level.Warn(l.s.deps.Logger).Log("msg", "all leases of the worker have expired", "worker", wk.id, "boot", wk.boot, "runs", len(lapsed),
+		"epoch", l.term.Epoch, "dataCentre", wk.upstream.DataCentre, "listed", wk.listed, "termAgeMs", now.Sub(l.startedAt).Milliseconds(),
+		"clockMs", wk.clock.Milliseconds(), "clockAgeMs", now.Sub(wk.clockAt).Milliseconds(), "leaseEndMs", wk.leaseEnd.Milliseconds())
+	for _, r := range lapsed {
 		wk.presumeLapsed(r)
 		l.endRun(r, site.LeaseExpired, "the worker did not answer before its leases expired")
 	}
 }
 
+// lapsedRuns returns the runs that have ended with their leases and cannot start again.
+func (l *leadership) lapsedRuns(wk *worker, now time.Time) []*run {
+	var runs []*run
+	for _, r := range wk.runs {
+		if r.stage != planned && r.stage != starting && !l.mayStartLater(r, now) {
+			runs = append(runs, r)
+		}
+	}
+	return runs
+}
+
 // runList returns a copy of the runs, so that runs can be ended during iteration.
 func (wk *worker) runList() []*run {
 	runs := make([]*run, 0, len(wk.runs))
--- a/pollendockd/large_catalog_test.go
+++ b/pollendockd/large_catalog_test.go
@@ -59,6 +59,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	store.AcceptLargeRecords()
 	server := &http.Server{Handler: platform.StoreHandler(map[string]platform.Topic{platform.ConfigTopic: store})}
 	go func() { _ = server.Serve(loopback.NewLink(slowLink).Listener(ln)) }()
 	t.Cleanup(func() { _ = server.Close() })
--- a/standin/fleet/store.go
+++ b/standin/fleet/store.go
@@ -39,8 +39,8 @@
 	// One of every dropEvery appends gets no response: the call returns when its
 	// caller gives up.
 	dropEvery, appends int
-	// limited is set if the sizes of entries and appends are limited.
-	limited bool
+	// largeRecords is set if the sizes of records and calls are not limited.
+	largeRecords bool
 }
 
 const (
@@ -165,17 +165,18 @@
 	return s.add(entries)
 }
 
-// LimitSizes makes the store refuse entries and appends that are too large.
-func (s *Store) LimitSizes() {
-	s.set(func() { s.limited = true })
+// AcceptLargeRecords makes the store accept records of any size, like those of the operator.
+func (s *Store) AcceptLargeRecords() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.largeRecords = true
 }
 
-// checkSizes returns an error for entries that are too large.
+// checkSizes refuses what the store has no space for in one record or one call.
 func (s *Store) checkSizes(entries []site.Entry) error {
 	s.mu.Lock()
-	limited := s.limited
-	s.mu.Unlock()
-	if !limited {
+	defer s.mu.Unlock()
+	if s.largeRecords {
 		return nil
 	}
 	total := 0
