scheduler: silent workers do not keep a new leader from asking the others

Callers would see: a job beside idle workers that waits 17.8 s after a change of leader, if over 128 workers with runs are cut off.

Cause: holds to workers with runs came first among the 128 that may be under way, however often the worker had left them unanswered, until its runs were given up 16.3 s into the term.

Evidence: TestSilentWorkersKeepNoOthersUnasked (400 silent workers, 4 idle ones): 17.76 s before, passes after; TestNewLeaderReachesManyWorkers passes.

Change: a worker is urgent only until it has left two holds unanswered.

--- a/pollendockd/internal/scheduler/pacing.go
+++ b/pollendockd/internal/scheduler/pacing.go
@@ -7,7 +7,8 @@
 // of the answers before they time out.
 type pacedHolds struct {
 	underWay int
-	// urgent holds the workers that run something, whose leases may expire, others the rest.
+	// urgent holds the workers that run something, whose leases may expire, unless they have
+	// left several holds unanswered; others the rest.
 	urgent, others []*worker
 }
 
@@ -29,7 +30,7 @@
 		return
 	}
 	wk.holdQueued = true
-	if len(wk.runs) > 0 {
+	if len(wk.runs) > 0 && wk.holdFails <= 1 {
 		l.pacedHolds.urgent = append(l.pacedHolds.urgent, wk)
 		return
 	}
--- a/pollendockd/internal/scheduler/pacing_test.go
+++ b/pollendockd/internal/scheduler/pacing_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"pollendock.example/cell/job"
+	"pollendock.example/cell/resource"
 	"pollendock.example/cell/site"
 )
 
@@ -40,3 +42,37 @@
 		expectPhase(c, v, "j1", workTime+3*time.Second, job.Completed)
 	})
 }
+
+// TestSilentWorkersKeepNoOthersUnasked guards against a new leader that asks idle workers only once
+// the leases of many silent ones have expired.
+func TestSilentWorkersKeepNoOthersUnasked(t *testing.T) {
+	const cut = 400
+	inCell(t, cut, func(c *cell) {
+		c.outcome = func(id site.TaskID, _ int64, _ string) (time.Duration, site.EndKind) {
+			if id.Job == "long" {
+				return time.Minute, site.Done
+			}
+			return time.Second, site.Done
+		}
+		a := c.start("a")
+		time.Sleep(3 * time.Second)
+		b := c.start("b")
+		time.Sleep(time.Second)
+		c.submit("long", tasks(cut, 8))
+		time.Sleep(3 * time.Second)
+		for i := range cut {
+			c.fleet.Worker(fmt.Sprintf("w%d", i)).SetSilent(true)
+		}
+		for i := range 4 {
+			c.fleet.Add(fmt.Sprintf("x%d", i), "s", resource.Vector{MilliCPU: 10_000, MemoryMB: 10_000})
+		}
+		a.kill()
+		time.Sleep(time.Second)
+		c.submit("short", tasks(4, 2))
+		began := time.Now()
+		expectPhase(c, b, "short", 40*time.Second, job.Completed)
+		if took := time.Since(began); took > 6*time.Second {
+			t.Errorf("a job beside idle workers took %v", took)
+		}
+	})
+}
