scheduler: a worker that leaves the list keeps its holds that may be executed late

Callers could see: TWICE, a start after an end that was acknowledged, on workers that restart under their id.

Cause: a worker without runs that left the list was forgotten together with its unanswered holds; on its return nothing kept runs away from an incarnation that could still execute an old acknowledgement.

Change: such a worker is kept until none of its holds can be executed any more.

--- a/pollendockd/internal/scheduler/late_holds.go
+++ b/pollendockd/internal/scheduler/late_holds.go
@@ -52,6 +52,15 @@
 	r.brokenAt = time.Time{}
 }
 
+// pending reports whether a hold without an answer may still be executed.
+func (h *lateHolds) pending(now time.Time) bool {
+	return h.acks.pending(now) || h.renewals.pending(now)
+}
+
+func (r *lateRequests) pending(now time.Time) bool {
+	return now.Before(r.until) || !r.brokenAt.IsZero() && now.Sub(r.brokenAt) < maxRequestDelay
+}
+
 // failed notes that a hold got no answer.
 func (h *lateHolds) failed(e *holdDone) {
 	if e.acks {
--- a/pollendockd/internal/scheduler/late_holds_test.go
+++ b/pollendockd/internal/scheduler/late_holds_test.go
@@ -8,6 +8,7 @@
 
 	"pollendock.example/cell/job"
 	"pollendock.example/cell/site"
+	"pollendock.example/standin/fleet"
 )
 
 // TestLateAcknowledgementLosesNoEnd guards against a hold that is executed by a later incarnation
@@ -92,3 +93,38 @@
 		}
 	}
 }
+
+// TestLateAcknowledgementAfterUnlistingLosesNoEnd guards against forgetting such a hold when its
+// worker leaves the list.
+func TestLateAcknowledgementAfterUnlistingLosesNoEnd(t *testing.T) {
+	inCell(t, 1, func(c *cell) {
+		c.fleet.Register(fleet.NewStore(), registerInterval)
+		v := c.start("a")
+		time.Sleep(3 * time.Second)
+		w := c.fleet.Worker("w0")
+		c.submit("j1", tasks(4, 2))
+		expectPhase(c, v, "j1", 10*time.Second, job.Completed)
+		// The hold that acknowledges the ends is executed late.
+		const delay = 11 * time.Second
+		w.DelayHolds(1, delay)
+		lateAt := time.Now().Add(delay)
+		time.Sleep(1500 * time.Millisecond)
+		w.SetSilent(true)
+		w.SetCutFromStore(true)
+		time.Sleep(missedHeartbeats * registerInterval)
+		c.fleet.DropEntries()
+		time.Sleep(time.Second)
+		w.Reboot()
+		w.SetCutFromStore(false)
+		w.SetSilent(false)
+		// j2 ends shortly before that, while the worker cannot be reached.
+		time.Sleep(time.Until(lateAt) - workTime - 200*time.Millisecond)
+		c.submit("j2", tasks(1, 2))
+		time.Sleep(time.Until(lateAt) - 300*time.Millisecond)
+		w.SetSilent(true)
+		time.Sleep(time.Second)
+		w.SetSilent(false)
+		expectPhase(c, v, "j2", 30*time.Second, job.Completed)
+		time.Sleep(5 * time.Second)
+	})
+}
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -202,7 +202,7 @@
 			_ = level.Info(l.s.deps.Logger).Log("msg", "worker no longer listed", "worker", id, "runs", len(wk.runs))
 		}
 		wk.listed = false
-		if len(wk.runs) == 0 && !wk.holdBusy && len(wk.lateStarts.unanswered) == 0 {
+		if len(wk.runs) == 0 && !wk.holdBusy && len(wk.lateStarts.unanswered) == 0 && !wk.lateHolds.pending(time.Now()) {
 			delete(l.workers, id)
 			delete(l.s.speeds.workers, id)
 		}
