scheduler: a term that a late record shows is counted from its campaign

Cause: a VM that finds its own record as the newest one begins that term, and counted the time for which it may renew leases from 0.9 s ago, since its last read was not older. But the age of a read counts from its arrival.

Evidence: TestOwnRecordReadLateBeginsNoTerm fails before ("the term has begun"), passes after; TestLateCampaign passes.

Change: the time counts from this VM's first campaign for that epoch.

--- a/pollendockd/internal/scheduler/campaign.go
+++ b/pollendockd/internal/scheduler/campaign.go
@@ -17,7 +17,7 @@
 type (
 	campaignDone struct {
 		epoch int64
-		// sentAt is when the campaign began.
+		// sentAt is when this VM first campaigned for the epoch.
 		sentAt time.Time
 		won    bool
 		err    error
@@ -67,7 +67,7 @@
 	if l.Incarnation == s.opt.Incarnation && l.Epoch > s.endedEpoch {
 		// The record of a campaign that got no answer has taken effect, possibly after
 		// this VM has campaigned again.
-		s.beginLeadership(l.Epoch, time.Now().Add(-maxReadAge))
+		s.beginLeadership(l.Epoch, s.firstCampaignAt)
 		return
 	}
 	silence := f.LeaderSilence()
@@ -153,9 +153,12 @@
 	epoch := l.Epoch + 1
 	s.campaigning = true
 	s.campaignedAt = time.Now()
+	if epoch != s.campaignEpoch {
+		s.campaignEpoch, s.firstCampaignAt = epoch, s.campaignedAt
+	}
 	_ = level.Info(s.deps.Logger).Log("msg", "campaigning for leadership", "epoch", epoch,
 		"lastEpoch", l.Epoch, "lastLeader", l.Incarnation, "silenceMs", silence.Milliseconds())
-	began := s.campaignedAt
+	began := s.firstCampaignAt
 	go func() {
 		ctx, cancel := context.WithTimeout(s.ctx, campaignTimeout)
 		defer cancel()
--- a/pollendockd/internal/scheduler/cut_data_centre_test.go
+++ b/pollendockd/internal/scheduler/cut_data_centre_test.go
@@ -181,3 +181,32 @@
 	c.t.Fatalf("%s does not run", id)
 	return nil
 }
+
+// TestOwnRecordReadLateBeginsNoTerm guards against a VM that reads the record of a campaign long
+// after it and begins its term, while others have led and relied on its end.
+func TestOwnRecordReadLateBeginsNoTerm(t *testing.T) {
+	inCell(t, 1, func(c *cell) {
+		c.start("a")
+		time.Sleep(3 * time.Second)
+		b := c.start("b")
+		time.Sleep(time.Second)
+		began := make(chan bool, 1)
+		b.scheduler.post(inspect(func(s *Scheduler) {
+			// The view shows the record of its campaign as if nothing had followed it.
+			e, err := job.LeaderEntry(&job.Leader{Epoch: 9, Incarnation: "b/1"})
+			if err != nil {
+				t.Error(err)
+			}
+			e.Offset = s.deps.View.Next()
+			if _, err := s.deps.View.Apply(&site.Page{Entries: []site.Entry{e}, Next: e.Offset, End: e.Offset}); err != nil {
+				t.Error(err)
+			}
+			s.campaignEpoch, s.firstCampaignAt = 9, time.Now().Add(-2*streamTimeout)
+			s.maybeCampaign()
+			began <- s.lead != nil
+		}))
+		if <-began {
+			t.Error("the term has begun")
+		}
+	})
+}
--- a/pollendockd/internal/scheduler/scheduler.go
+++ b/pollendockd/internal/scheduler/scheduler.go
@@ -131,6 +131,10 @@
 		lead         *leadership
 		campaigning  bool
 		campaignedAt time.Time
+		// campaignEpoch is the epoch of the last campaign, firstCampaignAt the time of the
+		// first one for it: until then no later term had begun.
+		campaignEpoch   int64
+		firstCampaignAt time.Time
 		// endedEpoch is the epoch of the last term that this VM has ended. It never
 		// leads in that term again.
 		endedEpoch int64
