Leader: an answered retry shows that the first start request was not lost in a crash

What callers could see: TWICE. A start request got no answer, its retry was answered, and the worker crashed within a quarter of a second. The leader took the first request for lost with the worker, as no hold was answered after it, and started the task elsewhere once the leases had expired; the next incarnation under the id then executed the request.

Cause: only answers to holds showed that the worker was alive.

Change: answers to start requests count, too.

Evidence: TestLateStartAfterAnsweredRetryRunsNoTaskTwice ("run 1 started while run 2 was running on w1") fails before, passes after. What is left: a late start of a task that is done, before the new incarnation's first answer.

--- a/pollendockd/internal/scheduler/hold.go
+++ b/pollendockd/internal/scheduler/hold.go
@@ -149,6 +149,7 @@
 	wk.holdFails = 0
 	wk.refusesConnections = false
 	wk.clockAt = now
+	wk.answeredAt = now
 }
 
 // holdFailed schedules a retry of an unanswered hold. holdRetryDelay limits the rate.
--- a/pollendockd/internal/scheduler/late_starts.go
+++ b/pollendockd/internal/scheduler/late_starts.go
@@ -201,5 +201,5 @@
 		// An earlier leader has sent the requests when the dispatch was durable.
 		return now.Before(r.tj.inheritedAt.Add(maxStartAttempts*startTimeout + maxRequestDelay))
 	}
-	return r.wk.lateStarts.pendingSince(r.key(), r.wk.clockAt.Add(-startTimeout))
+	return r.wk.lateStarts.pendingSince(r.key(), r.wk.answeredAt.Add(-startTimeout))
 }
--- a/pollendockd/internal/scheduler/late_starts_test.go
+++ b/pollendockd/internal/scheduler/late_starts_test.go
@@ -94,6 +94,31 @@
 	}
 }
 
+// TestLateStartAfterAnsweredRetryRunsNoTaskTwice guards against taking a start request for lost in
+// the crash of its worker, although the worker had answered the retry before it crashed.
+func TestLateStartAfterAnsweredRetryRunsNoTaskTwice(t *testing.T) {
+	inCell(t, 4, func(c *cell) {
+		c.fleet.KeepIDs()
+		c.outcome = func(site.TaskID, int64, string) (time.Duration, site.EndKind) { return 9 * time.Second, site.Done }
+		v := c.start("a")
+		time.Sleep(3 * time.Second)
+		for i := range 4 {
+			c.fleet.Worker(fmt.Sprintf("w%d", i)).DelayStarts(1, 8*time.Second)
+		}
+		c.submit("j1", tasks(1, 4))
+		on := workerOfFirstTask(c, v, "j1")
+		for c.fleet.Starts(site.TaskID{Job: "j1"}) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(time.Millisecond)
+		on.SetSilent(true)
+		on.Crash()
+		time.Sleep(10 * time.Second)
+		on.SetSilent(false)
+		expectPhase(c, v, "j1", 60*time.Second, job.Completed)
+	})
+}
+
 // TestRequestLostInCrashDelaysNoTask checks for how long the task of a run on a worker that no
 // longer answers waits because of a start request without an answer.
 func TestRequestLostInCrashDelaysNoTask(t *testing.T) {
@@ -108,7 +133,7 @@
 		{"left unanswered long ago", time.Second, maxRequestDelay, false},
 		{"no answer since", 100 * time.Millisecond, 6 * time.Second, false},
 	} {
-		wk := &worker{clockAt: sentAt.Add(c.answeredAt)}
+		wk := &worker{answeredAt: sentAt.Add(c.answeredAt)}
 		r := &run{wk: wk, stage: unconfirmed, startAttempts: 1}
 		wk.lateStarts.sent(r.key(), sentAt)
 		now := sentAt.Add(c.now)
--- a/pollendockd/internal/scheduler/requests.go
+++ b/pollendockd/internal/scheduler/requests.go
@@ -87,6 +87,9 @@
 	if e.err == nil || errors.As(e.err, &refusal) {
 		r.wk.lateStarts.answered(r.key(), e.sentAt)
 	}
+	if e.err == nil {
+		r.wk.answeredAt = time.Now()
+	}
 	if !l.current() || !r.bound() {
 		return
 	}
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -30,6 +30,8 @@
 		clockAt time.Time
 		// clockAskedAt is when the request was sent to which it answered with clock.
 		clockAskedAt time.Time
+		// answeredAt is when the last hold or start request was answered.
+		answeredAt time.Time
 		// reachableSince is when it answered again after it was unreachable.
 		reachableSince time.Time
 		// leaseEnd is the latest lease end that this or an earlier leader may have sent, on
