Leader: a restarted idle worker is fenced as soon as it is listed

What callers could see: TWICE, a start after an end that was acknowledged. A start request of an earlier leader was executed late by a later incarnation of an idle worker.

Cause: what fences an earlier leader's requests on an incarnation is the present one's first hold there. An idle worker is held every 1.5 s only, also after the list has shown that it restarted.

Change: it is held at once when the list shows another incarnation.

Evidence: TestRestartedIdleWorkerIsFencedOnceListed ("run 1 started after the task was done") fails before, passes after.

Open: the time until the new incarnation is listed (the list is read every 0.25 s).

--- a/pollendockd/internal/scheduler/late_starts_test.go
+++ b/pollendockd/internal/scheduler/late_starts_test.go
@@ -119,6 +119,34 @@
 	})
 }
 
+// TestRestartedIdleWorkerIsFencedOnceListed guards against a start request of an earlier leader that
+// is executed by a restarted worker, because the present leader calls an idle worker only now and then.
+func TestRestartedIdleWorkerIsFencedOnceListed(t *testing.T) {
+	const delay = 8 * time.Second
+	for before := 400 * time.Millisecond; before < idleHoldInterval; before += 100 * time.Millisecond {
+		inCell(t, 4, func(c *cell) {
+			c.outcome = func(site.TaskID, int64, string) (time.Duration, site.EndKind) {
+				return 400 * time.Millisecond, site.Done
+			}
+			c.start("a")
+			time.Sleep(2 * time.Second)
+			v := c.start("b")
+			time.Sleep(time.Second)
+			for i := range 4 {
+				c.fleet.Worker(fmt.Sprintf("w%d", i)).DelayStarts(1, delay)
+			}
+			at := time.Now()
+			c.submit("j1", tasks(1, 4))
+			on := workerOfFirstTask(c, v, "j1")
+			expectPhase(c, v, "j1", 5*time.Second, job.Completed)
+			c.vms["a"].kill()
+			time.Sleep(delay - before - time.Since(at))
+			on.Reboot()
+			time.Sleep(2 * time.Second)
+		})
+	}
+}
+
 // TestRequestLostInCrashDelaysNoTask checks for how long the task of a run on a worker that no
 // longer answers waits because of a start request without an answer.
 func TestRequestLostInCrashDelaysNoTask(t *testing.T) {
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -214,6 +214,8 @@
 	l.countRewrites(wk, u)
 	if wk.upstream.Boot != u.Boot {
 		wk.capacityUntil, wk.writtenAt = time.Time{}, time.Time{}
+		// The first hold fences the requests of earlier leaders.
+		wk.holdAt = time.Time{}
 	}
 	wk.upstream = *u
 	l.confirmWritten(wk)
