soak: data centres that are cut off, and jobs that outlast a lease

Each entry VM reaches each worker by a link of its own, so that links between some pairs only can be cut. A worker that the store does not hear of loses its entry and goes on.

--- a/soak/cell.go
+++ b/soak/cell.go
@@ -35,8 +35,8 @@
 		cellStore   *fleet.Store
 		configStore *fleet.Store
 		serverStore *fleet.Store
-		store       string
-		workers     map[string]*proxy
+		// workers maps workers to the address at which they listen.
+		workers map[string]string
 		// dataCentres maps workers to their data centre.
 		dataCentres map[string]string
 		operator    *operator
@@ -47,15 +47,22 @@
 
 		mu   sync.Mutex
 		jobs map[string]*jobClient
+		// cutOff counts the faults because of which the store does not hear of a worker.
+		cutOff map[string]int
 	}
 
 	// entryVM is the process of one entry VM.
 	entryVM struct {
-		name  string
-		ip    netip.Addr
-		store *proxy
-		log   *os.File
-		cmd   *exec.Cmd
+		name string
+		ip   netip.Addr
+		// store and workers are the VM's links to the store and to each worker.
+		store   *proxy
+		workers map[string]*proxy
+		// dataCentre is where it runs.
+		dataCentre string
+
+		log *os.File
+		cmd *exec.Cmd
 		// settingsPath is the settings file of the process.
 		settingsPath string
 	}
@@ -81,7 +88,7 @@
 	}
 	c := &cell{
 		dir: dir, program: opt.Program, subnet: subnet, ctx: ctx, cellStore: fleet.NewStore(), configStore: fleet.NewStore(), serverStore: fleet.NewStore(),
-		workers: map[string]*proxy{}, jobs: map[string]*jobClient{}, faultLocks: make([]sync.Mutex, opt.Entries),
+		workers: map[string]string{}, cutOff: map[string]int{}, jobs: map[string]*jobClient{}, faultLocks: make([]sync.Mutex, opt.Entries),
 		dataCentres: map[string]string{},
 	}
 	c.operator = &operator{c: c}
@@ -89,12 +96,6 @@
 	// The proxies of the workers stand for their ids.
 	c.fleet.KeepIDs()
 	go c.fleet.Run(ctx)
-	c.store, err = c.listen(platform.StoreHandler(map[string]platform.Topic{
-		platform.StateTopic: c.cellStore, platform.ConfigTopic: c.configStore, platform.ServerTopic: c.serverStore,
-	}))
-	if err != nil {
-		return nil, err
-	}
 	for i := range opt.Workers {
 		if err := c.addWorker(fmt.Sprintf("w%d", i), dataCentreOf(i)); err != nil {
 			return nil, err
@@ -149,11 +150,7 @@
 	if err != nil {
 		return err
 	}
-	p, err := newProxy("127.0.0.1", addr)
-	if err != nil {
-		return err
-	}
-	c.workers[id] = p
+	c.workers[id] = addr
 	return nil
 }
 
@@ -173,15 +170,14 @@
 }
 
 func (c *cell) newEntry(i int) (*entryVM, error) {
-	e := &entryVM{name: fmt.Sprintf("vm%d", i), ip: c.subnet.Addr(i + 1)}
-	var err error
-	if e.store, err = newProxy("127.0.0.1", c.store); err != nil {
+	e := &entryVM{name: fmt.Sprintf("vm%d", i), ip: c.subnet.Addr(i + 1), dataCentre: dataCentreOf(i)}
+	if err := c.link(e); err != nil {
 		return nil, err
 	}
 	e.settingsPath = filepath.Join(c.dir, e.name+".toml")
 	at := func(port uint16) netip.AddrPort { return netip.AddrPortFrom(e.ip, port) }
 	s := &platform.Settings{Store: netip.MustParseAddrPort(e.store.addr()), Local: site.Local{
-		Name: e.name, DataCentre: "dc", Listen: at(frontendPort), Ready: at(readyPort), Peer: at(peerPort),
+		Name: e.name, DataCentre: e.dataCentre, Listen: at(frontendPort), Ready: at(readyPort), Peer: at(peerPort),
 		Bounds: site.Bounds{
 			MaxLease: 6 * time.Second, StopTime: 200 * time.Millisecond, Grace: grace, Evacuation: evacuationBound,
 			Heartbeat: heartbeatInterval, Contact: contactInterval,
@@ -191,6 +187,7 @@
 	if err := os.WriteFile(e.settingsPath, platform.EncodeSettings(s), 0o600); err != nil {
 		return nil, err
 	}
+	var err error
 	e.log, err = os.Create(filepath.Join(c.dir, e.name+".log"))
 	return e, err
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -23,12 +23,10 @@
 	{"stop", func(c *cell, r *rand.Rand) { restartEntry(c, r, syscall.SIGTERM) }},
 	{"pause", pauseEntry},
 	{"kill all entries", killAllEntries},
-	{"store unresponsive for one entry", func(c *cell, r *rand.Rand) { withStoreFault(c, r, func(p *proxy) { p.blackhole.Store(true) }) }},
-	{"store responses lost for one entry", func(c *cell, r *rand.Rand) { withStoreFault(c, r, func(p *proxy) { p.dropResponses.Store(true) }) }},
-	{"store slow for one entry", func(c *cell, r *rand.Rand) {
-		withStoreFault(c, r, func(p *proxy) { p.delay.Store(int64(150 * time.Millisecond)) })
-	}},
-	{"store connections reset for one entry", func(c *cell, r *rand.Rand) { withStoreFault(c, r, (*proxy).resetConns) }},
+	{"store unresponsive for one entry", func(c *cell, r *rand.Rand) { withStoreFault(c, r, loseAll) }},
+	{"store responses lost for one entry", func(c *cell, r *rand.Rand) { withStoreFault(c, r, loseResponses) }},
+	{"store slow for one entry", func(c *cell, r *rand.Rand) { withStoreFault(c, r, slowDown) }},
+	{"store connections reset for one entry", func(c *cell, r *rand.Rand) { withStoreFault(c, r, resetOnly) }},
 	{"store unresponsive", func(c *cell, r *rand.Rand) {
 		c.cellStore.SetSilent(true)
 		sleepFaultDuration(r)
@@ -51,8 +49,8 @@
 	}},
 	{"store append responses lost", func(c *cell, r *rand.Rand) { c.cellStore.DropResponses(1 + r.IntN(5)) }},
 	{"store history trimmed", func(c *cell, _ *rand.Rand) { c.cellStore.Trim() }},
-	{"worker unresponsive", func(c *cell, r *rand.Rand) { withWorkerFault(c, r, func(p *proxy) { p.blackhole.Store(true) }) }},
-	{"worker connections reset", func(c *cell, r *rand.Rand) { withWorkerFault(c, r, (*proxy).resetConns) }},
+	{"worker unresponsive", func(c *cell, r *rand.Rand) { withWorkerFault(c, r, loseAll) }},
+	{"worker connections reset", func(c *cell, r *rand.Rand) { withWorkerFault(c, r, resetOnly) }},
 	{"worker rebooted", func(c *cell, r *rand.Rand) { c.fleet.Worker(randomWorker(c, r)).Reboot() }},
 	{"worker crashed", func(c *cell, r *rand.Rand) { c.fleet.Worker(randomWorker(c, r)).Crash() }},
 	{"worker shrunk", shrinkWorker},
@@ -113,15 +111,11 @@
 	return c.entries[i], c.faultLocks[i].Unlock
 }
 
-// withStoreFault applies a fault to the connections between a random entry VM and
-// the store. At the end it resets them, because a connection that lost data never
-// recovers.
-func withStoreFault(c *cell, r *rand.Rand, do func(p *proxy)) {
-	p := c.entries[r.IntN(len(c.entries))].store
-	do(p)
+// withStoreFault applies a fault to the link between a random entry VM and the store.
+func withStoreFault(c *cell, r *rand.Rand, f linkFault) {
+	end := c.entries[r.IntN(len(c.entries))].store.begin(f)
 	sleepFaultDuration(r)
-	p.clearFaults()
-	p.resetConns()
+	end()
 }
 
 // shrinkWorker takes part of a worker's capacity away for a while.
@@ -134,12 +128,10 @@
 	w.SetCapacity(workerCapacity)
 }
 
-// withWorkerFault applies a fault to the connections of a random worker, and
-// resets them at the end.
-func withWorkerFault(c *cell, r *rand.Rand, do func(p *proxy)) {
-	p := c.workers[randomWorker(c, r)]
-	do(p)
+// withWorkerFault applies a fault to the links between a random worker and all entry VMs.
+func withWorkerFault(c *cell, r *rand.Rand, f linkFault) {
+	id := randomWorker(c, r)
+	end := c.beginFault(f, func(_ *entryVM, worker string) bool { return worker == id })
 	sleepFaultDuration(r)
-	p.clearFaults()
-	p.resetConns()
+	end()
 }
--- a/soak/heartbeats.go
+++ b/soak/heartbeats.go
@@ -18,11 +18,16 @@
 	entries map[string]*site.Upstream
 	// changesOnly is set if an entry is rewritten only if more than its clock has changed.
 	changesOnly bool
+	// heardAt is when the store last heard of a worker.
+	heardAt map[string]time.Time
 }
 
 const (
 	heartbeatInterval = 500 * time.Millisecond
 	heartbeatTimeout  = 200 * time.Millisecond
+	// missedHeartbeats is the number of heartbeats after which the store removes the entry
+	// of a worker.
+	missedHeartbeats = 3
 	// contactInterval and heartbeatInterval are how long starts may rely on a capacity that
 	// has shrunk while the worker could not say so. Otherwise the bound is the fleet's own.
 	contactInterval = 1500 * time.Millisecond
@@ -51,7 +56,7 @@
 		c.serverStore.SetReadDelay(0)
 	}},
 	{"store unresponsive for one entry", func(c *cell, r *rand.Rand) {
-		withStoreFault(c, r, func(p *proxy) { p.blackhole.Store(true) })
+		withStoreFault(c, r, loseAll)
 	}},
 }
 
@@ -93,7 +98,7 @@
 // runHeartbeats publishes the workers' state to the store at regular intervals.
 // With even seeds entries are rewritten only after a change.
 func (c *cell) runHeartbeats(seed uint64) {
-	g := &registrations{c: c, entries: map[string]*site.Upstream{}, changesOnly: seed%2 == 0}
+	g := &registrations{c: c, entries: map[string]*site.Upstream{}, heardAt: map[string]time.Time{}, changesOnly: seed%2 == 0}
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
 	for c.ctx.Err() == nil {
@@ -102,7 +107,8 @@
 	}
 }
 
-// update writes the entries that are due, and removes those of workers that have left.
+// update writes the entries that are due, and removes those of workers that have left or
+// have been cut off for missedHeartbeats.
 // What the store does not accept in time is left to the next heartbeat.
 func (g *registrations) update() {
 	ctx, cancel := context.WithTimeout(g.c.ctx, heartbeatTimeout)
@@ -113,8 +119,12 @@
 	}
 	present := map[string]bool{}
 	for i := range list {
-		present[list[i].ID] = true
-		g.publish(ctx, &list[i])
+		u := &list[i]
+		if !g.c.isCutOff(u.ID) {
+			g.heardAt[u.ID] = time.Now()
+			g.publish(ctx, u)
+		}
+		present[u.ID] = time.Since(g.heardAt[u.ID]) < missedHeartbeats*heartbeatInterval
 	}
 	for id := range g.entries {
 		if present[id] {
@@ -128,7 +138,7 @@
 
 // publish writes the entry of a worker.
 func (g *registrations) publish(ctx context.Context, u *site.Upstream) {
-	u.Addr = netip.MustParseAddrPort(g.c.workers[u.ID].addr())
+	u.Addr = netip.MustParseAddrPort(g.c.workers[u.ID])
 	if old := g.entries[u.ID]; old != nil && g.changesOnly {
 		same := *u
 		same.Clock = old.Clock
--- a/soak/jobclient.go
+++ b/soak/jobclient.go
@@ -61,6 +61,12 @@
 	// unknown at an entry VM.
 	maxPropagationDelay = 3 * time.Second
 
+	// One of longJobOneOf jobs runs for minLongRun to maxLongRun.
+	longJobOneOf = 5
+	longJobCPU   = 500 // thousandths of a core, so that the cell is not full of them
+	minLongRun   = 4 * time.Second
+	maxLongRun   = 16 * time.Second
+
 	completed = "completed"
 	failed    = "failed"
 	cancelled = "cancelled"
@@ -85,6 +91,18 @@
 	return j
 }
 
+// vary makes some jobs longer than the leases of their workers.
+func (j *jobClient) vary(r *rand.Rand) {
+	if r.IntN(longJobOneOf) > 0 || j.poison {
+		return
+	}
+	j.runTime = minLongRun + time.Duration(r.Int64N(int64(maxLongRun-minLongRun)))
+	for i := range j.steps {
+		j.steps[i].CPU = longJobCPU
+		j.steps[i].EstimatedMs = j.runTime.Milliseconds()
+	}
+}
+
 // run submits the job and polls its state. Each request goes to a random entry
 // VM.
 func (j *jobClient) run(ctx context.Context, c *cell, seed uint64, report func(violation)) {
--- /dev/null
+++ b/soak/links.go
@@ -0,0 +1,104 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"time"
+
+	"pollendock.example/cell/site"
+	"pollendock.example/platform"
+	"pollendock.example/standin/fleet"
+)
+
+// linkedWorkers is the topic of the list of workers as one entry VM reads it: each entry has
+// the address of the VM's own link to the worker.
+type linkedWorkers struct {
+	*fleet.Store
+	// addresses maps each worker to its address and that of the link.
+	addresses map[string][2][]byte
+}
+
+// link connects an entry VM to the store and to all workers.
+func (c *cell) link(e *entryVM) error {
+	e.workers = map[string]*proxy{}
+	list := &linkedWorkers{c.serverStore, map[string][2][]byte{}}
+	for id, addr := range c.workers {
+		p, err := newProxy("127.0.0.1", addr)
+		if err != nil {
+			return err
+		}
+		e.workers[id] = p
+		list.addresses[id] = [2][]byte{[]byte(`"` + addr + `"`), []byte(`"` + p.addr() + `"`)}
+	}
+	store, err := c.listen(platform.StoreHandler(map[string]platform.Topic{
+		platform.StateTopic: c.cellStore, platform.ConfigTopic: c.configStore, platform.ServerTopic: list,
+	}))
+	if err != nil {
+		return err
+	}
+	e.store, err = newProxy("127.0.0.1", store)
+	return err
+}
+
+// Read returns entries starting at an offset.
+func (l *linkedWorkers) Read(ctx context.Context, from int64, wait time.Duration) (*site.Page, error) {
+	p, err := l.Store.Read(ctx, from, wait)
+	return l.translate(p), err
+}
+
+// Newest returns a page of the newest entry of each key.
+func (l *linkedWorkers) Newest(ctx context.Context, after string) (*site.Page, error) {
+	p, err := l.Store.Newest(ctx, after)
+	return l.translate(p), err
+}
+
+func (l *linkedWorkers) translate(p *site.Page) *site.Page {
+	if p == nil {
+		return nil
+	}
+	for i := range p.Entries {
+		e := &p.Entries[i]
+		if a, found := l.addresses[e.Key]; found {
+			e.Value = bytes.Replace(e.Value, a[0], a[1], 1)
+		}
+	}
+	return p
+}
+
+// beginFault begins a fault of the chosen links between entry VMs and workers. It returns the
+// function that ends it.
+func (c *cell) beginFault(f linkFault, chosen func(e *entryVM, worker string) bool) (end func()) {
+	var ends []func()
+	for _, e := range c.entries {
+		for id, p := range e.workers {
+			if chosen(e, id) {
+				ends = append(ends, p.begin(f))
+			}
+		}
+	}
+	return func() { callAll(ends) }
+}
+
+// cutOffWorker makes the worker's heartbeats get lost.
+func (c *cell) cutOffWorker(id string) (end func()) {
+	change := func(d int) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.cutOff[id] += d
+	}
+	change(1)
+	return func() { change(-1) }
+}
+
+// isCutOff reports whether the worker's heartbeats get lost.
+func (c *cell) isCutOff(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cutOff[id] > 0
+}
+
+func callAll(list []func()) {
+	for _, fn := range list {
+		fn()
+	}
+}
--- a/soak/main.go
+++ b/soak/main.go
@@ -23,6 +23,7 @@
 		Workers int           `arg:"--workers" default:"6"`
 		Rate    int           `arg:"--rate" default:"6" help:"jobs a second"`
 		Net     uint8         `arg:"--net" help:"entry VMs listen on 127.90.NET.*; 0 for a subnet that no other soak uses"`
+		Basic   bool          `arg:"--basic" help:"no cuts of links between some pairs, and short jobs only"`
 		Keep    string        `arg:"--keep" help:"directory for the logs of the entry VMs; a temporary one is removed"`
 	}
 
@@ -82,6 +83,9 @@
 	clients.Go(func() { c.generateJobs(ctx, opt, end, &clients, vl) })
 	activeFaults.Go(func() { c.injectFaults(opt, end, &activeFaults) })
 	activeFaults.Go(func() { c.injectShrinks(rand.New(rand.NewPCG(opt.Seed, 5)), end) })
+	if !opt.Basic {
+		activeFaults.Go(func() { c.injectCuts(rand.New(rand.NewPCG(opt.Seed, 6)), end) })
+	}
 	activeFaults.Go(func() {
 		if err := c.operator.run(rand.New(rand.NewPCG(opt.Seed, 4)), end); err != nil {
 			vl.add(violation(fmt.Sprintf("the operator's change failed: %v", err)))
@@ -100,8 +104,12 @@
 // generateJobs submits jobs at a constant rate, each from its own client.
 func (c *cell) generateJobs(ctx context.Context, opt *options, end time.Time, clients *sync.WaitGroup, vl *violationLog) {
 	r := rand.New(rand.NewPCG(opt.Seed, 1))
+	kinds := rand.New(rand.NewPCG(opt.Seed, 8))
 	for n := 0; time.Now().Before(end); n++ {
 		j := newJobClient(newJobID(n, opt.Seed), r)
+		if !opt.Basic {
+			j.vary(kinds)
+		}
 		c.mu.Lock()
 		c.jobs[j.id] = j
 		c.mu.Unlock()
--- a/soak/operator.go
+++ b/soak/operator.go
@@ -24,7 +24,7 @@
 }
 
 const (
-	dataCentres = 2
+	dataCentres = 3
 	// evacuationBound is the time that the settings allow until an evacuation is in
 	// force.
 	evacuationBound = 3 * time.Second
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -9,6 +9,15 @@
 )
 
 type (
+	// linkFault is what a fault does to a link: change is called with 1 as it begins, and
+	// with -1 at its end. Faults of one link may overlap.
+	linkFault struct {
+		change func(p *proxy, d int32)
+		// resets is set if the connections are reset at the end, because one that lost data
+		// never recovers.
+		resets bool
+	}
+
 	// proxy forwards TCP connections to one address and simulates the faults of an
 	// unreliable network.
 	proxy struct {
@@ -16,10 +25,12 @@
 		target string
 
 		delay atomic.Int64 // time.Duration
-		// blackhole drops the data of both directions but keeps connections open.
-		blackhole atomic.Bool
-		// dropResponses drops only the data from the target.
-		dropResponses atomic.Bool
+		// lostRequests and lostResponses count the faults that drop the data to and from
+		// the target but keep connections open.
+		lostRequests, lostResponses atomic.Int32
+		// heldRequests counts the faults that hold the data to the target back until they
+		// are over.
+		heldRequests atomic.Int32
 
 		mu    sync.Mutex
 		conns map[net.Conn]bool
@@ -28,6 +39,28 @@
 
 const (
 	copyBufferSize = 32 << 10
+	heldPoll       = 10 * time.Millisecond
+	// slowLink is the delay of the data on a slow link.
+	slowLink = 150 * time.Millisecond
+)
+
+// Faults of a link.
+var (
+	// loseAll drops the data of both directions.
+	loseAll = linkFault{func(p *proxy, d int32) { p.lostRequests.Add(d); p.lostResponses.Add(d) }, true}
+	// loseRequests and loseResponses drop the data of one direction.
+	loseRequests  = linkFault{func(p *proxy, d int32) { p.lostRequests.Add(d) }, true}
+	loseResponses = linkFault{func(p *proxy, d int32) { p.lostResponses.Add(d) }, true}
+	// holdRequests delivers requests, also those that their callers have given up, once the
+	// fault is over, as a network does that sends lost packets again.
+	holdRequests = linkFault{func(p *proxy, d int32) { p.heldRequests.Add(d); p.lostResponses.Add(d) }, false}
+	// resetOnly resets the connections as it begins and at its end.
+	resetOnly = linkFault{func(p *proxy, d int32) {
+		if d > 0 {
+			p.resetConns()
+		}
+	}, true}
+	slowDown = linkFault{func(p *proxy, d int32) { p.delay.Add(int64(d) * int64(slowLink)) }, true}
 )
 
 // newProxy listens on a free port of ip and forwards to target.
@@ -62,8 +95,8 @@
 		return
 	}
 	p.track(in, out)
-	go p.copy(out, in, func() bool { return p.blackhole.Load() })
-	p.copy(in, out, func() bool { return p.blackhole.Load() || p.dropResponses.Load() })
+	go p.copy(out, in, &p.lostRequests, &p.heldRequests)
+	p.copy(in, out, &p.lostResponses, &atomic.Int32{})
 }
 
 func (p *proxy) track(conns ...net.Conn) {
@@ -74,16 +107,19 @@
 	}
 }
 
-// copy forwards the data of one direction. Once cut returns true, the connection
-// never carries data again in this direction, also after the fault is over.
-func (p *proxy) copy(to, from net.Conn, cut func() bool) {
+// copy forwards the data of one direction. Once data is lost, the connection never
+// carries any again in this direction, also after the fault is over.
+func (p *proxy) copy(to, from net.Conn, lost, held *atomic.Int32) {
 	defer p.closeConns(to, from)
 	buf := make([]byte, copyBufferSize)
 	for {
 		n, err := from.Read(buf)
 		if n > 0 {
 			time.Sleep(time.Duration(p.delay.Load()))
-			if cut() {
+			for held.Load() > 0 {
+				time.Sleep(heldPoll)
+			}
+			if lost.Load() > 0 {
 				p.drain(from)
 				return
 			}
@@ -124,8 +160,13 @@
 	}
 }
 
-func (p *proxy) clearFaults() {
-	p.delay.Store(0)
-	p.blackhole.Store(false)
-	p.dropResponses.Store(false)
+// begin begins a fault and returns the function that ends it.
+func (p *proxy) begin(f linkFault) (end func()) {
+	f.change(p, 1)
+	return func() {
+		f.change(p, -1)
+		if f.resets {
+			p.resetConns()
+		}
+	}
 }
