--- a/soak/cuts.go
+++ b/soak/cuts.go
@@ -21,13 +21,15 @@
 }
 
 // injectCuts cuts links. Its draws are apart from those of the other faults.
-func (c *cell) injectCuts(r *rand.Rand, end time.Time) {
-	for {
+func (c *cell) injectCuts(opt *options, end time.Time) {
+	r := rand.New(rand.NewPCG(opt.Seed, 6))
+	list := chosenFaults(cuts, opt.Only)
+	for len(list) > 0 {
 		time.Sleep(time.Duration(r.Int64N(int64(maxCutPause))))
 		if time.Now().After(end) {
 			return
 		}
-		f := &cuts[r.IntN(len(cuts))]
+		f := &list[r.IntN(len(list))]
 		fmt.Printf("%s left, cutting links: %s\n", time.Until(end).Round(time.Millisecond), f.name)
 		f.inject(c, r)
 	}
--- a/soak/jobclient.go
+++ b/soak/jobclient.go
@@ -97,10 +97,10 @@
 		return
 	}
 	j.runTime = minLongRun + time.Duration(r.Int64N(int64(maxLongRun-minLongRun)))
-	for i := range j.steps {
-		j.steps[i].CPU = longJobCPU
-		j.steps[i].EstimatedMs = j.runTime.Milliseconds()
-	}
+	j.failFirstRun = false
+	j.steps = j.steps[:1]
+	j.steps[0].CPU = longJobCPU
+	j.steps[0].EstimatedMs = j.runTime.Milliseconds()
 }
 
 // run submits the job and polls its state. Each request goes to a random entry
--- a/soak/main.go
+++ b/soak/main.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"strings"
 	"sync"
 	"time"
 
@@ -24,6 +25,7 @@
 		Rate    int           `arg:"--rate" default:"6" help:"jobs a second"`
 		Net     uint8         `arg:"--net" help:"entry VMs listen on 127.90.NET.*; 0 for a subnet that no other soak uses"`
 		Basic   bool          `arg:"--basic" help:"no cuts of links between some pairs, and short jobs only"`
+		Only    string        `arg:"--only" help:"only faults with this in their name"`
 		Keep    string        `arg:"--keep" help:"directory for the logs of the entry VMs; a temporary one is removed"`
 	}
 
@@ -82,15 +84,13 @@
 	end := time.Now().Add(opt.Length)
 	clients.Go(func() { c.generateJobs(ctx, opt, end, &clients, vl) })
 	activeFaults.Go(func() { c.injectFaults(opt, end, &activeFaults) })
-	activeFaults.Go(func() { c.injectShrinks(rand.New(rand.NewPCG(opt.Seed, 5)), end) })
 	if !opt.Basic {
-		activeFaults.Go(func() { c.injectCuts(rand.New(rand.NewPCG(opt.Seed, 6)), end) })
+		activeFaults.Go(func() { c.injectCuts(opt, end) })
+	}
+	if opt.Only == "" {
+		activeFaults.Go(func() { c.injectShrinks(rand.New(rand.NewPCG(opt.Seed, 5)), end) })
+		activeFaults.Go(func() { c.evacuate(opt, end, vl) })
 	}
-	activeFaults.Go(func() {
-		if err := c.operator.run(rand.New(rand.NewPCG(opt.Seed, 4)), end); err != nil {
-			vl.add(violation(fmt.Sprintf("the operator's change failed: %v", err)))
-		}
-	})
 	time.Sleep(opt.Length)
 	activeFaults.Wait()
 	c.waitForCompletion(vl)
@@ -101,6 +101,13 @@
 	return vl.violations, nil
 }
 
+// evacuate has the operator evacuate data centres.
+func (c *cell) evacuate(opt *options, end time.Time, vl *violationLog) {
+	if err := c.operator.run(rand.New(rand.NewPCG(opt.Seed, 4)), end); err != nil {
+		vl.add(violation(fmt.Sprintf("the operator's change failed: %v", err)))
+	}
+}
+
 // generateJobs submits jobs at a constant rate, each from its own client.
 func (c *cell) generateJobs(ctx context.Context, opt *options, end time.Time, clients *sync.WaitGroup, vl *violationLog) {
 	r := rand.New(rand.NewPCG(opt.Seed, 1))
@@ -122,8 +129,12 @@
 // injectFaults starts a random fault every 0.2 to 2 s. Faults often overlap.
 func (c *cell) injectFaults(opt *options, end time.Time, activeFaults *sync.WaitGroup) {
 	r := rand.New(rand.NewPCG(opt.Seed, 2))
+	list := chosenFaults(faults, opt.Only)
+	if len(list) == 0 {
+		return
+	}
 	for time.Now().Before(end) {
-		f := faults[r.IntN(len(faults))]
+		f := list[r.IntN(len(list))]
 		faultRand := rand.New(rand.NewPCG(r.Uint64(), 3))
 		fmt.Printf("%s left, injecting fault: %s\n", time.Until(end).Round(time.Millisecond), f.name)
 		activeFaults.Go(func() { f.inject(c, faultRand) })
@@ -131,6 +142,17 @@
 	}
 }
 
+// chosenFaults returns the faults with part in their name.
+func chosenFaults(list []fault, part string) []fault {
+	var chosen []fault
+	for _, f := range list {
+		if strings.Contains(f.name, part) {
+			chosen = append(chosen, f)
+		}
+	}
+	return chosen
+}
+
 // waitForCompletion waits for the accepted jobs to complete once all faults are
 // over, and reports those that don't.
 func (c *cell) waitForCompletion(vl *violationLog) {
