fleet: a delayed start may be executed by a later incarnation under the same id

PROTOCOL.md: a call that receives no response may be executed seconds later, and a worker may start again under its id, knowing nothing of before. The simulated worker dropped such a start. It also granted leases of any length, which a start with a lease end on the earlier clock would get.

--- a/standin/fleet/worker.go
+++ b/standin/fleet/worker.go
@@ -81,6 +81,8 @@
 const (
 	tickInterval = 10 * time.Millisecond
 	gangTimeout  = 3 * time.Second
+	// maxLease is the longest lease that a worker grants.
+	maxLease = 6 * time.Second
 	// defaultShrinkNotice is how long starts may rely on a capacity that has shrunk if the
 	// list shows each change at once.
 	defaultShrinkNotice = time.Second
@@ -115,6 +117,11 @@
 	return now.Sub(w.boot)
 }
 
+// extendLease extends the lease of all runs, but not beyond maxLease.
+func (w *Worker) extendLease(end time.Duration, now time.Time) {
+	w.leaseEnd = max(w.leaseEnd, min(end, w.clock(now)+maxLease))
+}
+
 // tick expires the lease, ends the runs that are due and those of gangs that
 // stayed incomplete for gangTimeout.
 func (w *Worker) tick(now time.Time) {
@@ -313,15 +320,15 @@
 	}
 	if w.delayNext > 0 {
 		w.delayNext--
-		delayed, boot := *req, w.boot
+		delayed := *req
 		time.AfterFunc(w.startDelay, func() {
 			w.fleet.mu.Lock()
 			defer w.fleet.mu.Unlock()
-			if w.boot != boot {
-				// The request was lost with the process that received it.
+			if w.gone {
 				return
 			}
-			// The caller no longer waits for the result.
+			// The incarnation that listens there by now executes it. The caller no longer
+			// waits for the result.
 			_ = w.startRun(&delayed)
 		})
 		w.fleet.mu.Unlock()
@@ -357,7 +364,7 @@
 		return &site.RefusalError{Reason: site.RefusedUnavailable}
 	}
 	w.token = req.Token
-	w.leaseEnd = max(w.leaseEnd, req.LeaseEnd)
+	w.extendLease(req.LeaseEnd, now)
 	if r := w.runs[req.Task]; r != nil && r.number == req.Run {
 		return nil
 	}
@@ -436,7 +443,7 @@
 		return nil, &site.RefusalError{Reason: site.RefusedFenced}
 	}
 	w.token = req.Token
-	w.leaseEnd = max(w.leaseEnd, req.LeaseEnd)
+	w.extendLease(req.LeaseEnd, time.Now())
 	for len(w.ended) > 0 && w.ended[0].Number <= req.Acked {
 		w.fleet.acknowledge(&w.ended[0])
 		w.ended = w.ended[1:]
