soak: more cuts, cancelled, lasting and limited jobs; starts are judged by their senders

Cuts in one direction, of some links only, of a worker for longer than its lease, of the store for some entry VMs or the leader alone; a paused leader; responses that overtake each other. Judged are starts after a job was cancelled or shown as completed, by entry VMs in touch, the limit of a team, tasks of cancelled jobs that still run, and lasting tasks that do not run at the end.

--- a/soak/cell.go
+++ b/soak/cell.go
@@ -43,12 +43,16 @@
 		entries     []*entryVM
 		// faultLocks has a lock per entry VM, so that at most one process fault
 		// affects it at a time.
-		faultLocks []sync.Mutex
+		faultLocks  []sync.Mutex
+		disruptions *disruptions
+		violations  *violationLog
 
 		mu   sync.Mutex
 		jobs map[string]*jobClient
 		// cutOff counts the faults because of which the store does not hear of a worker.
 		cutOff map[string]int
+		// names maps the addresses of the entry VMs to their names.
+		names map[netip.Addr]string
 	}
 
 	// entryVM is the process of one entry VM.
@@ -72,14 +76,20 @@
 	queueHost    = "soak.example"
 	queuePath    = "/q/"
 	teamKey      = "soak-key"
+	limitedKey   = "soak-key-limited"
 	frontendPort = 8401
 	readyPort    = 8402
 	peerPort     = 8403
 	workerCores  = 16
 	grace        = 5 * time.Second
+	stopTime     = 200 * time.Millisecond
 )
 
-var workerCapacity = resource.Vector{MilliCPU: workerCores * 1000, MemoryMB: 64_000}
+var (
+	workerCapacity = resource.Vector{MilliCPU: workerCores * 1000, MemoryMB: 64_000}
+	// teamLimit is what the limited team may have running.
+	teamLimit = resource.Vector{MilliCPU: 24_000, MemoryMB: 64_000}
+)
 
 func newCell(ctx context.Context, opt *options, dir string) (*cell, error) {
 	subnet, err := reserveSubnet(opt)
@@ -89,15 +99,16 @@
 	c := &cell{
 		dir: dir, program: opt.Program, subnet: subnet, ctx: ctx, cellStore: fleet.NewStore(), configStore: fleet.NewStore(), serverStore: fleet.NewStore(),
 		workers: map[string]string{}, cutOff: map[string]int{}, jobs: map[string]*jobClient{}, faultLocks: make([]sync.Mutex, opt.Entries),
-		dataCentres: map[string]string{},
+		dataCentres: map[string]string{}, names: map[netip.Addr]string{}, disruptions: newDisruptions(), violations: &violationLog{},
 	}
 	c.operator = &operator{c: c}
 	c.fleet = fleet.NewFleet(c.taskOutcome, c.taskSize)
 	// The proxies of the workers stand for their ids.
 	c.fleet.KeepIDs()
+	c.fleet.OnStart(c.judgeStart)
 	go c.fleet.Run(ctx)
 	for i := range opt.Workers {
-		if err := c.addWorker(fmt.Sprintf("w%d", i), dataCentreOf(i)); err != nil {
+		if err := c.addWorker(workerName(i), dataCentreOf(i)); err != nil {
 			return nil, err
 		}
 	}
@@ -146,7 +157,7 @@
 	w := c.fleet.Add(id, "s", workerCapacity)
 	w.SetDataCentre(dataCentre)
 	c.dataCentres[id] = dataCentre
-	addr, err := c.listen(platform.WorkerHandler(w))
+	addr, err := c.listen(c.newSenderHandler(platform.WorkerHandler(w)))
 	if err != nil {
 		return err
 	}
@@ -157,9 +168,12 @@
 // publishConfig writes the configuration as the given version.
 func (c *cell) publishConfig(version int64) error {
 	value, err := platform.EncodeCatalog(&site.Catalog{
-		Version:  version,
-		Queues:   []site.Queue{{Name: "q", Host: queueHost, PathPrefix: queuePath, Service: "s", MaxAttempts: 3, Stretch: 4, Objective: time.Second}},
-		Teams:    []site.Team{{Name: "team", Keys: []string{teamKey}, Weight: 100}},
+		Version: version,
+		Queues:  []site.Queue{{Name: "q", Host: queueHost, PathPrefix: queuePath, Service: "s", MaxAttempts: 3, Stretch: 4, Objective: time.Second}},
+		Teams: []site.Team{
+			{Name: "team", Keys: []string{teamKey}, Weight: 100},
+			{Name: "limited", Keys: []string{limitedKey}, Weight: 100, Limit: teamLimit},
+		},
 		Services: map[string]site.Service{"s": {}},
 	})
 	if err != nil {
@@ -171,6 +185,9 @@
 
 func (c *cell) newEntry(i int) (*entryVM, error) {
 	e := &entryVM{name: fmt.Sprintf("vm%d", i), ip: c.subnet.Addr(i + 1), dataCentre: dataCentreOf(i)}
+	c.mu.Lock()
+	c.names[e.ip] = e.name
+	c.mu.Unlock()
 	if err := c.link(e); err != nil {
 		return nil, err
 	}
@@ -179,7 +196,7 @@
 	s := &platform.Settings{Store: netip.MustParseAddrPort(e.store.addr()), Local: site.Local{
 		Name: e.name, DataCentre: e.dataCentre, Listen: at(frontendPort), Ready: at(readyPort), Peer: at(peerPort),
 		Bounds: site.Bounds{
-			MaxLease: 6 * time.Second, StopTime: 200 * time.Millisecond, Grace: grace, Evacuation: evacuationBound,
+			MaxLease: 6 * time.Second, StopTime: stopTime, Grace: grace, Evacuation: evacuationBound,
 			Heartbeat: heartbeatInterval, Contact: contactInterval,
 			CatalogApply: 2 * time.Second, CatalogOutage: 5 * time.Second,
 		},
@@ -227,8 +244,7 @@
 
 // taskOutcome returns the run time and the outcome of a run, as its client chose
 // them. The first run of a task may fail.
-func (c *cell) taskOutcome(t site.TaskID, run int64, worker string) (time.Duration, site.EndKind) {
-	c.operator.checkStart(t, worker)
+func (c *cell) taskOutcome(t site.TaskID, run int64, _ string) (time.Duration, site.EndKind) {
 	j := c.clientOf(t.Job)
 	if j == nil {
 		return time.Second, site.Done
--- /dev/null
+++ b/soak/disruptions.go
@@ -0,0 +1,46 @@
+package main
+
+import (
+	"sync"
+	"time"
+)
+
+// disruptions records what the faults disturb: entry VMs by their names, and the store.
+type disruptions struct {
+	mu      sync.Mutex
+	active  map[string]int
+	endedAt map[string]time.Time
+}
+
+// storeName stands for the store among the names of entry VMs.
+const storeName = "store"
+
+func newDisruptions() *disruptions {
+	return &disruptions{active: map[string]int{}, endedAt: map[string]time.Time{}}
+}
+
+// begin records a disruption, which lasts until end is called.
+func (d *disruptions) begin(name string) (end func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.active[name]++
+	return func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.active[name]--
+		d.endedAt[name] = time.Now()
+	}
+}
+
+// inTouch reports whether neither the entry VM nor the store was disturbed in the last
+// contactInterval.
+func (d *disruptions) inTouch(name string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, n := range []string{name, storeName} {
+		if d.active[n] > 0 || time.Since(d.endedAt[n]) < contactInterval {
+			return false
+		}
+	}
+	return true
+}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -27,26 +27,10 @@
 	{"store responses lost for one entry", func(c *cell, r *rand.Rand) { withStoreFault(c, r, loseResponses) }},
 	{"store slow for one entry", func(c *cell, r *rand.Rand) { withStoreFault(c, r, slowDown) }},
 	{"store connections reset for one entry", func(c *cell, r *rand.Rand) { withStoreFault(c, r, resetOnly) }},
-	{"store unresponsive", func(c *cell, r *rand.Rand) {
-		c.cellStore.SetSilent(true)
-		sleepFaultDuration(r)
-		c.cellStore.SetSilent(false)
-	}},
-	{"store unavailable", func(c *cell, r *rand.Rand) {
-		c.cellStore.SetUnavailable(true)
-		sleepFaultDuration(r)
-		c.cellStore.SetUnavailable(false)
-	}},
-	{"configuration unavailable", func(c *cell, r *rand.Rand) {
-		c.configStore.SetUnavailable(true)
-		sleepFaultDuration(r)
-		c.configStore.SetUnavailable(false)
-	}},
-	{"configuration unresponsive", func(c *cell, r *rand.Rand) {
-		c.configStore.SetSilent(true)
-		sleepFaultDuration(r)
-		c.configStore.SetSilent(false)
-	}},
+	{"store unresponsive", storeOutage(func(c *cell, on bool) { c.cellStore.SetSilent(on) })},
+	{"store unavailable", storeOutage(func(c *cell, on bool) { c.cellStore.SetUnavailable(on) })},
+	{"configuration unavailable", storeOutage(func(c *cell, on bool) { c.configStore.SetUnavailable(on) })},
+	{"configuration unresponsive", storeOutage(func(c *cell, on bool) { c.configStore.SetSilent(on) })},
 	{"store append responses lost", func(c *cell, r *rand.Rand) { c.cellStore.DropResponses(1 + r.IntN(5)) }},
 	{"store history trimmed", func(c *cell, _ *rand.Rand) { c.cellStore.Trim() }},
 	{"worker unresponsive", func(c *cell, r *rand.Rand) { withWorkerFault(c, r, loseAll) }},
@@ -69,7 +53,11 @@
 }
 
 func randomWorker(c *cell, r *rand.Rand) string {
-	return fmt.Sprintf("w%d", r.IntN(len(c.workers)))
+	return workerName(r.IntN(len(c.workers)))
+}
+
+func workerName(i int) string {
+	return fmt.Sprintf("w%d", i)
 }
 
 func restartEntry(c *cell, r *rand.Rand, s syscall.Signal) {
@@ -83,8 +71,13 @@
 func pauseEntry(c *cell, r *rand.Rand) {
 	e, unlock := c.lockEntry(r)
 	defer unlock()
+	e.pause(func() { sleepFaultDuration(r) })
+}
+
+// pause suspends the process while fn runs.
+func (e *entryVM) pause(fn func()) {
 	e.sendSignal(syscall.SIGSTOP)
-	sleepFaultDuration(r)
+	fn()
 	e.sendSignal(syscall.SIGCONT)
 }
 
@@ -96,9 +89,11 @@
 		e.sendSignal(syscall.SIGKILL)
 	}
 	for i, e := range c.entries {
+		end := c.disruptions.begin(e.name)
 		if err := e.restart(c.program, syscall.SIGKILL, time.Duration(r.IntN(400))*time.Millisecond); err != nil {
 			panic(err)
 		}
+		end()
 		c.faultLocks[i].Unlock()
 	}
 }
@@ -106,14 +101,31 @@
 // lockEntry picks a random entry VM and locks it against other process faults.
 // It returns the entry VM and its unlock function.
 func (c *cell) lockEntry(r *rand.Rand) (*entryVM, func()) {
-	i := r.IntN(len(c.entries))
+	return c.lock(r.IntN(len(c.entries)))
+}
+
+func (c *cell) lock(i int) (*entryVM, func()) {
 	c.faultLocks[i].Lock()
-	return c.entries[i], c.faultLocks[i].Unlock
+	end := c.disruptions.begin(c.entries[i].name)
+	return c.entries[i], func() {
+		end()
+		c.faultLocks[i].Unlock()
+	}
+}
+
+// storeOutage returns a fault that disturbs the store for a while.
+func storeOutage(set func(c *cell, on bool)) func(c *cell, r *rand.Rand) {
+	return func(c *cell, r *rand.Rand) {
+		defer c.disruptions.begin(storeName)()
+		set(c, true)
+		sleepFaultDuration(r)
+		set(c, false)
+	}
 }
 
 // withStoreFault applies a fault to the link between a random entry VM and the store.
 func withStoreFault(c *cell, r *rand.Rand, f linkFault) {
-	end := c.entries[r.IntN(len(c.entries))].store.begin(f)
+	end := c.beginStoreFault(c.entries[r.IntN(len(c.entries))], f)
 	sleepFaultDuration(r)
 	end()
 }
--- a/soak/heartbeats.go
+++ b/soak/heartbeats.go
@@ -40,21 +40,15 @@
 
 // listOutages are the ways in which workers shrink unnoticed.
 var listOutages = []fault{
-	{"list of workers unresponsive", func(c *cell, r *rand.Rand) {
-		c.serverStore.SetSilent(true)
-		sleepFaultDuration(r)
-		c.serverStore.SetSilent(false)
-	}},
-	{"list of workers unavailable", func(c *cell, r *rand.Rand) {
-		c.serverStore.SetUnavailable(true)
-		sleepFaultDuration(r)
-		c.serverStore.SetUnavailable(false)
-	}},
-	{"list of workers slow", func(c *cell, r *rand.Rand) {
-		c.serverStore.SetReadDelay(slowRead)
-		sleepFaultDuration(r)
-		c.serverStore.SetReadDelay(0)
-	}},
+	{"list of workers unresponsive", storeOutage(func(c *cell, on bool) { c.serverStore.SetSilent(on) })},
+	{"list of workers unavailable", storeOutage(func(c *cell, on bool) { c.serverStore.SetUnavailable(on) })},
+	{"list of workers slow", storeOutage(func(c *cell, on bool) {
+		if on {
+			c.serverStore.SetReadDelay(slowRead)
+		} else {
+			c.serverStore.SetReadDelay(0)
+		}
+	})},
 	{"store unresponsive for one entry", func(c *cell, r *rand.Rand) {
 		withStoreFault(c, r, loseAll)
 	}},
@@ -84,7 +78,7 @@
 		}
 		smaller := workerCapacity
 		smaller.MilliCPU = smaller.MilliCPU * int64(1+r.IntN(3)) / 4
-		c.fleet.Worker(fmt.Sprintf("w%d", i)).SetCapacity(smaller)
+		c.fleet.Worker(workerName(i)).SetCapacity(smaller)
 	}
 	outage.inject(c, r)
 	time.Sleep(contactInterval + heartbeatInterval)
--- a/soak/jobclient.go
+++ b/soak/jobclient.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"pollendock.example/cell/site"
 )
 
 type (
@@ -21,6 +23,12 @@
 		failFirstRun bool
 		// poison is set if the first task crashes its workers.
 		poison bool
+		// lasting is set if the tasks run until the job is cancelled.
+		lasting bool
+		// cancelAfter is the time after which the client cancels the job, 0 for never.
+		cancelAfter time.Duration
+		// key is that of the job's team.
+		key string
 
 		mu sync.Mutex
 		// accepted is the time of the first 200 response; zero before it.
@@ -29,6 +37,9 @@
 		// response says that it will not run.
 		attempts, rejected int
 		state              string
+		// completedAt is when the job was first shown as completed, cancelledAt when its
+		// cancelling was acknowledged.
+		completedAt, cancelledAt time.Time
 	}
 
 	// jobBody and stepBody are the request body of a submission.
@@ -43,6 +54,7 @@
 		MemMB       int64 `json:"mem-mb"`
 		EstimatedMs int64 `json:"estimated-ms"`
 		Gang        bool  `json:"gang,omitempty"`
+		LongRunning bool  `json:"long-running,omitempty"`
 		After       []int `json:"after,omitempty"`
 	}
 
@@ -61,11 +73,20 @@
 	// unknown at an entry VM.
 	maxPropagationDelay = 3 * time.Second
 
-	// One of longJobOneOf jobs runs for minLongRun to maxLongRun.
-	longJobOneOf = 5
-	longJobCPU   = 500 // thousandths of a core, so that the cell is not full of them
-	minLongRun   = 4 * time.Second
-	maxLongRun   = 16 * time.Second
+	// Of jobKinds jobs, longJobs run for minLongRun to maxLongRun, lastingJobs until they are
+	// cancelled, cancelledJobs are cancelled, and limitedJobs are of a team with a limit.
+	jobKinds      = 30
+	longJobs      = 6
+	lastingJobs   = 2
+	cancelledJobs = 4
+	limitedJobs   = 6
+	minLongRun    = 4 * time.Second
+	maxLongRun    = 16 * time.Second
+	lastingRun    = 30 * time.Minute
+	// longJobCPU is a task's size in thousandths of a core.
+	longJobCPU = 500
+	// cancelShare is the divisor of a long run's time after which other jobs are cancelled.
+	cancelShare = 8
 
 	completed = "completed"
 	failed    = "failed"
@@ -73,7 +94,7 @@
 )
 
 func newJobClient(id string, r *rand.Rand) *jobClient {
-	j := &jobClient{id: id, runTime: time.Duration(200+r.IntN(2000)) * time.Millisecond, failFirstRun: r.IntN(8) == 0, poison: r.IntN(60) == 0}
+	j := &jobClient{id: id, runTime: time.Duration(200+r.IntN(2000)) * time.Millisecond, failFirstRun: r.IntN(8) == 0, poison: r.IntN(60) == 0, key: teamKey}
 	step := func(count int, cores int64, gang bool) stepBody {
 		return stepBody{Count: count, CPU: cores * 1000, MemMB: 500, EstimatedMs: j.runTime.Milliseconds(), Gang: gang}
 	}
@@ -91,16 +112,38 @@
 	return j
 }
 
-// vary makes some jobs longer than the leases of their workers.
+// vary makes a job of another kind of some jobs.
 func (j *jobClient) vary(r *rand.Rand) {
-	if r.IntN(longJobOneOf) > 0 || j.poison {
+	kind := r.IntN(jobKinds)
+	length := minLongRun + time.Duration(r.Int64N(int64(maxLongRun-minLongRun)))
+	if j.poison {
 		return
 	}
-	j.runTime = minLongRun + time.Duration(r.Int64N(int64(maxLongRun-minLongRun)))
+	switch {
+	case kind < longJobs:
+		j.makeSmall(length)
+	case kind < longJobs+lastingJobs:
+		j.makeSmall(lastingRun)
+		j.lasting = true
+		j.steps[0].Gang = false
+		j.steps[0].LongRunning = true
+		if r.IntN(2) == 0 {
+			j.cancelAfter = length
+		}
+	case kind < longJobs+lastingJobs+cancelledJobs:
+		j.cancelAfter = length / cancelShare
+	case kind < longJobs+lastingJobs+cancelledJobs+limitedJobs:
+		j.key = limitedKey
+	}
+}
+
+// makeSmall leaves one small step of tasks that take so long.
+func (j *jobClient) makeSmall(length time.Duration) {
+	j.runTime = length
 	j.failFirstRun = false
 	j.steps = j.steps[:1]
 	j.steps[0].CPU = longJobCPU
-	j.steps[0].EstimatedMs = j.runTime.Milliseconds()
+	j.steps[0].EstimatedMs = length.Milliseconds()
 }
 
 // run submits the job and polls its state. Each request goes to a random entry
@@ -120,6 +163,10 @@
 	}
 	for ctx.Err() == nil && !j.acceptedAt().IsZero() && !j.hasEnded() {
 		time.Sleep(pollInterval)
+		if j.cancelAfter > 0 && time.Since(j.acceptedAt()) > j.cancelAfter {
+			j.cancel(ctx, c, client, r)
+			continue
+		}
 		j.poll(ctx, c, client, r, report)
 	}
 }
@@ -132,7 +179,7 @@
 		return 0, nil, err
 	}
 	request.Host = queueHost
-	request.Header.Set("Api-Key", teamKey)
+	request.Header.Set("Api-Key", j.key)
 	answer, err := client.Do(request)
 	if err != nil {
 		return 0, nil, err
@@ -156,6 +203,16 @@
 	}
 }
 
+func (j *jobClient) cancel(ctx context.Context, c *cell, client *http.Client, r *rand.Rand) {
+	status, _, err := j.sendRequest(ctx, c, client, r, http.MethodDelete, nil)
+	if err != nil || status/100 != 2 && status != http.StatusGone {
+		return
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.cancelledAt = time.Now()
+}
+
 func (j *jobClient) poll(ctx context.Context, c *cell, client *http.Client, r *rand.Rand, report func(violation)) {
 	sentAt := time.Now()
 	status, data, err := j.sendRequest(ctx, c, client, r, http.MethodGet, nil)
@@ -178,7 +235,10 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.state = answer.State
-	if answer.State == cancelled || answer.State == failed && !j.poison || answer.State == completed && j.poison {
+	if j.state == completed && j.completedAt.IsZero() {
+		j.completedAt = time.Now()
+	}
+	if answer.State == cancelled && j.cancelAfter == 0 || answer.State == failed && !j.poison || answer.State == completed && j.poison {
 		report(violation(fmt.Sprintf("job %s is reported as %s without a cause", j.id, answer.State)))
 	}
 }
@@ -189,10 +249,27 @@
 	return j.accepted
 }
 
+// lasts reports whether all tasks of a job that lasts are among those that run.
+func (j *jobClient) lasts(running []site.TaskID) bool {
+	if !j.lasting {
+		return false
+	}
+	tasks := map[site.TaskID]bool{}
+	for _, t := range running {
+		if t.Job == j.id {
+			tasks[t] = true
+		}
+	}
+	return len(tasks) == j.steps[0].Count
+}
+
 // hasEnded reports whether the job has ended as it should: a poison one has failed.
 func (j *jobClient) hasEnded() bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	if !j.cancelledAt.IsZero() {
+		return true
+	}
 	if j.poison {
 		return j.state == failed
 	}
--- a/soak/links.go
+++ b/soak/links.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"net/http"
+	"net/netip"
 	"time"
 
 	"pollendock.example/cell/site"
@@ -23,7 +25,7 @@
 	e.workers = map[string]*proxy{}
 	list := &linkedWorkers{c.serverStore, map[string][2][]byte{}}
 	for id, addr := range c.workers {
-		p, err := newProxy("127.0.0.1", addr)
+		p, err := newProxy(e.ip, addr)
 		if err != nil {
 			return err
 		}
@@ -36,7 +38,7 @@
 	if err != nil {
 		return err
 	}
-	e.store, err = newProxy("127.0.0.1", store)
+	e.store, err = newProxy(e.ip, store)
 	return err
 }
 
@@ -70,15 +72,21 @@
 func (c *cell) beginFault(f linkFault, chosen func(e *entryVM, worker string) bool) (end func()) {
 	var ends []func()
 	for _, e := range c.entries {
-		for id, p := range e.workers {
-			if chosen(e, id) {
-				ends = append(ends, p.begin(f))
+		for i := range len(e.workers) {
+			if id := workerName(i); chosen(e, id) {
+				ends = append(ends, c.disruptions.begin(e.name), e.workers[id].begin(f))
 			}
 		}
 	}
 	return func() { callAll(ends) }
 }
 
+// beginStoreFault begins a fault of the link between an entry VM and the store.
+func (c *cell) beginStoreFault(e *entryVM, f linkFault) (end func()) {
+	ends := []func(){c.disruptions.begin(e.name), e.store.begin(f)}
+	return func() { callAll(ends) }
+}
+
 // cutOffWorker makes the worker's heartbeats get lost.
 func (c *cell) cutOffWorker(id string) (end func()) {
 	change := func(d int) {
@@ -102,3 +110,21 @@
 		fn()
 	}
 }
+
+// newSenderHandler tells calls from the entry VMs apart by their addresses.
+func (c *cell) newSenderHandler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		next.ServeHTTP(w, r.WithContext(fleet.WithSender(r.Context(), c.nameOf(r.RemoteAddr))))
+	})
+}
+
+// nameOf returns the name of the entry VM that has the address.
+func (c *cell) nameOf(remote string) string {
+	addr, err := netip.ParseAddrPort(remote)
+	if err != nil {
+		return ""
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.names[addr.Addr()]
+}
--- a/soak/main.go
+++ b/soak/main.go
@@ -79,13 +79,13 @@
 	}
 	defer c.stop()
 	time.Sleep(warmUp)
-	vl := &violationLog{}
+	vl := c.violations
 	var clients, activeFaults sync.WaitGroup
 	end := time.Now().Add(opt.Length)
 	clients.Go(func() { c.generateJobs(ctx, opt, end, &clients, vl) })
 	activeFaults.Go(func() { c.injectFaults(opt, end, &activeFaults) })
 	if !opt.Basic {
-		activeFaults.Go(func() { c.injectCuts(opt, end) })
+		activeFaults.Go(func() { c.injectCuts(opt, end, &activeFaults) })
 	}
 	if opt.Only == "" {
 		activeFaults.Go(func() { c.injectShrinks(rand.New(rand.NewPCG(opt.Seed, 5)), end) })
@@ -93,7 +93,12 @@
 	}
 	time.Sleep(opt.Length)
 	activeFaults.Wait()
+	faultsEnd := time.Now()
 	c.waitForCompletion(vl)
+	if !opt.Basic {
+		time.Sleep(time.Until(faultsEnd.Add(settleTime)))
+		c.checkCancelled()
+	}
 	cancel()
 	clients.Wait()
 	c.checkRuns(vl)
@@ -168,13 +173,15 @@
 	}
 }
 
-// unfinishedJobs returns the accepted jobs that no entry VM has reported as ended.
+// unfinishedJobs returns the accepted jobs that no entry VM has reported as ended, but for
+// those that last and run.
 func (c *cell) unfinishedJobs() []*jobClient {
+	running := c.fleet.Running()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var list []*jobClient
 	for _, j := range c.jobs {
-		if !j.acceptedAt().IsZero() && !j.hasEnded() {
+		if !j.acceptedAt().IsZero() && !j.hasEnded() && !j.lasts(running) {
 			list = append(list, j)
 		}
 	}
@@ -210,6 +217,10 @@
 	return n
 }
 
+func (vl *violationLog) addf(format string, args ...any) {
+	vl.add(violation(fmt.Sprintf(format, args...)))
+}
+
 func (vl *violationLog) add(v violation) {
 	vl.mu.Lock()
 	defer vl.mu.Unlock()
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -2,7 +2,9 @@
 
 import (
 	"io"
+	"math/rand/v2"
 	"net"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,6 +25,7 @@
 	proxy struct {
 		ln     net.Listener
 		target string
+		dialer net.Dialer
 
 		delay atomic.Int64 // time.Duration
 		// lostRequests and lostResponses count the faults that drop the data to and from
@@ -31,6 +34,8 @@
 		// heldRequests counts the faults that hold the data to the target back until they
 		// are over.
 		heldRequests atomic.Int32
+		// shuffled counts the faults that delay each response for a random time.
+		shuffled atomic.Int32
 
 		mu    sync.Mutex
 		conns map[net.Conn]bool
@@ -42,6 +47,8 @@
 	heldPoll       = 10 * time.Millisecond
 	// slowLink is the delay of the data on a slow link.
 	slowLink = 150 * time.Millisecond
+	// maxShuffle is the longest delay of a response that others overtake.
+	maxShuffle = 600 * time.Millisecond
 )
 
 // Faults of a link.
@@ -60,16 +67,21 @@
 			p.resetConns()
 		}
 	}, true}
-	slowDown = linkFault{func(p *proxy, d int32) { p.delay.Add(int64(d) * int64(slowLink)) }, true}
+	// shuffleResponses delays each response for a time of its own, so that those on different
+	// connections overtake each other.
+	shuffleResponses = linkFault{func(p *proxy, d int32) { p.shuffled.Add(d) }, false}
+	slowDown         = linkFault{func(p *proxy, d int32) { p.delay.Add(int64(d) * int64(slowLink)) }, true}
 )
 
-// newProxy listens on a free port of ip and forwards to target.
-func newProxy(ip, target string) (*proxy, error) {
-	ln, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+// newProxy listens on a free port and forwards to target, from the address of the machine
+// whose link it is.
+func newProxy(from netip.Addr, target string) (*proxy, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	p := &proxy{ln: ln, target: target, conns: map[net.Conn]bool{}}
+	p.dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(from, 0))
 	go p.accept()
 	return p, nil
 }
@@ -89,14 +101,15 @@
 }
 
 func (p *proxy) forward(in net.Conn) {
-	out, err := net.Dial("tcp", p.target)
+	out, err := p.dialer.Dial("tcp", p.target)
 	if err != nil {
 		_ = in.Close()
 		return
 	}
 	p.track(in, out)
-	go p.copy(out, in, &p.lostRequests, &p.heldRequests)
-	p.copy(in, out, &p.lostResponses, &atomic.Int32{})
+	none := &atomic.Int32{}
+	go p.copy(out, in, &p.lostRequests, &p.heldRequests, none)
+	p.copy(in, out, &p.lostResponses, none, &p.shuffled)
 }
 
 func (p *proxy) track(conns ...net.Conn) {
@@ -109,13 +122,16 @@
 
 // copy forwards the data of one direction. Once data is lost, the connection never
 // carries any again in this direction, also after the fault is over.
-func (p *proxy) copy(to, from net.Conn, lost, held *atomic.Int32) {
+func (p *proxy) copy(to, from net.Conn, lost, held, shuffled *atomic.Int32) {
 	defer p.closeConns(to, from)
 	buf := make([]byte, copyBufferSize)
 	for {
 		n, err := from.Read(buf)
 		if n > 0 {
 			time.Sleep(time.Duration(p.delay.Load()))
+			if shuffled.Load() > 0 {
+				time.Sleep(time.Duration(rand.Int64N(int64(maxShuffle))))
+			}
 			for held.Load() > 0 {
 				time.Sleep(heldPoll)
 			}
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -40,7 +40,27 @@
 		// silentCrashes is set if calls to a worker that has crashed get no answer.
 		// Otherwise their connections are refused.
 		silentCrashes bool
+		// onStart is called when a run starts; nil for nobody.
+		onStart func(s Start)
+		// leader is the sender of the newest token.
+		leader      string
+		leaderToken int64
 	}
+
+	// Start is the start of a run.
+	Start struct {
+		Task   site.TaskID
+		Run    int64
+		Worker string
+		// Sender is the entry VM whose request it was, see WithSender. Late is set if the
+		// worker has executed the request after a delay.
+		Sender string
+		Late   bool
+		// Running are all tasks that run by now, once for each run.
+		Running []site.TaskID
+	}
+
+	senderKey struct{}
 )
 
 // NewFleet returns a fleet. The function outcome returns how long a run takes
@@ -58,6 +78,47 @@
 	}
 }
 
+// WithSender returns a context for calls of workers by an entry VM.
+func WithSender(ctx context.Context, name string) context.Context {
+	return context.WithValue(ctx, senderKey{}, name)
+}
+
+func senderOf(ctx context.Context) string {
+	name, _ := ctx.Value(senderKey{}).(string)
+	return name
+}
+
+// OnStart makes the fleet call fn when a run starts. The fleet is locked meanwhile.
+func (f *Fleet) OnStart(fn func(s Start)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.onStart = fn
+}
+
+// Leader returns the entry VM that has sent the newest token.
+func (f *Fleet) Leader() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.leader
+}
+
+// Running returns the tasks that run on workers that are up, once for each run.
+func (f *Fleet) Running() []site.TaskID {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.running()
+}
+
+func (f *Fleet) running() []site.TaskID {
+	var list []site.TaskID
+	for _, w := range f.workers {
+		for t := range w.runs {
+			list = append(list, t)
+		}
+	}
+	return list
+}
+
 // Add adds a worker.
 func (f *Fleet) Add(id, service string, capacity resource.Vector) *Worker {
 	f.mu.Lock()
--- a/standin/fleet/worker.go
+++ b/standin/fleet/worker.go
@@ -320,7 +320,7 @@
 	}
 	if w.delayNext > 0 {
 		w.delayNext--
-		delayed := *req
+		delayed, sender := *req, senderOf(ctx)
 		time.AfterFunc(w.startDelay, func() {
 			w.fleet.mu.Lock()
 			defer w.fleet.mu.Unlock()
@@ -329,13 +329,13 @@
 			}
 			// The incarnation that listens there by now executes it. The caller no longer
 			// waits for the result.
-			_ = w.startRun(&delayed)
+			_ = w.startRun(&delayed, sender, true)
 		})
 		w.fleet.mu.Unlock()
 		<-ctx.Done()
 		return 0, ctx.Err()
 	}
-	err := w.startRun(req)
+	err := w.startRun(req, senderOf(ctx), false)
 	drop := w.dropNext > 0
 	if drop {
 		w.dropNext--
@@ -349,7 +349,7 @@
 	return clock, err
 }
 
-func (w *Worker) startRun(req *site.StartRequest) error {
+func (w *Worker) startRun(req *site.StartRequest, sender string, late bool) error {
 	f := w.fleet
 	now := time.Now()
 	switch {
@@ -363,7 +363,7 @@
 		w.refuseNext--
 		return &site.RefusalError{Reason: site.RefusedUnavailable}
 	}
-	w.token = req.Token
+	w.obey(req.Token, sender)
 	w.extendLease(req.LeaseEnd, now)
 	if r := w.runs[req.Task]; r != nil && r.number == req.Run {
 		return nil
@@ -378,9 +378,20 @@
 	w.runs[req.Task] = r
 	f.starts[req.Task]++
 	f.startedAt[req.Task] = now
+	if f.onStart != nil {
+		f.onStart(Start{Task: req.Task, Run: req.Run, Worker: w.upstream.ID, Sender: sender, Late: late, Running: f.running()})
+	}
 	return nil
 }
 
+// obey accepts a token that is not older than the newest one.
+func (w *Worker) obey(token int64, sender string) {
+	w.token = token
+	if token >= w.fleet.leaderToken {
+		w.fleet.leader, w.fleet.leaderToken = sender, token
+	}
+}
+
 // checkStart records the invariants that a start violates.
 func (w *Worker) checkStart(req *site.StartRequest) {
 	f := w.fleet
@@ -442,7 +453,7 @@
 		w.fleet.mu.Unlock()
 		return nil, &site.RefusalError{Reason: site.RefusedFenced}
 	}
-	w.token = req.Token
+	w.obey(req.Token, senderOf(ctx))
 	w.extendLease(req.LeaseEnd, time.Now())
 	for len(w.ended) > 0 && w.ended[0].Number <= req.Acked {
 		w.fleet.acknowledge(&w.ended[0])
