soak: failing test of two runs at once while the leader is cut off

Real processes: the leader is cut off for 12.7 s with the workers of its data centre, which lose their entries in the store meanwhile.

--- a/soak/cuts.go
+++ b/soak/cuts.go
@@ -18,7 +18,8 @@
 // cuts disturb some of the links between entry VMs, workers and the store, and leave others
 // as they are.
 var cuts = []fault{
-	{"data centre cut off", cutDataCentre},
+	{"data centre cut off", func(c *cell, r *rand.Rand) { cutDataCentre(c, r, dataCentreOf(r.IntN(dataCentres))) }},
+	{"leader cut off with its neighbours", func(c *cell, r *rand.Rand) { cutDataCentre(c, r, c.entries[c.leader()].dataCentre) }},
 	{"some links lost", cutSomeLinks},
 	{"store lost for some entries", cutSomeStores},
 	{"store lost for the leader", func(c *cell, r *rand.Rand) {
@@ -59,8 +60,7 @@
 
 // cutDataCentre cuts the entry VMs and workers of a data centre from the store and from those
 // elsewhere. What runs there goes on, and they reach each other.
-func cutDataCentre(c *cell, r *rand.Rand) {
-	name := dataCentreOf(r.IntN(dataCentres))
+func cutDataCentre(c *cell, r *rand.Rand, name string) {
 	f := loseAll
 	if r.IntN(3) == 0 {
 		f = holdRequests
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -19,22 +19,40 @@
 
 // TestSoak runs short soaks with real processes.
 func TestSoak(t *testing.T) {
+	program := buildProgram(t)
+	for _, seed := range seeds {
+		play(t, &options{Program: program, Seed: seed, Length: testLength, Entries: 3, Workers: 4, Rate: 5, Basic: true})
+	}
+}
+
+// TestOneRunWhileLeaderIsCutOff cuts the leader off for 12.7 s, together with the workers of its
+// data centre.
+func TestOneRunWhileLeaderIsCutOff(t *testing.T) {
+	play(t, &options{
+		Program: buildProgram(t), Seed: 280, Length: testLength, Entries: 3, Workers: 6, Rate: 8, Only: "leader cut off",
+	})
+}
+
+func buildProgram(t *testing.T) string {
+	t.Helper()
 	program := filepath.Join(t.TempDir(), "pollendockd")
 	build := exec.Command("go", "build", "-o", program, ".")
 	build.Dir = "../pollendockd"
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("%v\n%s", err, out)
 	}
-	for _, seed := range seeds {
-		dir := t.TempDir()
-		violations, err := soak(&options{
-			Program: program, Seed: seed, Length: testLength, Entries: 3, Workers: 4, Rate: 5, Basic: true, Keep: dir,
-		})
-		if err != nil {
-			t.Fatal(err)
-		}
-		for _, v := range violations {
-			t.Errorf("seed %d: %s", seed, v)
-		}
+	return program
+}
+
+// play runs a soak and reports its violations.
+func play(t *testing.T, opt *options) {
+	t.Helper()
+	opt.Keep = t.TempDir()
+	violations, err := soak(opt)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, v := range violations {
+		t.Errorf("seed %d: %s", opt.Seed, v)
 	}
 }
