scheduler: any leader takes back the crash of a worker that was cut off

Callers saw: LOST, a job shown as failed without cause.

Change: - Doubtful crashes have a record, doubtfulCrashes/ID, that is appended with the count. Each leader takes it over, and decides it on the worker's first answer: the same incarnation has not crashed, a later one makes the crash certain. - A verdict that rests on a doubtful crash is not carried out for 15 s. The task is not started meanwhile, and goes on if a worker answers. A new leader begins the 15 s anew. - Workers that stay cut for longer look like crashed ones for good, so a grace alone still loses the job. What differs is the run: if it was known to have worked for 3 s, a silent worker is more likely cut off. Such crashes do not count towards the third, and the task is given up for the fifth of any kind, which is the second start after three crashes. TestPoisonTaskIsGivenUp is unchanged and passes, with workers that fall silent (2 to 3 crashes, within 60 s); TestLongPoisonTaskOnSilentWorkers bounds the tasks that crash silent workers after 4 s at 5.

What remains: a sound job is still given up if three of its workers are cut off within 3 s of its start, one after the other, and none is back 15 s after the third, or if five are cut off and stay so. A task that crashes silent workers after more than 3 s costs five workers instead of three.

--- a/cell/crash/crash.go
+++ b/cell/crash/crash.go
@@ -26,6 +26,10 @@
 	EarlyOthers bool
 	// Alone is set if no run of another job was on the worker.
 	Alone bool
+	// LikelyCuts is the number of crashes under the task, with this one, that were likely
+	// none: nothing shows that the worker's process has ended, and the run had worked well
+	// past its start.
+	LikelyCuts int
 	// Endless is set for a task that runs until its job is canceled. In its time many
 	// workers crash that it has no part in.
 	Endless bool
@@ -38,6 +42,8 @@
 	// poisonCount is the number of crashes that prove it, the last one alone, if the
 	// task may have survived some of its starts.
 	poisonCount = 3
+	// poisonCountWithCuts is the same for a task whose workers may merely have been cut off.
+	poisonCountWithCuts = 5
 	// suspectCount is the number of crashes from which a task is suspected, whoever else
 	// was there.
 	suspectCount = 2
@@ -70,7 +76,9 @@
 		return job.Poison
 	case s.Alone && t.Early >= poisonCount:
 		return job.Poison
-	case s.Alone && t.Count >= poisonCount && !s.Endless:
+	case s.Alone && t.Count-s.LikelyCuts >= poisonCount && !s.Endless:
+		return job.Poison
+	case s.Alone && t.Count >= poisonCountWithCuts && !s.Endless:
 		return job.Poison
 	case t.Early > 0 || !s.EarlyOthers:
 		return job.Suspect
--- a/cell/crash/crash_test.go
+++ b/cell/crash/crash_test.go
@@ -14,6 +14,7 @@
 	beside := Scene{Begun: true, Survived: true, Sudden: true, EarlyOthers: true}
 	survivorAlone := Scene{Begun: true, Survived: true, Sudden: true, Alone: true}
 	requested := Scene{Sudden: true}
+	cut := func(n int) Scene { return Scene{Begun: true, Survived: true, Alone: true, LikelyCuts: n} }
 	for _, c := range []struct {
 		name    string
 		scenes  []Scene
@@ -34,6 +35,9 @@
 		{"three of them", []Scene{unknownAlone, unknownAlone, unknownAlone}, false, job.Poison, 3},
 		{"an early crash, then survived its start alone", []Scene{early, survivorAlone}, false, job.Suspect, 2},
 		{"late crashes, the last one alone", []Scene{survivor, survivor, survivorAlone}, false, job.Poison, 3},
+		{"four workers that were likely cut off", []Scene{cut(1), cut(2), cut(3), cut(4)}, false, job.Suspect, 4},
+		{"five of them", []Scene{cut(1), cut(2), cut(3), cut(4), cut(5)}, false, job.Poison, 5},
+		{"three late crashes besides one of them", []Scene{survivorAlone, cut(1), survivorAlone, cut(1)}, false, job.Poison, 4},
 		{"endless task in many crashes", []Scene{survivorAlone, survivorAlone, survivorAlone, beside}, true, job.Trusted, 4},
 		{"endless task that never survives its start", []Scene{early, earlyAlone}, true, job.Poison, 2},
 	} {
--- a/cell/job/odd_records_test.go
+++ b/cell/job/odd_records_test.go
@@ -66,6 +66,11 @@
 		{"crashes with an unknown verdict", "crashes/a", &Crashes{Tasks: []TaskCrashes{{Verdict: 9}}}},
 		{"crashes with a negative count", "crashes/a", &Crashes{Tasks: []TaskCrashes{{Count: -1}}}},
 		{"crashes under a step that no job has", "crashes/a", &Crashes{Tasks: []TaskCrashes{{Step: math.MaxInt}}}},
+		{"doubtful crashes that are no record", "doubtfulCrashes/a", "\x00"},
+		{"doubtful crash under a step that no job has", "doubtfulCrashes/a", &DoubtfulCrashes{List: []DoubtfulCrash{{Step: math.MaxInt, Worker: "w"}}}},
+		{"doubtful crash under a negative task", "doubtfulCrashes/a", &DoubtfulCrashes{List: []DoubtfulCrash{{Index: -1, Worker: "w"}}}},
+		{"doubtful crash of no worker", "doubtfulCrashes/a", &DoubtfulCrashes{List: []DoubtfulCrash{{Boot: 5}}}},
+		{"doubtful crashes of no job", "doubtfulCrashes/", &DoubtfulCrashes{}},
 		{"member that is no record", "m/n1", "\x00"},
 		{"member under another key", "m/n1", &Member{Name: "n2", Incarnation: "n2/1"}},
 		{"member without an incarnation", "m/n1", &Member{Name: "n1"}},
@@ -115,6 +120,7 @@
 		recordOf(t, "j/a", goodSubmission()),
 		recordOf(t, "s/a", &State{Phase: Running, Started: true, Steps: [][]Task{{{Status: Dispatched, Run: 1, Worker: "w", Boot: 5}, {}}, {{}}}}),
 		recordOf(t, "crashes/a", &Crashes{Tasks: []TaskCrashes{{Count: 1, Verdict: Suspect}}}),
+		recordOf(t, "doubtfulCrashes/a", &DoubtfulCrashes{List: []DoubtfulCrash{{Worker: "w", Boot: 5, Settled: true}}}),
 		recordOf(t, "m/n1", &Member{Name: "n1", Incarnation: "n1/1", CPUCores: 0.4}),
 		recordOf(t, "leader", &Leader{Epoch: 3, Incarnation: "n1/1"}),
 		recordOf(t, "speeds", &WorkerSpeeds{Workers: map[uint32]WorkerSpeed{7: {Mean: -20, StdDev: 5}}}),
@@ -132,7 +138,7 @@
 		text += fmt.Sprintf(" queue stretch %v objective %v advice %+v", q.Stretch, q.Objective, *q.Advice)
 	}
 	if j := v.Job("a"); j != nil {
-		text += fmt.Sprintf(" job %+v %+v %v phase %v", *j.Submission, *j.State, j.Crashes, j.Phase())
+		text += fmt.Sprintf(" job %+v %+v %v %v phase %v", *j.Submission, *j.State, j.Crashes, j.DoubtfulCrashes, j.Phase())
 		if j.Crashes != nil {
 			for _, t := range j.Crashes.Tasks {
 				text += " " + t.Verdict.String()
--- a/cell/job/record.go
+++ b/cell/job/record.go
@@ -154,19 +154,20 @@
 	return encode(speedsKey, s)
 }
 
-// RemovalEntries returns the entries that remove all records of a job, which has one of
+// RemovalEntries returns the entries that remove all records of a job, which has those of
 // crashes or not.
 func RemovalEntries(id string, crashes bool) []site.Entry {
 	entries := []site.Entry{{Key: submissionKey + id}, {Key: stateKey + id}, {Key: cancelKey + id}}
 	if crashes {
-		entries = append(entries, site.Entry{Key: crashesKey + id})
+		entries = append(entries, site.Entry{Key: crashesKey + id}, site.Entry{Key: doubtfulCrashesKey + id})
 	}
 	return entries
 }
 
 // LeaderOnly reports whether entries with that key are appended by leaders only.
 func LeaderOnly(key string) bool {
-	return key == leaderKey || key == speedsKey || strings.HasPrefix(key, stateKey) || strings.HasPrefix(key, crashesKey)
+	return key == leaderKey || key == speedsKey || strings.HasPrefix(key, stateKey) || strings.HasPrefix(key, crashesKey) ||
+		strings.HasPrefix(key, doubtfulCrashesKey)
 }
 
 func encode(key string, v any) (site.Entry, error) {
--- a/cell/job/view.go
+++ b/cell/job/view.go
@@ -48,6 +48,8 @@
 		// Crashes is nil while no worker has crashed under a task of the job. It is
 		// replaced like State.
 		Crashes *Crashes
+		// DoubtfulCrashes are those of them that may have been none; nil like Crashes.
+		DoubtfulCrashes *DoubtfulCrashes
 
 		countedAsWaiting bool
 	}
@@ -105,6 +107,8 @@
 		return name, nil
 	case crashesKey:
 		return name, v.applyCrashes(name, e)
+	case doubtfulCrashesKey:
+		return name, v.applyDoubtfulCrashes(name, e)
 	case memberKey:
 		return "", v.applyMember(name, e)
 	case queueKey:
--- a/pollendockd/internal/scheduler/crash.go
+++ b/pollendockd/internal/scheduler/crash.go
@@ -20,6 +20,9 @@
 	// has not answered this one, counted up to that leader's last decision for the
 	// worker. It took up to a second to notice that a worker had gone silent.
 	inheritedProbation = 1500 * time.Millisecond
+	// settledTime is how long a run has to be known to work until a worker that falls silent
+	// is more likely cut off than crashed by it.
+	settledTime = 3 * time.Second
 	// maxLoggedRuns limits the runs that a log line names.
 	maxLoggedRuns = 8
 )
@@ -81,10 +84,15 @@
 // survivedStart reports whether the run is known to have worked for the time of
 // probation. A gang works only once all members are present, which its progress shows.
 func (r *run) survivedStart() bool {
+	return r.workedFor(probation)
+}
+
+// workedFor reports whether the run is known to have worked for the given time.
+func (r *run) workedFor(d time.Duration) bool {
 	if r.confirmedAt.IsZero() || r.tj.sub.Steps[r.task.Step].Gang && r.percent == r.initialPercent {
 		return false
 	}
-	return r.wk.clockAt.Sub(r.confirmedAt) >= probation
+	return r.wk.clockAt.Sub(r.confirmedAt) >= d
 }
 
 // crashesOf returns the crashes under a task.
@@ -99,6 +107,7 @@
 	tj := r.tj
 	before := tj.crashesOf(r.task)
 	r.scene.Endless = tj.sub.Steps[r.task.Step].Endless
+	r.scene.LikelyCuts = tj.likelyCuts(r)
 	after := crash.Judge(before, r.scene)
 	if after == before {
 		return
@@ -110,11 +119,13 @@
 	}
 	l.s.deps.Counts.Count("tasks_"+after.Verdict.String(), 1)
 	l.logRun(r, "worker crashed under a run", "crashes", after.Count, "early", after.Early, "verdict", after.Verdict,
-		"begun", r.scene.Begun, "alone", r.scene.Alone, "survived", r.scene.Survived, "sudden", r.scene.Sudden, "earlyOthers", r.scene.EarlyOthers)
+		"begun", r.scene.Begun, "alone", r.scene.Alone, "survived", r.scene.Survived, "sudden", r.scene.Sudden, "earlyOthers", r.scene.EarlyOthers,
+		"doubtful", r.crashDoubtful, "likelyCuts", r.scene.LikelyCuts)
 }
 
 // giveUp ends a job one of whose tasks crashes its workers.
 func (l *leadership) giveUp(tj *trackedJob, t site.TaskID) {
+	tj.releaseTask(t)
 	c := tj.crashesOf(t)
 	l.s.deps.Counts.Count("jobs_given_up", 1)
 	l.finish(tj, job.Failed, fmt.Sprintf("%d %s: %d workers crashed under task %d of step %d, the last one while no other job ran there",
--- a/pollendockd/internal/scheduler/crash_test.go
+++ b/pollendockd/internal/scheduler/crash_test.go
@@ -93,6 +93,46 @@
 	}
 }
 
+// TestLongPoisonTaskOnSilentWorkers guards against starting a task for ever that crashes its
+// workers long after its start, if they fall silent as workers do that are cut off.
+func TestLongPoisonTaskOnSilentWorkers(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		step   job.Step
+		inject func(c *cell)
+	}{
+		{"task", tasks(1, 4), func(*cell) {}},
+		{"gang", gang(3, 6), func(*cell) {}},
+		{"leaders killed", tasks(1, 4), func(c *cell) {
+			for _, name := range []string{"a", "b"} {
+				time.Sleep(16 * time.Second)
+				c.vms[name].kill()
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inCell(t, 4, func(cl *cell) {
+				cl.outcome = func(t site.TaskID, _ int64, _ string) (time.Duration, site.EndKind) {
+					if t.Index == 0 {
+						return settledTime + time.Second, site.Crashed
+					}
+					return time.Minute, site.Done
+				}
+				cl.fleet.SilenceCrashes()
+				cl.start("a")
+				time.Sleep(3 * time.Second)
+				cl.start("b")
+				v := cl.start("c")
+				time.Sleep(time.Second)
+				cl.submit("j1", c.step)
+				c.inject(cl)
+				expectPhase(cl, v, "j1", 2*time.Minute, job.Failed)
+				expectCrashes(cl, "j1", 3, 5)
+			})
+		})
+	}
+}
+
 // expectCrashes checks how many workers have crashed because of the first task of a job.
 func expectCrashes(c *cell, id string, least, most int) {
 	c.t.Helper()
--- a/pollendockd/internal/scheduler/cut_data_centre_test.go
+++ b/pollendockd/internal/scheduler/cut_data_centre_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -169,6 +170,138 @@
 	})
 }
 
+// TestCutWorkersAreNoCrashesAcrossLeaders guards against a crash that only the memory of its
+// leader could take back: that leader is gone when the worker answers again.
+func TestCutWorkersAreNoCrashesAcrossLeaders(t *testing.T) {
+	inCell(t, 4, func(c *cell) {
+		c.outcome = func(site.TaskID, int64, string) (time.Duration, site.EndKind) { return 30 * time.Second, site.Done }
+		c.fleet.Register(fleet.NewStore(), registerInterval)
+		leader := c.start("v0")
+		time.Sleep(3 * time.Second)
+		c.submit("j1", tasks(1, 4))
+		for i := range 4 {
+			time.Sleep(5 * time.Second)
+			if j := leader.replica.Job("j1"); j.State.Phase != job.Running {
+				t.Fatalf("before cut %d j1 is %v, crashes %+v", i, j.State.Phase, j.Crashes)
+			}
+			w := c.workerOf("j1")
+			w.SetSilent(true)
+			w.SetCutFromStore(true)
+			time.Sleep(missedHeartbeats * registerInterval)
+			c.fleet.DropEntries()
+			time.Sleep(8 * time.Second)
+			leader.kill()
+			leader = c.start(fmt.Sprintf("v%d", i+1))
+			time.Sleep(2 * time.Second)
+			w.SetSilent(false)
+			w.SetCutFromStore(false)
+		}
+		expectPhase(c, leader, "j1", time.Minute, job.Completed)
+	})
+}
+
+// TestWorkersThatStayCutAreNoCrashes guards against giving up a task whose workers were cut off
+// one after the other, long after it had started on them, and are not back yet.
+func TestWorkersThatStayCutAreNoCrashes(t *testing.T) {
+	inCell(t, 4, func(c *cell) {
+		c.outcome = func(site.TaskID, int64, string) (time.Duration, site.EndKind) { return 30 * time.Second, site.Done }
+		c.fleet.Register(fleet.NewStore(), registerInterval)
+		leader := c.start("a")
+		time.Sleep(3 * time.Second)
+		c.submit("j1", tasks(1, 4))
+		cut := map[*fleet.Worker]bool{}
+		for range 3 {
+			time.Sleep(5 * time.Second)
+			for i := range 4 {
+				w := c.fleet.Worker(fmt.Sprintf("w%d", i))
+				if w.Running() > 0 && !cut[w] {
+					cut[w] = true
+					w.SetSilent(true)
+					w.SetCutFromStore(true)
+				}
+			}
+			time.Sleep(missedHeartbeats * registerInterval)
+			c.fleet.DropEntries()
+			time.Sleep(8 * time.Second)
+		}
+		if j := leader.replica.Job("j1"); j.State.Phase.Final() && j.State.Phase != job.Completed {
+			t.Fatalf("j1 is %v, crashes %+v", j.State.Phase, j.Crashes)
+		}
+		expectPhase(c, leader, "j1", time.Minute, job.Completed)
+	})
+}
+
+// cutThree cuts three workers off, one after the other, soon after a job has started on them, and
+// waits until the job is to be given up. It returns the workers.
+func (c *cell) cutThree(v *vm, id string) []*fleet.Worker {
+	c.t.Helper()
+	var cut []*fleet.Worker
+	for len(cut) < 3 {
+		time.Sleep(time.Second)
+		for i := range 4 {
+			w := c.fleet.Worker(fmt.Sprintf("w%d", i))
+			if w.Running() == 0 || slices.Contains(cut, w) {
+				continue
+			}
+			cut = append(cut, w)
+			w.SetSilent(true)
+			w.SetCutFromStore(true)
+			time.Sleep(missedHeartbeats * registerInterval)
+			c.fleet.DropEntries()
+			break
+		}
+	}
+	for range 20 {
+		if j := v.replica.Job(id); j.Crashes.Of(0, 0).Verdict == job.Poison {
+			return cut
+		}
+		time.Sleep(time.Second)
+	}
+	c.t.Fatalf("crashes under %s are %+v", id, v.replica.Job(id).Crashes)
+	return nil
+}
+
+// TestJobWaitsForCutWorkersBeforeItIsGivenUp guards against giving a job up at once, or starting
+// it elsewhere meanwhile, while the workers that are taken for crashed may merely be cut off.
+func TestJobWaitsForCutWorkersBeforeItIsGivenUp(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		leaderKilled bool
+		returns      bool
+		want         job.Phase
+	}{
+		{"a worker returns", false, true, job.Completed},
+		{"a worker returns to the next leader", true, true, job.Completed},
+		{"no worker returns", false, false, job.Failed},
+		{"no worker returns to the next leader", true, false, job.Failed},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inCell(t, 4, func(cl *cell) {
+				cl.outcome = func(site.TaskID, int64, string) (time.Duration, site.EndKind) { return 30 * time.Second, site.Done }
+				cl.fleet.Register(fleet.NewStore(), registerInterval)
+				v := cl.start("a")
+				time.Sleep(3 * time.Second)
+				cl.submit("j1", tasks(1, 4))
+				cut := cl.cutThree(v, "j1")
+				if c.leaderKilled {
+					v.kill()
+					v = cl.start("b")
+				}
+				time.Sleep(cutGrace / 2)
+				j := v.replica.Job("j1")
+				if j.Phase() != job.Running || j.State.AnyDispatched() {
+					t.Fatalf("in the time of grace j1 is %v, tasks %+v", j.Phase(), j.State.Steps)
+				}
+				if c.returns {
+					cut[0].SetSilent(false)
+					cut[0].SetCutFromStore(false)
+				}
+				expectPhase(cl, v, "j1", time.Minute, c.want)
+			})
+		})
+	}
+}
+
 // workerOf returns a worker that runs a task while it can be reached.
 func (c *cell) workerOf(id string) *fleet.Worker {
 	c.t.Helper()
--- a/pollendockd/internal/scheduler/flush.go
+++ b/pollendockd/internal/scheduler/flush.go
@@ -209,6 +209,13 @@
 		}
 		tj.crashesDirty = false
 		entries = append(entries, e)
+		if tj.doubtfulCrashes != nil {
+			e, err := job.DoubtfulCrashesEntry(tj.id, tj.doubtfulCrashes)
+			if err != nil {
+				return nil, err
+			}
+			entries = append(entries, e)
+		}
 	}
 	if tj.summarized || !tj.state.Phase.Final() || len(tj.state.Steps) > 0 {
 		return entries, nil
--- a/pollendockd/internal/scheduler/hold.go
+++ b/pollendockd/internal/scheduler/hold.go
@@ -112,7 +112,7 @@
 	if restarted {
 		l.markCrashed(wk, e.reply.Boot, "a later incarnation answered")
 	}
-	l.revokeCrashes(wk, e.reply.Boot)
+	l.resolveDoubtfulCrashes(wk, e.reply.Boot)
 	wk.recordAnswer(now)
 	wk.lateHolds.answered(restarted)
 	wk.holdAt = now.Add(holdInterval)
--- a/pollendockd/internal/scheduler/leadership.go
+++ b/pollendockd/internal/scheduler/leadership.go
@@ -35,6 +35,8 @@
 		// doubtfulCrashes holds the crashes of each worker, by its id, that may have been
 		// none.
 		doubtfulCrashes map[string][]doubtfulCrash
+		// condemned holds the tasks whose jobs are given up unless a worker answers.
+		condemned map[site.TaskID]condemnedTask
 		// isolatedRuns holds the runs of suspects, vacated the workers that the last pass
 		// kept free for them.
 		isolatedRuns map[*run]bool
@@ -123,6 +125,7 @@
 		headroom:        map[string]*placement.Headroom{},
 		isolatedRuns:    map[*run]bool{},
 		doubtfulCrashes: map[string][]doubtfulCrash{},
+		condemned:       map[site.TaskID]condemnedTask{},
 		placeNeeded:     true,
 		since:           time.Since,
 	}
@@ -235,6 +238,7 @@
 	l.s.pollUpstreams(now)
 	l.tickWorkers(now)
 	l.endProbation(now)
+	l.giveUpCondemned(now)
 	l.placeNeeded = true
 	if now.Sub(l.reportedAt) >= reportInterval {
 		l.reportedAt = now
--- a/pollendockd/internal/scheduler/tracked_job.go
+++ b/pollendockd/internal/scheduler/tracked_job.go
@@ -53,6 +53,8 @@
 		waits map[waitKey]*stepWait
 		// crashes is nil while no worker has crashed under a task of the job.
 		crashes *job.Crashes
+		// doubtfulCrashes are those of them that may have been none.
+		doubtfulCrashes *job.DoubtfulCrashes
 		// inheritedAt is when this VM read the state that the leader began with.
 		inheritedAt time.Time
 		// dirty is set if the state is to be stored, crashesDirty if the crashes are, too.
@@ -155,6 +157,8 @@
 		begun:       j.State.MayHaveStarted(),
 		crashes:     j.Crashes,
 		inheritedAt: j.StateAt,
+
+		doubtfulCrashes: j.DoubtfulCrashes,
 	}
 }
 
@@ -173,6 +177,7 @@
 		l.jobs[id] = tj
 		l.assess(tj, tj.acceptedAt)
 		l.inheritRuns(tj)
+		l.inheritCrashes(tj)
 		l.placeNeeded = true
 	}
 	if tj.pending {
@@ -344,8 +349,7 @@
 	}
 	t.Status = job.Waiting
 	if tj.crashesOf(r.task).Verdict == job.Poison {
-		t.Status = job.Released
-		l.giveUp(tj, r.task)
+		l.condemn(tj, r.task)
 	}
 }
 
@@ -388,16 +392,12 @@
 		l.finish(tj, job.Failed, "a gang failed too often")
 		return
 	}
-	if tj.crashesOf(r.task).Verdict == job.Poison {
-		for i := range tasks {
-			tasks[i].Status = job.Released
-		}
-		l.giveUp(tj, r.task)
-		return
-	}
 	for i := range tasks {
 		tasks[i].Status = job.Waiting
 	}
+	if tj.crashesOf(r.task).Verdict == job.Poison {
+		l.condemn(tj, r.task)
+	}
 }
 
 // findRun returns the run of a dispatched task.
--- a/pollendockd/internal/scheduler/waiting.go
+++ b/pollendockd/internal/scheduler/waiting.go
@@ -6,6 +6,7 @@
 
 	"pollendock.example/cell/job"
 	"pollendock.example/cell/placement"
+	"pollendock.example/cell/site"
 )
 
 // waitingStep is a step with tasks that may be placed now.
@@ -86,13 +87,25 @@
 	return slack > time.Duration(patienceFactor*float64(ws.tj.forecast.criticalPaths[ws.step]))
 }
 
+// awaitsStart reports whether a task is to be started as a suspect, or as another. One that
+// is taken to crash its workers is not, though its job may not be given up yet.
+func (tj *trackedJob) awaitsStart(step, index int, isolated bool) bool {
+	if tj.state.Steps[step][index].Status != job.Waiting {
+		return false
+	}
+	if tj.crashes != nil && tj.crashesOf(site.TaskID{Step: step, Index: index}).Verdict == job.Poison {
+		return false
+	}
+	return tj.suspected(step, index) == isolated
+}
+
 // anyWaiting reports whether the step has a task to start: a suspect or another.
 func (tj *trackedJob) anyWaiting(step int, isolated bool) bool {
 	if isolated && tj.crashes == nil {
 		return false
 	}
 	for i := range tj.state.Steps[step] {
-		if tj.state.Steps[step][i].Status == job.Waiting && tj.suspected(step, i) == isolated {
+		if tj.awaitsStart(step, i, isolated) {
 			return true
 		}
 	}
@@ -104,7 +117,7 @@
 func (tj *trackedJob) countWaiting(step int, isolated bool) int {
 	n := 0
 	for i := range tj.state.Steps[step] {
-		if tj.state.Steps[step][i].Status == job.Waiting && tj.suspected(step, i) == isolated {
+		if tj.awaitsStart(step, i, isolated) {
 			n++
 		}
 	}
@@ -116,7 +129,7 @@
 func (tj *trackedJob) waitingTasks(step int, isolated bool) []int {
 	var tasks []int
 	for i := range tj.state.Steps[step] {
-		if tj.state.Steps[step][i].Status == job.Waiting && tj.suspected(step, i) == isolated {
+		if tj.awaitsStart(step, i, isolated) {
 			tasks = append(tasks, i)
 		}
 	}
