scheduler: the failure of an older hold says nothing of a worker that has answered since

Cause: several holds of a worker may be in progress. The failure of one that was sent first, read after the answer to a later one, set holdFails and refusesConnections.

Evidence: TestFailureOfOlderHoldChangesNothing fails before in three rows ("older refusal: 1 failures, refuses true, want 0, false"), passes after.

Change: a failure counts only if the worker has answered nothing after the failed hold was due: for a list at once, for one that waits when its wait is over, for a refusal when it was sent. A hold to an earlier incarnation never counts. A worker that falls silent is noticed as fast as before: its waiting hold is due after its last answer. Fencing still ends the term, and the hold is still retried.

--- a/pollendockd/internal/scheduler/hold.go
+++ b/pollendockd/internal/scheduler/hold.go
@@ -17,6 +17,8 @@
 		wk      *worker
 		sentAt  time.Time
 		regular bool
+		// wait is how long the worker may leave it unanswered while no run ends.
+		wait time.Duration
 		// acks is set if the hold acknowledges ends, renews if it renews the lease.
 		acks   bool
 		renews bool
@@ -81,7 +83,7 @@
 		ctx, cancel := context.WithTimeout(ctx, wait+holdTimeout)
 		defer cancel()
 		reply, err := client.Hold(ctx, req)
-		return holdDone{l, wk, now, regular, req.Acked > 0, req.LeaseEnd > 0, reply, err}
+		return holdDone{l, wk, now, regular, wait, req.Acked > 0, req.LeaseEnd > 0, reply, err}
 	})
 }
 
@@ -97,7 +99,7 @@
 	}
 	if e.err != nil {
 		l.noteUnansweredHold(&e, now)
-		l.holdFailed(wk, e.sentAt, e.err)
+		l.holdFailed(&e)
 		return
 	}
 	if wk.overtaken(e.reply, e.sentAt) {
@@ -154,12 +156,17 @@
 }
 
 // holdFailed schedules a retry of an unanswered hold. holdRetryDelay limits the rate.
-func (l *leadership) holdFailed(wk *worker, sentAt time.Time, err error) {
+func (l *leadership) holdFailed(e *holdDone) {
+	wk := e.wk
 	var refusal *site.RefusalError
-	if errors.As(err, &refusal) && refusal.Reason == site.RefusedFenced {
+	if errors.As(e.err, &refusal) && refusal.Reason == site.RefusedFenced {
 		l.s.endLeadership("a worker has received requests of a later term")
 		return
 	}
+	wk.holdAt = e.sentAt.Add(holdRetryDelay)
+	if e.answeredSince(refusal != nil) {
+		return
+	}
 	if refusal != nil && refusal.Reason == site.RefusedConnection {
 		wk.refusesConnections = true
 	}
@@ -167,13 +174,22 @@
 		wk.failedAt = time.Now()
 	}
 	wk.holdFails++
-	wk.holdAt = sentAt.Add(holdRetryDelay)
 	if !wk.unreachable && wk.holdFails > 1 {
 		wk.unreachable = true
-		_ = level.Warn(l.s.deps.Logger).Log("msg", "worker unreachable", "worker", wk.id, "runs", len(wk.runs), "err", err)
+		_ = level.Warn(l.s.deps.Logger).Log("msg", "worker unreachable", "worker", wk.id, "runs", len(wk.runs), "err", e.err)
 	}
 }
 
+// answeredSince reports whether the worker has answered another hold after it had to answer this
+// one, or to refuse it, so that the failure says nothing about its present state.
+func (e *holdDone) answeredSince(refused bool) bool {
+	due := e.sentAt
+	if !refused {
+		due = due.Add(e.wait)
+	}
+	return due.Before(e.wk.clockAt) || e.sentAt.Before(e.wk.bootAt)
+}
+
 // resetBoot resets the state of a worker on the first answer of an incarnation, which
 // has no knowledge of earlier requests to the worker.
 func (l *leadership) resetBoot(wk *worker, first *site.HoldReply) {
--- a/pollendockd/internal/scheduler/overtaken_test.go
+++ b/pollendockd/internal/scheduler/overtaken_test.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"context"
+	"io"
 	"testing"
 	"time"
 
@@ -89,3 +91,38 @@
 	l.jobs[id] = newTrackedJob(id, sub, &job.Job{State: job.NewState(sub)})
 	return l
 }
+
+// TestFailureOfOlderHoldChangesNothing guards against taking a worker that answers for silent.
+func TestFailureOfOlderHoldChangesNothing(t *testing.T) {
+	refused := &site.RefusalError{Reason: site.RefusedConnection}
+	for _, c := range []struct {
+		name string
+		// sentAgo is how long before the last answer the failed hold was sent, wait how long the
+		// worker could leave it unanswered.
+		sentAgo, wait time.Duration
+		// restarted is set if the last answer is the first one of its incarnation.
+		restarted   bool
+		err         error
+		wantFails   int
+		wantRefuses bool
+	}{
+		{"older list request", 300 * time.Millisecond, 0, false, context.DeadlineExceeded, 0, false},
+		{"older refusal", 300 * time.Millisecond, holdWait, false, refused, 0, false},
+		{"hold to an earlier incarnation", 300 * time.Millisecond, holdWait, true, io.EOF, 0, false},
+		{"hold that was due later", 300 * time.Millisecond, holdWait, false, context.DeadlineExceeded, 1, false},
+		{"newer list request", -10 * time.Millisecond, 0, false, context.DeadlineExceeded, 1, false},
+		{"newer refusal", -10 * time.Millisecond, 0, false, refused, 1, true},
+	} {
+		l := leadershipOf("j", tasks(1, 1))
+		wk := l.workerOf("w")
+		answeredAt := time.Now().Add(-time.Second)
+		wk.boot, wk.clockAt = 1, answeredAt
+		if c.restarted {
+			wk.bootAt = answeredAt
+		}
+		holdDone{l: l, wk: wk, sentAt: answeredAt.Add(-c.sentAgo), wait: c.wait, err: c.err}.handle(l.s)
+		if wk.holdFails != c.wantFails || wk.refusesConnections != c.wantRefuses {
+			t.Errorf("%s: %d failures, refuses %v, want %d, %v", c.name, wk.holdFails, wk.refusesConnections, c.wantFails, c.wantRefuses)
+		}
+	}
+}
