scheduler: a hold whose connection broke with the earlier process is not executed by the next one

Cause: if the failure of a hold to one incarnation was read after the first answer of the next, that one's next answer counted as proof that the process with the broken connection lives on.

Evidence: TestUnansweredHoldsThatMayBeExecuted, the row "broken connection, worker has restarted", fails before ("until ... +12.5 s", want none), passes after.

Change: such a request is taken for lost with its process, as it already was if the failure was read before that answer. Requests that timed out still count until 12.5 s after they were sent.

--- a/pollendockd/internal/scheduler/late_holds.go
+++ b/pollendockd/internal/scheduler/late_holds.go
@@ -32,12 +32,15 @@
 	}
 )
 
-func (r *lateRequests) failed(sentAt time.Time, err error) {
+// failed notes that a request got no answer. The present incarnation has answered first at bootAt.
+func (r *lateRequests) failed(sentAt, bootAt time.Time, err error) {
 	var refusal *site.RefusalError
 	switch {
 	case errors.As(err, &refusal):
 	case errors.Is(err, context.DeadlineExceeded):
 		r.until = later(r.until, sentAt.Add(maxRequestDelay))
+	case sentAt.Before(bootAt):
+		// The connection was one to the process that has ended.
 	default:
 		r.brokenAt = sentAt
 	}
@@ -55,10 +58,10 @@
 // failed notes that a hold got no answer.
 func (h *lateHolds) failed(e *holdDone) {
 	if e.acks {
-		h.acks.failed(e.sentAt, e.err)
+		h.acks.failed(e.sentAt, e.wk.bootAt, e.err)
 	}
 	if e.renews {
-		h.renewals.failed(e.sentAt, e.err)
+		h.renewals.failed(e.sentAt, e.wk.bootAt, e.err)
 	}
 }
 
