scheduler: a start that is executed late counts until its lease has expired

Cause: the run was given up once its start request could no longer be executed. A restarted worker that executes it just before that grants the longest lease from then on, and the run lives for up to that much longer. For runs of an earlier leader the bound also assumed that the start was sent when the state was read; a leader whose append got no answer sends it up to streamTimeout later.

Evidence: TestLateStartHoldsItsLease fails before ("run 2 started while run 1 was running on w0"), passes after. The bound for runs of an earlier leader follows by reading; no test shows its earlier fault.

Change: the run is kept until the longest lease has expired that can begin at the last moment at which one of its starts, or a renewal without an answer, can be executed. The run itself holds when the starts were sent, as the worker's record of them ends with maxRequestDelay.

TestRequestLostInCrashDelaysNoTask: its row "left unanswered long ago" expected the run to be given up at maxRequestDelay, which is the fault. Two rows replace it: still kept 1 ns before the lease has expired, given up at that time. So both sides of the bound are checked where one was.

--- a/pollendockd/internal/scheduler/late_holds.go
+++ b/pollendockd/internal/scheduler/late_holds.go
@@ -73,8 +73,13 @@
 // lateLeaseEnd is when the leases have expired that the present incarnation has granted, or may
 // grant, to requests that were sent to an earlier one.
 func (l *leadership) lateLeaseEnd(wk *worker) time.Time {
+	return l.longestLeaseFrom(wk.renewedUntil)
+}
+
+// longestLeaseFrom is when the longest lease has expired that a worker grants at the given time.
+func (l *leadership) longestLeaseFrom(at time.Time) time.Time {
 	longest := time.Duration(float64(l.s.opt.Bounds.MaxLease) / minClockRate)
-	return wk.renewedUntil.Add(longest + lapseSlack)
+	return at.Add(longest + lapseSlack)
 }
 
 // noteUnansweredHold notes that a hold got no answer. If another incarnation has answered
--- a/pollendockd/internal/scheduler/late_starts.go
+++ b/pollendockd/internal/scheduler/late_starts.go
@@ -19,7 +19,8 @@
 // taken for ended.
 //
 // While no incarnation answers, the task of such a run waits until the request can no longer
-// be executed, unless the request may have been lost in the crash itself.
+// be executed and the lease of a run that it started has expired, unless the request may have
+// been lost in the crash itself.
 
 type (
 	// lateStarts holds the start requests of a worker that may still be executed.
@@ -93,11 +94,6 @@
 	return len(s.unanswered[key]) > 0
 }
 
-// pendingSince reports whether one that was sent by the given time may still be executed.
-func (s *lateStarts) pendingSince(key runKey, by time.Time) bool {
-	return slices.ContainsFunc(s.unanswered[key], func(at time.Time) bool { return !at.After(by) })
-}
-
 // undecided reports whether the present incarnation may have executed a start request of the
 // run that was sent to an earlier one, or may yet do so.
 func (s *lateStarts) undecided(key runKey) bool {
@@ -190,16 +186,34 @@
 	}
 }
 
-// mayStartLater reports whether a later incarnation of a worker that no longer answers may
-// still execute a start request of the run. One that the worker has left unanswered while it
-// answered others may; one after which it has answered nothing was lost with the worker.
-func (l *leadership) mayStartLater(r *run, now time.Time) bool {
+// mayRunLater reports whether a later incarnation of a worker that no longer answers may still
+// execute a start request of the run, or hold the lease that it granted to one.
+func (l *leadership) mayRunLater(r *run, now time.Time) bool {
 	if r.stage == planned {
 		return false
 	}
+	executable := r.startableUntil()
+	if executable.IsZero() {
+		return false
+	}
+	// A renewal that is executed late, too, prolongs the lease.
+	return now.Before(l.longestLeaseFrom(later(executable, r.wk.lateHolds.renewals.until)))
+}
+
+// startableUntil is until when a later incarnation of a worker that no longer answers may execute
+// a start request of the run; zero if it can't. One that the worker has left unanswered while it
+// answered others it may; one after which it has answered nothing was lost with the worker.
+func (r *run) startableUntil() time.Time {
 	if r.startAttempts == 0 {
-		// An earlier leader has sent the requests when the dispatch was durable.
-		return now.Before(r.tj.inheritedAt.Add(maxStartAttempts*startTimeout + maxRequestDelay))
+		// An earlier leader has sent the requests once it knew that the dispatch is durable, and
+		// sent none after streamTimeout without the stream.
+		return r.tj.inheritedAt.Add(streamTimeout + maxStartAttempts*startTimeout + maxRequestDelay)
+	}
+	until := time.Time{}
+	for _, at := range r.unansweredStarts {
+		if !at.After(r.wk.clockAt.Add(-startTimeout)) {
+			until = later(until, at.Add(maxRequestDelay))
+		}
 	}
-	return r.wk.lateStarts.pendingSince(r.key(), r.wk.clockAt.Add(-startTimeout))
+	return until
 }
--- a/pollendockd/internal/scheduler/late_starts_test.go
+++ b/pollendockd/internal/scheduler/late_starts_test.go
@@ -94,10 +94,39 @@
 	}
 }
 
+// TestLateStartHoldsItsLease guards against a start that a restarted worker, which the leader does
+// not reach, executes just before the request counts as expired.
+func TestLateStartHoldsItsLease(t *testing.T) {
+	inCell(t, 4, func(c *cell) {
+		c.fleet.KeepIDs()
+		c.outcome = func(site.TaskID, int64, string) (time.Duration, site.EndKind) { return 20 * time.Second, site.Done }
+		v := c.start("a")
+		// On the stand-in the lease of the late start ends that much later.
+		time.Sleep(7 * time.Second)
+		for i := range 4 {
+			c.fleet.Worker(fmt.Sprintf("w%d", i)).DelayStarts(1, maxRequestDelay-200*time.Millisecond)
+		}
+		at := time.Now()
+		c.submit("j1", tasks(1, 4))
+		on := workerOfFirstTask(c, v, "j1")
+		time.Sleep(1500*time.Millisecond - time.Since(at))
+		on.SetSilent(true)
+		time.Sleep(time.Second)
+		on.Reboot()
+		time.Sleep(20 * time.Second)
+		on.SetSilent(false)
+		expectPhase(c, v, "j1", 90*time.Second, job.Completed)
+		time.Sleep(15 * time.Second)
+	})
+}
+
 // TestRequestLostInCrashDelaysNoTask checks for how long the task of a run on a worker that no
 // longer answers waits because of a start request without an answer.
 func TestRequestLostInCrashDelaysNoTask(t *testing.T) {
 	sentAt := time.Now()
+	const maxLease = 6 * time.Second
+	l := &leadership{s: &Scheduler{opt: Options{Bounds: site.Bounds{MaxLease: maxLease}}}}
+	expired := l.longestLeaseFrom(sentAt.Add(maxRequestDelay)).Sub(sentAt)
 	for _, c := range []struct {
 		name string
 		// answeredAt is when the worker answered last, after the start request was sent.
@@ -105,15 +134,13 @@
 		want            bool
 	}{
 		{"left unanswered", time.Second, 6 * time.Second, true},
-		{"left unanswered long ago", time.Second, maxRequestDelay, false},
+		{"lease of a late start", time.Second, expired - 1, true},
+		{"lease of a late start has expired", time.Second, expired, false},
 		{"no answer since", 100 * time.Millisecond, 6 * time.Second, false},
 	} {
 		wk := &worker{clockAt: sentAt.Add(c.answeredAt)}
-		r := &run{wk: wk, stage: unconfirmed, startAttempts: 1}
-		wk.lateStarts.sent(r.key(), sentAt)
-		now := sentAt.Add(c.now)
-		wk.lateStarts.expire(now)
-		if got := (&leadership{}).mayStartLater(r, now); got != c.want {
+		r := &run{wk: wk, stage: unconfirmed, startAttempts: 1, unansweredStarts: []time.Time{sentAt}}
+		if got := l.mayRunLater(r, sentAt.Add(c.now)); got != c.want {
 			t.Errorf("%s: %v, want %v", c.name, got, c.want)
 		}
 	}
--- a/pollendockd/internal/scheduler/requests.go
+++ b/pollendockd/internal/scheduler/requests.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"pollendock.example/cell/site"
@@ -71,6 +72,7 @@
 	r.stage = starting
 	r.sentAt = now
 	r.startAttempts++
+	r.unansweredStarts = append(r.unansweredStarts, now)
 	r.wk.lateStarts.sent(r.key(), now)
 	client := r.wk.client
 	l.spawn(func(ctx context.Context) event {
@@ -85,6 +87,7 @@
 	l, r := e.l, e.r
 	var refusal *site.RefusalError
 	if e.err == nil || errors.As(e.err, &refusal) {
+		r.unansweredStarts = slices.DeleteFunc(r.unansweredStarts, e.sentAt.Equal)
 		r.wk.lateStarts.answered(r.key(), e.sentAt)
 	}
 	if !l.current() || !r.bound() {
--- a/pollendockd/internal/scheduler/tracked_job.go
+++ b/pollendockd/internal/scheduler/tracked_job.go
@@ -80,6 +80,8 @@
 		confirmedAt time.Time
 		// startAttempts counts how often the start request was sent.
 		startAttempts int
+		// unansweredStarts holds when the start requests were sent that got no answer.
+		unansweredStarts []time.Time
 		// stopWanted is set if the run is to be stopped, stopped once the worker has
 		// confirmed the stop.
 		stopWanted bool
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -284,8 +284,7 @@
 		// An earlier leader may renew leases until it has been without the stream for
 		// streamTimeout. It may reach a worker that is cut off from the stream, too, and
 		// so from the list.
-		longest := time.Duration(float64(l.s.opt.Bounds.MaxLease) / minClockRate)
-		return l.startedAt.Add(streamTimeout + longest + lapseSlack)
+		return l.longestLeaseFrom(l.startedAt.Add(streamTimeout))
 	}
 	left := max(0, wk.leaseEnd-wk.clock)
 	return wk.clockAt.Add(time.Duration(float64(left)/minClockRate) + lapseSlack)
@@ -335,7 +334,7 @@
 func (l *leadership) lapsedRuns(wk *worker, now time.Time) []*run {
 	var runs []*run
 	for _, r := range wk.runs {
-		if r.stage != planned && r.stage != starting && !l.mayStartLater(r, now) {
+		if r.stage != planned && r.stage != starting && !l.mayRunLater(r, now) {
 			runs = append(runs, r)
 		}
 	}
