scheduler: a worker gets the acknowledgement of its ends until it has answered it, not with each hold

Cause: the number of the last recorded end went out with every hold, also long after the worker had forgotten these ends, so nearly each hold counted as a late acknowledgement.

Evidence: TestAcknowledgementIsSentUntilAnswered fails before ("acknowledged: acknowledges up to 5, want 0"), passes after.

Change: ackable returns 0 once this incarnation has answered a hold with that number. An answered hold was executed, so its ends are forgotten. A hold that was sent to an earlier incarnation does not count, nor does an answer that was overtaken.

--- a/pollendockd/internal/scheduler/hold.go
+++ b/pollendockd/internal/scheduler/hold.go
@@ -19,8 +19,9 @@
 		regular bool
 		// wait is how long the worker may leave it unanswered while no run ends.
 		wait time.Duration
-		// acks is set if the hold acknowledges ends, renews if it renews the lease.
-		acks   bool
+		// acked is the number of the end up to which the hold acknowledges all, 0 if it
+		// acknowledges none. renews is set if it renews the lease.
+		acked  int64
 		renews bool
 		reply  *site.HoldReply
 		err    error
@@ -83,7 +84,7 @@
 		ctx, cancel := context.WithTimeout(ctx, wait+holdTimeout)
 		defer cancel()
 		reply, err := client.Hold(ctx, req)
-		return holdDone{l, wk, now, regular, wait, req.Acked > 0, req.LeaseEnd > 0, reply, err}
+		return holdDone{l, wk, now, regular, wait, req.Acked, req.LeaseEnd > 0, reply, err}
 	})
 }
 
@@ -129,6 +130,7 @@
 		l.awaitLateHolds(wk, now)
 		wk.holdAt = now
 	}
+	wk.acknowledged(&e)
 	wk.clock = e.reply.Clock
 	wk.clockAskedAt = e.sentAt
 	l.confirmWritten(wk)
@@ -200,7 +202,7 @@
 	// This takes over an earlier leader's estimate.
 	l.s.speeds.of(wk.id, boot)
 	wk.seen = 0
-	wk.acked = 0
+	wk.acked, wk.ackAnswered = 0, 0
 	// An earlier leader may have renewed the lease until this answer.
 	wk.leaseEnd = first.Clock + l.s.opt.Bounds.MaxLease
 	wk.claimedCPU, wk.gangClaimedCPU = 0, 0
--- a/pollendockd/internal/scheduler/late_holds.go
+++ b/pollendockd/internal/scheduler/late_holds.go
@@ -57,7 +57,7 @@
 
 // failed notes that a hold got no answer.
 func (h *lateHolds) failed(e *holdDone) {
-	if e.acks {
+	if e.acked > 0 {
 		h.acks.failed(e.sentAt, e.wk.bootAt, e.err)
 	}
 	if e.renews {
@@ -103,11 +103,20 @@
 	}
 }
 
-// ackable returns the number of the end up to which a hold acknowledges all. A worker that does
-// not answer gets no acknowledgements: each might be executed late.
+// ackable returns the number of the end up to which a hold acknowledges all, 0 if it acknowledges
+// none: each acknowledgement without an answer might be executed late. So a worker that does not
+// answer gets none, and one that has answered a number does not get it again.
 func (wk *worker) ackable() int64 {
-	if wk.holdFails > 0 {
+	if wk.holdFails > 0 || wk.acked <= wk.ackAnswered {
 		return 0
 	}
 	return wk.acked
 }
+
+// acknowledged notes that the worker has answered a hold. One that was sent to an earlier
+// incarnation has acknowledged ends of that one.
+func (wk *worker) acknowledged(e *holdDone) {
+	if !e.sentAt.Before(wk.bootAt) {
+		wk.ackAnswered = max(wk.ackAnswered, e.acked)
+	}
+}
--- a/pollendockd/internal/scheduler/late_holds_test.go
+++ b/pollendockd/internal/scheduler/late_holds_test.go
@@ -100,3 +100,43 @@
 		}
 	}
 }
+
+// TestAcknowledgementIsSentUntilAnswered guards against acknowledging the same ends with each hold:
+// after a restart every one of them that got no answer keeps new runs away from the worker.
+func TestAcknowledgementIsSentUntilAnswered(t *testing.T) {
+	answer := &site.HoldReply{Boot: 1}
+	for _, c := range []struct {
+		name string
+		// acked is the number in the hold, of up to 5 ends that may be acknowledged.
+		acked int64
+		reply *site.HoldReply
+		// toEarlier is set if the hold was sent before the incarnation had answered.
+		toEarlier bool
+		want      int64
+	}{
+		{"not acknowledged", 0, answer, false, 5},
+		{"acknowledged in part", 3, answer, false, 5},
+		{"acknowledged", 5, answer, false, 0},
+		{"ends of an earlier incarnation acknowledged", 5, answer, true, 5},
+		{"no answer", 5, nil, false, 5},
+	} {
+		l := leadershipOf("j", tasks(1, 1))
+		wk := l.workerOf("w")
+		wk.boot, wk.acked = 1, 5
+		wk.bootAt = time.Now().Add(-time.Second)
+		sentAt := time.Now()
+		if c.toEarlier {
+			sentAt = wk.bootAt.Add(-1)
+		}
+		e := holdDone{l: l, wk: wk, sentAt: sentAt, acked: c.acked, reply: c.reply}
+		if c.reply == nil {
+			e.err = context.DeadlineExceeded
+		}
+		e.handle(l.s)
+		// Another hold, which acknowledges nothing, is answered.
+		holdDone{l: l, wk: wk, sentAt: time.Now(), reply: answer}.handle(l.s)
+		if got := wk.ackable(); got != c.want {
+			t.Errorf("%s: acknowledges up to %d, want %d", c.name, got, c.want)
+		}
+	}
+}
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -37,8 +37,9 @@
 		leaseEnd time.Duration
 
 		// seen is the number of the last run end up to which all were read, acked that of
-		// the last one whose outcome is durable.
-		seen, acked int64
+		// the last one whose outcome is durable. ackAnswered is the largest number in an
+		// acknowledgement that it has answered.
+		seen, acked, ackAnswered int64
 		// presumedLapsed holds runs that were presumed to have lapsed and may have been
 		// restarted elsewhere. A success of such a run must never be acknowledged,
 		// because the task would then count as done twice. Once an end of such a run is
