scheduler: a task does not start while a worker has a run of it that the records have given up

Cause: a run that a worker lists though it is not in the records was stopped, but its task could be placed elsewhere meanwhile, and a run of it that was already decided was started.

Evidence: TestTaskWaitsForItsUnrecordedRun fails before ("run 1 started while run 1 was running on w1"), TestUnrecordedRunBarsItsTask without the check in sendStart ("the task starts beside the run"); both pass after.

Change: a job counts its unrecorded runs that are bound. Their tasks, of a gang all, are not placed, and a decided run of one ends as not run before its start is sent. The count falls with the end of the run: once it is listed as ended, no longer listed, or its leases have expired.

--- a/pollendockd/internal/scheduler/given_up_run_test.go
+++ b/pollendockd/internal/scheduler/given_up_run_test.go
@@ -112,3 +112,83 @@
 		time.Sleep(5 * time.Second)
 	})
 }
+
+// TestTaskWaitsForItsUnrecordedRun guards against starting a task elsewhere while a worker that
+// does not answer the stop still has a run of it.
+func TestTaskWaitsForItsUnrecordedRun(t *testing.T) {
+	inCell(t, 2, func(c *cell) {
+		c.catalog.Teams[0].Limit = resource.Vector{MilliCPU: 10_000}
+		c.outcome = func(id site.TaskID, run int64, worker string) (time.Duration, site.EndKind) {
+			if id.Job == "j1" {
+				return 4 * time.Second, site.Done
+			}
+			return 5 * time.Second, site.Done
+		}
+		v := c.start("a")
+		time.Sleep(2 * time.Second)
+		// The job waits for its team's limit.
+		c.submit("first", tasks(1, 8))
+		time.Sleep(100 * time.Millisecond)
+		c.submit("j1", tasks(1, 4))
+		time.Sleep(1900 * time.Millisecond)
+		idle, name := c.fleet.Worker("w0"), "w0"
+		if idle.Running() > 0 {
+			idle, name = c.fleet.Worker("w1"), "w1"
+		}
+		listed := false
+		idle.AlterReplies(func(h *site.HoldReply) {
+			if len(h.Running) > 0 && !listed {
+				listed = true
+				v.stream.cutWorkers.Store(name, true)
+			}
+		})
+		l, _ := v.replica.Leader()
+		if _, err := idle.Start(c.ctx, &site.StartRequest{Task: site.TaskID{Job: "j1"}, Run: 1, Token: l.Epoch, LeaseEnd: 9 * time.Second}); err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			time.Sleep(5 * time.Second)
+			v.stream.cutWorkers.Delete(name)
+		}()
+		expectPhase(c, v, "j1", 40*time.Second, job.Completed)
+		if !listed {
+			t.Error("the worker has listed no run")
+		}
+		time.Sleep(2 * time.Second)
+	})
+}
+
+// TestUnrecordedRunBarsItsTask checks which tasks are not started while a worker has a run that
+// is not in the records.
+func TestUnrecordedRunBarsItsTask(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		step job.Step
+		want int
+	}{
+		{"task", tasks(3, 1), 2},
+		{"gang", gang(3, 1), 0},
+	} {
+		l := leadershipOf("j", c.step)
+		tj := l.jobs["j"]
+		task := site.TaskID{Job: "j", Index: 1}
+		found := l.adoptUnrecorded(l.workerOf("a"), runKey{task, 1})
+		if n := len(tj.waitingTasks(0, false)); n != c.want {
+			t.Errorf("%s: %d tasks may start beside the run, want %d", c.name, n, c.want)
+		}
+		l.ctx = t.Context()
+		other := l.workerOf("b")
+		other.client, other.boot, other.clockAt = silentWorker{}, 1, time.Now()
+		l.flush.ackedAt, l.flush.ackedTimeOfDay = time.Now(), time.Now().Round(0)
+		decided := &run{task: task, number: 2, tj: tj, boot: 1}
+		l.bind(decided, other)
+		l.sendStart(decided)
+		if decided.startAttempts != 0 || decided.bound() {
+			t.Errorf("%s: the task starts beside the run", c.name)
+		}
+		l.unbind(found)
+		if n := len(tj.waitingTasks(0, false)); n != c.step.Count {
+			t.Errorf("%s: %d tasks may start after the run, want %d", c.name, n, c.step.Count)
+		}
+	}
+}
--- a/pollendockd/internal/scheduler/hold.go
+++ b/pollendockd/internal/scheduler/hold.go
@@ -430,8 +430,8 @@
 	}
 }
 
-// adoptUnrecorded tracks a run that is no longer in the records, and stops it. It returns
-// nil for a run of a task that the records do not have.
+// adoptUnrecorded tracks a run that is no longer in the records, and stops it. Its task is not
+// started again before it has ended. It returns nil for a run of a task that the records do not have.
 func (l *leadership) adoptUnrecorded(wk *worker, key runKey) *run {
 	tj := l.jobs[key.task.Job]
 	if tj == nil {
@@ -452,7 +452,7 @@
 		return nil
 	}
 	now := time.Now()
-	r := &run{task: key.task, number: key.number, tj: tj, boot: wk.boot, decidedAt: now, stopWanted: true}
+	r := &run{task: key.task, number: key.number, tj: tj, boot: wk.boot, decidedAt: now, stopWanted: true, unrecorded: true}
 	r.confirm(now)
 	l.bind(r, wk)
 	l.logRun(r, "run is not in the records; stopping it")
--- a/pollendockd/internal/scheduler/requests.go
+++ b/pollendockd/internal/scheduler/requests.go
@@ -43,6 +43,10 @@
 		l.endRun(r, site.NotRun, "stopped before its start request was sent")
 		return
 	}
+	if r.startAttempts == 0 && r.tj.runsUnrecorded(r.task) {
+		l.endRun(r, site.NotRun, "a run of the task that is not in the records was found")
+		return
+	}
 	now := time.Now()
 	if r.startAttempts > 0 && (r.wk.boot != r.boot || l.mustNotResend(r) || !r.wk.capacityKnown(now)) {
 		l.verifyRun(r, now)
--- a/pollendockd/internal/scheduler/tracked_job.go
+++ b/pollendockd/internal/scheduler/tracked_job.go
@@ -49,6 +49,9 @@
 		avoid map[site.TaskID]string
 		// stallStops counts how often a task was stopped for lack of progress.
 		stallStops map[site.TaskID]int
+		// unrecordedRuns counts the runs of a task that workers have though the records have
+		// given them up. Those of a gang count with its first task.
+		unrecordedRuns map[site.TaskID]int
 		// waits holds since when the steps wait that have no run.
 		waits map[waitKey]*stepWait
 		// crashes is nil while no worker has crashed under a task of the job.
@@ -89,6 +92,8 @@
 		stopAt     time.Time
 		stopped    bool
 		stoppedAt  time.Time
+		// unrecorded is set if the records have given the run up.
+		unrecorded bool
 		// isolated is set for a suspect: until it is cleared no other job starts on its
 		// worker.
 		isolated bool
@@ -148,15 +153,16 @@
 func newTrackedJob(id string, sub *job.Submission, j *job.Job) *trackedJob {
 	return &trackedJob{
 		id: id, sub: sub, state: j.State.Clone(), order: j.Order, acceptedAt: j.AcceptedAt,
-		advice:      make([]*stepAdvice, len(sub.Steps)),
-		history:     make([]stepStats, len(sub.Steps)),
-		checkpoints: map[site.TaskID]checkpoint{},
-		avoid:       map[site.TaskID]string{},
-		stallStops:  map[site.TaskID]int{},
-		waits:       map[waitKey]*stepWait{},
-		begun:       j.State.MayHaveStarted(),
-		crashes:     j.Crashes,
-		inheritedAt: j.StateAt,
+		advice:         make([]*stepAdvice, len(sub.Steps)),
+		history:        make([]stepStats, len(sub.Steps)),
+		checkpoints:    map[site.TaskID]checkpoint{},
+		avoid:          map[site.TaskID]string{},
+		stallStops:     map[site.TaskID]int{},
+		waits:          map[waitKey]*stepWait{},
+		begun:          j.State.MayHaveStarted(),
+		crashes:        j.Crashes,
+		inheritedAt:    j.StateAt,
+		unrecordedRuns: map[site.TaskID]int{},
 	}
 }
 
@@ -240,6 +246,9 @@
 	if r.isolated {
 		l.isolatedRuns[r] = true
 	}
+	if r.unrecorded {
+		r.tj.unrecordedRuns[r.tj.representative(r.task)]++
+	}
 	wk.used = wk.used.Add(size)
 	l.teamUse[r.tj.sub.Team] = l.teamUse[r.tj.sub.Team].Add(size)
 }
@@ -257,6 +266,9 @@
 	size := r.tj.sub.Steps[r.task.Step].Size
 	delete(r.wk.runs, r.key())
 	delete(l.isolatedRuns, r)
+	if r.unrecorded {
+		r.tj.unrecordedRuns[r.tj.representative(r.task)]--
+	}
 	r.wk.used = r.wk.used.Sub(size)
 	l.teamUse[r.tj.sub.Team] = l.teamUse[r.tj.sub.Team].Sub(size)
 	l.placeNeeded = true
--- a/pollendockd/internal/scheduler/waiting.go
+++ b/pollendockd/internal/scheduler/waiting.go
@@ -6,6 +6,7 @@
 
 	"pollendock.example/cell/job"
 	"pollendock.example/cell/placement"
+	"pollendock.example/cell/site"
 )
 
 // waitingStep is a step with tasks that may be placed now.
@@ -92,7 +93,7 @@
 		return false
 	}
 	for i := range tj.state.Steps[step] {
-		if tj.state.Steps[step][i].Status == job.Waiting && tj.suspected(step, i) == isolated {
+		if tj.placeable(step, i, isolated) {
 			return true
 		}
 	}
@@ -104,7 +105,7 @@
 func (tj *trackedJob) countWaiting(step int, isolated bool) int {
 	n := 0
 	for i := range tj.state.Steps[step] {
-		if tj.state.Steps[step][i].Status == job.Waiting && tj.suspected(step, i) == isolated {
+		if tj.placeable(step, i, isolated) {
 			n++
 		}
 	}
@@ -116,7 +117,7 @@
 func (tj *trackedJob) waitingTasks(step int, isolated bool) []int {
 	var tasks []int
 	for i := range tj.state.Steps[step] {
-		if tj.state.Steps[step][i].Status == job.Waiting && tj.suspected(step, i) == isolated {
+		if tj.placeable(step, i, isolated) {
 			tasks = append(tasks, i)
 		}
 	}
@@ -125,3 +126,15 @@
 	}
 	return tasks
 }
+
+// placeable reports whether a task is to be started, as a suspect or as one of the others.
+func (tj *trackedJob) placeable(step, index int, isolated bool) bool {
+	return tj.state.Steps[step][index].Status == job.Waiting && tj.suspected(step, index) == isolated &&
+		!tj.runsUnrecorded(site.TaskID{Job: tj.id, Step: step, Index: index})
+}
+
+// runsUnrecorded reports whether a run of the task that is not in the records may still be at
+// work. Of a gang that of any member counts.
+func (tj *trackedJob) runsUnrecorded(t site.TaskID) bool {
+	return tj.unrecordedRuns[tj.representative(t)] > 0
+}
