Queries to the advisor go out once a step

Cause, a third: each answer of the advisor sent the next query at once, which looks at all workers, and up to 256 answers are handled before the next append.

Answers now only note that a route is free, and the queries go out in the next step, within the time that these may take.

--- a/pollendockd/internal/scheduler/advice.go
+++ b/pollendockd/internal/scheduler/advice.go
@@ -23,6 +23,8 @@
 		// began.
 		pass *pass
 		free int
+		// routeFree is set once an answer has come since the last queries were sent.
+		routeFree bool
 		// previousPassAt is the time of the pass before.
 		previousPassAt time.Time
 		// answered are the queries since the last pass. They keep their claims until the
@@ -212,6 +214,7 @@
 // dispatch sends queries for as many demands as there are routes for.
 func (l *leadership) dispatch(now time.Time) {
 	d := &l.advice
+	d.routeFree = false
 	if d.pass == nil || len(d.demands) == 0 {
 		return
 	}
@@ -324,7 +327,7 @@
 	}
 	now := time.Now()
 	l.placeNeeded = true
-	defer l.dispatch(now)
+	l.advice.routeFree = true
 	l.advice.answered = append(l.advice.answered, q)
 	if e.err != nil {
 		l.advice.dispatcher.Routes().Failed(q.through, q.incarnation, now)
--- a/pollendockd/internal/scheduler/leadership.go
+++ b/pollendockd/internal/scheduler/leadership.go
@@ -269,12 +269,16 @@
 	l.load.forgetRefused(now)
 }
 
-// step runs a scheduling pass and an append if they are due.
+// step runs a scheduling pass and an append if they are due, and sends queries through the
+// routes that have become free.
 func (l *leadership) step(now time.Time) {
 	if l.placeNeeded && now.Sub(l.placedAt) >= max(minPassInterval, passCostFactor*l.passTime) {
 		l.placedAt = now
 		l.placeNeeded = false
 		l.placeAll(now)
 	}
+	if l.advice.routeFree {
+		l.dispatch(now)
+	}
 	l.flushIfDue(now)
 }
--- a/pollendockd/internal/scheduler/pass_bench_test.go
+++ b/pollendockd/internal/scheduler/pass_bench_test.go
@@ -56,12 +56,7 @@
 // that other VMs campaign for leadership.
 func TestPassLeavesTimeForAppends(t *testing.T) {
 	l := fullCell(t, 3000, 3000)
-	var vms []advice.VM
-	for i := range 300 {
-		vms = append(vms, advice.VM{Name: fmt.Sprintf("vm%d", i), Incarnation: "1"})
-	}
-	l.advice.dispatcher.Routes().Set(vms)
-	l.advice.routesUpdatedAt = time.Now().Add(time.Hour)
+	addRoutes(l, 300)
 	began := time.Now()
 	l.placeAll(began)
 	if took := time.Since(began); took >= leaderTimeout {
@@ -69,6 +64,45 @@
 	}
 }
 
+// TestAnswersLeaveTimeForAppends guards against answers of the advisor that come at once
+// and take so long to handle that other VMs campaign for leadership.
+func TestAnswersLeaveTimeForAppends(t *testing.T) {
+	l := fullCell(t, 3000, 3000)
+	addRoutes(l, 300)
+	var queries []*query
+	for passes := 0; passes < 100 && len(queries) < maxEventsPerStep; passes++ {
+		l.placeAll(time.Now())
+		queries = queriesUnderWay(l)
+	}
+	began := time.Now()
+	for _, q := range queries[:min(len(queries), maxEventsPerStep)] {
+		adviceDone{l, q, nil, nil}.handle(l.s)
+	}
+	if took := time.Since(began); took >= leaderTimeout/2 {
+		t.Errorf("%d answers take %v before the next pass and append, and others campaign after %v", len(queries), took, leaderTimeout)
+	}
+}
+
+func queriesUnderWay(l *leadership) []*query {
+	var list []*query
+	for _, tj := range l.jobs {
+		if a := tj.advice[0]; a != nil && a.asking {
+			list = append(list, a.query)
+		}
+	}
+	return list
+}
+
+// addRoutes adds VMs through which the advisor can be queried.
+func addRoutes(l *leadership, n int) {
+	var vms []advice.VM
+	for i := range n {
+		vms = append(vms, advice.VM{Name: fmt.Sprintf("vm%d", i), Incarnation: "1"})
+	}
+	l.advice.dispatcher.Routes().Set(vms)
+	l.advice.routesUpdatedAt = time.Now().Add(time.Hour)
+}
+
 // TestEachStepHasItsTurn guards against steps that no pass reaches, since those before them
 // take all of its time.
 func TestEachStepHasItsTurn(t *testing.T) {
