--- a/pollendockd/internal/scheduler/advice.go
+++ b/pollendockd/internal/scheduler/advice.go
@@ -229,7 +229,7 @@
 			list[i].SortKey.Rank = placement.InTime
 		}
 	}
-	for began := time.Now(); time.Since(began) < maxPassTime; {
+	for began := time.Now(); time.Since(began) < l.s.passLimit; {
 		i, through, ok := d.dispatcher.Next(now, list)
 		if !ok {
 			return
--- a/pollendockd/internal/scheduler/pass.go
+++ b/pollendockd/internal/scheduler/pass.go
@@ -168,7 +168,7 @@
 // continues where the last pass ended.
 func (l *leadership) placeInOrder(p *pass, steps []*waitingStep) {
 	next := 0
-	for ; next < len(steps) && !p.spent(maxPassTime/2); next++ {
+	for ; next < len(steps) && !p.spent(l.s.passLimit/2); next++ {
 		l.placeNext(p, steps[next])
 	}
 	resumed := next
@@ -176,7 +176,7 @@
 		resumed = max(next, l.passCursor)
 	}
 	last := resumed
-	for ; last < len(steps) && !p.spent(maxPassTime); last++ {
+	for ; last < len(steps) && (last == resumed || !p.spent(l.s.passLimit)); last++ {
 		l.placeNext(p, steps[last])
 	}
 	l.passCursor = last
@@ -280,14 +280,14 @@
 		}
 	}
 	for _, ws := range append(turns, ready...) {
-		if p.spent(maxPassTime) {
+		if p.spent(l.s.passLimit) {
 			ws.why = laterPass
 			continue
 		}
 		ws.why = l.placeStep(p, ws)
 	}
 	for range min(overduePerPass, len(rest)) {
-		if p.spent(maxPassTime) {
+		if p.spent(l.s.passLimit) {
 			break
 		}
 		l.overdueCursor++
--- a/pollendockd/internal/scheduler/scheduler.go
+++ b/pollendockd/internal/scheduler/scheduler.go
@@ -150,6 +150,9 @@
 		// had, by component.
 		largestWorker map[string]resource.Vector
 
+		// passLimit limits the time of a pass.
+		passLimit time.Duration
+
 		// upstreams is the newest list of workers, current as of listedAt.
 		upstreams []site.Upstream
 		listedAt  time.Time
@@ -204,7 +207,7 @@
 
 // New returns a scheduler that is inactive until Run.
 func New(opt Options, deps Deps) *Scheduler {
-	return &Scheduler{opt: opt, deps: deps, events: make(chan event, eventBufferSize), done: make(chan struct{}), queueStats: map[string]*queueStats{}, speeds: newSpeedTable(), largestWorker: map[string]resource.Vector{}}
+	return &Scheduler{opt: opt, deps: deps, events: make(chan event, eventBufferSize), done: make(chan struct{}), queueStats: map[string]*queueStats{}, speeds: newSpeedTable(), largestWorker: map[string]resource.Vector{}, passLimit: maxPassTime}
 }
 
 // Run schedules whenever this VM leads, until ctx is done.
