--- a/pollendockd/internal/scheduler/pass.go
+++ b/pollendockd/internal/scheduler/pass.go
@@ -178,7 +178,7 @@
 		resumed = max(next, l.passCursor)
 	}
 	last := resumed
-	for ; last < len(steps) && !p.spent(maxPassTime); last++ {
+	for ; last < len(steps) && (last == resumed || !p.spent(maxPassTime)); last++ {
 		l.placeNext(p, steps[last])
 	}
 	l.passCursor = last
--- a/pollendockd/internal/scheduler/pass_bench_test.go
+++ b/pollendockd/internal/scheduler/pass_bench_test.go
@@ -56,12 +56,7 @@
 // that other VMs campaign for leadership.
 func TestPassLeavesTimeForAppends(t *testing.T) {
 	l := slowCell(t, 3000, 3000)
-	var vms []advice.VM
-	for i := range 300 {
-		vms = append(vms, advice.VM{Name: fmt.Sprintf("vm%d", i), Incarnation: "1"})
-	}
-	l.advice.dispatcher.Routes().Set(vms)
-	l.advice.routesUpdatedAt = time.Now().Add(time.Hour)
+	addRoutes(l, 300)
 	l.placeAll(time.Now())
 	took := time.Duration(len(l.jobs)-unseen(l)+l.advice.report(time.Now()).underWay) * lookTime
 	if took >= leaderTimeout {
@@ -69,6 +64,52 @@
 	}
 }
 
+// TestAnswersLeaveTimeForAppends guards against answers of the advisor that come at once
+// and take so long to handle that other VMs campaign for leadership.
+func TestAnswersLeaveTimeForAppends(t *testing.T) {
+	l := fullCell(t, 300, 300)
+	addRoutes(l, 50)
+	var queries []*query
+	for passes := 0; passes < 20 && len(queries) < 50; passes++ {
+		l.placeAll(time.Now())
+		queries = queriesUnderWay(l)
+	}
+	if len(queries) == 0 {
+		t.Fatal("no query is under way")
+	}
+	chosen := 0
+	l.since = func(time.Time) time.Duration {
+		chosen++
+		return 0
+	}
+	for _, q := range queries {
+		adviceDone{l, q, nil, nil}.handle(l.s)
+	}
+	if chosen > 0 {
+		t.Errorf("%d answers choose the workers of %d queries before the next pass and append", len(queries), chosen)
+	}
+}
+
+func queriesUnderWay(l *leadership) []*query {
+	var list []*query
+	for _, tj := range l.jobs {
+		if a := tj.advice[0]; a != nil && a.asking {
+			list = append(list, a.query)
+		}
+	}
+	return list
+}
+
+// addRoutes adds VMs through which the advisor can be queried.
+func addRoutes(l *leadership, n int) {
+	var vms []advice.VM
+	for i := range n {
+		vms = append(vms, advice.VM{Name: fmt.Sprintf("vm%d", i), Incarnation: "1"})
+	}
+	l.advice.dispatcher.Routes().Set(vms)
+	l.advice.routesUpdatedAt = time.Now().Add(time.Hour)
+}
+
 // TestEachStepHasItsTurn guards against steps that no pass reaches, since those before them
 // take all of its time.
 func TestEachStepHasItsTurn(t *testing.T) {
@@ -102,6 +143,7 @@
 	}
 	for _, tj := range l.jobs {
 		tj.lastReason = notLookedAt
+		tj.timeLimit = time.Hour
 	}
 	return l
 }
