An older list of workers does not replace a newer one

Cause: up to four reads of the list run at once, and their results were applied in the order of arrival. Next returns nothing without a change, so an older list stayed until the next one.

Change: Upstreams.Next returns a site.UpstreamList with the offset of the topic as its revision, as catalogs have. The scheduler drops a list with a lower one, since a list with a higher revision holds all that it does, and counts it (worker_lists_overtaken). The stand-in's lists have revision 0 and are applied as they come, as before. The tests of Next only follow its new result.

--- a/cell/site/upstream.go
+++ b/cell/site/upstream.go
@@ -31,6 +31,15 @@
 		ColdUntil time.Time
 	}
 
+	// UpstreamList is the complete list of upstreams.
+	UpstreamList struct {
+		// Revision orders lists that were read concurrently: a newer one has none that is lower.
+		Revision  int64
+		Upstreams []Upstream
+		// Invalid holds the entries that do not describe a worker.
+		Invalid []InvalidEntry
+	}
+
 	// InvalidEntry is an entry of the list of upstreams that does not describe one.
 	InvalidEntry struct {
 		Key string
--- a/pollendockd/internal/scheduler/harness_test.go
+++ b/pollendockd/internal/scheduler/harness_test.go
@@ -206,10 +206,10 @@
 }
 
 // Next fails as set by the test.
-func (u vmUpstreams) Next(ctx context.Context) ([]site.Upstream, []site.InvalidEntry, error) {
+func (u vmUpstreams) Next(ctx context.Context) (*site.UpstreamList, error) {
 	if u.stream.listSilent.Load() {
 		<-ctx.Done()
-		return nil, nil, ctx.Err()
+		return nil, ctx.Err()
 	}
 	return u.Fleet.Next(ctx)
 }
--- a/pollendockd/internal/scheduler/invalid_entries_test.go
+++ b/pollendockd/internal/scheduler/invalid_entries_test.go
@@ -66,15 +66,15 @@
 		c.fleet.Add("other", "later", resource.Vector{MilliCPU: 10_000, MemoryMB: 10_000})
 		v := c.start("n1")
 		time.Sleep(2 * time.Second)
-		list, _, err := c.fleet.Next(c.ctx)
+		list, err := c.fleet.Next(c.ctx)
 		if err != nil {
 			t.Fatal(err)
 		}
-		known, others := ofKnownServices(list, c.currentCatalog())
+		known, others := ofKnownServices(list.Upstreams, c.currentCatalog())
 		if len(known) != 1 || len(others) != 1 || others[0].Key != "other" || others[0].Reason == "" {
 			t.Errorf("known are %+v, others %+v", known, others)
 		}
-		if known, others := ofKnownServices(list, nil); len(known) != 2 || len(others) != 0 {
+		if known, others := ofKnownServices(list.Upstreams, nil); len(known) != 2 || len(others) != 0 {
 			t.Errorf("without a catalog known are %+v, others %+v", known, others)
 		}
 		c.mu.Lock()
--- a/pollendockd/internal/scheduler/odd_entries_test.go
+++ b/pollendockd/internal/scheduler/odd_entries_test.go
@@ -44,20 +44,21 @@
 // overwritten reports true are followed by an odd entry under their id.
 func (c *cell) heartbeat(overwritten func(id string) bool, odd string) {
 	for c.ctx.Err() == nil {
-		list, _, err := c.fleet.Next(c.ctx)
+		list, err := c.fleet.Next(c.ctx)
 		if err != nil {
 			c.t.Error(err)
 			return
 		}
-		for i := range list {
-			value, err := platform.EncodeUpstream(&list[i])
+		for i := range list.Upstreams {
+			u := &list.Upstreams[i]
+			value, err := platform.EncodeUpstream(u)
 			if err != nil {
 				c.t.Error(err)
 				return
 			}
-			c.setEntry(list[i].ID, string(value))
-			if overwritten(list[i].ID) {
-				c.setEntry(list[i].ID, odd)
+			c.setEntry(u.ID, string(value))
+			if overwritten(u.ID) {
+				c.setEntry(u.ID, odd)
 			}
 		}
 		sleep.For(c.ctx, entryInterval)
--- a/pollendockd/internal/scheduler/overtaken_test.go
+++ b/pollendockd/internal/scheduler/overtaken_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -126,3 +127,29 @@
 		}
 	}
 }
+
+// TestOlderListOfWorkersIsNotApplied guards against a worker that counts as listed, or as not
+// draining, because an older list arrived after a newer one.
+func TestOlderListOfWorkersIsNotApplied(t *testing.T) {
+	ready := site.Upstream{ID: "w"}
+	draining := site.Upstream{ID: "w", Draining: true}
+	for _, c := range []struct {
+		name      string
+		revisions [2]int64
+		want      bool
+	}{
+		{"older", [2]int64{3, 2}, true},
+		{"newer", [2]int64{3, 4}, false},
+		{"same", [2]int64{3, 3}, false},
+	} {
+		l := leadershipOf("j", tasks(1, 1))
+		l.s.deps.Catalog = func() *site.Catalog { return nil }
+		l.s.deps.Dial = func(string, netip.AddrPort) Worker { return silentWorker{} }
+		for i, u := range []site.Upstream{draining, ready} {
+			upstreamsDone{list: &site.UpstreamList{Revision: c.revisions[i], Upstreams: []site.Upstream{u}}, at: time.Now()}.handle(l.s)
+		}
+		if got := l.workers["w"].upstream.Draining; got != c.want || l.s.upstreams[0].Draining != c.want {
+			t.Errorf("%s list: draining %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/pollendockd/internal/scheduler/scheduler.go
+++ b/pollendockd/internal/scheduler/scheduler.go
@@ -53,9 +53,8 @@
 
 	// Upstreams watches the list of workers.
 	Upstreams interface {
-		// Next returns the complete list, or nil if nothing has changed, and the entries
-		// that do not describe a worker.
-		Next(ctx context.Context) ([]site.Upstream, []site.InvalidEntry, error)
+		// Next returns the complete list, or nil if nothing has changed.
+		Next(ctx context.Context) (*site.UpstreamList, error)
 	}
 
 	// Worker executes requests. After an error that is not a site.RefusalError it is
@@ -153,7 +152,9 @@
 		// upstreams is the newest list of workers, current as of listedAt.
 		upstreams []site.Upstream
 		listedAt  time.Time
-		polledAt  time.Time
+		// listRevision is the revision of that list.
+		listRevision int64
+		polledAt     time.Time
 		// listSince is since when reads of the list have been answered without a gap.
 		listSince time.Time
 		// entriesRewritten is set once a worker has been seen to rewrite its entry with each
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -109,10 +109,10 @@
 	}
 
 	upstreamsDone struct {
-		list    []site.Upstream
-		invalid []site.InvalidEntry
-		at      time.Time
-		err     error
+		// list is nil if nothing has changed.
+		list *site.UpstreamList
+		at   time.Time
+		err  error
 	}
 )
 
@@ -153,8 +153,8 @@
 	go func() {
 		ctx, cancel := transfer.WithTimeout(s.ctx, pollTimeout)
 		defer cancel()
-		list, invalid, err := s.deps.Upstreams.Next(ctx)
-		s.post(upstreamsDone{list, invalid, now, err})
+		list, err := s.deps.Upstreams.Next(ctx)
+		s.post(upstreamsDone{list, now, err})
 	}()
 }
 
@@ -173,16 +173,22 @@
 	}
 	s.noteListRead(e.at, time.Now())
 	if e.list != nil {
-		s.setUpstreams(&e)
+		s.setUpstreams(e.list)
 	}
 	if s.lead != nil {
 		s.lead.confirmListed(time.Now())
 	}
 }
 
-func (s *Scheduler) setUpstreams(e *upstreamsDone) {
-	list, others := ofKnownServices(e.list, s.deps.Catalog())
-	s.reportInvalid(append(others, e.invalid...), time.Now())
+// setUpstreams applies a list, unless a newer one that was read concurrently has arrived first.
+func (s *Scheduler) setUpstreams(l *site.UpstreamList) {
+	if l.Revision < s.listRevision {
+		s.deps.Counts.Count("worker_lists_overtaken", 1)
+		return
+	}
+	s.listRevision = l.Revision
+	list, others := ofKnownServices(l.Upstreams, s.deps.Catalog())
+	s.reportInvalid(append(others, l.Invalid...), time.Now())
 	s.upstreams = list
 	if s.lead != nil {
 		s.lead.applyList(list)
--- a/soak/heartbeats.go
+++ b/soak/heartbeats.go
@@ -107,14 +107,15 @@
 func (g *registrations) update() {
 	ctx, cancel := context.WithTimeout(g.c.ctx, heartbeatTimeout)
 	defer cancel()
-	list, _, err := g.c.fleet.Next(ctx)
+	list, err := g.c.fleet.Next(ctx)
 	if err != nil {
 		return
 	}
 	present := map[string]bool{}
-	for i := range list {
-		present[list[i].ID] = true
-		g.publish(ctx, &list[i])
+	for i := range list.Upstreams {
+		u := &list.Upstreams[i]
+		present[u.ID] = true
+		g.publish(ctx, u)
 	}
 	for id := range g.entries {
 		if present[id] {
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -85,7 +85,7 @@
 }
 
 // Next returns the list of workers. Without Register it is always current.
-func (f *Fleet) Next(ctx context.Context) ([]site.Upstream, []site.InvalidEntry, error) {
+func (f *Fleet) Next(ctx context.Context) (*site.UpstreamList, error) {
 	f.mu.Lock()
 	if r := f.registry; r != nil {
 		f.mu.Unlock()
@@ -101,7 +101,7 @@
 			list = append(list, u)
 		}
 	}
-	return list, nil, nil
+	return &site.UpstreamList{Upstreams: list}, nil
 }
 
 // Worker returns the worker with the given id.
--- a/standin/fleet/registry.go
+++ b/standin/fleet/registry.go
@@ -101,9 +101,9 @@
 }
 
 // list reads the entries of the workers that are listed.
-func (r *registry) list(ctx context.Context, f *Fleet) ([]site.Upstream, []site.InvalidEntry, error) {
+func (r *registry) list(ctx context.Context, f *Fleet) (*site.UpstreamList, error) {
 	if err := r.store.available(ctx); err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	f.mu.Lock()
 	list := []site.Upstream{}
@@ -113,7 +113,7 @@
 		}
 	}
 	f.mu.Unlock()
-	return list, nil, r.store.delayResponse(ctx, nil)
+	return &site.UpstreamList{Upstreams: list}, r.store.delayResponse(ctx, nil)
 }
 
 // accepts reports whether the store accepts writes.
