--- a/soak/heartbeats.go
+++ b/soak/heartbeats.go
@@ -107,13 +107,13 @@
 func (g *registrations) update() {
 	ctx, cancel := context.WithTimeout(g.c.ctx, heartbeatTimeout)
 	defer cancel()
-	list, _, err := g.c.fleet.Next(ctx)
+	list, err := g.c.fleet.Next(ctx)
 	if err != nil {
 		return
 	}
 	present := map[string]bool{}
-	for i := range list {
-		u := &list[i]
+	for i := range list.Upstreams {
+		u := &list.Upstreams[i]
 		if !g.c.isCutOff(u.ID) {
 			g.heardAt[u.ID] = time.Now()
 			g.publish(ctx, u)
