--- a/pollendockd/internal/scheduler/unreadable_rows_test.go
+++ b/pollendockd/internal/scheduler/unreadable_rows_test.go
@@ -98,3 +98,28 @@
 		}
 	})
 }
+
+// TestLaterLeaderAcknowledgesNoUnreadableEnd guards against acknowledging the end of a run that an
+// earlier leader could not read and has given up.
+func TestLaterLeaderAcknowledgesNoUnreadableEnd(t *testing.T) {
+	for _, number := range []bool{true, false} {
+		inCell(t, 1, func(c *cell) {
+			a := c.start("a")
+			w := c.fleet.Worker("w0")
+			w.AlterReplies(hideEnd("odd", number))
+			time.Sleep(time.Second)
+			b := c.start("b")
+			c.submit("odd", tasks(1, 2))
+			c.submit("beside", tasks(1, 2))
+			expectPhase(c, b, "beside", 4*time.Second, job.Completed)
+			expectPhase(c, b, "odd", 20*time.Second, job.Completed)
+			expectStarts(c, "odd", 0, 2)
+			time.Sleep(2 * time.Second)
+			a.kill()
+			time.Sleep(5 * time.Second)
+			c.submit("later", tasks(6, 2))
+			expectPhase(c, b, "later", 10*time.Second, job.Completed)
+			time.Sleep(2 * time.Second)
+		})
+	}
+}
