scheduler: late gangs reserve nothing again; overdue ones do in turn

Callers would see: fewer served under hard load.

Cause: let gangs that are late, but not overdue, reserve what those in time leave. They hold capacity that others in time could use a moment later.

--- a/pollendockd/internal/scheduler/pass.go
+++ b/pollendockd/internal/scheduler/pass.go
@@ -302,6 +302,12 @@
 	}
 }
 
+// mayReserve reports whether capacity may be reserved for the step, if it is a gang: one that
+// can be done in time, or an overdue one in its turn, unless it is a suspect.
+func (ws *waitingStep) mayReserve() bool {
+	return ws.sortKey.Rank == placement.InTime || ws.sortKey.Rank == placement.Overdue && !ws.isolated
+}
+
 // hasTicket reports whether the step may start on a worker now.
 func (ws *waitingStep) hasTicket(now time.Time) bool {
 	a := ws.tj.advice[ws.step]
@@ -365,7 +371,7 @@
 		}
 		return notWaiting
 	}
-	if p.spansWorkers(service, req) && (!ws.isolated || ws.sortKey.Rank == placement.InTime) {
+	if p.spansWorkers(service, req) && ws.mayReserve() {
 		return l.reserve(p, ws, req, service, advice)
 	}
 	if answers == nil {
