Log lines: what the wait for the runs of a dead worker consisted of

`all leases of the worker have expired`, and `run ended` where no worker has listed the end, say when the dispatch was decided or read, until when a late start counted as executable, until when leases of leaders and of late holds could last, the longest lease, since when the worker is recorded as silent, how many runs are of earlier leaders and how many starts are known to be answered.

clockAgeMs is -1 for a worker that has never answered; it was the age of the zero time.

--- a/pollendockd/internal/scheduler/tracked_job.go
+++ b/pollendockd/internal/scheduler/tracked_job.go
@@ -289,7 +289,7 @@
 		how = site.Crashed
 	}
 	l.unbind(r)
-	l.logRun(r, "run ended", "how", how, "why", why)
+	l.logRun(r, "run ended", append([]any{"how", how, "why", why}, r.lapseFields(l, how, time.Now())...)...)
 	l.s.deps.Counts.Count("ends_"+how.String(), 1)
 	tj := r.tj
 	t := r.recordedTask()
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -330,9 +330,10 @@
 	if len(lapsed) == 0 {
 		return
 	}
-	_ = level.Warn(l.s.deps.Logger).Log("msg", "all leases of the worker have expired", "worker", wk.id, "boot", wk.boot, "runs", len(lapsed),
+	fields := []any{"msg", "all leases of the worker have expired", "worker", wk.id, "boot", wk.boot, "runs", len(lapsed),
 		"epoch", l.term.Epoch, "dataCentre", wk.upstream.DataCentre, "listed", wk.listed, "termAgeMs", now.Sub(l.startedAt).Milliseconds(),
-		"clockMs", wk.clock.Milliseconds(), "clockAgeMs", now.Sub(wk.clockAt).Milliseconds(), "leaseEndMs", wk.leaseEnd.Milliseconds())
+		"clockMs", wk.clock.Milliseconds(), "clockAgeMs", millisSince(now, wk.clockAt), "leaseEndMs", wk.leaseEnd.Milliseconds()}
+	_ = level.Warn(l.s.deps.Logger).Log(append(fields, l.lapseFields(wk, lapsed, now)...)...)
 	for _, r := range lapsed {
 		l.giveUpUnread(r)
 		l.endRun(r, site.LeaseExpired, "the worker did not answer before its leases expired")
