Known red: tasks of dead workers where leases are long, beside changes of leader

Two more shapes wait for as long, whatever the task has run for: - the leader changes and finds the run, its worker answers and dies 2 s later: 24.6 s. The last renewal without an answer counts as one that a later incarnation may execute for 12.5 s, and grants the longest lease then; - a VM leads that has started since: 23.7 s. inheritedAt is when this VM read the record, so that VMs which start again begin the wait anew: 19.7 s after the last of four leaders in 14 s, 31.7 s after the worker's death.

The bound is the 14 s after which callers ask.

--- a/pollendockd/internal/scheduler/lapse_report.go
+++ b/pollendockd/internal/scheduler/lapse_report.go
@@ -32,7 +32,7 @@
 		"inherited", inheritedRuns, "startsAnswered", answered,
 		"firstDispatchMs", millisSince(now, first), "lastDispatchMs", millisSince(now, last),
 		"startableUntilMs", millisSince(now, startable), "leasesUntilMs", millisSince(now, l.lapseAt(wk)),
-		"lateLeasesUntilMs", millisSince(now, l.lateLeaseEnd(wk)), "silentMs", millisSince(now, wk.silence.since),
+		"lateLeasesUntilMs", millisSince(now, l.lateLeaseEnd(wk)), "renewableUntilMs", millisSince(now, wk.lateHolds.renewals.until), "silentMs", millisSince(now, wk.silence.since),
 		"maxLeaseMs", l.s.opt.Bounds.MaxLease.Milliseconds(),
 	}
 }
--- a/pollendockd/internal/scheduler/term_bounds_test.go
+++ b/pollendockd/internal/scheduler/term_bounds_test.go
@@ -198,29 +198,89 @@
 
 // TestTaskThatHasJustStartedRunsAgainAfterItsWorkerAndLeaderDied guards against a run whose start was answered and counts for as long as one that may be executed late, since only the dead leader knew of the answer.
 func TestTaskThatHasJustStartedRunsAgainAfterItsWorkerAndLeaderDied(t *testing.T) {
-	// finishTime is how long after the end of the traffic callers ask for their jobs.
-	const finishTime = 14 * time.Second
 	for _, ran := range []time.Duration{time.Second, 4 * time.Second, 10 * time.Second} {
 		t.Run("after "+ran.String(), func(t *testing.T) {
-			inCell(t, 3, func(c *cell) {
-				c.outcome = func(site.TaskID, int64, string) (time.Duration, site.EndKind) { return time.Minute, site.Done }
-				a := c.start("a")
-				time.Sleep(time.Second)
-				b := c.start("b")
-				time.Sleep(time.Second)
-				c.submit("j1", tasks(1, 4))
-				expectPhase(c, b, "j1", time.Second, job.Running)
-				time.Sleep(ran)
-				c.fleet.Worker(b.replica.Job("j1").State.Steps[0][0].Worker).Terminate()
-				a.kill()
-				died := time.Now()
-				for c.fleet.Starts(site.TaskID{Job: "j1"}) < 2 && time.Since(died) < time.Minute {
-					time.Sleep(20 * time.Millisecond)
-				}
-				if took := time.Since(died); took > finishTime {
-					t.Errorf("the task runs again after %v, want %v at most", took, finishTime)
-				}
+			inCell(t, 3, func(c *cell) { c.expectRunsAgain(ran, dieTogether) })
+		})
+	}
+}
+
+// TestTaskOfDeadWorkerRunsAgainWhereLeasesAreLong guards against a wait for a dead worker's run that begins again with each leader and ends with the longest lease after the last request that may be executed late.
+func TestTaskOfDeadWorkerRunsAgainWhereLeasesAreLong(t *testing.T) {
+	const maxLease = 10 * time.Second
+	for _, c := range []struct {
+		name string
+		ran  time.Duration
+		kill func(c *cell, leader *vm, worker *fleet.Worker)
+	}{
+		{"with the leader, after 1 s", time.Second, dieTogether},
+		{"with the leader, after 4 s", 4 * time.Second, dieTogether},
+		{"with the leader, after 10 s", 10 * time.Second, dieTogether},
+		{"after the leader", 20 * time.Second, func(_ *cell, leader *vm, worker *fleet.Worker) {
+			leader.kill()
+			time.Sleep(2 * time.Second)
+			worker.Terminate()
+		}},
+		{"with the leader, beside a VM that has just started", 20 * time.Second, func(c *cell, leader *vm, worker *fleet.Worker) {
+			c.start("d")
+			c.vms["b"].kill()
+			dieTogether(c, leader, worker)
+		}},
+		{"with four leaders in 14 s, whose VMs start again", 20 * time.Second, func(c *cell, _ *vm, worker *fleet.Worker) {
+			worker.Terminate()
+			c.killLeader()
+			for _, next := range []string{"d", "e", "f"} {
+				c.start(next)
+				time.Sleep(4 * time.Second)
+				c.killLeader()
+			}
+			c.start("g")
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inCell(t, 3, func(cl *cell) {
+				cl.bounds.MaxLease = maxLease
+				cl.fleet.SetMaxLease(maxLease)
+				cl.expectRunsAgain(c.ran, c.kill)
 			})
 		})
 	}
 }
+
+// killLeader kills the VM that leads.
+func (c *cell) killLeader() {
+	for name, v := range c.vms {
+		if leads(v) {
+			v.kill()
+			delete(c.vms, name)
+		}
+	}
+}
+
+func dieTogether(_ *cell, leader *vm, worker *fleet.Worker) {
+	worker.Terminate()
+	leader.kill()
+}
+
+// expectRunsAgain checks that a task runs again before callers ask for its job, if its worker dies once it has run for the given time.
+func (c *cell) expectRunsAgain(ran time.Duration, kill func(c *cell, leader *vm, worker *fleet.Worker)) {
+	c.t.Helper()
+	// finishTime is how long after the end of the traffic callers ask for their jobs.
+	const finishTime = 14 * time.Second
+	c.outcome = func(site.TaskID, int64, string) (time.Duration, site.EndKind) { return time.Minute, site.Done }
+	a := c.start("a")
+	time.Sleep(time.Second)
+	b := c.start("b")
+	time.Sleep(time.Second)
+	c.submit("j1", tasks(1, 4))
+	expectPhase(c, b, "j1", time.Second, job.Running)
+	time.Sleep(ran)
+	kill(c, a, c.fleet.Worker(b.replica.Job("j1").State.Steps[0][0].Worker))
+	died := time.Now()
+	for c.fleet.Starts(site.TaskID{Job: "j1"}) < 2 && time.Since(died) < time.Minute {
+		time.Sleep(20 * time.Millisecond)
+	}
+	if took := time.Since(died); took > finishTime {
+		c.t.Errorf("the task runs again after %v, want %v at most", took, finishTime)
+	}
+}
