Known red: work waits for dead workers' runs

It has four faults more (deaths.go): workers end (one in eight, a third of all at most), leaders die (four, 2.5 s apart), and workers end together with two leaders or with the four. Without these options each seed plays what it played before: the lists that the draws choose from are unchanged. The judge no longer counts the capacity of workers that have ended as that of the service, as 'under half of the service's capacity' is of what is there.

A log field that had no value (lateLeasesUntilMs) is -1 now.

--- a/pollendockd/internal/scheduler/lapse_report.go
+++ b/pollendockd/internal/scheduler/lapse_report.go
@@ -12,7 +12,7 @@
 // ago the first and the last dispatch was read, a late start could be executed last, and the last
 // lease ended. An age is -1 if there is no such time.
 func (l *leadership) lapseFields(wk *worker, runs []*run, now time.Time) []any {
-	var first, last, startable time.Time
+	var first, last, startable, lateLeases time.Time
 	inheritedRuns, answered := 0, 0
 	for _, r := range runs {
 		at := r.dispatchedAt()
@@ -28,12 +28,15 @@
 			answered++
 		}
 	}
+	if !wk.renewedUntil.IsZero() {
+		lateLeases = l.lateLeaseEnd(wk)
+	}
 	return []any{
 		"inherited", inheritedRuns, "startsAnswered", answered,
 		"firstDispatchMs", millisSince(now, first), "lastDispatchMs", millisSince(now, last),
 		"startableUntilMs", millisSince(now, startable), "leasesUntilMs", millisSince(now, l.lapseAt(wk)),
-		"lateLeasesUntilMs", millisSince(now, l.lateLeaseEnd(wk)), "renewableUntilMs", millisSince(now, wk.lateHolds.renewals.until), "silentMs", millisSince(now, wk.silence.since),
-		"maxLeaseMs", l.s.opt.Bounds.MaxLease.Milliseconds(),
+		"lateLeasesUntilMs", millisSince(now, lateLeases), "renewableUntilMs", millisSince(now, wk.lateHolds.renewals.until),
+		"silentMs", millisSince(now, wk.silence.since), "maxLeaseMs", l.s.opt.Bounds.MaxLease.Milliseconds(),
 	}
 }
 
--- a/soak/cell.go
+++ b/soak/cell.go
@@ -58,6 +58,8 @@
 		jobs map[string]*jobClient
 		// cutOff counts the faults because of which the store does not hear of a worker.
 		cutOff map[string]int
+		// ended holds the workers that have ended for good.
+		ended map[string]bool
 		// names maps the addresses of the entry VMs to their names.
 		names map[netip.Addr]string
 	}
@@ -121,7 +123,7 @@
 	c := &cell{
 		dir: dir, program: opt.Program, rate: opt.Rate, site: model, bounds: bounds, subnet: subnet, ctx: ctx, cellStore: fleet.NewStore(), configStore: fleet.NewStore(), serverStore: fleet.NewStore(),
 		workers: map[string]string{}, cutOff: map[string]int{}, jobs: map[string]*jobClient{}, faultLocks: make([]sync.Mutex, opt.Entries),
-		dataCentres: map[string]string{}, names: map[netip.Addr]string{}, disruptions: newDisruptions(bounds.Contact), violations: &violationLog{},
+		dataCentres: map[string]string{}, ended: map[string]bool{}, names: map[netip.Addr]string{}, disruptions: newDisruptions(bounds.Contact), violations: &violationLog{},
 	}
 	c.operator = &operator{c: c}
 	c.fleet = fleet.NewFleet(c.taskOutcome, c.taskSize)
--- a/soak/main.go
+++ b/soak/main.go
@@ -29,6 +29,9 @@
 		Net     uint8         `arg:"--net" help:"entry VMs listen on 127.90.NET.*; 0 for a subnet that no other soak uses"`
 		Basic   bool          `arg:"--basic" help:"no cuts of links between some pairs, and short jobs only"`
 		Only    string        `arg:"--only" help:"only faults with this in their name"`
+		Last    string        `arg:"--last" help:"end a soak of a site with the fault of this name"`
+		Calm    bool          `arg:"--calm" help:"at a site, no fault but the last one"`
+		Deaths  bool          `arg:"--deaths" help:"at a site, workers end for good and leaders die in series, too"`
 		Keep    string        `arg:"--keep" help:"directory for the logs of the entry VMs; a temporary one is removed"`
 	}
 
@@ -98,8 +101,10 @@
 	}
 	time.Sleep(opt.Length)
 	activeFaults.Wait()
-	if c.site != nil && opt.Only == "" {
-		c.injectClosing(rand.New(rand.NewPCG(opt.Seed, 10)))
+	if c.site != nil && (opt.Only == "" || opt.Last != "") {
+		if err := c.injectClosing(opt.Last, rand.New(rand.NewPCG(opt.Seed, 10))); err != nil {
+			return nil, err
+		}
 	}
 	faultsEnd := time.Now()
 	stopJudge := c.judgeWaiting(faultsEnd)
@@ -155,8 +160,8 @@
 // in bursts.
 func (c *cell) injectFaults(opt *options, end time.Time, activeFaults *sync.WaitGroup) {
 	r := rand.New(rand.NewPCG(opt.Seed, 2))
-	list := chosenFaults(c.faults(), opt.Only)
-	if len(list) == 0 {
+	list := chosenFaults(c.faults(opt), opt.Only)
+	if len(list) == 0 || opt.Calm && c.site != nil {
 		return
 	}
 	burstBegan := time.Now()
--- a/soak/sitefaults.go
+++ b/soak/sitefaults.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"time"
 )
@@ -49,9 +50,13 @@
 	{"all entries off", turnOffEntries},
 }
 
-// injectClosing injects the last fault. Later starts get their answers.
-func (c *cell) injectClosing(r *rand.Rand) {
-	f := closings[r.IntN(len(closings))]
+// injectClosing injects the last fault: the one of that name, or a random one of closings. Later
+// starts get their answers.
+func (c *cell) injectClosing(name string, r *rand.Rand) error {
+	f, err := chooseClosing(name, r)
+	if err != nil {
+		return err
+	}
 	fmt.Printf("the last fault: %s\n", f.name)
 	defer c.disruptions.begin(faultName)()
 	f.inject(c, r)
@@ -59,6 +64,19 @@
 		c.fleet.Worker(id).ResetStarts(0)
 		c.fleet.Worker(id).DropResponses(0)
 	}
+	return nil
+}
+
+func chooseClosing(name string, r *rand.Rand) (fault, error) {
+	if name == "" {
+		return closings[r.IntN(len(closings))], nil
+	}
+	for _, f := range append(slices.Clone(closings), deaths...) {
+		if f.name == name {
+			return f, nil
+		}
+	}
+	return fault{}, fmt.Errorf("there is no last fault %q", name)
 }
 
 // turnOffEntries ends all entry VMs for so long that the leases of all runs expire.
@@ -77,8 +95,12 @@
 	}
 }
 
-// faults returns the faults of the soak.
-func (c *cell) faults() []fault {
+// faults returns the faults of the soak. A longer list would change what a seed plays, so that
+// deaths are among them only if the options say so.
+func (c *cell) faults(opt *options) []fault {
+	if c.site != nil && opt.Deaths {
+		return append(slices.Clone(siteFaults), deaths...)
+	}
 	if c.site != nil {
 		return siteFaults
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -49,6 +49,22 @@
 	})
 }
 
+// TestWorkOfDeadWorkersRunsSoonAfterLeadersDied guards against jobs that wait beside room for runs of workers that died with the leader.
+func TestWorkOfDeadWorkersRunsSoonAfterLeadersDied(t *testing.T) {
+	program := buildProgram(t)
+	for _, c := range []struct {
+		last string
+		seed uint64
+	}{
+		{"workers end and leaders die", 1},
+		{"workers end and leaders die in series", 4},
+	} {
+		t.Run(c.last, func(t *testing.T) {
+			play(t, &options{Program: program, Seed: c.seed, Length: testLength, Site: smallSite, MaxGang: 8, Calm: true, Last: c.last})
+		})
+	}
+}
+
 func buildProgram(t *testing.T) string {
 	t.Helper()
 	program := filepath.Join(t.TempDir(), "pollendockd")
--- a/soak/waiting.go
+++ b/soak/waiting.go
@@ -238,6 +238,9 @@
 		}
 	}
 	for i := range o.Workers {
+		if c.hasEnded(o.Workers[i].ID) {
+			continue
+		}
 		o.used = o.used.Add(o.Workers[i].Used)
 		o.whole = o.whole.Add(o.Workers[i].Capacity)
 	}
