scheduler: log lines that tell why a gang sends no query or starts without use of its tickets

An advised line of a gang now says for how long the step has waited in this term, how old the term is, how many other steps wanted a query, and for what reasons the passes since its last query left it waiting. The first pass after an answer that does not start the gang logs once why: room on workers with valid tickets, with and without what is reserved before it, and of its reservation the workers, their room, the tickets that have expired and the run that holds the rest. The report on starved steps has the same fields.

At most one line an answer, besides those of the starvation report.

--- a/pollendockd/internal/scheduler/advice.go
+++ b/pollendockd/internal/scheduler/advice.go
@@ -66,6 +66,10 @@
 		// free for it.
 		wantedSince time.Time
 		sentAt      time.Time
+		// waitedSince is since when the step has waited in this term, passes why it waited in
+		// those since its last query, for the log.
+		waitedSince time.Time
+		passes      string
 		through     string
 		incarnation string
 	}
@@ -86,6 +90,8 @@
 		// it, not even after a restart.
 		tickets map[string]ticket
 		refused map[string]bool
+		// wait is how passes left the step since its last query, if it is a gang.
+		wait gangWait
 	}
 
 	// ticket permits the step on one incarnation of a worker until it expires.
@@ -286,6 +292,9 @@
 	}
 	answers.asking = true
 	answers.query = q
+	q.waitedSince = m.ws.waitsSince(now)
+	q.passes = answers.wait.sinceLastQuery()
+	answers.wait = gangWait{ahead: len(l.advice.demands) - 1}
 	return q
 }
 
@@ -357,11 +366,18 @@
 		delete(answers.refused, t.Upstream)
 		answers.tickets[t.Upstream] = ticket{t.Ticket, q.boots[t.Upstream], now.Add(q.valid - ticketMargin)}
 	}
+	answers.wait.answered = true
 	l.queueStatsOf(q.tj.sub.Queue).recordAdvice(len(q.workers), len(e.tickets))
 	s.deps.Counts.Time("advice", now.Sub(q.wantedSince))
 	s.deps.Counts.Time("advice_call", now.Sub(q.sentAt))
-	_ = level.Info(s.deps.Logger).Log("msg", "advised", "job", q.tj.id, "step", q.step, "queue", q.tj.sub.Queue, "through", q.through, "kind", q.kind,
-		"asked", len(q.workers), "good", len(e.tickets), "tookMs", now.Sub(q.wantedSince).Milliseconds(), "callMs", now.Sub(q.sentAt).Milliseconds())
+	fields := []any{
+		"msg", "advised", "job", q.tj.id, "step", q.step, "queue", q.tj.sub.Queue, "through", q.through, "kind", q.kind,
+		"asked", len(q.workers), "good", len(e.tickets), "tookMs", now.Sub(q.wantedSince).Milliseconds(), "callMs", now.Sub(q.sentAt).Milliseconds(),
+	}
+	if q.tj.sub.Steps[q.step].Gang {
+		fields = append(fields, "waitedMs", millisSince(now, q.waitedSince), "termAgeMs", millisSince(now, l.startedAt), "alsoWanted", answers.wait.ahead, "passes", q.passes)
+	}
+	_ = level.Info(s.deps.Logger).Log(fields...)
 }
 
 // report counts the queries.
--- a/pollendockd/internal/scheduler/pass.go
+++ b/pollendockd/internal/scheduler/pass.go
@@ -175,6 +175,7 @@
 	p.startedAt = time.Now()
 	l.placeInOrder(p, steps[:onTime])
 	l.placeOverdue(p, steps[onTime:])
+	l.noteGangs(p, steps)
 	l.checkStarvation(p, steps)
 	l.heldCapacity = p.heldCapacity
 	l.watchLimitIdle(p)
--- a/pollendockd/internal/scheduler/wait_report.go
+++ b/pollendockd/internal/scheduler/wait_report.go
@@ -113,12 +113,10 @@
 		"team", ws.tj.sub.Team, "teamUse", l.teamUse[ws.tj.sub.Team], "teamLimit", p.teamLimit(ws.tj.sub.Team),
 		"unclaimedMilliCpu", p.unclaimedCPU[service], "turnMs", max(0, ws.tj.turn.until.Sub(p.now).Milliseconds()), "passedOver", counts.String(),
 	}
-	if r := ws.tj.reservation; r != nil && r.step == ws.step {
-		fields = append(fields, "reservedPlaces", len(r.places), "reservedInMs", r.in.Milliseconds(), "reservedMs", millisSince(p.now, r.at))
-	}
+	fields = append(fields, l.reservationFields(p, ws)...)
 	if a := ws.tj.advice[ws.step]; a != nil {
 		fields = append(fields, "asking", a.asking, "validTickets", a.countValid(p.now), "knownWorkers", len(a.tickets), "refusedWorkers", len(a.refused),
-			"wantedMs", millisSince(p.now, a.wantedSince), "noWorkerToAsk", a.unplaceable)
+			"wantedMs", millisSince(p.now, a.wantedSince), "noWorkerToAsk", a.unplaceable, "passes", a.wait.sinceLastQuery())
 	}
 	_ = level.Warn(l.s.deps.Logger).Log(fields...)
 }
