--- a/pollendockd/internal/scheduler/harness_test.go
+++ b/pollendockd/internal/scheduler/harness_test.go
@@ -34,6 +34,8 @@
 		catalogAge atomic.Int64
 		// advisor is nil if the queue has no advice.
 		advisor *fleet.Advisor
+		// asked is called for each query that the advisor has answered, unless it is nil.
+		asked func(q *AdviceQuery, good []site.Ticket)
 		// queueAdvisor is used instead if it is set.
 		queueAdvisor *queueAdvisor
 		// entries holds the entries of the workers, as the platform encodes them. If it is
@@ -101,6 +103,7 @@
 	// advisorClient adapts the stand-in advisor to the Advisor interface.
 	advisorClient struct {
 		*fleet.Advisor
+		c *cell
 	}
 
 	// testPeers forwards yields to the other VMs, but no records.
@@ -116,7 +119,13 @@
 )
 
 func (a advisorClient) Advise(ctx context.Context, through string, q *AdviceQuery) ([]site.Ticket, error) {
-	return a.Advisor.Advise(ctx, through, q.Job, q.Step, q.Workers)
+	tickets, err := a.Advisor.Advise(ctx, through, q.Job, q.Step, q.Workers)
+	if err == nil && a.c.asked != nil {
+		a.c.mu.Lock()
+		defer a.c.mu.Unlock()
+		a.c.asked(q, tickets)
+	}
+	return tickets, err
 }
 
 func (p testPeers) Offer(int64) {}
@@ -294,7 +303,7 @@
 		deps.Upstreams = platform.SimulatedUpstreams(c.entries)
 	}
 	if c.advisor != nil {
-		deps.Advisor = advisorClient{c.advisor}
+		deps.Advisor = advisorClient{c.advisor, c}
 		c.join(name)
 	}
 	if c.queueAdvisor != nil {
