job: a record of the start requests that were answered

The form of the record that docs/design/term-knowledge.md describes, with its checks and its place in the view; nobody writes it yet. A VM also keeps by which record it read that a task was dispatched: the state of a job is written again with each end, so that its own offset says nothing of runs that have been there for long.

--- a/cell/job/odd_records_test.go
+++ b/cell/job/odd_records_test.go
@@ -102,6 +102,13 @@
 		{"silent worker without an id", "silent/", &EpochRange{}},
 		{"renewals that are no record", "renewals", "\x00"},
 		{"renewals that end before they begin", "renewals", &EpochRange{Epoch: 2, FirstEpoch: 3}},
+		{"answered starts that are no record", "answeredStarts", "\x00"},
+		{"starts answered before a negative offset", "answeredStarts", &AnsweredStarts{Before: -1}},
+		{"starts answered before an offset after the record", "answeredStarts", &AnsweredStarts{Before: math.MaxInt64}},
+		{"starts answered except of a run of no job", "answeredStarts", &AnsweredStarts{Except: []RunName{{Run: 1}}}},
+		{"starts answered except of a step that no job has", "answeredStarts", &AnsweredStarts{Except: []RunName{{Job: "a", Step: math.MaxInt, Run: 1}}}},
+		{"starts answered except of a negative task", "answeredStarts", &AnsweredStarts{Except: []RunName{{Job: "a", Index: -1, Run: 1}}}},
+		{"starts answered except of too many runs", "answeredStarts", &AnsweredStarts{Except: make([]RunName, maxOpenStarts+1)}},
 		{"unknown kind", "x/a", "\x00"},
 		{"empty key", "", "\x00"},
 		{"no id", "j/", goodSubmission()},
@@ -137,6 +144,7 @@
 		recordOf(t, "queues/q", &QueueSettings{Version: 3, Stretch: 2, Objective: time.Second, Advice: []AdviceSettings{{Base: 5, TicketLifetime: time.Second}}}),
 		recordOf(t, "silent/w", &EpochRange{Epoch: 3, FirstEpoch: 2}),
 		recordOf(t, "renewals", &EpochRange{Epoch: 3, FirstEpoch: 2}),
+		recordOf(t, "answeredStarts", &AnsweredStarts{Before: 9, Except: []RunName{{Job: "a", Index: 1, Run: 1}}}),
 	}
 }
 
@@ -149,7 +157,7 @@
 	if q := v.Queue("q"); q != nil && q.Advice != nil {
 		text += fmt.Sprintf(" queue stretch %v objective %v advice %+v", q.Stretch, q.Objective, *q.Advice)
 	}
-	text += fmt.Sprintf(" renewals %+v", v.Renewals().EpochRange)
+	text += fmt.Sprintf(" renewals %+v answered starts %+v", v.Renewals().EpochRange, *v.AnsweredStarts())
 	for id, s := range v.SilentWorkers() {
 		text += fmt.Sprintf(" silent %s %d %d", id, s.FirstEpoch, s.Epoch)
 	}
@@ -161,6 +169,7 @@
 			}
 		}
 		for step := range j.Submission.Steps {
+			text += fmt.Sprint(" dispatched ", j.DispatchedBefore(50, step, 0), j.DispatchedBefore(50, step, 1))
 			text += fmt.Sprint(" ready ", len(j.State.Steps) > 0 && j.State.Ready(j.Submission, step))
 		}
 	}
--- a/cell/job/view.go
+++ b/cell/job/view.go
@@ -28,6 +28,8 @@
 		givenUpRuns map[string]GivenUpRuns
 		silent      map[string]EpochHistory
 		renewals    EpochHistory
+
+		answeredStarts AnsweredStarts
 		// offsets holds the newest applied offset of each key, which makes
 		// applying a page idempotent.
 		offsets map[string]int64
@@ -56,6 +58,10 @@
 		// DoubtfulCrashes are those of them that may have been none; nil like Crashes.
 		DoubtfulCrashes *DoubtfulCrashes
 
+		// dispatchedAt holds the offsets of the records that dispatched the tasks, by step and
+		// index.
+		dispatchedAt [][]int64
+
 		countedAsWaiting bool
 	}
 )
@@ -138,6 +144,8 @@
 		return v.applySpeeds(e)
 	case renewalsKey:
 		return v.applyRenewals(e)
+	case answeredStartsKey:
+		return v.applyAnsweredStarts(e)
 	}
 	return Class.New("unknown kind of key")
 }
@@ -215,6 +223,7 @@
 		}
 	}
 	j := v.job(id)
+	j.dispatchedAt = j.dispatchOffsets(s, e.Offset)
 	j.State = s
 	j.StateAt = time.Now()
 	v.updateWaiting(j)
