A VM that has just started counts no leases of leaders that there never were

What callers saw: a task whose worker and leader had died waited for up to 20 s if the VM that led next had started shortly before, also in a cell that is itself young: part of the 23.7 s of TestTaskOfDeadWorkerRunsAgainWhereLeasesAreLong, beside a VM that has just started.

Cause: leaders of earlier versions renew for 10 s, and count until 10 s and the longest lease after this VM has read the record renewals for the first time.

Fix: if the record goes back to epoch 1 without a gap there was no leader of an earlier version, and only the shorter time counts. The epochs come from the leader records, which the store fences: no VM wins an epoch again. A gap, or a record that begins later, counts as before.

--- a/pollendockd/internal/scheduler/dead_worker_test.go
+++ b/pollendockd/internal/scheduler/dead_worker_test.go
@@ -41,18 +41,20 @@
 	short := now.Add(l.renewTimeout() + inWorkerTime(lease+leaseMargin) + lapseSlack)
 	for _, c := range []struct {
 		name string
-		// epoch is that of the last leader that has appended the record, since how long ago the
-		// first one did.
-		epoch int64
-		since time.Duration
-		want  time.Time
+		// epoch is that of the last leader that has appended the record, firstEpoch of the first
+		// one, since how long ago this VM read that it did.
+		epoch, firstEpoch int64
+		since             time.Duration
+		want              time.Time
 	}{
-		{"no record", 0, 0, long},
-		{"the last leader has appended none", 5, time.Minute, long},
-		{"the first one has just appended it", 6, time.Second, long.Add(-time.Second)},
-		{"all leaders append it", 6, time.Minute, short},
+		{"no record", 0, 0, 0, long},
+		{"the last leader has appended none", 5, 4, time.Minute, long},
+		{"the last leader has appended none, all before it have", 5, 1, time.Minute, long},
+		{"the first one has just appended it", 6, 4, time.Second, long.Add(-time.Second)},
+		{"it was appended for the first time long ago", 6, 4, time.Minute, short},
+		{"all leaders of the cell have appended it", 6, 1, time.Second, short},
 	} {
-		l.renewals = job.EpochHistory{EpochRange: job.EpochRange{Epoch: c.epoch, FirstEpoch: min(c.epoch, 4)}}
+		l.renewals = job.EpochHistory{EpochRange: job.EpochRange{Epoch: c.epoch, FirstEpoch: c.firstEpoch}}
 		if c.epoch > 0 {
 			l.renewals.Since = now.Add(-c.since)
 		}
--- a/pollendockd/internal/scheduler/renewals.go
+++ b/pollendockd/internal/scheduler/renewals.go
@@ -16,6 +16,9 @@
 // latest.
 const renewalOverlap = time.Second
 
+// firstEpoch is the epoch of the first leader of a cell: there are no earlier ones.
+const firstEpoch = 1
+
 // renewTimeout is how long a leader renews leases without a successful append: runs outlive
 // outages of the stream of streamTimeout.
 func (l *leadership) renewTimeout() time.Duration {
@@ -58,9 +61,11 @@
 	if !l.predecessorKeepsTerms() {
 		return longest
 	}
-	own := expiry(at.Add(l.renewTimeout()), l.leaseLength()+leaseMargin)
-	earlier := l.longestLeaseFrom(l.renewals.Since.Add(streamTimeout))
-	if end := later(own, earlier); end.Before(longest) {
+	end := expiry(at.Add(l.renewTimeout()), l.leaseLength()+leaseMargin)
+	if l.renewals.FirstEpoch != firstEpoch {
+		end = later(end, l.longestLeaseFrom(l.renewals.Since.Add(streamTimeout)))
+	}
+	if end.Before(longest) {
 		return end
 	}
 	return longest
