Later leaders know which start requests were answered

Cause: that a start request was answered was in the memory of a term only. The successor had to count each start of the last 13 s as one without an answer, which a restarted worker may execute up to 12.5 s late, under the longest lease.

Fix: the record answeredStarts says that all start requests of runs dispatched before an offset were answered or are never sent, except those of the runs that it names. Any other waits as before: the record is never needed for safety.

A VM also counts how often it has left records out: after that a state of a job may be that of another with the same id.

--- a/cell/job/answered_starts.go
+++ b/cell/job/answered_starts.go
@@ -79,9 +79,18 @@
 	return j.dispatchedAt[step][index] < offset
 }
 
+// NoteGap notes that records were not read, before those that are applied next. Among them may be
+// the removal of a job whose id was submitted again.
+func (v *View) NoteGap() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.gaps++
+}
+
 // dispatchOffsets returns the offsets of the first records in which this VM has read the present
-// runs of the dispatched tasks of a new state. A step without such tasks has none.
-func (j *Job) dispatchOffsets(s *State, offset int64) [][]int64 {
+// runs of the dispatched tasks of a new state, which may follow the last one without a gap. A step
+// without such tasks has none.
+func (j *Job) dispatchOffsets(s *State, offset int64, follows bool) [][]int64 {
 	offsets := make([][]int64, len(s.Steps))
 	for step, tasks := range s.Steps {
 		for index := range tasks {
@@ -92,7 +101,7 @@
 				offsets[step] = make([]int64, len(tasks))
 			}
 			offsets[step][index] = offset
-			if j.hasDispatched(&tasks[index], step, index) {
+			if follows && j.hasDispatched(&tasks[index], step, index) {
 				offsets[step][index] = j.dispatchedAt[step][index]
 			}
 		}
--- a/cell/job/answered_starts_test.go
+++ b/cell/job/answered_starts_test.go
@@ -16,23 +16,29 @@
 		name string
 		// states are those that are read, at the offsets 10, 20 and so on.
 		states []*State
+		// gap is set if records before the last state were not read.
+		gap bool
 		// want is the offset of the record by which the run counts as dispatched, 0 for none.
 		want int64
 	}{
-		{"first record", []*State{first}, 10},
-		{"written again", []*State{first, running(1, "w", 5), running(1, "w", 5)}, 10},
-		{"another run", []*State{first, running(2, "w", 5)}, 20},
-		{"another worker", []*State{first, running(1, "v", 5)}, 20},
-		{"another incarnation", []*State{first, running(1, "w", 6)}, 20},
-		{"started again after its end", []*State{first, {Phase: Running, Steps: [][]Task{{{}, {Run: 1}}, {{}}}}, running(1, "w", 5)}, 30},
-		{"not dispatched", []*State{first, {Phase: Running, Steps: [][]Task{{{}, {Run: 1}}, {{}}}}}, 0},
-		{"job has ended", []*State{first, {Phase: Completed}}, 0},
+		{"first record", []*State{first}, false, 10},
+		{"written again", []*State{first, running(1, "w", 5), running(1, "w", 5)}, false, 10},
+		{"written again after a gap", []*State{first, running(1, "w", 5)}, true, 20},
+		{"another run", []*State{first, running(2, "w", 5)}, false, 20},
+		{"another worker", []*State{first, running(1, "v", 5)}, false, 20},
+		{"another incarnation", []*State{first, running(1, "w", 6)}, false, 20},
+		{"started again after its end", []*State{first, {Phase: Running, Steps: [][]Task{{{}, {Run: 1}}, {{}}}}, running(1, "w", 5)}, false, 30},
+		{"not dispatched", []*State{first, {Phase: Running, Steps: [][]Task{{{}, {Run: 1}}, {{}}}}}, false, 0},
+		{"job has ended", []*State{first, {Phase: Completed}}, false, 0},
 	} {
 		v := NewView()
 		if err := apply(v, 0, recordOf(t, "j/a", goodSubmission())); err != nil {
 			t.Fatal(err)
 		}
 		for i, s := range c.states {
+			if c.gap && i == len(c.states)-1 {
+				v.NoteGap()
+			}
 			if err := apply(v, int64(10*(i+1)), recordOf(t, "s/a", s)); err != nil {
 				t.Fatal(err)
 			}
--- a/cell/job/view.go
+++ b/cell/job/view.go
@@ -30,6 +30,8 @@
 		renewals    EpochHistory
 
 		answeredStarts AnsweredStarts
+		// gaps counts how often records were left out.
+		gaps int
 		// offsets holds the newest applied offset of each key, which makes
 		// applying a page idempotent.
 		offsets map[string]int64
@@ -59,8 +61,9 @@
 		DoubtfulCrashes *DoubtfulCrashes
 
 		// dispatchedAt holds the offsets of the records that dispatched the tasks, by step and
-		// index.
+		// index. gapsBefore is how many gaps there were before that.
 		dispatchedAt [][]int64
+		gapsBefore   int
 
 		countedAsWaiting bool
 	}
@@ -223,7 +226,8 @@
 		}
 	}
 	j := v.job(id)
-	j.dispatchedAt = j.dispatchOffsets(s, e.Offset)
+	j.dispatchedAt = j.dispatchOffsets(s, e.Offset, j.gapsBefore == v.gaps)
+	j.gapsBefore = v.gaps
 	j.State = s
 	j.StateAt = time.Now()
 	v.updateWaiting(j)
--- a/pollendockd/internal/replica/follower.go
+++ b/pollendockd/internal/replica/follower.go
@@ -229,6 +229,7 @@
 	err := f.read(ctx, wait)
 	if site.ErrTrimmed.Has(err) {
 		_ = level.Warn(f.logger).Log("msg", "offset was trimmed from the record stream; loading all keys", "next", f.view.Next())
+		f.view.NoteGap()
 		return f.load(ctx)
 	}
 	return err
--- a/pollendockd/internal/scheduler/flush.go
+++ b/pollendockd/internal/scheduler/flush.go
@@ -57,7 +57,9 @@
 		// silent holds the workers that the batch records as silent, answered those whose
 		// record it removes.
 		silent, answered []*worker
-		final            bool
+		// states is set if the batch has states of jobs.
+		states bool
+		final  bool
 	}
 
 	// ackUpTo is the number of a run end within one incarnation of a worker.
@@ -138,6 +140,7 @@
 		b.entries = append(b.entries, entries...)
 		n++
 	}
+	b.states = n > 0
 	f.dirty = f.dirty[n:]
 	for _, id := range f.forget {
 		j := l.s.deps.View.Job(id)
@@ -173,7 +176,10 @@
 		}
 		b.entries = append(b.entries, e)
 	}
-	return b, l.addLeaderRecord(b, now)
+	if err := l.addLeaderRecord(b, now); err != nil {
+		return nil, err
+	}
+	return b, l.addAnsweredStarts(b, now)
 }
 
 // sizeOf returns what entries add to an append, in bytes.
@@ -263,6 +269,9 @@
 		}
 	}
 	b.silencesDurable(time.Now())
+	if b.states {
+		l.answeredStarts.statesDurable(first + int64(len(b.entries)))
+	}
 	if b.final {
 		replyAll(b.accepts, nil)
 		l.s.endLeadership("leadership handed over")
--- a/pollendockd/internal/scheduler/lapse_report.go
+++ b/pollendockd/internal/scheduler/lapse_report.go
@@ -24,7 +24,7 @@
 		if r.startAttempts == 0 {
 			inheritedRuns++
 		}
-		if !r.confirmedAt.IsZero() {
+		if !r.confirmedAt.IsZero() || r.startsAnswered {
 			answered++
 		}
 	}
--- a/pollendockd/internal/scheduler/late_starts.go
+++ b/pollendockd/internal/scheduler/late_starts.go
@@ -205,9 +205,7 @@
 // answered others it may; one after which it has answered nothing was lost with the worker.
 func (r *run) startableUntil() time.Time {
 	if r.startAttempts == 0 {
-		// An earlier leader has sent the requests once it knew that the dispatch is durable,
-		// which is soon unless its append got no answer.
-		return r.wk.silence.notAfter(r.tj.inheritedAt).Add(maxStartAttempts*startTimeout + maxRequestDelay)
+		return r.unansweredUntil()
 	}
 	until := time.Time{}
 	for _, at := range r.unansweredStarts {
@@ -217,3 +215,21 @@
 	}
 	return until
 }
+
+// unansweredUntil is when no start request of the run can be executed any more that got no answer,
+// or of which no answer is known; zero if there is none.
+func (r *run) unansweredUntil() time.Time {
+	if r.startsAnswered {
+		return time.Time{}
+	}
+	if r.startAttempts == 0 {
+		// An earlier leader has sent the requests once it knew that the dispatch is durable,
+		// which is soon unless its append got no answer.
+		return r.wk.silence.notAfter(r.tj.inheritedAt).Add(maxStartAttempts*startTimeout + maxRequestDelay)
+	}
+	until := time.Time{}
+	for _, at := range r.unansweredStarts {
+		until = later(until, at.Add(maxRequestDelay))
+	}
+	return until
+}
--- a/pollendockd/internal/scheduler/leadership.go
+++ b/pollendockd/internal/scheduler/leadership.go
@@ -57,6 +57,7 @@
 		// has appended it.
 		renewals         job.EpochHistory
 		renewalsAppended bool
+		answeredStarts   answeredStarts
 
 		flush    flushState
 		advice   adviceQueue
@@ -138,6 +139,7 @@
 		condemned:       map[site.TaskID]condemnedTask{},
 		givenUpRuns:     s.deps.View.GivenUpRuns(),
 		renewals:        s.deps.View.Renewals(),
+		answeredStarts:  newAnsweredStarts(s.deps.View.AnsweredStarts(), s.deps.View.Next()),
 		placeNeeded:     true,
 		since:           time.Since,
 	}
@@ -150,7 +152,8 @@
 		l.loadJob(id)
 	}
 	l.inheritSilences()
-	_ = level.Info(s.deps.Logger).Log("msg", "leading", "epoch", epoch, "jobs", len(l.jobs), "next", s.deps.View.Next())
+	_ = level.Info(s.deps.Logger).Log("msg", "leading", "epoch", epoch, "jobs", len(l.jobs), "next", s.deps.View.Next(),
+		"startsAnsweredBefore", l.answeredStarts.inherited.Before, "openStarts", len(l.answeredStarts.open))
 	s.deps.Counts.Count("terms", 1)
 	for i := range s.upstreams {
 		l.applyUpstream(&s.upstreams[i])
@@ -171,6 +174,7 @@
 	l.flush.abandon()
 	s.deps.Follower.SetLeading(false)
 	s.deps.Counts.Gauge(starvedGauge, 0)
+	s.deps.Counts.Gauge(openStartsGauge, 0)
 	s.deps.Counts.Gauge(appendAgeGauge, 0)
 	s.deps.Counts.Gauge(fullGauge, 0)
 	_ = level.Warn(s.deps.Logger).Log("msg", "leadership ended", "epoch", l.term.Epoch, "why", why,
@@ -300,8 +304,9 @@
 		"freeMb", free.MemoryMB, "queries", queries.waiting, "waitingSlow", queries.waitingSlow, "queryWaitMs", queries.longestWait.Milliseconds(),
 		"underWay", queries.underWay, "underWaySlow", queries.underWaySlow, "routesResting", queries.resting, "passMs", l.passTime.Milliseconds(), "slow", slow, "speedSpread", l.s.speeds.spread,
 		"starved", l.starvation.starved, "longestStarvedMs", l.starvation.longest.Milliseconds(), "refused", l.load.refused, "forecastAgeMs", now.Sub(l.load.updatedAt).Milliseconds(),
-		"appendAgeMs", now.Sub(l.flush.ackedAt).Milliseconds())
+		"appendAgeMs", now.Sub(l.flush.ackedAt).Milliseconds(), "openStarts", len(l.answeredStarts.open))
 	l.s.deps.Counts.Gauge(appendAgeGauge, now.Sub(l.flush.ackedAt).Milliseconds())
+	l.s.deps.Counts.Gauge(openStartsGauge, int64(len(l.answeredStarts.open)))
 	l.load.refused = 0
 	l.load.forgetRefused(now)
 }
--- a/pollendockd/internal/scheduler/requests.go
+++ b/pollendockd/internal/scheduler/requests.go
@@ -78,6 +78,7 @@
 	r.startAttempts++
 	r.unansweredStarts = append(r.unansweredStarts, now)
 	r.wk.lateStarts.sent(r.key(), now)
+	l.answeredStarts.add(r)
 	client := r.wk.client
 	l.spawn(func(ctx context.Context) event {
 		ctx, cancel := context.WithTimeout(ctx, startTimeout)
@@ -93,6 +94,9 @@
 	if e.err == nil || errors.As(e.err, &refusal) {
 		r.unansweredStarts = slices.DeleteFunc(r.unansweredStarts, e.sentAt.Equal)
 		r.wk.lateStarts.answered(r.key(), e.sentAt)
+		if len(r.unansweredStarts) == 0 {
+			l.answeredStarts.remove(r)
+		}
 	}
 	if e.err == nil {
 		r.wk.answeredAt = time.Now()
--- a/pollendockd/internal/scheduler/tracked_job.go
+++ b/pollendockd/internal/scheduler/tracked_job.go
@@ -91,6 +91,9 @@
 		startAttempts int
 		// unansweredStarts holds when the start requests were sent that got no answer.
 		unansweredStarts []time.Time
+		// startsAnswered is set if the records say that all start requests of earlier leaders
+		// were answered.
+		startsAnswered bool
 		// stopWanted is set if the run is to be stopped, stopped once the worker has
 		// confirmed the stop.
 		stopWanted bool
@@ -188,7 +191,7 @@
 		tj = newTrackedJob(id, j.Submission, j)
 		l.jobs[id] = tj
 		l.assess(tj, tj.acceptedAt)
-		l.inheritRuns(tj)
+		l.inheritRuns(tj, j)
 		l.inheritCrashes(tj)
 		l.placeNeeded = true
 	}
@@ -226,7 +229,7 @@
 }
 
 // inheritRuns creates runs for the tasks that an earlier leader dispatched.
-func (l *leadership) inheritRuns(tj *trackedJob) {
+func (l *leadership) inheritRuns(tj *trackedJob, j *job.Job) {
 	for step, tasks := range tj.state.Steps {
 		broken := false
 		for i := range tasks {
@@ -243,6 +246,7 @@
 				stopWanted: broken || tj.state.Phase.Final(), isolated: tj.suspected(step, i),
 			}
 			l.bind(r, l.workerOf(t.Worker))
+			l.inheritStart(r, j)
 		}
 	}
 }
@@ -275,6 +279,7 @@
 	size := r.tj.sub.Steps[r.task.Step].Size
 	delete(r.wk.runs, r.key())
 	delete(l.isolatedRuns, r)
+	l.answeredStarts.remove(r)
 	if r.unrecorded {
 		r.tj.unrecordedRuns[r.tj.representative(r.task)]--
 	}
