--- a/pollendockd/internal/scheduler/term_bounds_test.go
+++ b/pollendockd/internal/scheduler/term_bounds_test.go
@@ -247,6 +247,42 @@
 	}
 }
 
+// TestTaskRunsAgainIfItsWorkerDiesEarlyInTerm guards against a worker for which a new leader assumes the longest lease, though earlier leaders have granted shorter ones.
+func TestTaskRunsAgainIfItsWorkerDiesEarlyInTerm(t *testing.T) {
+	const (
+		maxLease = 10 * time.Second
+		// longestWait is how long a job may have nothing running after a worker's death: 4 s until all is calm, and 3 s.
+		longestWait = 7 * time.Second
+	)
+	inCell(t, 3, func(c *cell) {
+		c.bounds.MaxLease = maxLease
+		c.fleet.SetMaxLease(maxLease)
+		c.outcome = func(site.TaskID, int64, string) (time.Duration, site.EndKind) { return time.Minute, site.Done }
+		a := c.start("a")
+		time.Sleep(time.Second)
+		b := c.start("b")
+		time.Sleep(time.Second)
+		a.kill()
+		time.Sleep(2 * time.Second)
+		c.submit("j1", tasks(1, 4))
+		expectPhase(c, b, "j1", time.Second, job.Running)
+		time.Sleep(500 * time.Millisecond)
+		c.fleet.Worker(b.replica.Job("j1").State.Steps[0][0].Worker).Terminate()
+		if took := c.untilNextStart("j1"); took > longestWait {
+			t.Errorf("the task runs again after %v, want %v at most", took, longestWait)
+		}
+	})
+}
+
+// untilNextStart waits until the first task of a job has started twice, and returns how long that took.
+func (c *cell) untilNextStart(id string) time.Duration {
+	began := time.Now()
+	for c.fleet.Starts(site.TaskID{Job: id}) < 2 && time.Since(began) < time.Minute {
+		time.Sleep(20 * time.Millisecond)
+	}
+	return time.Since(began)
+}
+
 // killLeader kills the VM that leads.
 func (c *cell) killLeader() {
 	for name, v := range c.vms {
@@ -276,11 +312,7 @@
 	expectPhase(c, b, "j1", time.Second, job.Running)
 	time.Sleep(ran)
 	kill(c, a, c.fleet.Worker(b.replica.Job("j1").State.Steps[0][0].Worker))
-	died := time.Now()
-	for c.fleet.Starts(site.TaskID{Job: "j1"}) < 2 && time.Since(died) < time.Minute {
-		time.Sleep(20 * time.Millisecond)
-	}
-	if took := time.Since(died); took > finishTime {
+	if took := c.untilNextStart("j1"); took > finishTime {
 		c.t.Errorf("the task runs again after %v, want %v at most", took, finishTime)
 	}
 }
--- a/soak/deaths.go
+++ b/soak/deaths.go
@@ -19,6 +19,10 @@
 		endWorkers(c, r)
 		killLeaders(c, r, leadersInSeries, shortTerm)
 	}},
+	{"leader dies and workers end", func(c *cell, r *rand.Rand) {
+		killLeaders(c, r, 1, shortTerm)
+		endWorkers(c, r)
+	}},
 }
 
 const (
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -58,6 +58,7 @@
 	}{
 		{"workers end and leaders die", 1},
 		{"workers end and leaders die in series", 4},
+		{"leader dies and workers end", 5},
 	} {
 		t.Run(c.last, func(t *testing.T) {
 			play(t, &options{Program: program, Seed: c.seed, Length: testLength, Site: smallSite, MaxGang: 8, Calm: true, Last: c.last})
