stand-in: a gang breaks if the worker of a member ends for good

Terminate ended the runs of the worker only, so that the other members of their gangs went on and ended as done, and the gang counted as done with a member lost: tests and soaks with such workers saw no gang that had to run again. Crash breaks them, and so does Terminate now.

One test passed because of that: TestJobsUnderFaults/worker_leaves/gang has a gang of three that needs three workers, of which one leaves for good; it could not run again. A worker joins there now as the other leaves, so that the case checks more than before: the gang has to run again within the same 30 s.

--- a/pollendockd/internal/scheduler/faults_test.go
+++ b/pollendockd/internal/scheduler/faults_test.go
@@ -29,7 +29,12 @@
 		{"start answer lost", func(c *cell) { c.fleet.Worker("w0").DropResponses(1) }},
 		{"start late", func(c *cell) { c.fleet.Worker("w0").DelayStarts(1, 3*time.Second) }},
 		{"append answer lost", func(c *cell) { c.store.DropResponses(1) }},
-		{"worker leaves", func(c *cell) { time.Sleep(time.Second); c.fleet.Worker("w0").Terminate() }},
+		{"worker leaves", func(c *cell) {
+			time.Sleep(time.Second)
+			c.fleet.Worker("w0").Terminate()
+			// A gang needs three workers.
+			c.fleet.Add("w3", "s", resource.Vector{MilliCPU: 10_000, MemoryMB: 10_000})
+		}},
 		{"worker restarted", func(c *cell) { time.Sleep(time.Second); c.fleet.Worker("w0").Reboot() }},
 		{"worker silent", func(c *cell) {
 			time.Sleep(time.Second)
--- a/standin/fleet/crash.go
+++ b/standin/fleet/crash.go
@@ -41,6 +41,11 @@
 func (w *Worker) exit(now time.Time) {
 	w.gone = true
 	w.crashedAt = now
+	w.endAll()
+}
+
+// endAll ends all runs without a trace, and so those of the same gangs elsewhere.
+func (w *Worker) endAll() {
 	for t, r := range w.runs {
 		if _, n := w.fleet.size(t); n > 0 {
 			w.fleet.breakGang(r)
--- a/standin/fleet/worker.go
+++ b/standin/fleet/worker.go
@@ -197,7 +197,7 @@
 	defer w.fleet.mu.Unlock()
 	w.gone = true
 	w.listed = false
-	w.runs = map[site.TaskID]*taskRun{}
+	w.endAll()
 }
 
 // SetSilent makes the worker unreachable, or reachable again.
