scheduler: the wait before a job is given up outlives its leader

What callers saw: a job whose task is taken to crash its workers, some of which may merely be cut off, has nothing running and no end for as long as leaders change every few seconds.

Cause: cutGrace (15 s) began with each term. The class: a wait that only the memory of a term knows begins again with each holder.

Change: nothing new is sent or stored. A VM that has started later counts from its load, which only costs time.

Counted so, the time would also run while no leader could hear a worker, and a job would be given up at the end of an outage of 15 s. So it ends 3 s after the last outage of the stream (entries that expired in it are back within two seconds) and 1 s after the begin of the term at the earliest. That holds for the leader that began the wait, too.

Left: terms of less than a second never give such a job up.

--- a/cell/job/view.go
+++ b/cell/job/view.go
@@ -56,6 +56,8 @@
 		// DoubtfulCrashes are those of them that may have been none; nil like Crashes.
 		DoubtfulCrashes *DoubtfulCrashes
 
+		// taskWaits holds the wait of each task of Crashes. It is replaced like State.
+		taskWaits        []taskWait
 		countedAsWaiting bool
 	}
 )
@@ -217,6 +219,7 @@
 	j := v.job(id)
 	j.State = s
 	j.StateAt = time.Now()
+	j.updateWaits()
 	v.updateWaiting(j)
 	return nil
 }
@@ -238,7 +241,9 @@
 	if err := decode(e, c); err != nil {
 		return err
 	}
-	v.job(id).Crashes = c
+	j := v.job(id)
+	j.Crashes = c
+	j.updateWaits()
 	return nil
 }
 
--- a/pollendockd/internal/scheduler/cut_data_centre_test.go
+++ b/pollendockd/internal/scheduler/cut_data_centre_test.go
@@ -302,6 +302,29 @@
 	}
 }
 
+// TestCondemnedJobWaitsForWorkersAfterOutage guards against a job that is given up at the end of an
+// outage that outlasted cutGrace, before its cut workers could answer the next leader.
+func TestCondemnedJobWaitsForWorkersAfterOutage(t *testing.T) {
+	inCell(t, 4, func(c *cell) {
+		c.outcome = func(site.TaskID, int64, string) (time.Duration, site.EndKind) { return 30 * time.Second, site.Done }
+		c.fleet.Register(fleet.NewStore(), registerInterval)
+		v := c.startThree()
+		c.submit("j1", tasks(1, 4))
+		cut := c.cutThree(v, "j1")
+		for _, v := range c.vms {
+			v.stream.cutOff(true)
+		}
+		time.Sleep(cutGrace + 5*time.Second)
+		for _, v := range c.vms {
+			v.stream.cutOff(false)
+		}
+		time.Sleep(500 * time.Millisecond)
+		cut[0].SetSilent(false)
+		cut[0].SetCutFromStore(false)
+		expectPhase(c, v, "j1", time.Minute, job.Completed)
+	})
+}
+
 // workerOf returns a worker that runs a task while it can be reached.
 func (c *cell) workerOf(id string) *fleet.Worker {
 	c.t.Helper()
--- a/pollendockd/internal/scheduler/doubtful_crash.go
+++ b/pollendockd/internal/scheduler/doubtful_crash.go
@@ -21,14 +21,22 @@
 	// condemnedTask is a task that is taken to crash its workers, some of which may merely be
 	// cut off.
 	condemnedTask struct {
-		tj    *trackedJob
+		tj *trackedJob
+		// since is when that was found, or when this VM read it if an earlier leader did.
 		since time.Time
 	}
 )
 
-// cutGrace is how long a worker that is cut off has to answer again before a job is given up
-// for its crash. The task is not started meanwhile.
-const cutGrace = 15 * time.Second
+const (
+	// cutGrace is how long a worker that is cut off has to answer again before a job is given up
+	// for its crash. The task is not started meanwhile.
+	cutGrace = 15 * time.Second
+	// returnTime is the part of it that follows the last outage of the stream: entries of workers
+	// that expired in it are back within two seconds.
+	returnTime = 3 * time.Second
+	// firstAnswerTime is the part of it that a new leader gives the workers to answer it.
+	firstAnswerTime = time.Second
+)
 
 // processEnded reports whether it is known that the incarnation has ended, and that its worker
 // is not merely cut off. The incarnation alive has followed it, 0 for none.
@@ -72,8 +80,8 @@
 }
 
 // inheritCrashes takes over the doubtful crashes that earlier leaders counted, and the tasks
-// that wait to be given up.
-func (l *leadership) inheritCrashes(tj *trackedJob) {
+// that wait to be given up, from the job in the view.
+func (l *leadership) inheritCrashes(tj *trackedJob, j *job.Job) {
 	if tj.crashes == nil || tj.state.Phase.Final() {
 		return
 	}
@@ -82,10 +90,10 @@
 			l.watchForAnswer(tj, c)
 		}
 	}
-	for _, c := range tj.crashes.Tasks {
+	for i, c := range tj.crashes.Tasks {
 		t := site.TaskID{Job: tj.id, Step: c.Step, Index: c.Index}
 		if c.Verdict == job.Poison && tj.hasTask(t) && tj.state.Steps[c.Step][c.Index].Status == job.Waiting {
-			l.condemned[t] = condemnedTask{tj, l.startedAt}
+			l.condemned[t] = condemnedTask{tj, j.WaitingSince(i)}
 		}
 	}
 }
@@ -154,13 +162,20 @@
 		switch {
 		case c.tj.state.Phase.Final() || c.tj.crashesOf(t).Verdict != job.Poison:
 			delete(l.condemned, t)
-		case now.Sub(c.since) >= cutGrace || len(c.tj.doubtfulCrashesOf(t)) == 0:
+		case !now.Before(l.graceEnd(c.since)) || len(c.tj.doubtfulCrashesOf(t)) == 0:
 			delete(l.condemned, t)
 			l.giveUp(c.tj, t)
 		}
 	}
 }
 
+// graceEnd is when a worker that is cut off has had cutGrace to answer, as far as leaders could
+// hear it.
+func (l *leadership) graceEnd(since time.Time) time.Time {
+	heard := later(l.startedAt.Add(firstAnswerTime), l.s.deps.Follower.AvailableSince().Add(returnTime))
+	return later(since.Add(cutGrace), heard)
+}
+
 // releaseTask marks a task, or all those of its gang, as not running anywhere.
 func (tj *trackedJob) releaseTask(t site.TaskID) {
 	tasks := tj.state.Steps[t.Step]
--- a/pollendockd/internal/scheduler/tracked_job.go
+++ b/pollendockd/internal/scheduler/tracked_job.go
@@ -189,7 +189,7 @@
 		l.jobs[id] = tj
 		l.assess(tj, tj.acceptedAt)
 		l.inheritRuns(tj)
-		l.inheritCrashes(tj)
+		l.inheritCrashes(tj, j)
 		l.placeNeeded = true
 	}
 	if tj.pending {
