scheduler: suspects' waits outlive their leader

What callers saw: LOST. After a crash the jobs that ran on the worker wait for an empty worker for 4 s, or beside tasks that last for those to have worked for 3 s, and then start. Under leaders that change every 3 s they never do.

Cause: maxSuspectWait and settledTime began with each term, as cutGrace did.

Change: a new leader counts a suspect's wait from when it has read that the task waits (cell/job/task_waits.go); of several tasks of a step the last one counts. The wait begins with the pass that finds it, not with the check of waits a second later, so that leader and successor agree to within the time of a read. A run of an earlier leader that is found on its worker has worked at least since its start requests could no longer be executed: 13.25 s after this VM read its dispatch. A new leader knows such waits before it knows which workers are empty, so it lets no suspect start beside others until most workers have answered it (0.3 s at most). Nothing is sent or stored; a VM that has started later counts from its load.

TestBystandersOfCrashStartAgain keeps its checks and bound; its set-up is shared with the new test.

Left: a stalled run is stopped only by a leader that has seen it stand for minStallTimeout (2.5 s) or more; no record says when its progress changed last, and one would cost writes. Suspects' waits are read up to 1 s late.

--- a/pollendockd/internal/scheduler/crash.go
+++ b/pollendockd/internal/scheduler/crash.go
@@ -105,7 +105,7 @@
 	if r.confirmedAt.IsZero() || r.tj.sub.Steps[r.task.Step].Gang && r.percent == r.initialPercent {
 		return false
 	}
-	return r.wk.clockAt.Sub(r.confirmedAt) >= d
+	return r.wk.clockAt.Sub(r.worksSince) >= d
 }
 
 // crashesOf returns the crashes under a task.
--- a/pollendockd/internal/scheduler/isolation_test.go
+++ b/pollendockd/internal/scheduler/isolation_test.go
@@ -106,3 +106,56 @@
 		}
 	}
 }
+
+// TestNewLeaderHearsWorkersBeforeSuspectsStartBesideOthers guards against a new leader that starts
+// a suspect, which has waited for long, beside others before it knows whether a worker is empty.
+func TestNewLeaderHearsWorkersBeforeSuspectsStartBesideOthers(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		known  bool
+		waited time.Duration
+		want   bool
+	}{
+		{"few workers have answered", false, 10 * time.Second, false},
+		{"most workers have answered", true, 10 * time.Second, true},
+		{"has not waited", true, time.Second, false},
+	} {
+		sub := &job.Submission{Steps: []job.Step{tasks(1, 4)}}
+		ws := &waitingStep{tj: newTrackedJob("j", sub, &job.Job{State: job.NewState(sub)}), isolated: true}
+		p := &pass{now: time.Now(), workersKnown: c.known}
+		ws.tj.crashes = ws.tj.crashes.With(job.TaskCrashes{Count: 1, Verdict: job.Suspect})
+		ws.tj.waits[ws.key()] = &stepWait{since: p.now.Add(-c.waited)}
+		p.relaxAfterWait(ws, "s", 1)
+		if ws.besideOthers != c.want {
+			t.Errorf("%s: beside others %v, want %v", c.name, ws.besideOthers, c.want)
+		}
+	}
+}
+
+// TestInheritedServiceHasSettled guards against services that a suspect may not start beside since each
+// new leader counts their work from its own begin.
+func TestInheritedServiceHasSettled(t *testing.T) {
+	const latestStart = maxStartAttempts*startTimeout + maxRequestDelay
+	for _, c := range []struct {
+		name  string
+		stage stage
+		// read is how long before it was found on its worker the dispatch was read.
+		read time.Duration
+		want bool
+	}{
+		{"dispatched long ago", inherited, latestStart + settledTime, true},
+		{"may have started late", inherited, latestStart + settledTime - time.Second, false},
+		{"just dispatched", inherited, 0, false},
+		{"started by this leader", unconfirmed, time.Hour, false},
+	} {
+		now := time.Now()
+		service := tasks(1, 1)
+		service.Endless = true
+		tj := &trackedJob{sub: &job.Submission{Steps: []job.Step{service}}, inheritedAt: now.Add(-c.read)}
+		r := &run{tj: tj, wk: &worker{clockAt: now}, stage: c.stage}
+		r.confirm(now)
+		if got := r.settledService(); got != c.want {
+			t.Errorf("%s: settled %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/pollendockd/internal/scheduler/starvation.go
+++ b/pollendockd/internal/scheduler/starvation.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"pollendock.example/cell/job"
 	"pollendock.example/cell/placement"
 )
 
@@ -118,11 +119,7 @@
 			delete(ws.tj.waits, ws.key())
 			continue
 		}
-		w := ws.tj.waits[ws.key()]
-		if w == nil {
-			w = &stepWait{since: now}
-			ws.tj.waits[ws.key()] = w
-		}
+		w := ws.noteWait(now)
 		w.ws = ws
 		if now.Sub(w.since) >= starvedAfter {
 			long = append(long, w)
@@ -132,6 +129,36 @@
 	return long[:min(len(long), maxStarvedChecked)]
 }
 
+// noteWait notes that the step waits, since now if it has not waited before.
+func (ws *waitingStep) noteWait(now time.Time) *stepWait {
+	w := ws.tj.waits[ws.key()]
+	if w == nil {
+		w = &stepWait{since: now}
+		ws.tj.waits[ws.key()] = w
+	}
+	return w
+}
+
+// inheritWaits takes over since when the suspects of a job in the view wait. Those of a step have
+// waited for as long as the last of them.
+func (tj *trackedJob) inheritWaits(j *job.Job) {
+	if j.Crashes == nil {
+		return
+	}
+	for i := range j.Crashes.Tasks {
+		c := &j.Crashes.Tasks[i]
+		since := j.WaitingSince(i)
+		if c.Verdict != job.Suspect || since.IsZero() {
+			continue
+		}
+		key := waitKey{c.Step, true}
+		if w := tj.waits[key]; w != nil {
+			since = later(since, w.since)
+		}
+		tj.waits[key] = &stepWait{since: since}
+	}
+}
+
 // waitsSince returns since when the step has waited without a run that has begun, to the
 // precision of starvationCheckInterval.
 func (ws *waitingStep) waitsSince(now time.Time) time.Time {
--- a/pollendockd/internal/scheduler/suspect_wait_test.go
+++ b/pollendockd/internal/scheduler/suspect_wait_test.go
@@ -104,31 +104,59 @@
 // the other, since a worker crashed under all of them.
 func TestBystandersOfCrashStartAgain(t *testing.T) {
 	inCell(t, 4, func(c *cell) {
-		c.fleet.KeepIDs()
-		c.outcome = func(site.TaskID, int64, string) (time.Duration, site.EndKind) {
-			return 30 * time.Second, site.Done
-		}
 		v := c.start("a")
 		time.Sleep(2 * time.Second)
-		for n := range 15 {
-			c.submit(fmt.Sprintf("job%d", n), tasks(1, 1))
-		}
-		c.submit("job15", gang(12, 1))
-		time.Sleep(3 * time.Second)
-		c.fleet.Worker("w0").Crash()
+		c.crashUnderMany()
 		// The worker is back after 3 s.
 		time.Sleep(3*time.Second + maxSuspectWait + time.Second)
-		running := map[string]bool{}
-		for _, task := range c.fleet.Running() {
-			running[task.Job] = true
-		}
-		for n := range 16 {
-			if id := fmt.Sprintf("job%d", n); !running[id] {
-				t.Errorf("%s has nothing running", id)
-			}
-		}
-		for n := range 16 {
-			expectPhase(c, v, fmt.Sprintf("job%d", n), 40*time.Second, job.Completed)
-		}
+		c.expectManyRun(v)
 	})
 }
+
+// TestBystandersOfCrashStartAgainWhileLeadersChange guards against the same with leaders that let
+// the tasks wait for empty workers anew.
+func TestBystandersOfCrashStartAgainWhileLeadersChange(t *testing.T) {
+	inCell(t, 4, func(c *cell) {
+		v := c.startThree()
+		c.crashUnderMany()
+		go c.handOverEvery(3 * time.Second)
+		// The worker is back after 3 s, which the last VM reads a second later.
+		time.Sleep(3*time.Second + maxSuspectWait + 2*time.Second)
+		c.expectManyRun(v)
+	})
+}
+
+// many is the number of jobs that fill most of four workers.
+const many = 16
+
+// crashUnderMany fills the workers and has one of them crash.
+func (c *cell) crashUnderMany() {
+	c.t.Helper()
+	c.fleet.KeepIDs()
+	c.outcome = func(site.TaskID, int64, string) (time.Duration, site.EndKind) {
+		return 30 * time.Second, site.Done
+	}
+	for n := range many - 1 {
+		c.submit(fmt.Sprintf("job%d", n), tasks(1, 1))
+	}
+	c.submit(fmt.Sprintf("job%d", many-1), gang(12, 1))
+	time.Sleep(3 * time.Second)
+	c.fleet.Worker("w0").Crash()
+}
+
+// expectManyRun checks that all of these jobs run, and that they complete.
+func (c *cell) expectManyRun(v *vm) {
+	c.t.Helper()
+	running := map[string]bool{}
+	for _, task := range c.fleet.Running() {
+		running[task.Job] = true
+	}
+	for n := range many {
+		if id := fmt.Sprintf("job%d", n); !running[id] {
+			c.t.Errorf("%s has nothing running", id)
+		}
+	}
+	for n := range many {
+		expectPhase(c, v, fmt.Sprintf("job%d", n), 40*time.Second, job.Completed)
+	}
+}
--- a/pollendockd/internal/scheduler/term_bounds_test.go
+++ b/pollendockd/internal/scheduler/term_bounds_test.go
@@ -17,6 +17,7 @@
 		step  job.Step
 		every time.Duration
 	}{
+		{"gang, leaders of 2 s", gang(4, 4), 2 * time.Second},
 		{"gang, leaders of 3 s", gang(4, 4), 3 * time.Second},
 		{"gang, leaders of 6 s", gang(4, 4), 6 * time.Second},
 		{"gang, leaders of 30 s", gang(4, 4), 30 * time.Second},
--- a/pollendockd/internal/scheduler/tracked_job.go
+++ b/pollendockd/internal/scheduler/tracked_job.go
@@ -87,6 +87,8 @@
 		decidedAt   time.Time
 		sentAt      time.Time
 		confirmedAt time.Time
+		// worksSince is since when at the latest it has worked, once that is confirmed.
+		worksSince time.Time
 		// startAttempts counts how often the start request was sent.
 		startAttempts int
 		// unansweredStarts holds when the start requests were sent that got no answer.
@@ -190,6 +192,7 @@
 		l.assess(tj, tj.acceptedAt)
 		l.inheritRuns(tj)
 		l.inheritCrashes(tj, j)
+		tj.inheritWaits(j)
 		l.placeNeeded = true
 	}
 	if tj.pending {
@@ -427,8 +430,13 @@
 	return wk.runs[runKey{name, t.Run}]
 }
 
-// confirm notes that the worker has confirmed the run.
+// confirm notes that the worker has confirmed the run. One that an earlier leader dispatched has
+// worked at least since its start requests could no longer be executed.
 func (r *run) confirm(now time.Time) {
+	r.worksSince = now
+	if r.stage == inherited {
+		r.worksSince = r.tj.latestInheritedStart(now)
+	}
 	r.stage = running
 	r.confirmedAt = now
 	r.percentAt = now
@@ -436,6 +444,16 @@
 	r.listValidAfter = now.Add(time.Nanosecond)
 }
 
+// latestInheritedStart returns the latest time, until now, at which a worker may have started a run that
+// an earlier leader dispatched.
+func (tj *trackedJob) latestInheritedStart(now time.Time) time.Time {
+	last := tj.inheritedAt.Add(maxStartAttempts*startTimeout + maxRequestDelay)
+	if last.After(now) {
+		return now
+	}
+	return last
+}
+
 // runBegun notes that a run of the job has begun.
 func (tj *trackedJob) runBegun(r *run) {
 	tj.begun = true
--- a/pollendockd/internal/scheduler/vacate.go
+++ b/pollendockd/internal/scheduler/vacate.go
@@ -41,6 +41,7 @@
 func (l *leadership) vacateWorkers(p *pass, steps []*waitingStep) {
 	l.limitSuspects(p)
 	for _, ws := range suspectsInTurn(steps, p.now) {
+		ws.noteWait(p.now)
 		l.vacateFor(p, ws)
 	}
 	for service, workers := range p.usable {
@@ -128,7 +129,7 @@
 // may. It reports whether workers may be kept free for the step: until then not if those without
 // services do not suffice.
 func (p *pass) relaxAfterWait(ws *waitingStep, service string, missing int) bool {
-	long := p.now.Sub(ws.waitsSince(p.now)) >= maxSuspectWait
+	long := p.workersKnown && p.now.Sub(ws.waitsSince(p.now)) >= maxSuspectWait
 	if long && ws.likelyBystander() {
 		ws.besideOthers, ws.vacated = true, true
 	}
