A leader whose process has ended renews no leases

Cause: a successor waits 6.5 s for the renewals of a leader that may live on behind a partition, and then for the lease, 11.8 s from its own begin. Most leaders don't live on: their processes have ended, and the VMs know that within milliseconds (`leader process has ended`), but used it for the campaign only.

Fix: the successor goes back from term to term as far as it knows that the leader's process has ended, and counts the lease from the last of these ends, but not from earlier than 6.5 s after it has read the record of the term that followed the first leader whose end it does not know.

--- a/cell/job/view.go
+++ b/cell/job/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -22,8 +23,10 @@
 		leader  Leader
 		// leaderAt is the offset of the entry that set leader.
 		leaderAt int64
-		speeds   WorkerSpeeds
-		queues   map[string]*QueueSettings
+		// terms holds the last terms of leaders, the newest last.
+		terms  []LeaderTerm
+		speeds WorkerSpeeds
+		queues map[string]*QueueSettings
 		// givenUpRuns and silent hold the records of workers by their ids.
 		givenUpRuns map[string]GivenUpRuns
 		silent      map[string]EpochHistory
@@ -39,6 +42,13 @@
 		waiting map[string]int
 	}
 
+	// LeaderTerm is the term of a leader, by the first record of it that this VM has read.
+	LeaderTerm struct {
+		Leader
+		// Since is when that was.
+		Since time.Time
+	}
+
 	// Job is what is known of a job. Submission and State are never modified in
 	// place; a new state replaces the old one.
 	Job struct {
@@ -69,6 +79,9 @@
 	}
 )
 
+// maxTerms is the number of terms that a view keeps.
+const maxTerms = 8
+
 // NewView returns an empty view.
 func NewView() *View {
 	return &View{
@@ -276,6 +289,11 @@
 	if err := decode(e, &l); err != nil {
 		return err
 	}
+	if l.Epoch != v.leader.Epoch {
+		// Readers may hold the old list.
+		terms := append(slices.Clone(v.terms), LeaderTerm{l, time.Now()})
+		v.terms = terms[max(0, len(terms)-maxTerms):]
+	}
 	v.leader = l
 	v.leaderAt = e.Offset
 	return nil
@@ -401,6 +419,13 @@
 	return &s
 }
 
+// Terms returns the last terms of leaders, the current one last. It must not be modified.
+func (v *View) Terms() []LeaderTerm {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.terms
+}
+
 // Leader returns the current leader and the offset of its record.
 func (v *View) Leader() (Leader, int64) {
 	v.mu.RLock()
--- a/pollendockd/internal/scheduler/leadership.go
+++ b/pollendockd/internal/scheduler/leadership.go
@@ -57,6 +57,8 @@
 		// has appended it.
 		renewals         job.EpochHistory
 		renewalsAppended bool
+		// othersRenewUntil is when all earlier leaders have stopped renewing leases.
+		othersRenewUntil time.Time
 		answeredStarts   answeredStarts
 
 		flush    flushState
@@ -144,6 +146,7 @@
 		since:           time.Since,
 	}
 	l.flush.init(asOf)
+	l.noteOthersRenewals()
 	l.advice.init()
 	l.load.init()
 	s.lead = l
@@ -153,7 +156,7 @@
 	}
 	l.inheritSilences()
 	_ = level.Info(s.deps.Logger).Log("msg", "leading", "epoch", epoch, "jobs", len(l.jobs), "next", s.deps.View.Next(),
-		"startsAnsweredBefore", l.answeredStarts.inherited.Before, "openStarts", len(l.answeredStarts.open))
+		"othersRenewMs", max(0, l.othersRenewUntil.Sub(now)).Milliseconds(), "startsAnsweredBefore", l.answeredStarts.inherited.Before, "openStarts", len(l.answeredStarts.open))
 	s.deps.Counts.Count("terms", 1)
 	for i := range s.upstreams {
 		l.applyUpstream(&s.upstreams[i])
--- a/pollendockd/internal/scheduler/scheduler.go
+++ b/pollendockd/internal/scheduler/scheduler.go
@@ -143,7 +143,10 @@
 		yieldedAt    time.Time
 		// endedLeader is the last leader whose process is known to have exited.
 		endedLeader string
-		stopping    bool
+		// leaderEnds holds when it became known that the processes of leaders have ended, by
+		// incarnation.
+		leaderEnds map[string]time.Time
+		stopping   bool
 
 		// queueStats holds statistics of past work by queue. It is kept across terms.
 		queueStats map[string]*queueStats
@@ -209,7 +212,7 @@
 
 // New returns a scheduler that is inactive until Run.
 func New(opt Options, deps Deps) *Scheduler {
-	return &Scheduler{opt: opt, deps: deps, events: make(chan event, eventBufferSize), done: make(chan struct{}), queueStats: map[string]*queueStats{}, speeds: newSpeedTable(), largestWorker: map[string]resource.Vector{}}
+	return &Scheduler{opt: opt, deps: deps, events: make(chan event, eventBufferSize), done: make(chan struct{}), queueStats: map[string]*queueStats{}, leaderEnds: map[string]time.Time{}, speeds: newSpeedTable(), largestWorker: map[string]resource.Vector{}}
 }
 
 // Run schedules whenever this VM leads, until ctx is done.
@@ -329,6 +332,7 @@
 
 func (e leaderEnded) handle(s *Scheduler) {
 	s.endedLeader = e.incarnation
+	s.noteLeaderEnd(e.incarnation, time.Now())
 	if s.lead == nil {
 		s.maybeCampaign()
 	}
