A run may hold a lease of an earlier incarnation's requests though its start was answered

What callers would have seen: a task that runs twice. A hold of the dead leader to an earlier incarnation of a worker got no answer; the present incarnation executes it up to 12.5 s later and, as its clock is behind, grants the longest lease to what runs there.

Cause: that the hold was sent is in the memory of a term, too, and the record answeredStarts spoke of starts only. Fix: a run stays open in the record until its worker's incarnation is so old, by its own clock, that all such holds have been executed and the longest lease has expired. No leader renews for more than 2 s after the last answer of the earlier incarnation, so that the age bounds it whichever leaders there were.

--- a/pollendockd/internal/scheduler/answered_starts.go
+++ b/pollendockd/internal/scheduler/answered_starts.go
@@ -128,11 +128,21 @@
 	return record
 }
 
+// closeStart removes a run if all its start requests have been answered, and its worker holds no lease
+// but those that leaders grant to this incarnation.
+func (l *leadership) closeStart(r *run, now time.Time) {
+	if len(r.unansweredStarts) == 0 && !now.Before(r.wk.settledAt) {
+		l.answeredStarts.remove(r)
+	}
+}
+
 // forgetSettledStarts removes the runs whose start requests can no longer be executed, once the
-// leases have expired that they may have been granted.
+// leases have expired that they, or requests to earlier incarnations of the worker, may have been
+// granted.
 func (l *leadership) forgetSettledStarts(now time.Time) {
 	for _, r := range l.answeredStarts.open {
-		if !now.Before(l.longestLeaseFrom(later(r.unansweredUntil(), r.wk.lateHolds.renewals.until))) {
+		expired := l.longestLeaseFrom(later(r.unansweredUntil(), r.wk.lateHolds.renewals.until))
+		if !now.Before(later(expired, r.wk.settledAt)) {
 			l.answeredStarts.remove(r)
 		}
 	}
--- a/pollendockd/internal/scheduler/requests.go
+++ b/pollendockd/internal/scheduler/requests.go
@@ -94,9 +94,7 @@
 	if e.err == nil || errors.As(e.err, &refusal) {
 		r.unansweredStarts = slices.DeleteFunc(r.unansweredStarts, e.sentAt.Equal)
 		r.wk.lateStarts.answered(r.key(), e.sentAt)
-		if len(r.unansweredStarts) == 0 {
-			l.answeredStarts.remove(r)
-		}
+		l.closeStart(r, time.Now())
 	}
 	if e.err == nil {
 		r.wk.answeredAt = time.Now()
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -62,6 +62,9 @@
 		// renewedUntil is until when the incarnation may execute requests that renew the lease of
 		// an earlier one.
 		renewedUntil time.Time
+		// settledAt is when the leases have expired that the incarnation may have granted to such
+		// requests of any leader.
+		settledAt time.Time
 		// strangers holds runs of unknown tasks that were logged.
 		strangers map[runKey]bool
 
