--- a/pollendockd/internal/scheduler/late_starts_test.go
+++ b/pollendockd/internal/scheduler/late_starts_test.go
@@ -212,3 +212,67 @@
 	}
 	return on
 }
+
+// pauseBeforeStarts stops the process of a leader between an append that dispatches runs and its answer.
+type pauseBeforeStarts struct {
+	length time.Duration
+	// paused gets the worker of the first run.
+	paused chan string
+}
+
+func (e pauseBeforeStarts) handle(s *Scheduler) {
+	if l := s.lead; l != nil && l.flush.sent != nil && len(l.flush.sent.starts) > 0 {
+		e.paused <- l.flush.sent.starts[0].wk.id
+		time.Sleep(e.length)
+		return
+	}
+	go func() {
+		time.Sleep(time.Millisecond)
+		s.post(e)
+	}()
+}
+
+// TestStartOfPausedLeaderRunsNoTaskTwice guards against a start request that a leader sends after a pause, and which a later leader takes for sent soon after the dispatch was durable.
+func TestStartOfPausedLeaderRunsNoTaskTwice(t *testing.T) {
+	const (
+		maxLease = 10 * time.Second
+		length   = 1300 * time.Millisecond
+	)
+	// A leader sends the request only if the worker has answered shortly before the pause.
+	for offset := time.Duration(0); offset < holdWait; offset += 100 * time.Millisecond {
+		inCell(t, 4, func(c *cell) {
+			c.bounds.MaxLease = maxLease
+			c.fleet.SetMaxLease(maxLease)
+			c.fleet.KeepIDs()
+			c.outcome = func(site.TaskID, int64, string) (time.Duration, site.EndKind) { return 10 * time.Minute, site.Done }
+			c.startThree()
+			wide := tasks(4, 1)
+			wide.PerWorker = 1
+			c.submit("j0", wide)
+			time.Sleep(40*time.Second + offset)
+			c.store.SetAppendTime(30 * time.Millisecond)
+			for i := range 4 {
+				c.fleet.Worker(fmt.Sprintf("w%d", i)).DelayStarts(3, maxRequestDelay-10*time.Millisecond)
+			}
+			name := c.leader()
+			paused := make(chan string, 1)
+			c.vms[name].scheduler.post(pauseBeforeStarts{length, paused})
+			c.submit("j1", tasks(1, 4))
+			id := <-paused
+			for other, v := range c.vms {
+				if other != name {
+					v.stream.cutWorkers.Store(id, true)
+				}
+			}
+			time.Sleep(length + 800*time.Millisecond)
+			c.kill(name)
+			time.Sleep(100 * time.Millisecond)
+			c.fleet.Worker(id).Reboot()
+			time.Sleep(30 * time.Second)
+			for _, v := range c.vms {
+				v.stream.cutWorkers.Delete(id)
+			}
+			time.Sleep(20 * time.Second)
+		})
+	}
+}
--- a/pollendockd/internal/scheduler/lost_test.go
+++ b/pollendockd/internal/scheduler/lost_test.go
@@ -149,3 +149,27 @@
 	}
 	return false
 }
+
+// TestVMThatMissedTheEndOfAJobStartsItNoMore guards against a leader that has missed that a job ended and was removed, since the records were trimmed meanwhile.
+func TestVMThatMissedTheEndOfAJobStartsItNoMore(t *testing.T) {
+	inCell(t, 4, func(c *cell) {
+		c.outcome = func(site.TaskID, int64, string) (time.Duration, site.EndKind) { return 5 * time.Second, site.Done }
+		c.startThree()
+		d := c.vms["d"]
+		c.submit("j1", tasks(1, 4))
+		expectPhase(c, d, "j1", time.Second, job.Running)
+		time.Sleep(time.Second)
+		d.stream.cutOff(true)
+		time.Sleep(4 * time.Minute)
+		if j := c.vms["b"].replica.Job("j1"); j != nil {
+			t.Fatalf("j1 is still there: %+v", j.State)
+		}
+		c.store.Trim()
+		d.stream.cutOff(false)
+		time.Sleep(5 * time.Second)
+		c.kill("a")
+		c.kill("b")
+		time.Sleep(30 * time.Second)
+		expectStarts(c, "j1", 0, 1)
+	})
+}
