scheduler: a worker that answers after its record keeps its leases

What callers saw: a worker answers a new leader 1.3 s late, the store answers nothing for 6 s: its run lapses and starts again, though the leader and the worker are sound. All work of such a worker is lost.

Cause: from the record of a silent worker (silent/ID) until its removal was durable, no lease was renewed. The removal needs the store, which runs outlive elsewhere.

What a successor relies on, and only if the leader of the term before it has appended the record: no lease that is granted later than renewTimeout (6.5 s) after it read the first record of an unbroken row of leaders. It needs these 6.5 s for a leader that is cut off and knows nothing of the record. It can't read a record before it was sent.

- The leader that made the first record renews a worker that has answered until renewTimeout after it made the append (before the first attempt), by both of its clocks.
That is no later than what each successor allows to the leader before it.
- One that has confirmed an earlier leader's record renews nothing until the removal is durable, as before: others may have read that record at any time before, and none of its own times bounds when.
- One that has not appended the record renews as for any worker: its successor's epoch is not the next after the record's, so that the record shows the successor nothing.
- After an answer the leader confirms no more in its term, and starts still wait until the removal is durable.

That a hold without an answer may be executed late by a later incarnation holds for all leaders alike, the one before a successor and one that is cut off; this adds no later one.

TestWorkerThatAnswersLateIsNotRenewedPastItsRecord plays a leader that is cut off from the store just before the worker answers, and a successor that counts from the record.

Left: the worker that two leaders in a row have recorded, which answers as the store goes away, loses its runs, as before.

--- a/cell/job/silent_worker.go
+++ b/cell/job/silent_worker.go
@@ -7,8 +7,8 @@
 )
 
 // silentKey is a prefix that is followed by the id of a worker that has runs and does not answer
-// the leader. From its record on no leader renews the leases of the worker until it has removed
-// the record.
+// the leader. From its record on leaders that have appended it renew the leases of the worker
+// only for as long as one that does not know it, until they have removed the record.
 const silentKey = "silent/"
 
 // SilentWorkerEntry returns the entry that stores that a worker does not answer.
--- a/pollendockd/internal/scheduler/leadership.go
+++ b/pollendockd/internal/scheduler/leadership.go
@@ -314,8 +314,13 @@
 
 // appendedWithin reports whether an append has succeeded in that time, by both clocks.
 func (l *leadership) appendedWithin(now time.Time, limit time.Duration) bool {
-	f := &l.flush
-	return now.Sub(f.ackedAt) <= limit && now.Round(0).Sub(f.ackedTimeOfDay) <= limit
+	return within(limit, now, l.flush.ackedAt, l.flush.ackedTimeOfDay)
+}
+
+// within reports whether no more than the limit has passed since a time, by the monotonic clock and
+// by the time of day.
+func within(limit time.Duration, now, at, timeOfDay time.Time) bool {
+	return now.Sub(at) <= limit && now.Round(0).Sub(timeOfDay) <= limit
 }
 
 // step runs a scheduling pass and an append if they are due, and sends queries through the
--- a/pollendockd/internal/scheduler/silent_workers_test.go
+++ b/pollendockd/internal/scheduler/silent_workers_test.go
@@ -100,6 +100,59 @@
 	})
 }
 
+// TestWorkerThatAnswersLateIsNotRenewedPastItsRecord guards against a leader that renews the leases of a worker which answers after its record, for longer than a successor that counts from the record assumes: the task runs twice.
+func TestWorkerThatAnswersLateIsNotRenewedPastItsRecord(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// confirmed is set if another leader than the last one has recorded the worker first.
+		confirmed bool
+	}{
+		{"leader that has recorded it", false},
+		{"leader that has confirmed it", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inCell(t, 1, func(cl *cell) {
+				cl.outcome = func(site.TaskID, int64, string) (time.Duration, site.EndKind) { return time.Minute, site.Done }
+				a := cl.start("a")
+				time.Sleep(time.Second)
+				cl.submit("j1", tasks(1, 4))
+				first, successor := cl.start("first"), cl.start("successor")
+				time.Sleep(10 * time.Second)
+				cl.join("first")
+				cl.fleet.Add("w1", "s", cl.fleet.Worker("w0").Capacity())
+				time.Sleep(time.Second)
+				first.stream.cutWorkers.Store("w0", true)
+				successor.stream.cutWorkers.Store("w0", true)
+				a.handOver()
+				time.Sleep(time.Second)
+				a.kill()
+				last := first
+				if c.confirmed {
+					last = cl.start("last")
+					last.stream.cutWorkers.Store("w0", true)
+					cl.join("last")
+					time.Sleep(1400 * time.Millisecond)
+					first.handOver()
+					time.Sleep(200 * time.Millisecond)
+					first.kill()
+				} else {
+					time.Sleep(1600 * time.Millisecond)
+				}
+				s := last.replica.SilentWorkers()["w0"]
+				if again := s.Epoch > s.FirstEpoch; s.Epoch == 0 || again != c.confirmed {
+					t.Fatalf("the worker is recorded as %+v", s)
+				}
+				time.Sleep(400 * time.Millisecond)
+				last.stream.cutOff(true)
+				last.stream.cutWorkers.Store("w1", true)
+				last.stream.cutWorkers.Delete("w0")
+				expectPhase(cl, successor, "j1", 2*time.Minute, job.Completed)
+				expectStarts(cl, "j1", 0, 2)
+			})
+		})
+	}
+}
+
 // TestSilenceCountsOnlyIfTheLastLeaderConfirmedIt guards against a leader of an earlier version, which knows no silent workers and renews their leases.
 func TestSilenceCountsOnlyIfTheLastLeaderConfirmedIt(t *testing.T) {
 	for _, c := range []struct {
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -273,10 +273,10 @@
 }
 
 // nextLease returns the end of a lease that begins now, and records it as sent. It
-// returns 0, which renews nothing, for a worker that has not answered for maxAnswerAge or is
-// recorded as silent, and once the term may not renew leases.
+// returns 0, which renews nothing, for a worker that has not answered for maxAnswerAge, and once
+// the term may not renew its leases.
 func (l *leadership) nextLease(wk *worker, now time.Time) time.Duration {
-	if !l.mayRenew(now) || wk.boot == 0 || wk.silence.recorded || now.Sub(wk.clockAt) > maxAnswerAge || wk.refusesConnections {
+	if !l.mayRenewFor(wk, now) || wk.boot == 0 || now.Sub(wk.clockAt) > maxAnswerAge || wk.refusesConnections {
 		// An unanswered request may have been executed, so each new lease end postpones
 		// the time at which all runs have certainly lapsed.
 		return 0
