--- a/cell/job/view.go
+++ b/cell/job/view.go
@@ -28,6 +28,10 @@
 		givenUpRuns map[string]GivenUpRuns
 		silent      map[string]EpochHistory
 		renewals    EpochHistory
+
+		answeredStarts AnsweredStarts
+		// gaps counts how often records were left out.
+		gaps int
 		// offsets holds the newest applied offset of each key, which makes
 		// applying a page idempotent.
 		offsets map[string]int64
@@ -56,8 +60,14 @@
 		// DoubtfulCrashes are those of them that may have been none; nil like Crashes.
 		DoubtfulCrashes *DoubtfulCrashes
 
+		// dispatchedAt holds the offsets of the records that dispatched the tasks, by step and
+		// index. gapsBefore is how many gaps there were before that.
+		dispatchedAt [][]int64
+		gapsBefore   int
+
 		// taskWaits holds the wait of each task of Crashes. It is replaced like State.
-		taskWaits        []taskWait
+		taskWaits []taskWait
+
 		countedAsWaiting bool
 	}
 )
@@ -140,6 +150,8 @@
 		return v.applySpeeds(e)
 	case renewalsKey:
 		return v.applyRenewals(e)
+	case answeredStartsKey:
+		return v.applyAnsweredStarts(e)
 	}
 	return Class.New("unknown kind of key")
 }
@@ -217,6 +229,8 @@
 		}
 	}
 	j := v.job(id)
+	j.dispatchedAt = j.dispatchOffsets(s, e.Offset, j.gapsBefore == v.gaps)
+	j.gapsBefore = v.gaps
 	j.State = s
 	j.StateAt = time.Now()
 	j.updateWaits()
