A new leader gathers the advisor's answers from the VMs

What callers saw: gangs waited after each change of leader until it had queried for them again, each time for 0.4 to 0.7 s of a VM's calls.

Cause: which workers a step may run on does not change, but what the advisor had answered was only in the memory of a term.

Why it works: each VM keeps the answers that it has carried, and a new leader merges them when they arrive. A start still carries a valid ticket, so nothing about safety depends on them; a VM that is dead, slow or of an earlier version only costs time.

--- a/pollendockd/internal/cluster/peers.go
+++ b/pollendockd/internal/cluster/peers.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-kit/log"
 
+	"pollendock.example/cell/advice"
 	"pollendock.example/cell/job"
 	"pollendock.example/cell/site"
 	"pollendock.example/pollendockd/internal/peer"
@@ -22,6 +23,12 @@
 		Advise(ctx context.Context, jobID string, step int, workers []string) ([]site.Ticket, error)
 	}
 
+	// AdvisorWithAnswers also keeps what the advisor has answered.
+	AdvisorWithAnswers interface {
+		Advisor
+		Answers() []advice.StepAnswers
+	}
+
 	// RequestHandler serves requests without forwarding them.
 	RequestHandler interface {
 		SubmitLocal(ctx context.Context, addr site.Address, draft *job.Submission) error
@@ -72,7 +79,7 @@
 		ctx         context.Context
 		incarnation string
 
-		advisor  Advisor
+		advisor  AdvisorWithAnswers
 		handler  RequestHandler
 		leader   Leader
 		follower Follower
@@ -87,7 +94,7 @@
 		dataCentre string
 		view       *job.View
 		records    Records
-		advisor    Advisor
+		advisor    AdvisorWithAnswers
 
 		self   string
 		leader Leader
@@ -204,6 +211,7 @@
 
 const (
 	forAdvice connUse = iota
+	forAnswers
 	forRequests
 	forAccepts
 	forOffers
@@ -213,7 +221,7 @@
 
 // NewPeers returns the peers of an entry VM, as listed in the records. Leader makes
 // entries durable while the VM itself is the leader.
-func NewPeers(self *job.Member, view *job.View, records Records, advisor Advisor, leader Leader, logger log.Logger, counts Counts) *Peers {
+func NewPeers(self *job.Member, view *job.View, records Records, advisor AdvisorWithAnswers, leader Leader, logger log.Logger, counts Counts) *Peers {
 	return &Peers{
 		name: self.Name, dataCentre: self.DataCentre, self: self.Incarnation, view: view, records: records, advisor: advisor, leader: leader, logger: logger, counts: counts,
 		conns: map[connKey]*conn{}, contacts: map[string]contact{}, progress: map[string]*peerProgress{}, unavailableUntil: map[string]time.Time{}, leaderChanged: make(chan struct{}),
--- a/pollendockd/internal/cluster/server.go
+++ b/pollendockd/internal/cluster/server.go
@@ -21,7 +21,7 @@
 
 // NewServer returns a server whose calls run under ctx. The advisor is nil if this VM has
 // none.
-func NewServer(ctx context.Context, incarnation string, advisor Advisor, handler RequestHandler, leader Leader, follower Follower, relay Relay, logger log.Logger) *Server {
+func NewServer(ctx context.Context, incarnation string, advisor AdvisorWithAnswers, handler RequestHandler, leader Leader, follower Follower, relay Relay, logger log.Logger) *Server {
 	return &Server{ctx: ctx, incarnation: incarnation, advisor: advisor, handler: handler, leader: leader, follower: follower, relay: relay, logger: logger}
 }
 
--- a/pollendockd/internal/cluster/server_test.go
+++ b/pollendockd/internal/cluster/server_test.go
@@ -32,6 +32,9 @@
 	if err := client.Call(t.Context(), "Advise", &scheduler.AdviceQuery{}, &AdviceReply{}); err == nil {
 		t.Error("a query without an advisor has no error")
 	}
+	if err := client.Call(t.Context(), "Answers", &AnswersRequest{}, &AnswersReply{}); err == nil {
+		t.Error("a request for answers without an advisor has no error")
+	}
 	if err := client.Call(t.Context(), "Offer", &OfferRequest{Relay: true}, &OfferReply{}); err == nil {
 		t.Error("an offer without records has no error")
 	}
--- a/pollendockd/internal/scheduler/advice_load_test.go
+++ b/pollendockd/internal/scheduler/advice_load_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"pollendock.example/cell/advice"
 	"pollendock.example/cell/job"
 	"pollendock.example/cell/resource"
 	"pollendock.example/cell/site"
@@ -78,6 +79,11 @@
 	return tickets, ctx.Err()
 }
 
+// Answers returns none: VMs keep nothing.
+func (a *queueAdvisor) Answers(context.Context, string) ([]advice.StepAnswers, error) {
+	return nil, nil
+}
+
 // allowsThird allows about a third of the workers.
 func allowsThird(job, id string) bool {
 	return (7*len(id)+13*int(id[len(id)-1])+5*int(id[len(id)-2])+len(job)+int(job[len(job)-1]))%allowedMod < allowedBelow
--- a/pollendockd/internal/scheduler/harness_test.go
+++ b/pollendockd/internal/scheduler/harness_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-kit/log"
 
+	"pollendock.example/cell/advice"
 	"pollendock.example/cell/job"
 	"pollendock.example/cell/loopback"
 	"pollendock.example/cell/resource"
@@ -36,6 +37,8 @@
 		advisor *fleet.Advisor
 		// asked is called for each query that the advisor has answered, unless it is nil.
 		asked func(q *AdviceQuery, good []site.Ticket)
+		// answers holds what each VM keeps of the advisor's answers.
+		answers map[string]*advice.Answers
 		// queueAdvisor is used instead if it is set.
 		queueAdvisor *queueAdvisor
 		// entries holds the entries of the workers, as the platform encodes them. If it is
@@ -120,14 +123,39 @@
 
 func (a advisorClient) Advise(ctx context.Context, through string, q *AdviceQuery) ([]site.Ticket, error) {
 	tickets, err := a.Advisor.Advise(ctx, through, q.Job, q.Step, q.Workers)
-	if err == nil && a.c.asked != nil {
-		a.c.mu.Lock()
-		defer a.c.mu.Unlock()
-		a.c.asked(q, tickets)
+	if err == nil {
+		a.c.keepAnswer(through, q, tickets)
 	}
 	return tickets, err
 }
 
+// Answers returns what a VM that runs keeps.
+func (a advisorClient) Answers(_ context.Context, through string) ([]advice.StepAnswers, error) {
+	a.c.mu.Lock()
+	defer a.c.mu.Unlock()
+	if a.c.answers[through] == nil {
+		return nil, nil
+	}
+	return a.c.answers[through].List(time.Now()), nil
+}
+
+// keepAnswer keeps an answer in the VM that carried it.
+func (c *cell) keepAnswer(through string, q *AdviceQuery, tickets []site.Ticket) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.asked != nil {
+		c.asked(q, tickets)
+	}
+	if c.answers[through] == nil {
+		c.answers[through] = advice.NewAnswers()
+	}
+	var allowed []string
+	for _, t := range tickets {
+		allowed = append(allowed, t.Upstream)
+	}
+	c.answers[through].Add(time.Now(), q.Job, q.Step, q.Workers, allowed)
+}
+
 func (p testPeers) Offer(int64) {}
 
 func (p testPeers) Yield(epoch int64) {
@@ -233,7 +261,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		defer synctest.Wait()
 		defer cancel()
-		c := &cell{t: t, ctx: ctx, store: fleet.NewStore(), vms: map[string]*vm{}, subs: map[string]*job.Submission{}}
+		c := &cell{t: t, ctx: ctx, store: fleet.NewStore(), vms: map[string]*vm{}, answers: map[string]*advice.Answers{}, subs: map[string]*job.Submission{}}
 		c.bounds = site.Bounds{MaxLease: 6 * time.Second, StopTime: 200 * time.Millisecond}
 		c.catalog = (&site.Catalog{
 			Version:  1,
@@ -285,7 +313,13 @@
 // start starts an entry VM.
 func (c *cell) start(name string) *vm {
 	ctx, cancel := context.WithCancel(c.ctx)
-	v := &vm{replica: job.NewView(), kill: cancel}
+	v := &vm{replica: job.NewView()}
+	v.kill = func() {
+		cancel()
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.answers, name)
+	}
 	logger := log.NewNopLogger()
 	stream := &vmStream{Store: c.store}
 	v.stream = stream
--- a/pollendockd/internal/scheduler/leadership.go
+++ b/pollendockd/internal/scheduler/leadership.go
@@ -152,6 +152,7 @@
 		l.loadJob(id)
 	}
 	l.inheritSilences()
+	l.gatherAnswers()
 	_ = level.Info(s.deps.Logger).Log("msg", "leading", "epoch", epoch, "jobs", len(l.jobs), "next", s.deps.View.Next(),
 		"startsAnsweredBefore", l.answeredStarts.inherited.Before, "openStarts", len(l.answeredStarts.open))
 	s.deps.Counts.Count("terms", 1)
--- a/pollendockd/internal/scheduler/pass_bench_test.go
+++ b/pollendockd/internal/scheduler/pass_bench_test.go
@@ -34,6 +34,10 @@
 func (currentFollower) SetLeading(bool)                             {}
 func (currentFollower) Offer([]site.Entry) (next int64, reads bool) { return 0, true }
 
+func (silentAdvisor) Answers(context.Context, string) ([]advice.StepAnswers, error) {
+	return nil, nil
+}
+
 func (silentAdvisor) Advise(ctx context.Context, _ string, _ *AdviceQuery) ([]site.Ticket, error) {
 	<-ctx.Done()
 	return nil, ctx.Err()
--- a/pollendockd/internal/scheduler/scheduler.go
+++ b/pollendockd/internal/scheduler/scheduler.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-kit/log"
 
+	"pollendock.example/cell/advice"
 	"pollendock.example/cell/job"
 	"pollendock.example/cell/resource"
 	"pollendock.example/cell/site"
@@ -69,6 +70,8 @@
 	Advisor interface {
 		// Advise sends the query through the VM of that name.
 		Advise(ctx context.Context, through string, q *AdviceQuery) ([]site.Ticket, error)
+		// Answers returns what the VM of that name keeps of the answers to earlier queries.
+		Answers(ctx context.Context, through string) ([]advice.StepAnswers, error)
 	}
 
 	// AdviceQuery asks about one step.
--- a/pollendockd/platform.go
+++ b/pollendockd/platform.go
@@ -48,7 +48,7 @@
 		scheduler *scheduler.Scheduler
 		peers     *cluster.Peers
 		// advisor is nil if the platform has none.
-		advisor cluster.Advisor
+		advisor cluster.AdvisorWithAnswers
 	}
 
 	// localLeader is the scheduler of this VM. It refers to the process, because the
@@ -137,7 +137,7 @@
 		Catalog: s.catalog.Current, CatalogFresh: s.catalog.Fresh, Logger: s.logger, Counts: counts,
 	}
 	if s.platform.Advisor != nil {
-		s.advisor = s.platform.Advisor
+		s.advisor = cluster.KeepAnswers(s.platform.Advisor)
 	}
 	s.peers = cluster.NewPeers(&s.member, s.replica, s.follower, s.advisor, localLeader{s}, s.logger, counts)
 	deps.Peers = s.peers
