--- a/pollendockd/internal/scheduler/tracked_job.go
+++ b/pollendockd/internal/scheduler/tracked_job.go
@@ -87,10 +87,15 @@
 		decidedAt   time.Time
 		sentAt      time.Time
 		confirmedAt time.Time
+		// worksSince is since when at the latest it has worked, once that is confirmed.
+		worksSince time.Time
 		// startAttempts counts how often the start request was sent.
 		startAttempts int
 		// unansweredStarts holds when the start requests were sent that got no answer.
 		unansweredStarts []time.Time
+		// startsAnswered is set if the records say that all start requests of earlier leaders
+		// were answered.
+		startsAnswered bool
 		// stopWanted is set if the run is to be stopped, stopped once the worker has
 		// confirmed the stop.
 		stopWanted bool
@@ -188,8 +193,9 @@
 		tj = newTrackedJob(id, j.Submission, j)
 		l.jobs[id] = tj
 		l.assess(tj, tj.acceptedAt)
-		l.inheritRuns(tj)
-		l.inheritCrashes(tj)
+		l.inheritRuns(tj, j)
+		l.inheritCrashes(tj, j)
+		tj.inheritWaits(j)
 		l.placeNeeded = true
 	}
 	if tj.pending {
@@ -226,7 +232,7 @@
 }
 
 // inheritRuns creates runs for the tasks that an earlier leader dispatched.
-func (l *leadership) inheritRuns(tj *trackedJob) {
+func (l *leadership) inheritRuns(tj *trackedJob, j *job.Job) {
 	for step, tasks := range tj.state.Steps {
 		broken := false
 		for i := range tasks {
@@ -243,6 +249,7 @@
 				stopWanted: broken || tj.state.Phase.Final(), isolated: tj.suspected(step, i),
 			}
 			l.bind(r, l.workerOf(t.Worker))
+			l.inheritStart(r, j)
 		}
 	}
 }
@@ -275,6 +282,7 @@
 	size := r.tj.sub.Steps[r.task.Step].Size
 	delete(r.wk.runs, r.key())
 	delete(l.isolatedRuns, r)
+	l.answeredStarts.remove(r)
 	if r.unrecorded {
 		r.tj.unrecordedRuns[r.tj.representative(r.task)]--
 	}
@@ -427,8 +435,13 @@
 	return wk.runs[runKey{name, t.Run}]
 }
 
-// confirm notes that the worker has confirmed the run.
+// confirm notes that the worker has confirmed the run. One that an earlier leader dispatched has
+// worked at least since its start requests could no longer be executed.
 func (r *run) confirm(now time.Time) {
+	r.worksSince = now
+	if r.stage == inherited {
+		r.worksSince = r.tj.latestInheritedStart(now)
+	}
 	r.stage = running
 	r.confirmedAt = now
 	r.percentAt = now
@@ -436,6 +449,16 @@
 	r.listValidAfter = now.Add(time.Nanosecond)
 }
 
+// latestInheritedStart returns the latest time, until now, at which a worker may have started a run that
+// an earlier leader dispatched.
+func (tj *trackedJob) latestInheritedStart(now time.Time) time.Time {
+	last := tj.inheritedAt.Add(maxStartAttempts*startTimeout + maxRequestDelay)
+	if last.After(now) {
+		return now
+	}
+	return last
+}
+
 // runBegun notes that a run of the job has begun.
 func (tj *trackedJob) runBegun(r *run) {
 	tj.begun = true
