--- a/pollendockd/internal/scheduler/cut_data_centre_test.go
+++ b/pollendockd/internal/scheduler/cut_data_centre_test.go
@@ -325,6 +325,59 @@
 	})
 }
 
+// TestCondemnedJobWaitsForTheList guards against a job that is given up while the list cannot be read, without which a worker that can be reached again is not asked.
+func TestCondemnedJobWaitsForTheList(t *testing.T) {
+	const (
+		back = cutGrace - 2300*time.Millisecond
+		// The list cannot be read from away on, for awayFor.
+		away    = cutGrace - 2*time.Second
+		awayFor = 3 * time.Second
+	)
+	for _, c := range []struct {
+		name            string
+		away, newLeader bool
+	}{
+		{"list can be read", false, false},
+		{"list can be read, new leader", false, true},
+		{"list cannot be read", true, false},
+		{"list cannot be read, new leader", true, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inCell(t, 4, func(cl *cell) {
+				cl.outcome = func(site.TaskID, int64, string) (time.Duration, site.EndKind) { return 30 * time.Second, site.Done }
+				cl.fleet.Register(fleet.NewStore(), registerInterval)
+				v := cl.startThree()
+				cl.submit("j1", tasks(1, 4))
+				condemnedAt := make(chan time.Time, 1)
+				go func() {
+					for j := v.replica.Job("j1"); j == nil || j.Crashes.Of(0, 0).Verdict != job.Poison; j = v.replica.Job("j1") {
+						time.Sleep(10 * time.Millisecond)
+					}
+					condemnedAt <- time.Now()
+				}()
+				cut := cl.cutThree(v, "j1")
+				at := <-condemnedAt
+				time.AfterFunc(time.Until(at.Add(back)), func() {
+					cut[0].SetSilent(false)
+					cut[0].SetCutFromStore(false)
+				})
+				time.Sleep(time.Until(at.Add(away)))
+				for _, v := range cl.vms {
+					v.stream.listSilent.Store(c.away)
+				}
+				if c.newLeader {
+					cl.killLeader()
+				}
+				time.Sleep(awayFor)
+				for _, v := range cl.vms {
+					v.stream.listSilent.Store(false)
+				}
+				expectPhase(cl, v, "j1", time.Minute, job.Completed)
+			})
+		})
+	}
+}
+
 // workerOf returns a worker that runs a task while it can be reached.
 func (c *cell) workerOf(id string) *fleet.Worker {
 	c.t.Helper()
--- a/pollendockd/internal/scheduler/late_holds_test.go
+++ b/pollendockd/internal/scheduler/late_holds_test.go
@@ -180,29 +180,36 @@
 // TestLateRenewalOfDeadLeaderKeepsNoTaskRunningTwice guards against a run whose lease is prolonged by a hold that the dead leader sent to an earlier incarnation of the worker, which only that leader knew.
 func TestLateRenewalOfDeadLeaderKeepsNoTaskRunningTwice(t *testing.T) {
 	const maxLease = 10 * time.Second
-	for _, late := range []time.Duration{7000 * time.Millisecond, 7200 * time.Millisecond, 7400 * time.Millisecond} {
-		t.Run("late by "+late.String(), func(t *testing.T) {
-			inCell(t, 1, func(c *cell) {
-				c.bounds.MaxLease = maxLease
-				c.fleet.SetMaxLease(maxLease)
-				c.fleet.KeepIDs()
-				c.outcome = func(site.TaskID, int64, string) (time.Duration, site.EndKind) { return time.Minute, site.Done }
-				v := c.startThree()
-				c.submit("j0", tasks(1, 1))
-				expectPhase(c, v, "j0", time.Second, job.Running)
+	for _, c := range []struct {
+		name string
+		// late is after how long the hold is executed.
+		late time.Duration
+	}{
+		{"executed after 7 s", 7 * time.Second},
+		{"executed after 7.2 s", 7200 * time.Millisecond},
+		{"executed after 7.4 s", 7400 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inCell(t, 1, func(cl *cell) {
+				cl.bounds.MaxLease = maxLease
+				cl.fleet.SetMaxLease(maxLease)
+				cl.fleet.KeepIDs()
+				cl.outcome = func(site.TaskID, int64, string) (time.Duration, site.EndKind) { return time.Minute, site.Done }
+				v := cl.startThree()
+				cl.submit("j0", tasks(1, 1))
+				expectPhase(cl, v, "j0", time.Second, job.Running)
 				time.Sleep(30 * time.Second)
-				on := c.fleet.Worker("w0")
-				on.DelayHolds(1, late)
+				on := cl.fleet.Worker("w0")
+				on.DelayHolds(1, c.late)
 				time.Sleep(2 * time.Second)
 				on.Reboot()
 				time.Sleep(time.Second)
-				// Its start on the new incarnation is answered.
-				c.submit("j1", tasks(1, 4))
-				expectPhase(c, v, "j1", time.Second, job.Running)
+				cl.submit("j1", tasks(1, 4))
+				expectPhase(cl, v, "j1", time.Second, job.Running)
 				time.Sleep(time.Second)
+				cl.killLeader()
 				on.SetSilent(true)
-				c.killLeader()
-				c.fleet.Add("w1", "s", on.Capacity())
+				cl.fleet.Add("w1", "s", on.Capacity())
 				time.Sleep(30 * time.Second)
 				on.SetSilent(false)
 				time.Sleep(30 * time.Second)
