scheduler: suspects that have waited start beside whatever has settled

The class: a wait that depends on how long others run.

Change: a suspect that has waited for maxSuspectWait (4 s) starts on a worker where everything else is known to have worked for settledTime (3 s), as it could beside tasks that last. A worker that is kept free for it gets there within 3 s, however long its tasks take. If the worker crashes at the suspect's start, the settled runs are not to blame: the crash counts as alone under the suspect, so that a task that crashes its workers is given up as before, and it is not counted under the settled runs, which would become suspects in turn. Workers that are empty, with room for the suspect, come first, as before.

Price: where no worker is empty for 4 s, the second or third crash of a poison task takes others' runs down with it; they start again at once, as trusted tasks.

The poison task among them is given up after three crashes at most, and no long task is suspected.

--- a/cell/crash/crash.go
+++ b/cell/crash/crash.go
@@ -24,7 +24,9 @@
 	// EarlyOthers is set if another run on the worker was not known to have survived
 	// its start.
 	EarlyOthers bool
-	// Alone is set if no run of another job was on the worker.
+	// Bystander is set if the run had worked well past its start beside a suspect at its own.
+	Bystander bool
+	// Alone is set if no run of another job was on the worker that may be to blame.
 	Alone bool
 	// LikelyCuts is the number of crashes under the task, with this one, that were likely
 	// none: nothing shows that the worker's process has ended, and the run had worked well
@@ -55,7 +57,7 @@
 // workers of its gang have crashed, and not if it may not have begun, unless nothing else
 // was there to crash the worker.
 func Judge(t job.TaskCrashes, s Scene) job.TaskCrashes {
-	if s.Run <= t.Run {
+	if s.Bystander || s.Run <= t.Run {
 		return t
 	}
 	t.Run = s.Run
--- a/cell/crash/crash_test.go
+++ b/cell/crash/crash_test.go
@@ -13,6 +13,7 @@
 	survivor := Scene{Begun: true, Survived: true, Sudden: true}
 	beside := Scene{Begun: true, Survived: true, Sudden: true, EarlyOthers: true}
 	survivorAlone := Scene{Begun: true, Survived: true, Sudden: true, Alone: true}
+	besideSuspect := Scene{Begun: true, Survived: true, EarlyOthers: true, Bystander: true}
 	requested := Scene{Sudden: true}
 	cut := func(n int) Scene { return Scene{Begun: true, Survived: true, Alone: true, LikelyCuts: n} }
 	for _, c := range []struct {
@@ -28,6 +29,7 @@
 		{"had survived, another had just begun", []Scene{beside}, false, job.Trusted, 1},
 		{"had survived, and so had all others", []Scene{survivor}, false, job.Suspect, 1},
 		{"two crashes beside others that had just begun", []Scene{beside, beside}, false, job.Suspect, 2},
+		{"two crashes beside suspects at their start", []Scene{besideSuspect, besideSuspect}, false, job.Trusted, 0},
 		{"one crash, alone", []Scene{earlyAlone}, false, job.Suspect, 1},
 		{"two early crashes, the last one alone", []Scene{early, earlyAlone}, false, job.Poison, 2},
 		{"two early crashes in company", []Scene{early, early}, false, job.Suspect, 2},
--- a/pollendockd/internal/scheduler/crash.go
+++ b/pollendockd/internal/scheduler/crash.go
@@ -52,13 +52,14 @@
 	var early, survivors []*run
 	aliveAt := wk.lastInheritedDecision()
 	jobs := jobSet{}
+	besideSuspect := wk.suspectStarting(alive)
 	for _, r := range wk.runList() {
 		if r.stage == planned || r.crashed || r.boot == alive {
 			continue
 		}
 		r.crashed = true
 		r.crashDoubtful = !wk.processEnded(alive)
-		if !r.settledService() {
+		if !r.blameless(besideSuspect) {
 			jobs[r.task.Job] = true
 		}
 		if r.survivedStart() || r.inheritedBefore(aliveAt.Add(-inheritedProbation)) {
@@ -74,13 +75,31 @@
 		r.scene = crash.Scene{Run: r.number, Begun: r.stage == running, Sudden: wk.exitedAfterStart(r), EarlyOthers: len(early) > 1, Alone: jobs.only(r.task.Job)}
 	}
 	for _, r := range survivors {
-		r.scene = crash.Scene{Run: r.number, Begun: true, Survived: true, EarlyOthers: len(early) > 0, Alone: jobs.only(r.task.Job)}
+		r.scene = crash.Scene{Run: r.number, Begun: true, Survived: true, EarlyOthers: len(early) > 0, Alone: jobs.only(r.task.Job),
+			Bystander: besideSuspect && r.settled()}
 	}
 	l.s.deps.Counts.Count("worker_crashes", 1)
 	_ = level.Warn(l.s.deps.Logger).Log("msg", "worker crashed", "worker", wk.id, "boot", wk.boot, "evidence", evidence,
 		"lastAnswerMs", time.Since(wk.clockAt).Milliseconds(), "survivors", len(survivors), "early", len(early), "earlyRuns", runNames(early))
 }
 
+// suspectStarting reports whether a suspect of the incarnation that has crashed is not known to have
+// survived its start. The incarnation alive has followed it.
+func (wk *worker) suspectStarting(alive int64) bool {
+	for _, r := range wk.runs {
+		if r.isolated && r.stage != planned && !r.crashed && r.boot != alive && !r.survivedStart() {
+			return true
+		}
+	}
+	return false
+}
+
+// blameless reports whether the run has no part in a crash of its worker: it had worked well past its
+// start, and lasts or ran beside a suspect at its start.
+func (r *run) blameless(besideSuspect bool) bool {
+	return r.settled() && (besideSuspect || r.tj.sub.Steps[r.task.Step].Endless)
+}
+
 // only reports whether the set has no job but that one.
 func (s jobSet) only(id string) bool {
 	return len(s) == 0 || len(s) == 1 && s[id]
--- a/pollendockd/internal/scheduler/isolation.go
+++ b/pollendockd/internal/scheduler/isolation.go
@@ -126,21 +126,21 @@
 	return ws.besideOthers || wk.vacantFor(ws)
 }
 
-// vacantFor reports whether no other job runs on the worker, but for services that the step may
-// run beside.
+// vacantFor reports whether no other job runs on the worker, but for runs that the step may start
+// beside.
 func (wk *worker) vacantFor(ws *waitingStep) bool {
 	for key, r := range wk.runs {
-		if key.task.Job != ws.tj.id && !(ws.besideServices && r.settledService()) {
+		if key.task.Job != ws.tj.id && !(ws.besideSettled && r.settled()) {
 			return false
 		}
 	}
 	return true
 }
 
-// settledService reports whether the run is one of a task that lasts and is known to have worked
-// well past its start. If its worker crashes, a run that has just begun is to blame.
-func (r *run) settledService() bool {
-	return r.tj.sub.Steps[r.task.Step].Endless && r.workedFor(settledTime)
+// settled reports whether the run is known to have worked well past its start. If its worker crashes,
+// a suspect that has just begun is to blame.
+func (r *run) settled() bool {
+	return r.workedFor(settledTime)
 }
 
 // runsService reports whether another job's task that lasts runs on the worker, which is then not
--- a/pollendockd/internal/scheduler/isolation_test.go
+++ b/pollendockd/internal/scheduler/isolation_test.go
@@ -154,7 +154,7 @@
 		tj := &trackedJob{sub: &job.Submission{Steps: []job.Step{service}}, inheritedAt: now.Add(-c.read)}
 		r := &run{tj: tj, wk: &worker{clockAt: now}, stage: c.stage}
 		r.confirm(now)
-		if got := r.settledService(); got != c.want {
+		if got := r.settled(); got != c.want {
 			t.Errorf("%s: settled %v, want %v", c.name, got, c.want)
 		}
 	}
--- a/pollendockd/internal/scheduler/suspect_wait_test.go
+++ b/pollendockd/internal/scheduler/suspect_wait_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -160,3 +161,69 @@
 		expectPhase(c, v, fmt.Sprintf("job%d", n), 40*time.Second, job.Completed)
 	}
 }
+
+// TestSuspectsStartBesideLongTasks guards against suspects that wait for workers to become empty, one
+// after the other, where all run long tasks, though most capacity is free.
+func TestSuspectsStartBesideLongTasks(t *testing.T) {
+	const (
+		long     = 50 * time.Second
+		suspects = 12
+		// turn is how long a suspect keeps the next one from its worker.
+		turn = settledTime + time.Second
+	)
+	for _, c := range []struct {
+		name   string
+		poison bool
+	}{
+		{"sound", false},
+		{"one crashes its workers", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inCell(t, 6, func(cl *cell) {
+				cl.fleet.KeepIDs()
+				cl.outcome = func(t site.TaskID, _ int64, _ string) (time.Duration, site.EndKind) {
+					if c.poison && t.Job == "suspect5" {
+						return atStart, site.Crashed
+					}
+					return long, site.Done
+				}
+				v := cl.start("a")
+				time.Sleep(2 * time.Second)
+				small := tasks(6, 1)
+				small.PerWorker = 1
+				small.Size.MilliCPU = 300
+				for n := range 12 {
+					cl.submit(fmt.Sprintf("long%d", n), small)
+				}
+				time.Sleep(10 * time.Second)
+				small.Count = 1
+				for n := range suspects {
+					cl.submit(fmt.Sprintf("suspect%d", n), small)
+				}
+				expectPhase(cl, v, fmt.Sprintf("suspect%d", suspects-1), time.Second, job.Running)
+				if !c.poison {
+					cl.fleet.Worker(v.replica.Job("suspect5").State.Steps[0][0].Worker).Crash()
+				}
+				// The worker is back after 3 s. Suspects may have a quarter of the workers at least.
+				time.Sleep(3*time.Second + maxSuspectWait + suspects*turn)
+				for n := range suspects {
+					id := fmt.Sprintf("suspect%d", n)
+					if cl.fleet.Starts(site.TaskID{Job: id}) < 2 {
+						t.Errorf("%s has not started again: %+v", id, v.replica.Job(id).Crashes)
+					}
+				}
+				if c.poison {
+					expectPhase(cl, v, "suspect5", time.Second, job.Failed)
+					expectCrashes(cl, "suspect5", 2, 3)
+				}
+				for n := range 12 {
+					id := fmt.Sprintf("long%d", n)
+					expectPhase(cl, v, id, 2*long, job.Completed)
+					if j := v.replica.Job(id); j.Crashes != nil && slices.ContainsFunc(j.Crashes.Tasks, func(t job.TaskCrashes) bool { return t.Verdict != job.Trusted }) {
+						t.Errorf("%s is suspected: %+v", id, j.Crashes.Tasks)
+					}
+				}
+			})
+		})
+	}
+}
--- a/pollendockd/internal/scheduler/vacate.go
+++ b/pollendockd/internal/scheduler/vacate.go
@@ -133,9 +133,8 @@
 	if long && ws.likelyBystander() {
 		ws.besideOthers, ws.vacated = true, true
 	}
-	enough := p.mayBecomeVacant(ws, service, missing)
-	ws.besideServices = long && !enough
-	return long || enough
+	ws.besideSettled = long
+	return long || p.mayBecomeVacant(ws, service, missing)
 }
 
 // likelyBystander reports whether the tasks of the step have seen one crash at most, and none at
@@ -172,7 +171,7 @@
 
 // mayVacate reports whether the worker can become vacant for the step.
 func (ws *waitingStep) mayVacate(wk *worker) bool {
-	return ws.allowedOn(wk) && (ws.besideServices || !wk.runsService(ws.tj))
+	return ws.allowedOn(wk) && (ws.besideSettled || !wk.runsService(ws.tj))
 }
 
 // mostOn returns how many tasks of a step a worker holds where nothing but services runs, at most
@@ -261,7 +260,7 @@
 	}
 	spec := &ws.tj.sub.Steps[ws.step]
 	rank := vacateRank{
-		services: wk.runsService(ws.tj), empty: wk.vacantFor(ws), own: l.vacated[wk] == ws.tj, chosen: l.vacated[wk] != nil, emptyIn: p.emptyIn(wk), id: wk.id,
+		services: wk.runsService(ws.tj), empty: wk.vacantFor(ws) && spec.Size.Fits(wk.free()), own: l.vacated[wk] == ws.tj, chosen: l.vacated[wk] != nil, emptyIn: p.emptyIn(wk), id: wk.id,
 	}
 	if answers := ws.tj.advice[ws.step]; answers != nil {
 		rank.allowed = spec.Gang && answers.known(wk)
--- a/pollendockd/internal/scheduler/waiting.go
+++ b/pollendockd/internal/scheduler/waiting.go
@@ -24,9 +24,9 @@
 	// position is the step's place in the order in which the pass considered the steps; 0
 	// if it has not considered it.
 	position int
-	// besideServices is set if an isolated step may start where services run, since it would not
-	// find enough workers without any.
-	besideServices bool
+	// besideSettled is set if an isolated step may start beside runs that have worked well past
+	// their start, since it has waited for long.
+	besideSettled bool
 	// besideOthers is set if an isolated step may start where any other job runs, as the others do.
 	besideOthers bool
 	// why is why the step waits after the pass.
