VMs hand on no answers for jobs that have ended

A VM returned to each new leader all answers of the last five minutes, 20,000 at most, of which the leader used those for jobs that have not ended. On a site of many VMs the leader would decode millions at the beginning of its term. A VM now drops the answers for jobs that have ended, as far as it knows, before it returns the others, and the leader logs a line for a VM only if it learnt something.

--- a/cell/advice/answers.go
+++ b/cell/advice/answers.go
@@ -79,6 +79,17 @@
 	return steps
 }
 
+// DropEnded drops the answers for the steps of jobs that have ended.
+func (a *Answers) DropEnded(ended func(job string) bool) {
+	for e := a.byAge.Front(); e != nil; {
+		next := e.Next()
+		if ended(e.Value.(*keptAnswers).Job) {
+			a.drop(e)
+		}
+		e = next
+	}
+}
+
 // trim drops the oldest answers.
 func (a *Answers) trim(now time.Time) {
 	for e := a.byAge.Front(); e != nil; e = a.byAge.Front() {
@@ -86,12 +97,17 @@
 		if a.count <= maxAnswers && now.Sub(k.at) < maxAnswersAge {
 			return
 		}
-		a.count -= k.size()
-		a.byAge.Remove(e)
-		delete(a.steps, stepKey{k.Job, k.Step})
+		a.drop(e)
 	}
 }
 
+func (a *Answers) drop(e *list.Element) {
+	k := e.Value.(*keptAnswers)
+	a.count -= k.size()
+	a.byAge.Remove(e)
+	delete(a.steps, stepKey{k.Job, k.Step})
+}
+
 func (k *keptAnswers) size() int {
 	return len(k.Allowed) + len(k.Refused)
 }
--- a/cell/advice/answers_test.go
+++ b/cell/advice/answers_test.go
@@ -49,6 +49,10 @@
 	if !slices.ContainsFunc(steps, func(s StepAnswers) bool { return s.Job == "j0" }) {
 		t.Error("the step with the newest answer is not kept")
 	}
+	a.DropEnded(func(job string) bool { return job == "j0" })
+	if steps := a.List(now); slices.ContainsFunc(steps, func(s StepAnswers) bool { return s.Job == "j0" }) {
+		t.Error("the answers for a job that has ended are kept")
+	}
 	if steps := a.List(now.Add(maxAnswersAge)); len(steps) != 0 || a.count != 0 || len(a.steps) != 0 {
 		t.Errorf("%d steps are kept after %v", len(steps), maxAnswersAge)
 	}
--- a/pollendockd/internal/cluster/answers.go
+++ b/pollendockd/internal/cluster/answers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pollendock.example/cell/advice"
+	"pollendock.example/cell/job"
 	"pollendock.example/cell/site"
 	"pollendock.example/pollendockd/internal/peer"
 )
@@ -14,6 +15,8 @@
 	// AnsweringAdvisor calls the advisor from this VM and keeps its answers for later leaders.
 	AnsweringAdvisor struct {
 		advisor Advisor
+		// ended reports whether a job has ended, as far as this VM knows.
+		ended func(job string) bool
 
 		mu      sync.Mutex
 		answers *advice.Answers
@@ -28,9 +31,14 @@
 	}
 )
 
-// KeepAnswers returns an advisor that keeps the answers of another one.
-func KeepAnswers(a Advisor) *AnsweringAdvisor {
-	return &AnsweringAdvisor{advisor: a, answers: advice.NewAnswers()}
+// KeepAnswers returns an advisor that keeps the answers of another one, for the jobs in the view
+// that have not ended.
+func KeepAnswers(a Advisor, view *job.View) *AnsweringAdvisor {
+	ended := func(id string) bool {
+		j := view.Job(id)
+		return j != nil && j.Phase().Final()
+	}
+	return &AnsweringAdvisor{advisor: a, ended: ended, answers: advice.NewAnswers()}
 }
 
 // Advise queries the advisor.
@@ -53,6 +61,7 @@
 func (a *AnsweringAdvisor) Answers() []advice.StepAnswers {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.answers.DropEnded(a.ended)
 	return a.answers.List(time.Now())
 }
 
--- a/pollendockd/internal/cluster/answers_test.go
+++ b/pollendockd/internal/cluster/answers_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"testing"
 
+	"pollendock.example/cell/job"
 	"pollendock.example/cell/site"
 )
 
@@ -21,7 +22,7 @@
 // TestAnswersOfAdvisorAreKept checks that a VM keeps answers, and nothing of queries that fail.
 func TestAnswersOfAdvisorAreKept(t *testing.T) {
 	advisor := &fakeAdvisor{}
-	a := KeepAnswers(advisor)
+	a := KeepAnswers(advisor, job.NewView())
 	if _, err := a.Advise(t.Context(), "j", 1, []string{"w1", "w2"}); err != nil {
 		t.Fatal(err)
 	}
--- a/pollendockd/internal/scheduler/earlier_answers.go
+++ b/pollendockd/internal/scheduler/earlier_answers.go
@@ -57,6 +57,9 @@
 			workers += n
 		}
 	}
+	if workers == 0 {
+		return
+	}
 	l.placeNeeded = true
 	_ = level.Info(s.deps.Logger).Log("msg", "earlier answers of the advisor", "through", e.through, "steps", steps, "workers", workers,
 		"termAgeMs", time.Since(l.startedAt).Milliseconds())
--- a/pollendockd/platform.go
+++ b/pollendockd/platform.go
@@ -137,7 +137,7 @@
 		Catalog: s.catalog.Current, CatalogFresh: s.catalog.Fresh, Logger: s.logger, Counts: counts,
 	}
 	if s.platform.Advisor != nil {
-		s.advisor = cluster.KeepAnswers(s.platform.Advisor)
+		s.advisor = cluster.KeepAnswers(s.platform.Advisor, s.replica)
 	}
 	s.peers = cluster.NewPeers(&s.member, s.replica, s.follower, s.advisor, localLeader{s}, s.logger, counts)
 	deps.Peers = s.peers
