--- a/pollendockd/internal/scheduler/leadership.go
+++ b/pollendockd/internal/scheduler/leadership.go
@@ -57,6 +57,8 @@
 		// has appended it.
 		renewals         job.EpochHistory
 		renewalsAppended bool
+		// othersRenewUntil is when all earlier leaders have stopped renewing leases.
+		othersRenewUntil time.Time
 		answeredStarts   answeredStarts
 
 		flush    flushState
@@ -144,6 +146,7 @@
 		since:           time.Since,
 	}
 	l.flush.init(asOf)
+	l.noteOthersRenewals()
 	l.advice.init()
 	l.load.init()
 	s.lead = l
@@ -154,7 +157,7 @@
 	l.inheritSilences()
 	l.gatherAnswers()
 	_ = level.Info(s.deps.Logger).Log("msg", "leading", "epoch", epoch, "jobs", len(l.jobs), "next", s.deps.View.Next(),
-		"startsAnsweredBefore", l.answeredStarts.inherited.Before, "openStarts", len(l.answeredStarts.open))
+		"othersRenewMs", max(0, l.othersRenewUntil.Sub(now)).Milliseconds(), "startsAnsweredBefore", l.answeredStarts.inherited.Before, "openStarts", len(l.answeredStarts.open))
 	s.deps.Counts.Count("terms", 1)
 	for i := range s.upstreams {
 		l.applyUpstream(&s.upstreams[i])
@@ -320,8 +323,13 @@
 
 // appendedWithin reports whether an append has succeeded in that time, by both clocks.
 func (l *leadership) appendedWithin(now time.Time, limit time.Duration) bool {
-	f := &l.flush
-	return now.Sub(f.ackedAt) <= limit && now.Round(0).Sub(f.ackedTimeOfDay) <= limit
+	return within(limit, now, l.flush.ackedAt, l.flush.ackedTimeOfDay)
+}
+
+// within reports whether no more than the limit has passed since a time, by the monotonic clock and
+// by the time of day.
+func within(limit time.Duration, now, at, timeOfDay time.Time) bool {
+	return now.Sub(at) <= limit && now.Round(0).Sub(timeOfDay) <= limit
 }
 
 // step runs a scheduling pass and an append if they are due, and sends queries through the
