--- a/pollendockd/internal/scheduler/waiting_gangs_test.go
+++ b/pollendockd/internal/scheduler/waiting_gangs_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -103,3 +104,64 @@
 		})
 	}
 }
+
+// TestOverdueGangWithRoomNeedsNoTurn guards against an overdue gang that knows where it may run and sends no query beside idle workers, until others that wait for long runs have ended their turns to reserve.
+func TestOverdueGangWithRoomNeedsNoTurn(t *testing.T) {
+	// The turns are at another gang each time.
+	for _, fullFor := range []time.Duration{60 * time.Second, 66 * time.Second, 68 * time.Second, 70 * time.Second, 72 * time.Second} {
+		t.Run(fullFor.String(), func(t *testing.T) { playGangWithoutTurn(t, fullFor) })
+	}
+}
+
+// playGangWithoutTurn lets a gang find room after a while, when others wait for long runs.
+func playGangWithoutTurn(t *testing.T, fullFor time.Duration) {
+	inCell(t, 0, func(c *cell) {
+		const (
+			gangs = 3 * minHeldGangs
+			// The last workers become idle after fullFor, the others stay full.
+			full = 2 * gangs
+		)
+		c.advise(siteAdvice, 1)
+		c.addUnadvisedQueue()
+		c.addLargeWorkers()
+		number := func(name string) int {
+			n := 0
+			_, _ = fmt.Sscanf(name[1:], "%d", &n)
+			return n
+		}
+		c.queueAdvisor = &queueAdvisor{
+			advice: map[string]site.Advice{"g": siteAdvice, "s": siteAdvice}, vms: map[string]*sync.Mutex{}, down: map[string]bool{},
+			allows: func(job, worker string) bool {
+				if job == "small" {
+					return number(worker) >= full
+				}
+				return number(worker)/2 == number(job)
+			},
+		}
+		c.outcome = func(t site.TaskID, _ int64, worker string) (time.Duration, site.EndKind) {
+			switch {
+			case t.Job == "long" && number(worker) < full:
+				return time.Hour, site.Done
+			case t.Job == "long":
+				return fullFor, site.Done
+			}
+			return workTime, site.Done
+		}
+		long := tasks(48, 60)
+		long.Estimate = time.Hour
+		c.submitTo("unadvised", "long", long)
+		c.start("a")
+		for i := range 5 {
+			c.join(fmt.Sprintf("b%d", i))
+		}
+		time.Sleep(time.Second)
+		for n := range gangs {
+			c.submit(fmt.Sprintf("g%d", n), gang(6, 19))
+		}
+		c.submit("small", gang(6, 19))
+		for len(c.fleet.Usage().Running) > full {
+			time.Sleep(10 * time.Millisecond)
+		}
+		expectStartWithin(c, "small", time.Now(), lostAfter)
+	})
+}
