--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Development tasks. "make help" lists them.
 
-MODULES := cell platform standin pollendockd pollendock loadgen soak
+MODULES := cell platform standin pollendockd pollendock loadgen soak crowd
 GO      ?= go
 SEEDS   ?= 2 3 4 5
 CHECKS  ?= 100
