intake: bound what clients hold of a VM

Callers saw a VM end, or not answer: requests that stop short held up to 310 KB each and every descriptor, also those with which a VM reaches store, peers and workers, as nothing bounded what all clients hold together.

Limits follow from memory-mb and max-fds (own interface: memoryMb and maxDescriptors). Connections are charged for what they hold, header lines included; above a limit the one with the largest product of charge and age is closed. It works because ordinary callers hold little for a short time, and the share of the sockets that listeners do not take stays with the system.

The honest crowd now connects before it sends, and passes on too. The own interface's settings had no limits before, so its test sets them from here on.

--- a/cell/code/code.go
+++ b/cell/code/code.go
@@ -67,6 +67,8 @@
 	NoSuchJob Code = 2011
 	// NotSupported is a form of work that this version cannot run.
 	NotSupported Code = 2012
+	// BodyTimeout is a request whose body has stopped arriving.
+	BodyTimeout Code = 2013
 
 	// Unauthenticated is a request with no key or an unknown key.
 	Unauthenticated Code = 3001
@@ -149,6 +151,7 @@
 		{NotFound, "notFound", http.StatusNotFound, exitUsage},
 		{NoSuchJob, "noSuchJob", http.StatusGone, exitUsage},
 		{NotSupported, "notSupported", http.StatusNotImplemented, exitUsage},
+		{BodyTimeout, "bodyTimeout", http.StatusRequestTimeout, exitNotRun},
 		{Unauthenticated, "unauthenticated", http.StatusUnauthorized, exitNoAccess},
 		{Forbidden, "forbidden", http.StatusForbidden, exitNoAccess},
 		{StaleBase, "staleBase", http.StatusConflict, exitConflict},
--- a/cell/site/local.go
+++ b/cell/site/local.go
@@ -12,6 +12,10 @@
 		DataCentre string
 		// CPUCores is the CPU share of the VM, in cores.
 		CPUCores float64
+		// MemoryBytes is the memory above which the process is killed, and Descriptors the number
+		// that files and sockets share.
+		MemoryBytes int64
+		Descriptors int
 		// Listen is the address for callers, Ready the one for the load balancer's
 		// health checks, and Peer the one for other entry VMs.
 		Listen netip.AddrPort
--- a/crowd/behaviours_test.go
+++ b/crowd/behaviours_test.go
@@ -172,12 +172,16 @@
 	_, _ = io.WriteString(c, e.head("GET", e.query)+"\r\n")
 }
 
-// metricsUnread asks for the metrics again and again, and reads no answer.
-func metricsUnread(c net.Conn, e *endpoint) {
+// metricsUnread asks for the metrics again and again, and reads no answer; compressedUnread for
+// compressed ones.
+func metricsUnread(c net.Conn, e *endpoint)    { askForMetrics(c, e, "") }
+func compressedUnread(c net.Conn, e *endpoint) { askForMetrics(c, e, "Accept-Encoding: gzip\r\n") }
+
+func askForMetrics(c net.Conn, e *endpoint, header string) {
 	if tcp, ok := c.(*net.TCPConn); ok {
 		_ = tcp.SetReadBuffer(smallWindow)
 	}
-	_, _ = io.WriteString(c, strings.Repeat(e.head("GET", "/metrics")+"\r\n", pipelined))
+	_, _ = io.WriteString(c, strings.Repeat(e.head("GET", "/metrics")+header+"\r\n", pipelined))
 }
 
 // largeMessage sends a message of net/rpc that stops short.
--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -54,6 +54,7 @@
 		{"ready, silent", readyPort, fewDescriptors, 400, silent},
 		{"metrics, many header lines", metricsPort, littleMemory, 400, manyHeaders},
 		{"metrics unread", metricsPort, littleMemory, 400, metricsUnread},
+		{"compressed metrics unread", metricsPort, littleMemory, 400, compressedUnread},
 		{"metrics, silent", metricsPort, fewDescriptors, 400, silent},
 		{"peers, large messages", peerPort, littleMemory, 400, largeMessage},
 		{"peers, silent", peerPort, fewDescriptors, 400, silent},
@@ -95,12 +96,21 @@
 // TestHonestCrowdIsServed submits many jobs at once with the limits of the sites.
 func TestHonestCrowdIsServed(t *testing.T) {
 	c := newCell(t, siteLimits)
-	var wg sync.WaitGroup
+	var wg, connected sync.WaitGroup
+	connected.Add(honest)
 	failures := make(chan error, honest)
 	for i := range honest {
 		wg.Go(func() {
+			conn, err := net.DialTimeout("tcp", c.address(0, callersPort), honestLength)
+			connected.Done()
+			if err != nil {
+				failures <- err
+				return
+			}
+			defer func() { _ = conn.Close() }()
+			connected.Wait()
 			body := jobBody(strings.Repeat("x", honestBytes*(1+i%4)/4-len(jobBody(""))))
-			if err := c.submitOnce(fmt.Sprintf("%016x", 1<<32+i), body); err != nil {
+			if err := submitOnce(conn, fmt.Sprintf("%016x", 1<<32+i), body); err != nil {
 				failures <- err
 			}
 		})
@@ -114,12 +124,7 @@
 }
 
 // submitOnce submits a job without repeating it.
-func (c *cell) submitOnce(id, body string) error {
-	conn, err := net.DialTimeout("tcp", c.address(0, callersPort), honestLength)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = conn.Close() }()
+func submitOnce(conn net.Conn, id, body string) error {
 	_ = conn.SetDeadline(time.Now().Add(honestLength))
 	return exchange(conn, fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", callers.head("POST", queuePath+id), len(body), body))
 }
--- a/crowd/own_interface_test.go
+++ b/crowd/own_interface_test.go
@@ -49,6 +49,7 @@
 		{"chunks of one byte", ownPort, littleMemory, 400, smallChunks},
 		{"one large chunk", ownPort, littleMemory, 400, oneChunk},
 		{"metrics unread", ownPort, littleMemory, 400, metricsUnread},
+		{"compressed metrics unread", ownPort, littleMemory, 400, compressedUnread},
 		{"slow headers", ownPort, fewDescriptors, 400, slowHeaders},
 		{"silent", ownPort, fewDescriptors, 400, silent},
 		{"idle", ownPort, fewDescriptors, 400, idle},
@@ -133,8 +134,11 @@
 [platform]
 log = %q
 vmList = %q
+[bounds]
+memoryMb = %d
+maxDescriptors = %d
 `, name, c.address(i, ownPort), c.address(i, ownPeerPort), c.address(0, ownPeerPort), config.HashKey(operatorKey),
-		c.address(standinHost-1, standinPort), c.address(standinHost-1, standinPort))
+		c.address(standinHost-1, standinPort), c.address(standinHost-1, standinPort), c.limits.memoryMB, c.limits.descriptors)
 	path := filepath.Join(c.dir, name+".toml")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		c.t.Fatal(err)
--- a/pollendockd/internal/httpapi/middleware.go
+++ b/pollendockd/internal/httpapi/middleware.go
@@ -56,6 +56,9 @@
 // decode reads a JSON body of bounded size into out.
 func (s *Server) decode(c echo.Context, out any) error {
 	data, err := io.ReadAll(io.LimitReader(c.Request().Body, s.opt.MaxBodyBytes+1))
+	if code.Class.Has(err) {
+		return err
+	}
 	if err != nil {
 		return code.New(code.BadRequest, "the body did not arrive whole: %v", err)
 	}
--- /dev/null
+++ b/pollendockd/internal/intake/ledger.go
@@ -0,0 +1,196 @@
+package intake
+
+import (
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+)
+
+type (
+	// Counter counts what an operator reads.
+	Counter interface {
+		Count(name string, n int64)
+		Gauge(name string, n int64)
+	}
+
+	// Ledger holds the accounts of all connections, and decides which of them to shed.
+	Ledger struct {
+		limits Limits
+		logger log.Logger
+		counts Counter
+
+		mu       sync.Mutex
+		accounts map[*account]struct{}
+		// held is the sum of the charges.
+		held int64
+		// lastLog is when a shed connection was last logged, and unlogged the number since then.
+		lastLog  time.Time
+		unlogged int
+	}
+
+	// group is the connections of a listener.
+	group struct {
+		name  string
+		limit int
+		open  int
+	}
+
+	// account is what a connection holds.
+	account struct {
+		group *group
+		// base is charged for the connection itself, charge with what it has sent.
+		base, charge int64
+		// since is when the connection, its request or its idle time began.
+		since time.Time
+		// handling is set from the end of a request to its answer.
+		handling bool
+		// closed is set once the account has been removed.
+		closed bool
+		close  func()
+	}
+
+	// cause is why a connection is shed.
+	cause string
+)
+
+const (
+	tooManyConnections cause = "connections"
+	tooMuchMemory      cause = "memory"
+
+	// logInterval is the least time between two lines on shed connections.
+	logInterval = time.Second
+)
+
+// NewLedger returns a ledger without connections.
+func NewLedger(limits Limits, logger log.Logger, counts Counter) *Ledger {
+	return &Ledger{limits: limits, logger: logger, counts: counts, accounts: map[*account]struct{}{}}
+}
+
+// open adds a connection. If its listener is full, the connection of the listener that has held
+// most for longest is shed. It reports false if that one is the new connection.
+func (l *Ledger) open(a *account) bool {
+	l.mu.Lock()
+	l.accounts[a] = struct{}{}
+	l.held += a.charge
+	a.group.open++
+	a.since = time.Now()
+	shed := l.balance(a)
+	l.counts.Gauge("client_bytes", l.held)
+	alive := !a.closed
+	l.mu.Unlock()
+	closeAll(shed)
+	return alive
+}
+
+// add charges n bytes to a connection. It reports false if the connection has been shed.
+func (l *Ledger) add(a *account, n int64) bool {
+	l.mu.Lock()
+	if a.closed {
+		l.mu.Unlock()
+		return false
+	}
+	a.charge += n
+	l.held += n
+	shed := l.balance(a)
+	alive := !a.closed
+	l.mu.Unlock()
+	closeAll(shed)
+	return alive
+}
+
+// begin starts the wait for what the client sends next, with nothing held of what it sent before.
+func (l *Ledger) begin(a *account) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if a.closed {
+		return
+	}
+	l.held -= a.charge - a.base
+	a.charge, a.handling, a.since = a.base, false, time.Now()
+}
+
+// setHandling marks the time in which a connection is not shed.
+func (l *Ledger) setHandling(a *account, handling bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a.handling, a.since = handling, time.Now()
+}
+
+// remove removes a connection that has been closed.
+func (l *Ledger) remove(a *account) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.drop(a)
+}
+
+// balance removes connections until the limits hold, and returns them. Since ordinary callers
+// hold little for a short time, they go last; a connection whose request is being handled stays.
+func (l *Ledger) balance(latest *account) []*account {
+	var shed []*account
+	now := time.Now()
+	for latest.group.open > latest.group.limit {
+		shed = append(shed, l.shed(latest.group, latest, now, tooManyConnections))
+	}
+	for l.held > l.limits.ClientBytes && !latest.closed {
+		shed = append(shed, l.shed(nil, latest, now, tooMuchMemory))
+	}
+	return shed
+}
+
+// shed removes the heaviest connection of a group, or of all; the latest if there is none.
+func (l *Ledger) shed(of *group, latest *account, now time.Time, why cause) *account {
+	victim := l.heaviest(of, now)
+	if victim == nil {
+		victim = latest
+	}
+	l.report(victim, now, why)
+	l.drop(victim)
+	return victim
+}
+
+// heaviest returns the connection with the largest product of what it holds and for how long, nil
+// if all are being handled.
+func (l *Ledger) heaviest(of *group, now time.Time) *account {
+	var heaviest *account
+	most := -1.
+	for a := range l.accounts {
+		if a.handling || (of != nil && a.group != of) {
+			continue
+		}
+		if weight := float64(a.charge) * now.Sub(a.since).Seconds(); weight > most {
+			heaviest, most = a, weight
+		}
+	}
+	return heaviest
+}
+
+func (l *Ledger) drop(a *account) {
+	if a.closed {
+		return
+	}
+	a.closed = true
+	a.group.open--
+	l.held -= a.charge
+	delete(l.accounts, a)
+}
+
+// report counts a shed connection, and logs one from time to time.
+func (l *Ledger) report(a *account, now time.Time, why cause) {
+	l.counts.Count("connections_shed_"+string(why), 1)
+	l.unlogged++
+	if now.Sub(l.lastLog) < logInterval {
+		return
+	}
+	_ = level.Warn(l.logger).Log("msg", "connection shed", "listener", a.group.name, "cause", string(why), "bytes", a.charge,
+		"ageMs", now.Sub(a.since).Milliseconds(), "handling", a.handling, "open", a.group.open, "limit", a.group.limit,
+		"heldBytes", l.held, "limitBytes", l.limits.ClientBytes, "shedSince", l.unlogged)
+	l.lastLog, l.unlogged = now, 0
+}
+
+func closeAll(accounts []*account) {
+	for _, a := range accounts {
+		a.close()
+	}
+}
--- a/pollendockd/internal/settings/settings.go
+++ b/pollendockd/internal/settings/settings.go
@@ -52,7 +52,11 @@
 		MaxBodyBytes int64 `toml:"maxBodyBytes"`
 		// MaxRequests bounds the number of concurrent requests.
 		MaxRequests int `toml:"maxRequests"`
-		// ReadTimeout bounds how long a request may take to arrive.
+		// MemoryMB is the memory of the VM, and MaxDescriptors the number that files and
+		// sockets share. The limits of what clients hold follow from them.
+		MemoryMB       int64 `toml:"memoryMb"`
+		MaxDescriptors int   `toml:"maxDescriptors"`
+		// ReadTimeout bounds how long nothing may arrive of a body.
 		ReadTimeout Duration `toml:"readTimeout"`
 		// StopTimeout bounds a graceful stop.
 		StopTimeout Duration `toml:"stopTimeout"`
@@ -85,6 +89,10 @@
 	minBodyBytes     = 4 << 10
 	maxBodyBytes     = 16 << 20
 	maxRequests      = 100_000
+	minMemoryMB      = 48
+	maxMemoryMB      = 1 << 20
+	minDescriptors   = 300
+	maxDescriptors   = 1 << 20
 	minTimeout       = 100 * time.Millisecond
 	maxTimeout       = 10 * time.Minute
 	minConnections   = 2
@@ -123,6 +131,8 @@
 		Bounds: Bounds{
 			MaxBodyBytes:      256 << 10,
 			MaxRequests:       8192,
+			MemoryMB:          1024,
+			MaxDescriptors:    16_384,
 			ReadTimeout:       Duration{10 * time.Second},
 			StopTimeout:       Duration{30 * time.Second},
 			WorkerConnections: maxConnections,
@@ -241,6 +251,12 @@
 	if b.MaxRequests < 1 || b.MaxRequests > maxRequests {
 		return fmt.Errorf("bounds.maxRequests: %d, outside 1 to %d", b.MaxRequests, maxRequests)
 	}
+	if b.MemoryMB < minMemoryMB || b.MemoryMB > maxMemoryMB {
+		return fmt.Errorf("bounds.memoryMb: %d, outside %d to %d", b.MemoryMB, minMemoryMB, maxMemoryMB)
+	}
+	if b.MaxDescriptors < minDescriptors || b.MaxDescriptors > maxDescriptors {
+		return fmt.Errorf("bounds.maxDescriptors: %d, outside %d to %d", b.MaxDescriptors, minDescriptors, maxDescriptors)
+	}
 	if b.WorkerConnections < minConnections || b.WorkerConnections > maxConnections {
 		return fmt.Errorf("bounds.workerConnections: %d, outside %d to %d", b.WorkerConnections, minConnections, maxConnections)
 	}
--- a/pollendockd/main.go
+++ b/pollendockd/main.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -20,6 +19,7 @@
 	"pollendock.example/cell/platform"
 	"pollendock.example/pollendockd/internal/entry"
 	"pollendock.example/pollendockd/internal/httpapi"
+	"pollendock.example/pollendockd/internal/intake"
 	"pollendock.example/pollendockd/internal/peer"
 	"pollendock.example/pollendockd/internal/settings"
 	"pollendock.example/pollendockd/internal/telemetry"
@@ -39,15 +39,14 @@
 		logger  log.Logger
 		metrics *telemetry.Metrics
 		entry   *entry.Entry
+		clients *clients
 	}
 )
 
 const (
 	platformConnections = 4
-	readHeaderTimeout   = 5 * time.Second
-	idleTimeout         = 2 * time.Minute
 	flushTimeout        = 2 * time.Second
-	maxHeaderBytes      = 16 << 10
+	bitsPerMB           = 20
 )
 
 var errSecondSignal = errors.New("received a second signal during the graceful stop; requests in flight are aborted")
@@ -92,6 +91,8 @@
 	}()
 	p := &process{cfg: cfg, logger: logger, metrics: telemetry.NewMetrics()}
 	defer func() { _ = p.metrics.Close() }()
+	machine := intake.Machine{MemoryBytes: cfg.Bounds.MemoryMB << bitsPerMB, Descriptors: cfg.Bounds.MaxDescriptors}
+	p.clients = newClients(machine, logger, telemetry.Counts{Scope: p.metrics.Scope})
 	p.entry = entry.New(p.entryOptions(), p.entryDeps())
 	return p.run()
 }
@@ -142,7 +143,7 @@
 }
 
 func (p *process) addPeers(ctx context.Context, g *run.Group) error {
-	ln, err := net.Listen("tcp", p.cfg.PeerListen.String())
+	ln, err := p.clients.ledger.ListenRPC("peers", p.cfg.PeerListen, p.clients.limits.Peers)
 	if err != nil {
 		return err
 	}
@@ -158,31 +159,11 @@
 	api := httpapi.New(p.entry, httpapi.Options{
 		MaxBodyBytes: p.cfg.Bounds.MaxBodyBytes, MaxRequests: p.cfg.Bounds.MaxRequests,
 	}, p.logger, p.metrics.Scope)
-	ln, err := net.Listen("tcp", p.cfg.Listen.String())
-	if err != nil {
-		return nil, err
-	}
-	server := &http.Server{
-		Handler:           api.Handler(p.metrics.Handler),
-		ReadHeaderTimeout: readHeaderTimeout,
-		ReadTimeout:       p.cfg.Bounds.ReadTimeout.Duration,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
-	serving := make(chan struct{})
-	g.Add(func() error {
-		// Serve returns as soon as a shutdown begins. The caller of Shutdown waits
-		// for its end.
-		if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		<-serving
-		return nil
-	}, func(error) {
-		close(serving)
-		_ = server.Close()
+	return p.clients.addServer(g, &listenerOptions{
+		name: "callers", addr: p.cfg.Listen, limit: p.clients.limits.Callers,
+		maxBodyBytes: p.cfg.Bounds.MaxBodyBytes, bodyTimeout: p.cfg.Bounds.ReadTimeout.Duration,
+		handler: api.Handler(p.metrics.Handler),
 	})
-	return server, nil
 }
 
 // awaitSignals stops gracefully after the first signal and immediately after the
--- a/pollendockd/platform.go
+++ b/pollendockd/platform.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -21,6 +20,7 @@
 	"pollendock.example/cell/site"
 	"pollendock.example/platform"
 	"pollendock.example/pollendockd/internal/cluster"
+	"pollendock.example/pollendockd/internal/intake"
 	"pollendock.example/pollendockd/internal/peer"
 	"pollendock.example/pollendockd/internal/replica"
 	"pollendock.example/pollendockd/internal/request"
@@ -39,6 +39,7 @@
 		member         job.Member
 		logger         log.Logger
 		metrics        *telemetry.Metrics
+		clients        *clients
 		// replica is the local copy of the durable records.
 		replica   *job.View
 		follower  *replica.Follower
@@ -101,6 +102,7 @@
 			PeerAddr: local.Peer, DataCentre: local.DataCentre, CPUCores: local.CPUCores,
 		},
 	}
+	s.clients = newClients(intake.Machine{MemoryBytes: local.MemoryBytes, Descriptors: local.Descriptors}, s.logger, telemetry.Counts{Scope: s.metrics.Scope})
 	s.build()
 	_ = level.Info(s.logger).Log("msg", "start", "incarnation", s.member.Incarnation, "dataCentre", local.DataCentre,
 		"listen", local.Listen, "peer", local.Peer, "leaseMs", local.Bounds.MaxLease.Milliseconds(), "graceMs", local.Bounds.Grace.Milliseconds())
@@ -174,7 +176,7 @@
 	} {
 		g.Add(func() error { return component(ctx) }, func(error) { cancel() })
 	}
-	peerListener, err := net.Listen("tcp", s.local.Peer.String())
+	peerListener, err := s.clients.ledger.ListenRPC("peers", s.local.Peer, s.clients.limits.Peers)
 	if err != nil {
 		return err
 	}
@@ -183,18 +185,18 @@
 		return err
 	}
 	g.Add(peers.Serve, func(error) { peers.Close() })
-	for _, l := range []struct {
-		addr    netip.AddrPort
-		handler http.Handler
-	}{
-		{s.local.Ready, platform.ReadyHandler(s.request)},
-		{netip.AddrPortFrom(s.local.Peer.Addr(), metricsPort), s.metricsHandler()},
+	for _, l := range []listenerOptions{
+		{name: "ready", addr: s.local.Ready, limit: s.clients.limits.Probes, handler: platform.ReadyHandler(s.request)},
+		{name: "metrics", addr: netip.AddrPortFrom(s.local.Peer.Addr(), metricsPort), limit: s.clients.limits.Probes, handler: s.metricsHandler()},
 	} {
-		if _, err := s.addServer(&g, l.addr, l.handler); err != nil {
+		if _, err := s.clients.addServer(&g, &l); err != nil {
 			return err
 		}
 	}
-	server, err := s.addServer(&g, s.local.Listen, s.closeWhenStopping(platform.Handler(s.request)))
+	server, err := s.clients.addServer(&g, &listenerOptions{
+		name: "callers", addr: s.local.Listen, limit: s.clients.limits.Callers, maxBodyBytes: platform.MaxBodyBytes,
+		handler: s.closeWhenStopping(platform.Handler(s.request)),
+	})
 	if err != nil {
 		return err
 	}
@@ -224,29 +226,6 @@
 	})
 }
 
-func (s *platformProcess) addServer(g *run.Group, addr netip.AddrPort, h http.Handler) (*http.Server, error) {
-	ln, err := net.Listen("tcp", addr.String())
-	if err != nil {
-		return nil, err
-	}
-	server := &http.Server{
-		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}
-	ended := make(chan struct{})
-	g.Add(func() error {
-		if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		// The caller of Shutdown waits for its end.
-		<-ended
-		return nil
-	}, func(error) {
-		close(ended)
-		_ = server.Close()
-	})
-	return server, nil
-}
-
 // watchLeader makes this VM campaign as soon as the leader's process has ended.
 func (s *platformProcess) watchLeader(ctx context.Context) error {
 	return s.peers.WatchLeader(ctx, s.scheduler.LeaderEnded)
