--- a/pollendockd/internal/telemetry/telemetry.go
+++ b/pollendockd/internal/telemetry/telemetry.go
@@ -49,7 +49,7 @@
 		Prefix: "pollendock", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
 		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
 	}, reportEvery)
-	return &Metrics{Scope: scope, Handler: reporter.HTTPHandler(), closer: closer}
+	return &Metrics{Scope: scope, Handler: &page{next: reporter.HTTPHandler()}, closer: closer}
 }
 
 // Close flushes the metrics.
