--- a/crowd/behaviours_test.go
+++ b/crowd/behaviours_test.go
@@ -16,6 +16,12 @@
 	// send, or the connection has been closed.
 	behaviour func(c net.Conn, e *endpoint)
 
+	// visit is a client that opens its next connection as soon as the last one has been closed.
+	visit struct {
+		behave behaviour
+		again  bool
+	}
+
 	// endpoint is where requests of an interface go.
 	endpoint struct {
 		host string
@@ -192,24 +198,39 @@
 	_, _ = c.Write(message)
 }
 
+// once returns a client with one connection, returning one that comes again.
+func once(b behaviour) visit      { return visit{behave: b} }
+func returning(b behaviour) visit { return visit{behave: b, again: true} }
+
 // gather opens n connections to addr, on each of which a client behaves so.
-func gather(addr string, e *endpoint, n int, b behaviour) *throng {
+func gather(addr string, e *endpoint, n int, v visit) *throng {
 	g := &throng{ended: make(chan struct{})}
 	turns := make(chan struct{}, dialers)
 	for range n {
 		g.wg.Go(func() {
-			turns <- struct{}{}
-			c, err := net.DialTimeout("tcp", addr, dialTimeout)
-			<-turns
-			if err != nil || !g.add(c) {
-				return
+			for g.visit(addr, e, v, turns) {
 			}
-			b(c, e)
 		})
 	}
 	return g
 }
 
+// visit opens a connection. It reports whether the client comes again.
+func (g *throng) visit(addr string, e *endpoint, v visit, turns chan struct{}) bool {
+	turns <- struct{}{}
+	c, err := net.DialTimeout("tcp", addr, dialTimeout)
+	<-turns
+	if err != nil || !g.add(c) {
+		return false
+	}
+	v.behave(c, e)
+	if v.again {
+		_, _ = io.Copy(io.Discard, c)
+		_ = c.Close()
+	}
+	return v.again
+}
+
 // add reports whether the crowd still gathers.
 func (g *throng) add(c net.Conn) bool {
 	g.mu.Lock()
--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -16,7 +16,7 @@
 		port    uint16
 		limits  limits
 		clients int
-		behave  behaviour
+		visit   visit
 	}
 )
 
@@ -39,25 +39,30 @@
 	callers = &endpoint{host: queueHost, submit: queuePath + "00000000000000aa", query: queuePath, key: "Api-Key: " + teamKey}
 
 	crowds = []crowd{
-		{"many header lines", callersPort, littleMemory, 400, manyHeaders},
-		{"bodies", callersPort, littleMemory, 400, largeBody},
-		{"bodies in pieces", callersPort, littleMemory, 400, piecewiseBody},
-		{"chunks of one byte", callersPort, littleMemory, 400, smallChunks},
-		{"one large chunk", callersPort, littleMemory, 400, oneChunk},
-		{"bodies of small steps", callersPort, littleMemory, 30, smallStepsBody},
-		{"answers unread", callersPort, littleMemory, 400, unreadAnswers},
-		{"pipelined bodies", callersPort, littleMemory, 200, pipelinedBodies},
-		{"slow headers", callersPort, fewDescriptors, 400, slowHeaders},
-		{"silent", callersPort, fewDescriptors, 400, silent},
-		{"idle", callersPort, fewDescriptors, 400, idle},
-		{"ready, many header lines", readyPort, littleMemory, 400, manyHeaders},
-		{"ready, silent", readyPort, fewDescriptors, 400, silent},
-		{"metrics, many header lines", metricsPort, littleMemory, 400, manyHeaders},
-		{"metrics unread", metricsPort, littleMemory, 400, metricsUnread},
-		{"compressed metrics unread", metricsPort, littleMemory, 400, compressedUnread},
-		{"metrics, silent", metricsPort, fewDescriptors, 400, silent},
-		{"peers, large messages", peerPort, littleMemory, 400, largeMessage},
-		{"peers, silent", peerPort, fewDescriptors, 400, silent},
+		{"many header lines", callersPort, littleMemory, 400, once(manyHeaders)},
+		{"bodies", callersPort, littleMemory, 400, once(largeBody)},
+		{"bodies in pieces", callersPort, littleMemory, 400, once(piecewiseBody)},
+		{"chunks of one byte", callersPort, littleMemory, 400, once(smallChunks)},
+		{"one large chunk", callersPort, littleMemory, 400, once(oneChunk)},
+		{"bodies of small steps", callersPort, littleMemory, 30, once(smallStepsBody)},
+		{"answers unread", callersPort, littleMemory, 400, once(unreadAnswers)},
+		{"header lines again and again", callersPort, littleMemory, 200, returning(manyHeaders)},
+		{"bodies again and again", callersPort, littleMemory, 200, returning(largeBody)},
+		{"pipelined bodies", callersPort, littleMemory, 200, once(pipelinedBodies)},
+		{"ready, many header lines", readyPort, littleMemory, 400, once(manyHeaders)},
+		{"metrics, many header lines", metricsPort, littleMemory, 400, once(manyHeaders)},
+		{"metrics unread", metricsPort, littleMemory, 400, once(metricsUnread)},
+		{"compressed metrics unread", metricsPort, littleMemory, 400, once(compressedUnread)},
+		{"peers, large messages", peerPort, littleMemory, 400, once(largeMessage)},
+		{"silent again and again", callersPort, fewDescriptors, 400, returning(silent)},
+		{"slow headers", callersPort, fewDescriptors, 400, once(slowHeaders)},
+		{"silent", callersPort, fewDescriptors, 400, once(silent)},
+		{"idle", callersPort, fewDescriptors, 400, once(idle)},
+		{"ready, silent", readyPort, fewDescriptors, 400, once(silent)},
+		{"metrics, silent", metricsPort, fewDescriptors, 400, once(silent)},
+		{"peers, silent", peerPort, fewDescriptors, 400, once(silent)},
+		{"header lines at a site", callersPort, siteLimits, 800, once(manyHeaders)},
+		{"bodies at a site", callersPort, siteLimits, 800, once(largeBody)},
 	}
 )
 
@@ -81,7 +86,7 @@
 
 // face checks the cell during a crowd and after it.
 func (c *cell) face(t *testing.T, w *crowd) {
-	g := gather(c.address(0, w.port), callers, w.clients, w.behave)
+	g := gather(c.address(0, w.port), callers, w.clients, w.visit)
 	time.Sleep(stay)
 	if err := c.ordinary(); err != nil {
 		t.Errorf("during the crowd: %v", err)
--- a/crowd/own_interface_test.go
+++ b/crowd/own_interface_test.go
@@ -43,18 +43,18 @@
 	ownCallers = &endpoint{host: "cell", submit: "/v1/work", query: "/v1/cell", key: "Authorization: Bearer " + teamKey}
 
 	ownCrowds = []crowd{
-		{"many header lines", ownPort, littleMemory, 400, manyHeaders},
-		{"bodies", ownPort, littleMemory, 400, largeBody},
-		{"bodies in pieces", ownPort, littleMemory, 400, piecewiseBody},
-		{"chunks of one byte", ownPort, littleMemory, 400, smallChunks},
-		{"one large chunk", ownPort, littleMemory, 400, oneChunk},
-		{"metrics unread", ownPort, littleMemory, 400, metricsUnread},
-		{"compressed metrics unread", ownPort, littleMemory, 400, compressedUnread},
-		{"slow headers", ownPort, fewDescriptors, 400, slowHeaders},
-		{"silent", ownPort, fewDescriptors, 400, silent},
-		{"idle", ownPort, fewDescriptors, 400, idle},
-		{"peers, large messages", ownPeerPort, littleMemory, 400, largeMessage},
-		{"peers, silent", ownPeerPort, fewDescriptors, 400, silent},
+		{"many header lines", ownPort, littleMemory, 400, once(manyHeaders)},
+		{"bodies", ownPort, littleMemory, 400, once(largeBody)},
+		{"bodies in pieces", ownPort, littleMemory, 400, once(piecewiseBody)},
+		{"chunks of one byte", ownPort, littleMemory, 400, once(smallChunks)},
+		{"one large chunk", ownPort, littleMemory, 400, once(oneChunk)},
+		{"metrics unread", ownPort, littleMemory, 400, once(metricsUnread)},
+		{"compressed metrics unread", ownPort, littleMemory, 400, once(compressedUnread)},
+		{"slow headers", ownPort, fewDescriptors, 400, once(slowHeaders)},
+		{"silent", ownPort, fewDescriptors, 400, once(silent)},
+		{"idle", ownPort, fewDescriptors, 400, once(idle)},
+		{"peers, large messages", ownPeerPort, littleMemory, 400, once(largeMessage)},
+		{"peers, silent", ownPeerPort, fewDescriptors, 400, once(silent)},
 	}
 )
 
@@ -76,7 +76,7 @@
 
 // face checks the cell during a crowd and after it.
 func (c *ownCell) face(t *testing.T, w *crowd) {
-	g := gather(c.address(0, w.port), ownCallers, w.clients, w.behave)
+	g := gather(c.address(0, w.port), ownCallers, w.clients, w.visit)
 	time.Sleep(stay)
 	if err := c.ordinary(); err != nil {
 		t.Errorf("during the crowd: %v", err)
