intake: callers that hold memory do not close connections of peers

A quiet peer's connection was old and weighed more than a crowd's bodies, so that a crowd at the callers' address cut the leader off from its peers until they connected again. Only what a connection holds beside itself counts when memory is short, and peers that have been answered go last. Both rows of TestWhichConnectionIsShed fail without it.

--- a/pollendockd/internal/intake/ledger.go
+++ b/pollendockd/internal/intake/ledger.go
@@ -46,6 +46,8 @@
 		since time.Time
 		// handling is set from the end of a request to its answer.
 		handling bool
+		// proven is set once a call of a peer has been answered.
+		proven bool
 		// closed is set once the account has been removed.
 		closed bool
 		close  func()
@@ -111,6 +113,14 @@
 	a.charge, a.handling, a.since = a.base, false, time.Now()
 }
 
+// endCall does the same after the answer to a call of a peer.
+func (l *Ledger) endCall(a *account) {
+	l.begin(a)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a.proven = true
+}
+
 // setHandling marks the time in which a connection is not shed.
 func (l *Ledger) setHandling(a *account, handling bool) {
 	l.mu.Lock()
@@ -131,17 +141,29 @@
 	var shed []*account
 	now := time.Now()
 	for latest.group.open > latest.group.limit {
-		shed = append(shed, l.shed(latest.group, latest, now, tooManyConnections))
+		shed = append(shed, l.shed(latest, now, tooManyConnections))
 	}
 	for l.held > l.limits.ClientBytes && !latest.closed {
-		shed = append(shed, l.shed(nil, latest, now, tooMuchMemory))
+		shed = append(shed, l.shed(latest, now, tooMuchMemory))
 	}
 	return shed
 }
 
-// shed removes the heaviest connection of a group, or of all; the latest if there is none.
-func (l *Ledger) shed(of *group, latest *account, now time.Time, why cause) *account {
-	victim := l.heaviest(of, now)
+// shed removes the connection that is to go for a cause; the latest if there is none.
+func (l *Ledger) shed(latest *account, now time.Time, why cause) *account {
+	var victim *account
+	if why == tooMuchMemory {
+		victim = l.heaviest(func(a *account) int64 { return a.charge - a.base }, now)
+	}
+	// Connections that hold nothing beside themselves do not make room at other listeners.
+	if victim == nil {
+		victim = l.heaviest(func(a *account) int64 {
+			if a.group != latest.group {
+				return 0
+			}
+			return a.charge
+		}, now)
+	}
 	if victim == nil {
 		victim = latest
 	}
@@ -151,15 +173,17 @@
 }
 
 // heaviest returns the connection with the largest product of what it holds and for how long, nil
-// if all are being handled.
-func (l *Ledger) heaviest(of *group, now time.Time) *account {
+// if none holds anything but those whose requests are being handled. Known peers go last.
+func (l *Ledger) heaviest(holds func(a *account) int64, now time.Time) *account {
 	var heaviest *account
 	most := -1.
 	for a := range l.accounts {
-		if a.handling || (of != nil && a.group != of) {
+		n := holds(a)
+		if a.handling || n == 0 {
 			continue
 		}
-		if weight := float64(a.charge) * now.Sub(a.since).Seconds(); weight > most {
+		weight := float64(n) * now.Sub(a.since).Seconds()
+		if heaviest == nil || (heaviest.proven && !a.proven) || (heaviest.proven == a.proven && weight > most) {
 			heaviest, most = a, weight
 		}
 	}
--- a/pollendockd/internal/intake/ledger_test.go
+++ b/pollendockd/internal/intake/ledger_test.go
@@ -110,6 +110,20 @@
 			time.Sleep(time.Millisecond)
 			l.add(l.connect("c", l.peers), testBytes/2)
 		}, []string{"b"}},
+		{"a quiet peer stays while callers hold memory", func(l *ledgerTest) {
+			l.connect("peer", l.peers)
+			time.Sleep(time.Hour)
+			l.add(l.connect("a", l.callers), testBytes/2)
+			time.Sleep(time.Millisecond)
+			l.add(l.connect("b", l.callers), testBytes/2)
+		}, []string{"a"}},
+		{"a known peer stays while others come to its listener", func(l *ledgerTest) {
+			l.endCall(l.connect("peer", l.peers))
+			time.Sleep(time.Hour)
+			for _, name := range []string{"a", "b", "c", "new"} {
+				l.connect(name, l.peers)
+			}
+		}, []string{"a"}},
 		{"a body that alone holds too much goes itself", func(l *ledgerTest) {
 			for _, name := range []string{"a", "b"} {
 				l.setHandling(l.connect(name, l.callers), true)
--- a/pollendockd/internal/intake/listener.go
+++ b/pollendockd/internal/intake/listener.go
@@ -148,7 +148,7 @@
 func (c *conn) Write(p []byte) (int, error) {
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if !c.http {
-		c.ledger.begin(c.account)
+		c.ledger.endCall(c.account)
 	} else {
 		// The answer is decided. A client that doesn't read it may be shed.
 		c.ledger.setHandling(c.account, false)
