intake: new connections wait for those that have been shed to end

A crowd that came again at once held all that it had sent: the goroutines of shed connections were still parsing, and nothing counted them. 'header lines again and again' reached 80 MB of 80, seen once the test reads the kernel's peak (VmHWM) in place of samples, which it now does.

--- a/crowd/process_test.go
+++ b/crowd/process_test.go
@@ -32,6 +32,7 @@
 		log    string
 		exited chan struct{}
 
+		// mu guards what follows.
 		mu sync.Mutex
 		// peakMB is the most memory, with what the kernel holds for the process, and peakFiles
 		// the most descriptors.
@@ -43,6 +44,7 @@
 	// descriptorsForFiles are the descriptors of a machine that sockets can't have.
 	descriptorsForFiles = 200
 	sampleInterval      = 50 * time.Millisecond
+	filesInterval       = 5 * time.Millisecond
 	exitTimeout         = 10 * time.Second
 	kilobyte            = 1 << 10
 	megabyte            = 1 << 20
@@ -70,7 +72,11 @@
 		_ = out.Close()
 		close(p.exited)
 	}()
-	go p.watch()
+	go p.watch(sampleInterval, &p.peakMB, func() int {
+		resident, peak := p.memoryMB()
+		return max(peak, resident+p.unreadMB())
+	})
+	go p.watch(filesInterval, &p.peakFiles, p.files)
 	return p
 }
 
@@ -93,31 +99,35 @@
 	}
 }
 
-// watch records the peaks until the process has ended.
-func (p *process) watch() {
+// watch takes samples until the process has ended, and records their peak.
+func (p *process) watch(interval time.Duration, peak *int, sample func() int) {
 	for p.alive() {
-		resident, files := p.residentMB(), p.files()
+		n := sample()
 		p.mu.Lock()
-		p.peakMB = max(p.peakMB, resident+p.unreadMB())
-		p.peakFiles = max(p.peakFiles, files)
+		*peak = max(*peak, n)
 		p.mu.Unlock()
-		time.Sleep(sampleInterval)
+		time.Sleep(interval)
 	}
 }
 
-// residentMB returns the resident memory.
-func (p *process) residentMB() int {
+// memoryMB returns the resident memory, now and at its peak.
+func (p *process) memoryMB() (resident, peak int) {
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
 	if err != nil {
-		return 0
+		return 0, 0
 	}
 	for line := range strings.Lines(string(status)) {
-		if fields := strings.Fields(line); fields[0] == "VmRSS:" {
+		fields := strings.Fields(line)
+		switch fields[0] {
+		case "VmRSS:":
+			kb, _ := strconv.Atoi(fields[1])
+			resident = kb / kilobyte
+		case "VmHWM:":
 			kb, _ := strconv.Atoi(fields[1])
-			return kb / kilobyte
+			peak = kb / kilobyte
 		}
 	}
-	return 0
+	return resident, peak
 }
 
 func (p *process) files() int {
@@ -155,6 +165,8 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	_, peak := p.memoryMB()
+	p.peakMB = max(p.peakMB, peak)
 	t.Logf("%s: at most %d MB of %d, %d descriptors of %d", p.name, p.peakMB, p.limits.memoryMB, p.peakFiles, p.limits.descriptors-descriptorsForFiles)
 	if p.peakMB >= p.limits.memoryMB {
 		t.Errorf("%s: memory of %d MB, limit %d", p.name, p.peakMB, p.limits.memoryMB)
--- a/pollendockd/internal/intake/ledger.go
+++ b/pollendockd/internal/intake/ledger.go
@@ -23,8 +23,9 @@
 
 		mu       sync.Mutex
 		accounts map[*account]struct{}
-		// held is the sum of the charges.
-		held int64
+		// held is the sum of the charges, and leaving that of connections that have been shed and
+		// whose goroutines have not ended.
+		held, leaving int64
 		// lastLog is when a shed connection was last logged, and unlogged the number since then.
 		lastLog  time.Time
 		unlogged int
@@ -48,9 +49,10 @@
 		handling bool
 		// proven is set once a call of a peer has been answered.
 		proven bool
-		// closed is set once the account has been removed.
-		closed bool
-		close  func()
+		// closed is set once the account has been removed, and leaving if its connection has been
+		// shed and its goroutine has not ended.
+		closed, leaving bool
+		close           func()
 	}
 
 	// cause is why a connection is shed.
@@ -63,6 +65,10 @@
 
 	// logInterval is the least time between two lines on shed connections.
 	logInterval = time.Second
+
+	// A goroutine whose connection is closed ends after the line that it works on.
+	leaverPause     = time.Millisecond
+	maxLeaverPauses = 100
 )
 
 // NewLedger returns a ledger without connections.
@@ -133,6 +139,24 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.drop(a)
+	if a.leaving {
+		a.leaving = false
+		l.leaving -= a.charge
+	}
+}
+
+// awaitLeavers waits while the connections that have been shed still hold much: a crowd that comes
+// again at once would else hold all that it has ever sent.
+func (l *Ledger) awaitLeavers() {
+	for range maxLeaverPauses {
+		l.mu.Lock()
+		leaving := l.leaving
+		l.mu.Unlock()
+		if leaving <= l.limits.ClientBytes/2 {
+			return
+		}
+		time.Sleep(leaverPause)
+	}
 }
 
 // balance removes connections until the limits hold, and returns them. Since ordinary callers
@@ -169,6 +193,8 @@
 	}
 	l.report(victim, now, why)
 	l.drop(victim)
+	victim.leaving = true
+	l.leaving += victim.charge
 	return victim
 }
 
--- a/pollendockd/internal/intake/ledger_test.go
+++ b/pollendockd/internal/intake/ledger_test.go
@@ -145,18 +145,19 @@
 func TestClosedConnectionsHoldNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := newLedgerTest()
+		var closed []*account
 		for range 3 * testConnections {
 			a := l.connect("a", l.callers)
 			l.add(a, testBytes/3)
-			defer l.remove(a)
+			closed = append(closed, a)
 		}
-		for a := range l.accounts {
+		for _, a := range closed {
 			l.remove(a)
 			l.remove(a)
 			l.add(a, testBytes)
 			l.begin(a)
 		}
-		if l.held != 0 || l.callers.open != 0 || len(l.accounts) != 0 {
+		if l.held != 0 || l.leaving != 0 || l.callers.open != 0 || len(l.accounts) != 0 {
 			t.Errorf("%d bytes, %d open, %d accounts", l.held, l.callers.open, len(l.accounts))
 		}
 	})
@@ -169,11 +170,32 @@
 		machine Machine
 		want    Limits
 	}{
-		{Machine{MemoryBytes: 284 * megabyte, Descriptors: 4100}, Limits{ClientBytes: 71 * megabyte, HeapBytes: 208_456_908, Callers: 1462, Peers: 487, Probes: 121}},
-		{Machine{MemoryBytes: 48 * megabyte, Descriptors: 300}, Limits{ClientBytes: 12 * megabyte, HeapBytes: 35_232_153, Callers: 37, Peers: 12, Probes: 3}},
+		{Machine{MemoryBytes: 284 * megabyte, Descriptors: 4100}, Limits{ClientBytes: 71 * megabyte, HeapBytes: 201 * megabyte, Callers: 1462, Peers: 487, Probes: 121}},
+		{Machine{MemoryBytes: 48 * megabyte, Descriptors: 300}, Limits{ClientBytes: 12 * megabyte, HeapBytes: 24 * megabyte, Callers: 37, Peers: 12, Probes: 3}},
 	} {
 		if got := test.machine.Limits(); got != test.want {
 			t.Errorf("%+v: %+v, want %+v", test.machine, got, test.want)
 		}
 	}
 }
+
+// TestNewConnectionsWaitForThoseThatLeave: a crowd that came again held all that it had ever sent,
+// as the goroutines of connections that had been shed were still at work.
+func TestNewConnectionsWaitForThoseThatLeave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLedgerTest()
+		shed := l.connect("a", l.callers)
+		l.add(shed, testBytes)
+		const work = 20 * time.Millisecond
+		time.AfterFunc(work, func() { l.remove(shed) })
+		began := time.Now()
+		l.awaitLeavers()
+		if waited := time.Since(began); waited < work || waited > work+leaverPause {
+			t.Errorf("waited %v, want %v", waited, work)
+		}
+		l.awaitLeavers()
+		if waited := time.Since(began); waited > work+leaverPause {
+			t.Errorf("waited %v with nothing left", waited)
+		}
+	})
+}
--- a/pollendockd/internal/intake/limits.go
+++ b/pollendockd/internal/intake/limits.go
@@ -33,7 +33,9 @@
 	probesShare  = 1. / 32
 
 	clientsShare = 1. / 4
-	heapShare    = 0.7
+	heapShare    = 3. / 4
+	// programBytes is the memory of the program itself, which the collector does not count.
+	programBytes = 16 << 20
 )
 
 // Limits returns the limits on a machine.
@@ -41,7 +43,7 @@
 	sockets := m.Descriptors - descriptorsForFiles
 	return Limits{
 		ClientBytes: part(m.MemoryBytes, clientsShare),
-		HeapBytes:   part(m.MemoryBytes, heapShare),
+		HeapBytes:   part(m.MemoryBytes-programBytes, heapShare),
 		Callers:     int(part(int64(sockets), callersShare)),
 		Peers:       int(part(int64(sockets), peersShare)),
 		Probes:      int(part(int64(sockets), probesShare)),
--- a/pollendockd/internal/intake/listener.go
+++ b/pollendockd/internal/intake/listener.go
@@ -88,6 +88,7 @@
 // holds more.
 func (ln *Listener) Accept() (net.Conn, error) {
 	for {
+		ln.ledger.awaitLeavers()
 		raw, err := ln.Listener.Accept()
 		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
 			time.Sleep(descriptorPause)
@@ -102,6 +103,7 @@
 		if ln.ledger.open(c.account) {
 			return c, nil
 		}
+		_ = c.Close()
 	}
 }
 
