--- a/crowd/behaviours_test.go
+++ b/crowd/behaviours_test.go
@@ -136,6 +136,15 @@
 	_, _ = c.Write(chunks.Bytes())
 }
 
+// longListBody sends a whole body whose second step follows the first one as often as it can hold.
+func longListBody(c net.Conn, e *endpoint) {
+	const step = `{"count":1,"cpu":1,"mem-mb":1,"estimated-ms":50`
+	head, tail := `{"steps":[`+step+`},`+step+`,"after":[0`, `]}]}`
+	body := head + strings.Repeat(",0", (bodyBytes-len(head)-len(tail))/2) + tail
+	id := fmt.Sprintf("%016x", 3<<32+c.LocalAddr().(*net.TCPAddr).Port)
+	_, _ = fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s", e.head("POST", queuePath+id), len(body), body)
+}
+
 // smallStepsBody sends whole bodies of as many steps as they can hold.
 func smallStepsBody(c net.Conn, e *endpoint) {
 	body := smallSteps(bodyBytes)
--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -45,6 +45,7 @@
 		{"chunks of one byte", callersPort, littleMemory, 400, once(smallChunks)},
 		{"one large chunk", callersPort, littleMemory, 400, once(oneChunk)},
 		{"bodies of small steps", callersPort, littleMemory, 30, once(smallStepsBody)},
+		{"bodies of long lists", callersPort, littleMemory, 100, once(longListBody)},
 		{"answers unread", callersPort, littleMemory, 400, once(unreadAnswers)},
 		{"header lines again and again", callersPort, littleMemory, 200, returning(manyHeaders)},
 		{"bodies again and again", callersPort, littleMemory, 200, returning(largeBody)},
