intake: a slow reader gets its whole answer, a shed request is not handled

The write of a large answer to a peer, such as a catalog over a slow link, had 10 s as a whole; now 10 s for each 16 KB, and peers receive 64 KB at a time. A connection that was shed just as its body ended was handled all the same, and its caller not told. Both tests fail without.

--- a/pollendockd/internal/intake/body.go
+++ b/pollendockd/internal/intake/body.go
@@ -47,7 +47,9 @@
 			}
 			r.Body, r.ContentLength = b, b.length()
 		}
-		c.ledger.setHandling(c.account, true)
+		if !c.ledger.setHandling(c.account, true) {
+			panic(http.ErrAbortHandler)
+		}
 		next.ServeHTTP(w, r)
 	})
 }
--- a/pollendockd/internal/intake/body_test.go
+++ b/pollendockd/internal/intake/body_test.go
@@ -1,10 +1,12 @@
 package intake
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -96,6 +98,51 @@
 	}
 }
 
+// TestSlowReaderGetsWholeAnswer: a reader that goes on is served however long that takes.
+func TestSlowReaderGetsWholeAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client, raw := net.Pipe()
+		ledger := NewLedger(Limits{ClientBytes: 1 << 20}, log.NewNopLogger(), noCounts{})
+		c := &conn{Conn: raw, ledger: ledger, account: &account{group: &group{limit: 1}, close: func() {}}}
+		ledger.open(c.account)
+		written := make(chan error, 1)
+		const parts = 5
+		go func() {
+			_, err := c.Write(make([]byte, parts*writePart))
+			written <- err
+		}()
+		for range parts {
+			time.Sleep(writeTimeout - time.Second)
+			if _, err := io.ReadFull(client, make([]byte, writePart)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := <-written; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// TestShedRequestIsNotHandled: a connection that was shed as its body ended would leave its caller
+// without the answer to a job that was taken.
+func TestShedRequestIsNotHandled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLedgerTest()
+		a := l.connect("a", l.callers)
+		l.add(a, 2*testBytes)
+		c := &conn{ledger: l.Ledger, account: a}
+		handled := false
+		h := wholeBodies(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { handled = true }), Bodies{})
+		r := httptest.NewRequest(http.MethodGet, "/", nil)
+		defer func() {
+			if p := recover(); p != http.ErrAbortHandler || handled {
+				t.Errorf("recovered %v, handled %v", p, handled)
+			}
+		}()
+		h.ServeHTTP(httptest.NewRecorder(), r.WithContext(context.WithValue(r.Context(), connKey{}, c)))
+	})
+}
+
 // TestAnswerNobodyReads: the connection of a client that reads no answer stayed open for ever.
 func TestAnswerNobodyReads(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pollendockd/internal/intake/ledger.go
+++ b/pollendockd/internal/intake/ledger.go
@@ -127,11 +127,12 @@
 	a.proven = true
 }
 
-// setHandling marks the time in which a connection is not shed.
-func (l *Ledger) setHandling(a *account, handling bool) {
+// setHandling marks the time in which a connection is not shed. It reports false if it has been.
+func (l *Ledger) setHandling(a *account, handling bool) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a.handling, a.since = handling, time.Now()
+	return !a.closed
 }
 
 // remove removes a connection that has been closed.
--- a/pollendockd/internal/intake/listener.go
+++ b/pollendockd/internal/intake/listener.go
@@ -19,6 +19,8 @@
 		net.Listener
 		ledger *Ledger
 		group  *group
+		// connectionBytes is the charge of a connection that has sent nothing.
+		connectionBytes int64
 		// http is set if the connections carry HTTP, whose server says where a request ends.
 		// Otherwise a written answer ends what came before it.
 		http bool
@@ -39,18 +41,20 @@
 )
 
 const (
-	// connectionBytes is the memory of a connection: its goroutine, the buffers of the server, and
-	// what the kernel receives for it.
-	connectionBytes = 32 << 10
-	// receiveBuffer is what the kernel holds of bytes that the process has not read.
-	receiveBuffer = 16 << 10
+	// goroutineBytes is the memory of a connection's goroutine and of the server's buffers.
+	goroutineBytes = 16 << 10
+	// The receive buffers are what the kernel holds of bytes that the process has not read. Peers
+	// send megabytes over long distances.
+	httpReceiveBuffer = 16 << 10
+	rpcReceiveBuffer  = 64 << 10
 	// lineBytes is what net/http holds of a header line, beside its bytes.
 	lineBytes = 128
 	// copies is how often a byte that has arrived is held: as received and as parsed.
 	copies = 2
 
-	// writeTimeout bounds how long a client may leave a part of an answer unread.
+	// writeTimeout bounds how long a client may leave writePart bytes of an answer unread.
 	writeTimeout = 10 * time.Second
+	writePart    = 16 << 10
 	// descriptorPause is the wait for descriptors to become free.
 	descriptorPause = 5 * time.Millisecond
 )
@@ -59,29 +63,28 @@
 
 // Listen listens for HTTP requests, of at most limit connections at a time.
 func (l *Ledger) Listen(name string, addr netip.AddrPort, limit int) (*Listener, error) {
-	return l.listen(name, addr, limit, true)
+	ln := &Listener{ledger: l, group: &group{name: name, limit: limit}, http: true}
+	return ln, ln.listen(addr, httpReceiveBuffer)
 }
 
 // ListenRPC listens for calls, each of which is answered by a write.
 func (l *Ledger) ListenRPC(name string, addr netip.AddrPort, limit int) (*Listener, error) {
-	return l.listen(name, addr, limit, false)
+	ln := &Listener{ledger: l, group: &group{name: name, limit: limit}}
+	return ln, ln.listen(addr, rpcReceiveBuffer)
 }
 
-func (l *Ledger) listen(name string, addr netip.AddrPort, limit int, http bool) (*Listener, error) {
-	config := net.ListenConfig{Control: limitReceiveBuffer}
-	ln, err := config.Listen(context.Background(), "tcp", addr.String())
-	if err != nil {
-		return nil, err
-	}
-	return &Listener{Listener: ln, ledger: l, group: &group{name: name, limit: limit}, http: http}, nil
-}
-
-// limitReceiveBuffer sets the buffer of the connections that will be accepted. A system that
-// refuses it has its own.
-func limitReceiveBuffer(_, _ string, raw syscall.RawConn) error {
-	return raw.Control(func(fd uintptr) {
-		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
-	})
+// listen sets the receive buffer of the connections that will be accepted. A system that refuses it
+// has its own.
+func (ln *Listener) listen(addr netip.AddrPort, receiveBuffer int) error {
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+		})
+	}}
+	var err error
+	ln.connectionBytes = goroutineBytes + int64(receiveBuffer)
+	ln.Listener, err = config.Listen(context.Background(), "tcp", addr.String())
+	return err
 }
 
 // Accept implements net.Listener. It never refuses an ordinary caller for the sake of one that
@@ -99,7 +102,7 @@
 		}
 		c := &conn{Conn: raw, ledger: ln.ledger, http: ln.http}
 		c.inHead.Store(true)
-		c.account = &account{group: ln.group, base: connectionBytes, charge: connectionBytes, close: func() { _ = raw.Close() }}
+		c.account = &account{group: ln.group, base: ln.connectionBytes, charge: ln.connectionBytes, close: func() { _ = raw.Close() }}
 		if ln.ledger.open(c.account) {
 			return c, nil
 		}
@@ -146,16 +149,24 @@
 	return n, err
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. A client that goes on reading may be slow.
 func (c *conn) Write(p []byte) (int, error) {
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if !c.http {
 		c.ledger.endCall(c.account)
-	} else {
-		// The answer is decided. A client that doesn't read it may be shed.
-		c.ledger.setHandling(c.account, false)
 	}
-	return c.Conn.Write(p)
+	written := 0
+	for {
+		if c.http {
+			// The answer is decided. A client that doesn't read it may be shed.
+			c.ledger.setHandling(c.account, false)
+		}
+		_ = c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+		n, err := c.Conn.Write(p[written:min(written+writePart, len(p))])
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
 }
 
 // Close implements net.Conn.
