intake: connections that hold only themselves go before a small request

When connections without requests had filled the memory of clients, only what a connection holds beside itself was weighed, so that an ordinary caller's few hundred bytes weighed most and its request was shed. Peers may have a quarter of the sockets: 300 VMs and their new connections.

--- a/pollendockd/internal/intake/ledger.go
+++ b/pollendockd/internal/intake/ledger.go
@@ -36,6 +36,8 @@
 		name  string
 		limit int
 		open  int
+		// rpc is set if the connections carry calls of peers.
+		rpc bool
 	}
 
 	// account is what a connection holds.
@@ -176,19 +178,7 @@
 
 // shed removes the connection that is to go for a cause; the latest if there is none.
 func (l *Ledger) shed(latest *account, now time.Time, why cause) *account {
-	var victim *account
-	if why == tooMuchMemory {
-		victim = l.heaviest(func(a *account) int64 { return a.charge - a.base }, now)
-	}
-	// Connections that hold nothing beside themselves do not make room at other listeners.
-	if victim == nil {
-		victim = l.heaviest(func(a *account) int64 {
-			if a.group != latest.group {
-				return 0
-			}
-			return a.charge
-		}, now)
-	}
+	victim := l.heaviest(latest.group, now, why)
 	if victim == nil {
 		victim = latest
 	}
@@ -201,11 +191,11 @@
 
 // heaviest returns the connection with the largest product of what it holds and for how long, nil
 // if none holds anything but those whose requests are being handled. Known peers go last.
-func (l *Ledger) heaviest(holds func(a *account) int64, now time.Time) *account {
+func (l *Ledger) heaviest(of *group, now time.Time, why cause) *account {
 	var heaviest *account
 	most := -1.
 	for a := range l.accounts {
-		n := holds(a)
+		n := a.yields(of, why)
 		if a.handling || n == 0 {
 			continue
 		}
@@ -217,6 +207,21 @@
 	return heaviest
 }
 
+// yields returns the bytes by which a connection is weighed when a listener needs room. Of other
+// listeners' connections only what they hold beside themselves counts, so that a quiet peer or a
+// check of readiness is not closed for a crowd of callers; unless it is an unknown peer.
+func (a *account) yields(to *group, why cause) int64 {
+	switch {
+	case a.group == to:
+		return a.charge
+	case why == tooManyConnections:
+		return 0
+	case a.group.rpc && !a.proven:
+		return a.charge
+	}
+	return a.charge - a.base
+}
+
 func (l *Ledger) drop(a *account) {
 	if a.closed {
 		return
--- a/pollendockd/internal/intake/limits.go
+++ b/pollendockd/internal/intake/limits.go
@@ -29,7 +29,7 @@
 
 	// The sockets that listeners don't take are left for the store, peers and workers.
 	callersShare = 3. / 8
-	peersShare   = 1. / 8
+	peersShare   = 1. / 4
 	probesShare  = 1. / 32
 
 	clientsShare = 1. / 4
--- a/pollendockd/internal/intake/listener.go
+++ b/pollendockd/internal/intake/listener.go
@@ -69,7 +69,7 @@
 
 // ListenRPC listens for calls, each of which is answered by a write.
 func (l *Ledger) ListenRPC(name string, addr netip.AddrPort, limit int) (*Listener, error) {
-	ln := &Listener{ledger: l, group: &group{name: name, limit: limit}}
+	ln := &Listener{ledger: l, group: &group{name: name, limit: limit, rpc: true}}
 	return ln, ln.listen(addr, rpcReceiveBuffer)
 }
 
