--- a/cell/job/view.go
+++ b/cell/job/view.go
@@ -75,6 +75,9 @@
 		dispatchedAt [][]int64
 		gapsBefore   int
 
+		// taskWaits holds the wait of each task of Crashes. It is replaced like State.
+		taskWaits []taskWait
+
 		countedAsWaiting bool
 	}
 )
@@ -243,6 +246,7 @@
 	j.gapsBefore = v.gaps
 	j.State = s
 	j.StateAt = time.Now()
+	j.updateWaits()
 	v.updateWaiting(j)
 	return nil
 }
@@ -264,7 +268,9 @@
 	if err := decode(e, c); err != nil {
 		return err
 	}
-	v.job(id).Crashes = c
+	j := v.job(id)
+	j.Crashes = c
+	j.updateWaits()
 	return nil
 }
 
--- a/pollendockd/internal/scheduler/suspect_wait_test.go
+++ b/pollendockd/internal/scheduler/suspect_wait_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -104,31 +105,125 @@
 // the other, since a worker crashed under all of them.
 func TestBystandersOfCrashStartAgain(t *testing.T) {
 	inCell(t, 4, func(c *cell) {
-		c.fleet.KeepIDs()
-		c.outcome = func(site.TaskID, int64, string) (time.Duration, site.EndKind) {
-			return 30 * time.Second, site.Done
-		}
 		v := c.start("a")
 		time.Sleep(2 * time.Second)
-		for n := range 15 {
-			c.submit(fmt.Sprintf("job%d", n), tasks(1, 1))
-		}
-		c.submit("job15", gang(12, 1))
-		time.Sleep(3 * time.Second)
-		c.fleet.Worker("w0").Crash()
+		c.crashUnderMany()
 		// The worker is back after 3 s.
 		time.Sleep(3*time.Second + maxSuspectWait + time.Second)
-		running := map[string]bool{}
-		for _, task := range c.fleet.Running() {
-			running[task.Job] = true
-		}
-		for n := range 16 {
-			if id := fmt.Sprintf("job%d", n); !running[id] {
-				t.Errorf("%s has nothing running", id)
-			}
-		}
-		for n := range 16 {
-			expectPhase(c, v, fmt.Sprintf("job%d", n), 40*time.Second, job.Completed)
-		}
+		c.expectManyRun(v)
+	})
+}
+
+// TestBystandersOfCrashStartAgainWhileLeadersChange guards against the same with leaders that let
+// the tasks wait for empty workers anew.
+func TestBystandersOfCrashStartAgainWhileLeadersChange(t *testing.T) {
+	inCell(t, 4, func(c *cell) {
+		v := c.startThree()
+		c.crashUnderMany()
+		go c.handOverEvery(3 * time.Second)
+		// The worker is back after 3 s, which the last VM reads a second later.
+		time.Sleep(3*time.Second + maxSuspectWait + 2*time.Second)
+		c.expectManyRun(v)
 	})
 }
+
+// many is the number of jobs that fill most of four workers.
+const many = 16
+
+// crashUnderMany fills the workers and has one of them crash.
+func (c *cell) crashUnderMany() {
+	c.t.Helper()
+	c.fleet.KeepIDs()
+	c.outcome = func(site.TaskID, int64, string) (time.Duration, site.EndKind) {
+		return 30 * time.Second, site.Done
+	}
+	for n := range many - 1 {
+		c.submit(fmt.Sprintf("job%d", n), tasks(1, 1))
+	}
+	c.submit(fmt.Sprintf("job%d", many-1), gang(12, 1))
+	time.Sleep(3 * time.Second)
+	c.fleet.Worker("w0").Crash()
+}
+
+// expectManyRun checks that all of these jobs run, and that they complete.
+func (c *cell) expectManyRun(v *vm) {
+	c.t.Helper()
+	running := map[string]bool{}
+	for _, task := range c.fleet.Running() {
+		running[task.Job] = true
+	}
+	for n := range many {
+		if id := fmt.Sprintf("job%d", n); !running[id] {
+			c.t.Errorf("%s has nothing running", id)
+		}
+	}
+	for n := range many {
+		expectPhase(c, v, fmt.Sprintf("job%d", n), 40*time.Second, job.Completed)
+	}
+}
+
+// TestSuspectsStartBesideLongTasks guards against suspects that wait for workers to become empty, one
+// after the other, where all run long tasks, though most capacity is free.
+func TestSuspectsStartBesideLongTasks(t *testing.T) {
+	const (
+		long     = 50 * time.Second
+		suspects = 12
+		// turn is how long a suspect keeps the next one from its worker.
+		turn = settledTime + time.Second
+	)
+	for _, c := range []struct {
+		name   string
+		poison bool
+	}{
+		{"sound", false},
+		{"one crashes its workers", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inCell(t, 6, func(cl *cell) {
+				cl.fleet.KeepIDs()
+				cl.outcome = func(t site.TaskID, _ int64, _ string) (time.Duration, site.EndKind) {
+					if c.poison && t.Job == "suspect5" {
+						return atStart, site.Crashed
+					}
+					return long, site.Done
+				}
+				v := cl.start("a")
+				time.Sleep(2 * time.Second)
+				small := tasks(6, 1)
+				small.PerWorker = 1
+				small.Size.MilliCPU = 300
+				for n := range 12 {
+					cl.submit(fmt.Sprintf("long%d", n), small)
+				}
+				time.Sleep(10 * time.Second)
+				small.Count = 1
+				for n := range suspects {
+					cl.submit(fmt.Sprintf("suspect%d", n), small)
+				}
+				expectPhase(cl, v, fmt.Sprintf("suspect%d", suspects-1), time.Second, job.Running)
+				if !c.poison {
+					cl.fleet.Worker(v.replica.Job("suspect5").State.Steps[0][0].Worker).Crash()
+				}
+				// The worker is back after 3 s. Suspects may have a quarter of the workers at least.
+				time.Sleep(3*time.Second + maxSuspectWait + suspects*turn)
+				for n := range suspects {
+					id := fmt.Sprintf("suspect%d", n)
+					if cl.fleet.Starts(site.TaskID{Job: id}) < 2 {
+						t.Errorf("%s has not started again: %+v", id, v.replica.Job(id).Crashes)
+					}
+				}
+				if c.poison {
+					expectPhase(cl, v, "suspect5", time.Second, job.Failed)
+					expectCrashes(cl, "suspect5", 2, 3)
+				}
+				for n := range 12 {
+					id := fmt.Sprintf("long%d", n)
+					expectPhase(cl, v, id, 2*long, job.Completed)
+					if j := v.replica.Job(id); j.Crashes != nil && slices.ContainsFunc(j.Crashes.Tasks, func(t job.TaskCrashes) bool { return t.Verdict != job.Trusted }) {
+						t.Errorf("%s is suspected: %+v", id, j.Crashes.Tasks)
+					}
+				}
+			})
+		})
+	}
+}
