An overdue gang with room where it may run needs no turn to query

What callers saw: a gang that is overdue has nothing running beside idle workers, while its tickets are renewed at intervals of seconds.

Cause: only a gang with a reservation renews its tickets, and overdue gangs reserve in turn, six at a time for 6 s. Outside of its turn a gang was queried only if it had never had an answer (askAhead). Gangs that wait for long runs keep their turns with reservations in the far future. Of the class: what can't use capacity yet keeps it from what can.

Why it works: a gang that fits on workers that it knows, in capacity that no step before it has reserved or claimed, needs nothing but tickets. Its query claims that capacity like any other.

--- a/pollendockd/internal/scheduler/reserve.go
+++ b/pollendockd/internal/scheduler/reserve.go
@@ -140,6 +140,9 @@
 func (l *leadership) reserve(p *pass, ws *waitingStep, req placement.Request, service string, a *site.Advice) waitReason {
 	limit := max(minHeldGangs, len(p.usable[service])/workersPerHeldGang)
 	if p.gangs >= limit || ws.sortKey.Rank == placement.Overdue && !l.takeTurn(p, ws, limit) {
+		if a != nil && l.placeableOnKnown(p, ws, req) >= req.Count {
+			return l.waitForAdvice(p, ws, req, service, a)
+		}
 		l.askAhead(p, ws, req, service, a, limit)
 		return unreserved
 	}
@@ -209,6 +212,21 @@
 	return r != nil && r.step == ws.step && r.hasRoom
 }
 
+// placeableOnKnown returns how many tasks of a gang fit now on workers that it knows it may run
+// on. A gang that fits needs nothing but tickets, whoever else has a reservation.
+func (l *leadership) placeableOnKnown(p *pass, ws *waitingStep, req placement.Request) int {
+	n := 0
+	for id := range ws.tj.adviceOf(ws.step).tickets {
+		wk := l.workers[id]
+		if wk == nil || !wk.usable(p.now) || !p.isolation.admits(wk, ws) {
+			continue
+		}
+		state := l.workerState(ws, wk, p.free(wk, ws))
+		n += placement.FitCount(req, &state)
+	}
+	return n
+}
+
 // askAhead queries for the next gangs in the order, up to a limit, so that they know
 // where they may run when gangs before them start. Without that the capacity that becomes
 // free meanwhile, while the answer takes a second or more, goes to other work.
