Known red: a late hold of a leader in between keeps a late start running

A start request got no answer from a worker and is executed 12 s later, by its next incarnation. A leader in between renewed the worker's leases; one of its holds got no answer and is executed by that incarnation, too, after the start. The next leader counts 13.25 s from the dispatch and the longest lease for such a run, and knows of no holds but its own: the task runs twice.

Runs whose starts were answered are not concerned. Not mended: to count from the last renewal that a leader may have sent (6.5 s after the last append before the term), executed 12.5 s late, and the longest lease, makes 29 s of the 23.6 s, for runs with a start without an answer only.

--- a/pollendockd/internal/scheduler/late_holds_test.go
+++ b/pollendockd/internal/scheduler/late_holds_test.go
@@ -210,3 +210,32 @@
 		})
 	}
 }
+
+// TestLateRenewalOfLeaderBetweenKeepsNoTaskRunningTwice guards against a run that a restarted worker starts late, and whose lease a hold prolongs that a leader in between has sent to the earlier incarnation.
+func TestLateRenewalOfLeaderBetweenKeepsNoTaskRunningTwice(t *testing.T) {
+	const maxLease = 10 * time.Second
+	inCell(t, 1, func(c *cell) {
+		c.bounds.MaxLease = maxLease
+		c.fleet.SetMaxLease(maxLease)
+		c.fleet.KeepIDs()
+		c.outcome = func(site.TaskID, int64, string) (time.Duration, site.EndKind) { return time.Minute, site.Done }
+		v := c.startThree()
+		time.Sleep(20 * time.Second)
+		on := c.fleet.Worker("w0")
+		on.DelayStarts(1, 12*time.Second)
+		c.submit("j1", tasks(1, 4))
+		expectPhase(c, v, "j1", time.Second, job.Running)
+		time.Sleep(2 * time.Second)
+		c.killLeader()
+		time.Sleep(3 * time.Second)
+		on.DelayHolds(1, 12*time.Second)
+		time.Sleep(700 * time.Millisecond)
+		on.Reboot()
+		on.SetSilent(true)
+		c.killLeader()
+		c.fleet.Add("w1", "s", on.Capacity())
+		time.Sleep(40 * time.Second)
+		on.SetSilent(false)
+		time.Sleep(30 * time.Second)
+	})
+}
