scheduler: TestSuspectsStartBesideLongTasks starts its suspects in one pass

It failed once in 20 and once in 160 runs of the case with a poison task: the jobs were submitted one after the other, and a pass in between put the last two on another worker, which did not crash. Submitted in one append all twelve start on one worker: 100 of 100 runs of both cases pass. Checks and bounds are the same.

--- a/pollendockd/internal/scheduler/suspect_wait_test.go
+++ b/pollendockd/internal/scheduler/suspect_wait_test.go
@@ -197,8 +197,13 @@
 				}
 				time.Sleep(10 * time.Second)
 				small.Count = 1
+				var entries []site.Entry
 				for n := range suspects {
-					cl.submit(fmt.Sprintf("suspect%d", n), small)
+					entries = append(entries, cl.entry(time.Now(), fmt.Sprintf("suspect%d", n), small))
+				}
+				// One pass starts all of them on one worker.
+				if _, err := cl.store.Append(cl.ctx, entries); err != nil {
+					t.Fatal(err)
 				}
 				expectPhase(cl, v, fmt.Sprintf("suspect%d", suspects-1), time.Second, job.Running)
 				if !c.poison {
