scheduler: a condemned job waits while the list of workers cannot be read

What callers saw: a job is given up (failed) though a worker of its doubtful crashes can be reached 2.3 s before cutGrace ends: the list cannot be read for 3 s meanwhile, so that no leader knows the worker's address.

Cause: the end of the grace waits for outages of the records only; before, a new leader waited 15 s anew, which hid it there.

--- a/pollendockd/internal/scheduler/leadership.go
+++ b/pollendockd/internal/scheduler/leadership.go
@@ -40,6 +40,8 @@
 		givenUpRuns map[string]job.GivenUpRuns
 		// condemned holds the tasks whose jobs are given up unless a worker answers.
 		condemned map[site.TaskID]condemnedTask
+		// listMissedAt is when the list of workers was last too old to hear of one that is back.
+		listMissedAt time.Time
 		// isolatedRuns holds the runs of suspects, vacated the workers that the last pass
 		// kept free for them.
 		isolatedRuns map[*run]bool
