VMs that load all keys again forget what was removed

Callers saw a job that was done run again (TWICE): a VM was cut off for longer than the store keeps its history, the job ended and was removed meanwhile, and once the VM led it started the job.

Cause: after ErrTrimmed the follower applied the pages of the newest records to the copy that it had. A removed key is on no page, so that everything whose removal was missed stayed: jobs, cancels, members, queues, records of workers. A job whose id was submitted again kept the old submission, state and cancel.

The pages now go into an empty copy (Follower.reload), which reads the stream from the end that the first page gave up to its end and then replaces the present one (View.Replace).

Until then the present copy stays in use, so that no job is unknown meanwhile. If the stream is trimmed again during the load, loading begins anew. Pages that were read before the replacement bring nothing back.

Evidence: TestVMThatMissedTheEndOfAJobStartsItNoMore failed ("run 2 started after the task was done") and passes.

--- a/cell/job/view.go
+++ b/cell/job/view.go
@@ -35,6 +35,8 @@
 		answeredStarts AnsweredStarts
 		// gaps counts how often records were left out.
 		gaps int
+		// replacedBefore is the offset before which the records were loaded anew as a whole.
+		replacedBefore int64
 		// offsets holds the newest applied offset of each key, which makes
 		// applying a page idempotent.
 		offsets map[string]int64
@@ -109,6 +111,10 @@
 	var firstErr error
 	for i := range p.Entries {
 		e := &p.Entries[i]
+		if e.Offset < v.replacedBefore {
+			// What was read before the copy was replaced may have been removed.
+			continue
+		}
 		if last, seen := v.offsets[e.Key]; seen && e.Offset <= last {
 			continue
 		}
--- a/pollendockd/internal/replica/follower.go
+++ b/pollendockd/internal/replica/follower.go
@@ -230,7 +230,10 @@
 	if site.ErrTrimmed.Has(err) {
 		_ = level.Warn(f.logger).Log("msg", "offset was trimmed from the record stream; loading all keys", "next", f.view.Next())
 		f.view.NoteGap()
-		return f.load(ctx)
+		if err := f.reload(ctx); err != nil {
+			return err
+		}
+		return f.read(ctx, 0)
 	}
 	return err
 }
@@ -239,7 +242,7 @@
 // VM that was disconnected has thousands of records to catch up on.
 func (f *Follower) read(ctx context.Context, wait time.Duration) error {
 	for {
-		p, err := f.readPage(ctx, wait)
+		p, err := f.readPage(ctx, f.view.Next(), wait)
 		if err != nil {
 			return err
 		}
@@ -251,11 +254,11 @@
 	}
 }
 
-func (f *Follower) readPage(ctx context.Context, wait time.Duration) (*site.Page, error) {
+func (f *Follower) readPage(ctx context.Context, from int64, wait time.Duration) (*site.Page, error) {
 	ctx, cancel := transfer.WithTimeout(ctx, wait+readTimeout)
 	defer cancel()
 	began := time.Now()
-	p, err := f.stream.Read(ctx, f.view.Next(), wait)
+	p, err := f.stream.Read(ctx, from, wait)
 	if err == nil {
 		p.BeganAt = transfer.BeganAt(ctx)
 		f.recordLatency(time.Since(began), wait, len(p.Entries) == 0)
@@ -292,11 +295,23 @@
 }
 
 func (f *Follower) applyPage(p *site.Page) {
-	now := int64(time.Since(f.start))
-	asOf := now
-	if !p.BeganAt.IsZero() {
-		asOf = int64(p.BeganAt.Sub(f.start))
+	if n := len(p.Entries); n > 0 && contiguousLen(p.Entries) == n && p.Entries[n-1].Offset+1 == p.Next {
+		f.recentRecords.add(p.Entries)
+	}
+	asOf := f.sentAt(p)
+	ids := f.applyTo(f.view, p)
+	if f.loaded.Load() && p.Next >= p.End {
+		f.upToDateAt.Store(max(asOf, f.upToDateAt.Load()))
+	}
+	if len(ids) > 0 {
+		f.onChange(ids)
 	}
+}
+
+// applyTo applies a page to a copy, notes that the stream has answered or records were offered,
+// and returns the ids of the jobs that changed.
+func (f *Follower) applyTo(v *job.View, p *site.Page) []string {
+	now, asOf := int64(time.Since(f.start)), f.sentAt(p)
 	for i := range p.Entries {
 		if job.LeaderOnly(p.Entries[i].Key) {
 			f.lastLeaderRecordAt.Store(now)
@@ -305,27 +320,27 @@
 	if at := f.upToDateAt.Load(); at > 0 {
 		p.CaughtUpAt = f.start.Add(time.Duration(at))
 	}
-	if n := len(p.Entries); n > 0 && contiguousLen(p.Entries) == n && p.Entries[n-1].Offset+1 == p.Next {
-		f.recentRecords.add(p.Entries)
-	}
 	if p.Skipped > 0 {
 		_ = level.Error(f.logger).Log("msg", "records that cannot be read are left out", "records", p.Skipped, "next", p.Next)
 	}
-	ids, err := f.view.Apply(p)
+	ids, err := v.Apply(p)
 	if err != nil {
 		_ = level.Error(f.logger).Log("msg", "failed to decode record", "err", err)
 	}
-	if f.loaded.Load() && p.Next >= p.End {
-		f.upToDateAt.Store(max(asOf, f.upToDateAt.Load()))
-	}
 	f.lastReadAt.Store(max(asOf, f.lastReadAt.Load()))
 	f.firstReadAt.CompareAndSwap(0, now)
 	if time.Duration(now-f.lastAnswerAt.Swap(now)) > f.outageGap() {
 		f.availableSince.Store(now)
 	}
-	if len(ids) > 0 {
-		f.onChange(ids)
+	return ids
+}
+
+// sentAt returns the time since start as of which the records of a page were sent.
+func (f *Follower) sentAt(p *site.Page) int64 {
+	if p.BeganAt.IsZero() {
+		return int64(time.Since(f.start))
 	}
+	return int64(p.BeganAt.Sub(f.start))
 }
 
 // Sync reads to the current end of the stream. If it returns nil, the local copy
--- a/pollendockd/internal/replica/load.go
+++ b/pollendockd/internal/replica/load.go
@@ -21,6 +21,9 @@
 	// wrapped is set once the last key was reached and loading went on with the
 	// first one, done once all keys are loaded.
 	wrapped, done bool
+	// fresh is the copy into which the records are loaded again after a gap, which replaces
+	// the present one; nil while they are loaded for the first time.
+	fresh *job.View
 }
 
 // pageTimeout is how long nothing may arrive of a page of the newest records. A page takes
@@ -51,6 +54,53 @@
 	return nil
 }
 
+// reload replaces the local copy after a gap. A record that was removed in it is on no page, so
+// that the pages go into an empty copy. The present one stays in use until the other holds all
+// records: pages are no snapshot, and what they lack was appended while they were loaded.
+// After a failure, the next call resumes with the page or the read that failed.
+func (f *Follower) reload(ctx context.Context) error {
+	r := &f.loadProgress
+	if r.fresh == nil {
+		*r = newLoadProgress()
+		r.fresh = job.NewView()
+	}
+	for !r.done {
+		p, err := f.loadPage(ctx, r.after)
+		if err != nil {
+			return err
+		}
+		f.applyLoadPage(p)
+	}
+	if err := f.catchUp(ctx, r.fresh); err != nil {
+		if site.ErrTrimmed.Has(err) {
+			*r = newLoadProgress()
+		}
+		return err
+	}
+	ids := f.view.Replace(r.fresh)
+	_ = level.Info(f.logger).Log("msg", "loaded all records", "records", r.records, "pages", r.pages, "next", f.view.Next(), "changedJobs", len(ids))
+	*r = newLoadProgress()
+	f.applyBuffered()
+	if len(ids) > 0 {
+		f.onChange(ids)
+	}
+	return nil
+}
+
+// catchUp reads the stream into a copy, up to its end.
+func (f *Follower) catchUp(ctx context.Context, v *job.View) error {
+	for {
+		p, err := f.readPage(ctx, v.Next(), 0)
+		if err != nil {
+			return err
+		}
+		f.applyTo(v, p)
+		if len(p.Entries) == 0 || v.Next() >= p.End {
+			return nil
+		}
+	}
+}
+
 // applyLoadPage applies a page of the newest records and sets the key from which
 // loading continues.
 func (f *Follower) applyLoadPage(p *site.Page) {
@@ -76,6 +126,10 @@
 	if r.done {
 		p.Next = r.next
 	}
+	if r.fresh != nil {
+		f.applyTo(r.fresh, p)
+		return
+	}
 	f.applyRead(p)
 }
 
--- a/pollendockd/internal/replica/slow_page_test.go
+++ b/pollendockd/internal/replica/slow_page_test.go
@@ -50,7 +50,7 @@
 			time.Sleep(time.Second)
 			add(ctx, t, stream.Store, "b")
 		}()
-		page, err := f.readPage(ctx, 0)
+		page, err := f.readPage(ctx, f.view.Next(), 0)
 		if err != nil {
 			t.Fatal(err)
 		}
