--- a/pollendockd/internal/scheduler/answered_starts_test.go
+++ b/pollendockd/internal/scheduler/answered_starts_test.go
@@ -114,6 +114,33 @@
 	}
 }
 
+// TestStartOfEarlierRunThatDeadLeaderStoppedRunsNoTaskTwice guards against a start request without an answer whose run the dead leader has ended, and which the worker executes after a restart, beside the next run but one of the task.
+func TestStartOfEarlierRunThatDeadLeaderStoppedRunsNoTaskTwice(t *testing.T) {
+	const maxLease = 10 * time.Second
+	inCell(t, 1, func(c *cell) {
+		c.bounds.MaxLease = maxLease
+		c.fleet.SetMaxLease(maxLease)
+		c.fleet.KeepIDs()
+		c.outcome = func(site.TaskID, int64, string) (time.Duration, site.EndKind) { return 30 * time.Second, site.Done }
+		v := c.startThree()
+		time.Sleep(30 * time.Second)
+		on := c.fleet.Worker("w0")
+		on.DelayStarts(maxStartAttempts, lateBy)
+		c.submit("j1", tasks(1, 4))
+		time.Sleep(2500 * time.Millisecond)
+		if task := v.replica.Job("j1").State.Steps[0][0]; task.Run != 2 || task.Status != job.Dispatched {
+			t.Fatalf("the task is %+v, want its second run", task)
+		}
+		c.killLeader()
+		c.fleet.Add("w1", "s", on.Capacity())
+		on.SetSilent(true)
+		on.Reboot()
+		time.Sleep(30 * time.Second)
+		on.SetSilent(false)
+		expectPhase(c, v, "j1", time.Minute, job.Completed)
+	})
+}
+
 // TestAnsweredStartIsKnownToLaterLeaders guards against a run that counts as one that may be executed late for longer than callers wait, though its start was answered.
 func TestAnsweredStartIsKnownToLaterLeaders(t *testing.T) {
 	// finishTime is how long after the end of the traffic callers ask for their jobs.
