--- a/pollendockd/internal/scheduler/answered_starts_test.go
+++ b/pollendockd/internal/scheduler/answered_starts_test.go
@@ -336,3 +336,69 @@
 	time.AfterFunc(restartAt, wk.Reboot)
 	time.AfterFunc(35*time.Second, func() { wk.SetSilent(false) })
 }
+
+// TestLateHoldsOfDeadLeadersRunNoTaskTwice checks with random series of holds and start requests that are executed late by restarted workers, of leaders that
+// start runs there and die, and of workers that are cut off, that no task runs twice. SERIES_SEEDS is the number of seeds, SERIES_FIRST the first one.
+func TestLateHoldsOfDeadLeadersRunNoTaskTwice(t *testing.T) {
+	playSeries(t, (*faultSeries).playLateHolds)
+}
+
+func (s *faultSeries) playLateHolds() {
+	const maxLease = 10 * time.Second
+	s.bounds.MaxLease = maxLease
+	s.fleet.SetMaxLease(maxLease)
+	s.fleet.KeepIDs()
+	s.outcome = func(site.TaskID, int64, string) (time.Duration, site.EndKind) { return 25 * time.Second, site.Done }
+	for i := range seriesWorkers {
+		s.fleet.Add(fmt.Sprintf("w%02d", i), "s", resource.Vector{MilliCPU: seriesCores * 1000, MemoryMB: 10_000})
+	}
+	for ; s.n < 3; s.n++ {
+		s.alive = append(s.alive, s.cell.start(fmt.Sprintf("vm%d", s.n)))
+		time.Sleep(4 * time.Second)
+	}
+	for i := range 4 {
+		s.submit(fmt.Sprintf("k%d", i), tasks(1+s.rnd.IntN(4), 1))
+	}
+	time.Sleep(12 * time.Second)
+	for i := range seriesWorkers {
+		s.worker(i).DelayHolds(s.rnd.IntN(4), s.lateness())
+	}
+	time.Sleep(time.Duration(s.rnd.IntN(2500)) * time.Millisecond)
+	for i := range seriesWorkers {
+		if s.rnd.IntN(2) == 0 {
+			s.worker(i).Reboot()
+		}
+		s.worker(i).DelayStarts(s.rnd.IntN(2), s.lateness())
+	}
+	time.Sleep(time.Duration(s.rnd.IntN(1500)) * time.Millisecond)
+	for i := range 6 {
+		s.submit(fmt.Sprintf("j%d", i), tasks(1+s.rnd.IntN(4), 2))
+	}
+	time.Sleep(time.Duration(200+s.rnd.IntN(2500)) * time.Millisecond)
+	for i := range seriesWorkers {
+		s.worker(i).DelayHolds(0, 0)
+		s.worker(i).DelayStarts(0, 0)
+		if s.rnd.IntN(2) == 0 {
+			s.cutOffWorker(s.worker(i))
+		}
+	}
+	for range 1 + s.rnd.IntN(3) {
+		s.replaceLeader()
+		time.Sleep(time.Duration(s.rnd.IntN(7000)) * time.Millisecond)
+	}
+	time.Sleep(2 * time.Minute)
+}
+
+// lateness is after how long a request is executed that gets no answer.
+func (s *faultSeries) lateness() time.Duration {
+	return 5*time.Second + time.Duration(s.rnd.IntN(7400))*time.Millisecond
+}
+
+// cutOffWorker makes a worker unreachable for 35 s. It may restart meanwhile.
+func (s *faultSeries) cutOffWorker(wk *fleet.Worker) {
+	wk.SetSilent(true)
+	if s.rnd.IntN(3) == 0 {
+		time.AfterFunc(time.Duration(s.rnd.IntN(6000))*time.Millisecond, wk.Reboot)
+	}
+	time.AfterFunc(35*time.Second, func() { wk.SetSilent(false) })
+}
