A later leader waits for start requests without an answer of earlier runs of a task

What callers would have seen: a task that runs twice. A run whose start got no answer was stopped and ended by its leader, so that the record answeredStarts no longer named it; the next run of the task was covered. If leader and worker died then, the task started a third time after 12.3 s, while the restarted worker, which knows nothing of the stop, executed the first run's start.

Cause: a run left the record with its end, though its request may be executed for 12.5 s. Fix: it stays open until then and the longest lease has expired, and a later leader takes every run of a task that the record names as open.

--- a/pollendockd/internal/scheduler/answered_starts.go
+++ b/pollendockd/internal/scheduler/answered_starts.go
@@ -15,9 +15,10 @@
 
 // answeredStarts is what this and earlier leaders know of the answers to start requests.
 type answeredStarts struct {
-	// inherited is the record that the term began with, excepted the runs that it names.
+	// inherited is the record that the term began with, excepted the tasks of the runs that it
+	// names.
 	inherited *job.AnsweredStarts
-	excepted  map[runKey]bool
+	excepted  map[site.TaskID]bool
 	// open holds the runs with a dispatch that is durable whose start requests may yet be
 	// executed late, or may have been, so that a later incarnation may hold a lease for them.
 	open map[runKey]*run
@@ -47,9 +48,9 @@
 // newAnsweredStarts returns what a leader knows at the begin of its term: the record of earlier
 // leaders, and the offset up to which it has all their records.
 func newAnsweredStarts(inherited *job.AnsweredStarts, next int64) answeredStarts {
-	a := answeredStarts{inherited: inherited, excepted: map[runKey]bool{}, open: map[runKey]*run{}, before: next, changed: true}
+	a := answeredStarts{inherited: inherited, excepted: map[site.TaskID]bool{}, open: map[runKey]*run{}, before: next, changed: true}
 	for i := range inherited.Except {
-		a.excepted[keyOf(&inherited.Except[i])] = true
+		a.excepted[taskOf(&inherited.Except[i])] = true
 	}
 	return a
 }
@@ -63,7 +64,7 @@
 	a.changed = true
 }
 
-// remove removes a run that has ended, or of which no start request can be executed late.
+// remove removes a run of which no start request can be executed late.
 func (a *answeredStarts) remove(r *run) {
 	if a.open[r.key()] != r {
 		return
@@ -79,10 +80,11 @@
 	a.changed = true
 }
 
-// inheritStart notes a run that an earlier leader has dispatched.
+// inheritStart notes a run that an earlier leader has dispatched. It counts as open, too, if an
+// earlier run of its task does.
 func (l *leadership) inheritStart(r *run, j *job.Job) {
 	a := &l.answeredStarts
-	r.startsAnswered = !a.excepted[r.key()] && j.DispatchedBefore(a.inherited.Before, r.task.Step, r.task.Index)
+	r.startsAnswered = !a.excepted[r.task] && j.DispatchedBefore(a.inherited.Before, r.task.Step, r.task.Index)
 	if r.startsAnswered {
 		l.s.deps.Counts.Count("inherited_starts_answered", 1)
 		return
@@ -136,6 +138,14 @@
 	}
 }
 
+// endStart removes a run that has ended, unless a start request of it may still be executed, beside the
+// next run of its task.
+func (l *leadership) endStart(r *run, now time.Time) {
+	if !now.Before(r.unansweredUntil()) {
+		l.answeredStarts.remove(r)
+	}
+}
+
 // forgetSettledStarts removes the runs whose start requests can no longer be executed, once the
 // leases have expired that they, or requests to earlier incarnations of the worker, may have been
 // granted.
@@ -148,6 +158,6 @@
 	}
 }
 
-func keyOf(r *job.RunName) runKey {
-	return runKey{site.TaskID{Job: r.Job, Step: r.Step, Index: r.Index}, r.Run}
+func taskOf(r *job.RunName) site.TaskID {
+	return site.TaskID{Job: r.Job, Step: r.Step, Index: r.Index}
 }
--- a/pollendockd/internal/scheduler/tracked_job.go
+++ b/pollendockd/internal/scheduler/tracked_job.go
@@ -282,7 +282,7 @@
 	size := r.tj.sub.Steps[r.task.Step].Size
 	delete(r.wk.runs, r.key())
 	delete(l.isolatedRuns, r)
-	l.answeredStarts.remove(r)
+	l.endStart(r, time.Now())
 	if r.unrecorded {
 		r.tj.unrecordedRuns[r.tj.representative(r.task)]--
 	}
