Runs that may hold a longer lease than their leader grants are open starts, whichever incarnation has executed them

A renewal or a start that was computed for an earlier incarnation and is executed by a later one grants the longest lease to all that runs there. A start answer with a clock behind the last one shows that a later incarnation has executed the start, which settledAt did not see.

TestLateRenewalOfAnEarlierIncarnationIsWaitedFor, TestStartByALaterIncarnationIsWaitedFor and TestMisdirectedLeaseEnd pass.

--- a/pollendockd/internal/scheduler/answered_starts.go
+++ b/pollendockd/internal/scheduler/answered_starts.go
@@ -133,7 +133,7 @@
 // closeStart removes a run if all its start requests have been answered, and its worker holds no lease
 // but those that leaders grant to this incarnation.
 func (l *leadership) closeStart(r *run, now time.Time) {
-	if len(r.unansweredStarts) == 0 && !now.Before(r.wk.settledAt) {
+	if len(r.unansweredStarts) == 0 && !l.mayHoldLongLease(r, now) {
 		l.answeredStarts.remove(r)
 	}
 }
@@ -151,8 +151,10 @@
 // granted.
 func (l *leadership) forgetSettledStarts(now time.Time) {
 	for _, r := range l.answeredStarts.open {
-		expired := l.longestLeaseFrom(later(r.unansweredUntil(), r.wk.lateHolds.renewals.until))
-		if !now.Before(later(expired, r.wk.settledAt)) {
+		if r.startAttempts > 0 && l.mayHoldLongLease(r, now) {
+			continue
+		}
+		if !now.Before(l.longestLeaseFrom(later(r.unansweredUntil(), r.wk.lateHolds.renewals.until))) {
 			l.answeredStarts.remove(r)
 		}
 	}
--- a/pollendockd/internal/scheduler/hold.go
+++ b/pollendockd/internal/scheduler/hold.go
@@ -180,8 +180,8 @@
 // has no knowledge of earlier requests to the worker.
 func (l *leadership) resetBoot(wk *worker, first *site.HoldReply) {
 	boot := first.Boot
-	wk.settledAt = l.settledAt(wk, first, time.Now())
 	_ = level.Info(l.s.deps.Logger).Log("msg", "first answer of a worker incarnation in this term", "worker", wk.id, "boot", boot, "lastBoot", wk.boot, "runs", len(wk.runs))
+	wk.misdirectedLeaseEnd = l.misdirectedLeaseEnd(wk.boot, first.Clock)
 	wk.boot = boot
 	wk.bootAt = time.Now()
 	// This takes over an earlier leader's estimate.
--- a/pollendockd/internal/scheduler/late_holds.go
+++ b/pollendockd/internal/scheduler/late_holds.go
@@ -90,18 +90,6 @@
 	return expiry(at, l.s.opt.Bounds.MaxLease)
 }
 
-// settledAt is when all leases have expired that an incarnation may grant to requests that were sent
-// to an earlier one. No leader renews leases for longer than maxAnswerAge after the last answer of
-// that one, so that the age of the incarnation bounds it, whichever leaders there were. The first
-// leader of a cell knows that there was no earlier incarnation if it has seen none.
-func (l *leadership) settledAt(wk *worker, first *site.HoldReply, now time.Time) time.Time {
-	if l.term.Epoch == firstEpoch && wk.boot == 0 {
-		return time.Time{}
-	}
-	settledAge := l.longestLeaseFrom(now.Add(maxAnswerAge + maxRequestDelay)).Sub(now)
-	return now.Add(settledAge - first.Clock)
-}
-
 // noteUnansweredHold notes that a hold got no answer. If another incarnation has answered
 // meanwhile, that one may execute it.
 func (l *leadership) noteUnansweredHold(e *holdDone, now time.Time) {
--- /dev/null
+++ b/pollendockd/internal/scheduler/misdirected_renewals.go
@@ -0,0 +1,46 @@
+package scheduler
+
+import "time"
+
+// This file tells which workers may hold a longer lease than leaders grant. The end of a lease is
+// a time on the worker's clock, which begins anew with each incarnation. A renewal or start request
+// that was sent to an earlier incarnation and is executed by a later one grants the longest lease to
+// all that runs there. Only the leader knows about the incarnations of its workers, so that the
+// record of answered starts excepts the runs on such a worker.
+
+// maxMisdirection is how long after its begin an incarnation may execute requests with a time on the
+// clock of an earlier one: leaders send them until maxAnswerAge after that one's last answer, which
+// may have been under way for as long as a hold.
+const maxMisdirection = maxAnswerAge + holdWait + holdTimeout + maxRequestDelay
+
+// misdirectedLeaseEnd is when all leases have ended, on the clock of an incarnation that has given
+// its first answer in this term, that it may grant to requests that were sent to an earlier one. It
+// is 0 if there are none. The answer shows that it refuses requests of earlier leaders from then on.
+func (l *leadership) misdirectedLeaseEnd(lastBoot int64, firstClock time.Duration) time.Duration {
+	last := inWorkerTime(maxMisdirection)
+	if lastBoot == 0 {
+		if l.term.Epoch == firstEpoch {
+			return 0
+		}
+		last = min(last, firstClock)
+	}
+	return last + l.s.opt.Bounds.MaxLease
+}
+
+// mayHoldLongLease reports whether the run may hold a longer lease than its leader has granted.
+func (l *leadership) mayHoldLongLease(r *run, now time.Time) bool {
+	wk := r.wk
+	passed := time.Duration(float64(now.Sub(wk.clockAt)) * minClockRate)
+	return wk.clock+passed < wk.misdirectedLeaseEnd || now.Before(l.longestLeaseFrom(r.misdirectedUntil))
+}
+
+// noteExecution notes by which incarnation a start request may have been executed that was answered
+// with the time on its clock. By that time a later incarnation would show less than the last answer
+// before the request, unless the earlier one was as young.
+func (e *startDone) noteExecution(now time.Time) {
+	if e.clock >= e.lastClock && e.lastClock > now.Sub(e.lastAskedAt) {
+		return
+	}
+	// The leader renews leases by the old clock until it knows of the later incarnation.
+	e.r.misdirectedUntil = now.Add(maxMisdirection)
+}
--- /dev/null
+++ b/pollendockd/internal/scheduler/misdirected_renewals_test.go
@@ -0,0 +1,103 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"pollendock.example/cell/job"
+	"pollendock.example/cell/site"
+)
+
+// TestLateRenewalOfAnEarlierIncarnationIsWaitedFor guards against running a task twice: a worker executes a renewal that was sent to its earlier incarnation, and so grants the longest lease to what it runs.
+func TestLateRenewalOfAnEarlierIncarnationIsWaitedFor(t *testing.T) {
+	const (
+		maxLease = 10 * time.Second
+		// leaderDies is how long after the worker's restart the leader dies.
+		leaderDies = 4 * time.Second
+	)
+	for _, c := range []struct {
+		name string
+		late time.Duration
+	}{
+		{"before the leader dies", leaderDies - 100*time.Millisecond},
+		{"after the leader has died", leaderDies + 3*time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inCell(t, 2, func(cl *cell) {
+				cl.bounds.MaxLease = maxLease
+				cl.fleet.SetMaxLease(maxLease)
+				cl.fleet.KeepIDs()
+				cl.outcome = func(site.TaskID, int64, string) (time.Duration, site.EndKind) { return time.Minute, site.Done }
+				a := cl.start("a")
+				time.Sleep(time.Second)
+				b := cl.start("b")
+				a.stream.cutWorkers.Store("w1", true)
+				time.Sleep(40 * time.Second)
+				w := cl.fleet.Worker("w0")
+				w.DelayHolds(1, c.late+2*time.Second)
+				time.Sleep(2 * time.Second)
+				w.Reboot()
+				restarted := time.Now()
+				time.Sleep(leaderDies - time.Second)
+				cl.submit("j1", tasks(1, 4))
+				time.Sleep(time.Until(restarted.Add(leaderDies)))
+				expectPhase(cl, b, "j1", 0, job.Running)
+				b.stream.cutWorkers.Store("w0", true)
+				a.kill()
+				b.scheduler.LeaderEnded("a/1")
+				time.Sleep(30 * time.Second)
+				expectStarts(cl, "j1", 0, 2)
+			})
+		})
+	}
+}
+
+// TestStartByALaterIncarnationIsWaitedFor guards against running a task twice: a worker has restarted unnoticed, and takes the end of a lease on its earlier incarnation's clock for one on its own.
+func TestStartByALaterIncarnationIsWaitedFor(t *testing.T) {
+	const maxLease = 10 * time.Second
+	inCell(t, 2, func(c *cell) {
+		c.bounds.MaxLease = maxLease
+		c.fleet.SetMaxLease(maxLease)
+		c.fleet.KeepIDs()
+		c.outcome = func(site.TaskID, int64, string) (time.Duration, site.EndKind) { return time.Minute, site.Done }
+		a := c.start("a")
+		time.Sleep(time.Second)
+		b := c.start("b")
+		a.stream.cutWorkers.Store("w1", true)
+		b.stream.cutWorkers.Store("w0", true)
+		time.Sleep(40 * time.Second)
+		// The leader learns of the restart neither from the list nor from a hold.
+		a.stream.listSilent.Store(true)
+		c.fleet.Worker("w0").Reboot()
+		c.submit("j1", tasks(1, 4))
+		time.Sleep(100 * time.Millisecond)
+		c.fleet.Worker("w0").DropHoldResponses(100)
+		time.Sleep(500 * time.Millisecond)
+		expectPhase(c, b, "j1", 0, job.Running)
+		a.kill()
+		b.scheduler.LeaderEnded("a/1")
+		time.Sleep(30 * time.Second)
+		expectStarts(c, "j1", 0, 2)
+	})
+}
+
+// TestMisdirectedLeaseEnd guards against taking the leases of a worker for short whose present incarnation may execute renewals that were sent to an earlier one.
+func TestMisdirectedLeaseEnd(t *testing.T) {
+	const maxLease = 10 * time.Second
+	delay := inWorkerTime(maxMisdirection)
+	for _, c := range []struct {
+		name        string
+		epoch, boot int64
+		clock, want time.Duration
+	}{
+		{"first incarnation that the first leader knows", 1, 0, time.Second, 0},
+		{"restarted under the first leader", 1, 5, time.Second, delay + maxLease},
+		{"young at a later leader's first answer", 2, 0, 3 * time.Second, 3*time.Second + maxLease},
+		{"old at a later leader's first answer", 2, 0, time.Minute, delay + maxLease},
+	} {
+		l := &leadership{s: &Scheduler{opt: Options{Bounds: site.Bounds{MaxLease: maxLease}}}, term: site.Term{Epoch: c.epoch}}
+		if got := l.misdirectedLeaseEnd(c.boot, c.clock); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/pollendockd/internal/scheduler/requests.go
+++ b/pollendockd/internal/scheduler/requests.go
@@ -14,7 +14,12 @@
 		l      *leadership
 		r      *run
 		sentAt time.Time
-		err    error
+		// lastClock is the worker's clock in its last answer before the request, to one that
+		// was sent at lastAskedAt, and clock that in the answer.
+		lastClock   time.Duration
+		lastAskedAt time.Time
+		clock       time.Duration
+		err         error
 	}
 
 	stopDone struct {
@@ -79,12 +84,12 @@
 	r.unansweredStarts = append(r.unansweredStarts, now)
 	r.wk.lateStarts.sent(r.key(), now)
 	l.answeredStarts.add(r)
-	client := r.wk.client
+	client, lastClock, lastAskedAt := r.wk.client, r.wk.clock, r.wk.clockAskedAt
 	l.spawn(func(ctx context.Context) event {
 		ctx, cancel := context.WithTimeout(ctx, startTimeout)
 		defer cancel()
-		_, err := client.Start(ctx, req)
-		return startDone{l, r, now, err}
+		clock, err := client.Start(ctx, req)
+		return startDone{l, r, now, lastClock, lastAskedAt, clock, err}
 	})
 }
 
@@ -94,6 +99,9 @@
 	if e.err == nil || errors.As(e.err, &refusal) {
 		r.unansweredStarts = slices.DeleteFunc(r.unansweredStarts, e.sentAt.Equal)
 		r.wk.lateStarts.answered(r.key(), e.sentAt)
+		if e.err == nil {
+			e.noteExecution(time.Now())
+		}
 		l.closeStart(r, time.Now())
 	}
 	if e.err == nil {
--- a/pollendockd/internal/scheduler/tracked_job.go
+++ b/pollendockd/internal/scheduler/tracked_job.go
@@ -93,6 +93,9 @@
 		startAttempts int
 		// unansweredStarts holds when the start requests were sent that got no answer.
 		unansweredStarts []time.Time
+		// misdirectedUntil is until when an incarnation may execute requests that were sent to
+		// an earlier one and that has answered the run's start instead of it.
+		misdirectedUntil time.Time
 		// startsAnswered is set if the records say that all start requests of earlier leaders
 		// were answered.
 		startsAnswered bool
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -38,6 +38,10 @@
 		// the worker's clock. No run outlives it without a further answer.
 		leaseEnd time.Duration
 
+		// misdirectedLeaseEnd is when all leases have ended on its clock that it may grant to
+		// requests which were sent to an earlier incarnation.
+		misdirectedLeaseEnd time.Duration
+
 		// seen is the number of the last run end up to which all were read, acked that of
 		// the last one whose outcome is durable. ackAnswered is the largest number in an
 		// acknowledgement that it has answered.
@@ -62,9 +66,6 @@
 		// renewedUntil is until when the incarnation may execute requests that renew the lease of
 		// an earlier one.
 		renewedUntil time.Time
-		// settledAt is when the leases have expired that the incarnation may have granted to such
-		// requests of any leader.
-		settledAt time.Time
 		// strangers holds runs of unknown tasks that were logged.
 		strangers map[runKey]bool
 
