Leases that earlier leaders granted count as short on old workers

Cause: from a worker's first answer in a term on, the leader assumed the longest lease for it, though the records say that leaders keep to 5 s.

Fix: that time counts from the first answer, unless the incarnation may still hold the longest lease: by a renewal for an earlier one, executed within 15.5 s of its begin and before that answer (misdirectedLeaseEnd). By the clock in its first answer an incarnation of 21 s and more can't. Leaders of earlier versions, and ones that may have been, count as before (leasesAreShort).

--- a/pollendockd/internal/scheduler/hold.go
+++ b/pollendockd/internal/scheduler/hold.go
@@ -189,8 +189,7 @@
 	l.forgetGivenUpRuns(wk)
 	wk.seen = 0
 	wk.acked, wk.ackAnswered = 0, 0
-	// An earlier leader may have renewed the lease until this answer.
-	wk.leaseEnd = first.Clock + l.s.opt.Bounds.MaxLease
+	wk.leaseEnd = l.inheritedLeaseEnd(wk, first.Clock, wk.bootAt)
 	wk.claimedCPU, wk.gangClaimedCPU = 0, 0
 	wk.ackCapped = false
 	wk.keptEnds = 0
--- a/pollendockd/internal/scheduler/misdirected_renewals.go
+++ b/pollendockd/internal/scheduler/misdirected_renewals.go
@@ -27,6 +27,16 @@
 	return last + l.s.opt.Bounds.MaxLease
 }
 
+// inheritedLeaseEnd is when all leases have ended, on the worker's clock, that earlier leaders may
+// have renewed until its first answer in this term.
+func (l *leadership) inheritedLeaseEnd(wk *worker, firstClock time.Duration, now time.Time) time.Duration {
+	longest := firstClock + l.s.opt.Bounds.MaxLease
+	if !l.leasesAreShort(now) {
+		return longest
+	}
+	return min(longest, max(firstClock+l.leaseLength()+leaseMargin, wk.misdirectedLeaseEnd))
+}
+
 // mayHoldLongLease reports whether the run may hold a longer lease than its leader has granted.
 func (l *leadership) mayHoldLongLease(r *run, now time.Time) bool {
 	wk := r.wk
--- a/pollendockd/internal/scheduler/misdirected_renewals_test.go
+++ b/pollendockd/internal/scheduler/misdirected_renewals_test.go
@@ -101,3 +101,64 @@
 		}
 	}
 }
+
+// TestTaskRunsAgainIfItsOldWorkerDiesEarlyInTerm guards against assuming the longest lease for a worker that can have executed no renewal for an earlier incarnation lately.
+func TestTaskRunsAgainIfItsOldWorkerDiesEarlyInTerm(t *testing.T) {
+	const (
+		maxLease    = 10 * time.Second
+		longestWait = 7 * time.Second
+	)
+	inCell(t, 3, func(c *cell) {
+		c.bounds.MaxLease = maxLease
+		c.fleet.SetMaxLease(maxLease)
+		c.outcome = func(site.TaskID, int64, string) (time.Duration, site.EndKind) { return time.Minute, site.Done }
+		a := c.start("a")
+		time.Sleep(time.Second)
+		b := c.start("b")
+		time.Sleep(40 * time.Second)
+		a.kill()
+		time.Sleep(2 * time.Second)
+		c.submit("j1", tasks(1, 4))
+		expectPhase(c, b, "j1", time.Second, job.Running)
+		time.Sleep(500 * time.Millisecond)
+		c.fleet.Worker(b.replica.Job("j1").State.Steps[0][0].Worker).Terminate()
+		took := c.untilNextStart("j1")
+		t.Logf("the task runs again after %v", took)
+		if took > longestWait {
+			t.Errorf("the task runs again after %v, want %v at most", took, longestWait)
+		}
+	})
+}
+
+// TestLateRenewalBeforeTheFirstAnswerIsWaitedFor guards against running a task twice: a restarted worker has executed an earlier leader's renewal for its earlier incarnation before it answers the new leader.
+func TestLateRenewalBeforeTheFirstAnswerIsWaitedFor(t *testing.T) {
+	const maxLease = 10 * time.Second
+	inCell(t, 2, func(c *cell) {
+		c.bounds.MaxLease = maxLease
+		c.fleet.SetMaxLease(maxLease)
+		c.fleet.KeepIDs()
+		c.outcome = func(site.TaskID, int64, string) (time.Duration, site.EndKind) { return time.Minute, site.Done }
+		a := c.start("a")
+		time.Sleep(time.Second)
+		b := c.start("b")
+		b.stream.cutWorkers.Store("w0", true)
+		b.stream.cutWorkers.Store("w1", true)
+		time.Sleep(40 * time.Second)
+		w := c.fleet.Worker("w0")
+		w.DelayHolds(1, 2500*time.Millisecond)
+		time.Sleep(1600 * time.Millisecond)
+		a.kill()
+		b.scheduler.LeaderEnded("a/1")
+		w.Reboot()
+		// The late hold is executed meanwhile.
+		time.Sleep(2600 * time.Millisecond)
+		b.stream.cutWorkers.Delete("w0")
+		time.Sleep(200 * time.Millisecond)
+		c.submit("j1", tasks(1, 4))
+		expectPhase(c, b, "j1", 2*time.Second, job.Running)
+		b.stream.cutWorkers.Store("w0", true)
+		b.stream.cutWorkers.Delete("w1")
+		time.Sleep(30 * time.Second)
+		expectStarts(c, "j1", 0, 2)
+	})
+}
--- a/pollendockd/internal/scheduler/renewals.go
+++ b/pollendockd/internal/scheduler/renewals.go
@@ -117,6 +117,15 @@
 	return longest
 }
 
+// leasesAreShort reports whether all leaders that may have granted leases that still last keep to
+// leaseLength.
+func (l *leadership) leasesAreShort(now time.Time) bool {
+	if !l.predecessorKeepsTerms() {
+		return false
+	}
+	return l.renewals.FirstEpoch == firstEpoch || !now.Before(l.longestLeaseFrom(l.renewals.Since.Add(streamTimeout)))
+}
+
 // expiry is when a lease of that length has expired for certain that a worker grants at the given
 // time.
 func expiry(at time.Time, length time.Duration) time.Time {
