No job is given up while the list of workers cannot be read

Callers saw a sound job fail: workers that were cut off had been counted as crashed under it, one of them could be reached again 2.3 s before the 15 s of grace ended, but the list of workers could not be read, and a worker that is off the list as it was last read is not asked.

Cause: the end of the grace (graceEnd) counted outages of the record stream only. The list is read by calls of its own, which the store may leave unanswered while it serves the stream.

The grace now ends 3 s after the last outage of the list, as it does for the stream, and only once a read of the list that was sent after that end is answered: during an outage there is none, and the first read after it moves the end.

--- a/pollendockd/internal/scheduler/capacity.go
+++ b/pollendockd/internal/scheduler/capacity.go
@@ -35,18 +35,25 @@
 	return b.Contact + b.Heartbeat - startTimeout
 }
 
-// noteListRead records that a read of the list, sent at the given time, was answered now. A
+// noteListRead records that a read of the list, sent at the given time, was answered now.
+func (s *Scheduler) noteListRead(sentAt, now time.Time) {
+	s.listSince = s.answeredSince(s.listSince, min(maxListGap, s.opt.Bounds.Heartbeat), sentAt, now)
+	s.listBackAt = s.answeredSince(s.listBackAt, maxListGap, sentAt, now)
+	s.listedAt = later(s.listedAt, sentAt)
+}
+
+// answeredSince returns since when reads of the list have been answered without a longer gap,
+// after a read that was sent at the given time, before which they were since the given time. A
 // new leader has not read the list before its term; whether the store answered meanwhile it
 // knows from the records.
-func (s *Scheduler) noteListRead(sentAt, now time.Time) {
-	maxGap := min(maxListGap, s.opt.Bounds.Heartbeat)
-	if sentAt.Sub(s.listedAt) > maxGap {
-		s.listSince = now
-		if l := s.lead; l != nil && s.listedAt.Before(l.startedAt) && now.Sub(l.startedAt) <= maxGap {
-			s.listSince = s.deps.Follower.AvailableSince()
-		}
+func (s *Scheduler) answeredSince(since time.Time, maxGap time.Duration, sentAt, now time.Time) time.Time {
+	if sentAt.Sub(s.listedAt) <= maxGap {
+		return since
 	}
-	s.listedAt = later(s.listedAt, sentAt)
+	if l := s.lead; l != nil && s.listedAt.Before(l.startedAt) && now.Sub(l.startedAt) <= maxGap {
+		return s.deps.Follower.AvailableSince()
+	}
+	return now
 }
 
 // confirmListed records what a read of the list says of workers that have written nothing new.
--- a/pollendockd/internal/scheduler/doubtful_crash.go
+++ b/pollendockd/internal/scheduler/doubtful_crash.go
@@ -31,8 +31,8 @@
 	// cutGrace is how long a worker that is cut off has to answer again before a job is given up
 	// for its crash. The task is not started meanwhile.
 	cutGrace = 15 * time.Second
-	// returnTime is the part of it that follows the last outage of the stream: entries of workers
-	// that expired in it are back within two seconds.
+	// returnTime is the part of it that follows the last outage of the stream or of the list of
+	// workers: entries that expired in it are back within two seconds.
 	returnTime = 3 * time.Second
 	// firstAnswerTime is the part of it that a new leader gives the workers to answer it.
 	firstAnswerTime = time.Second
@@ -156,13 +156,14 @@
 }
 
 // giveUpCondemned gives up the jobs whose tasks crash their workers, once no worker has
-// answered for cutGrace or none can any more.
-func (l *leadership) giveUpCondemned(now time.Time) {
+// answered for cutGrace or none can any more. A read of the list that was sent after that shows
+// that the list could be read.
+func (l *leadership) giveUpCondemned() {
 	for t, c := range l.condemned {
 		switch {
 		case c.tj.state.Phase.Final() || c.tj.crashesOf(t).Verdict != job.Poison:
 			delete(l.condemned, t)
-		case !now.Before(l.graceEnd(c.since)) || len(c.tj.doubtfulCrashesOf(t)) == 0:
+		case l.s.listedAt.After(l.graceEnd(c.since)) || len(c.tj.doubtfulCrashesOf(t)) == 0:
 			delete(l.condemned, t)
 			l.giveUp(c.tj, t)
 		}
@@ -170,10 +171,11 @@
 }
 
 // graceEnd is when a worker that is cut off has had cutGrace to answer, as far as leaders could
-// hear it.
+// hear it: the stream answered, and they could read the list, without which they do not ask it.
 func (l *leadership) graceEnd(since time.Time) time.Time {
-	heard := later(l.startedAt.Add(firstAnswerTime), l.s.deps.Follower.AvailableSince().Add(returnTime))
-	return later(since.Add(cutGrace), heard)
+	firstAnswer := l.startedAt.Add(firstAnswerTime)
+	back := later(l.s.deps.Follower.AvailableSince(), l.s.listBackAt).Add(returnTime)
+	return later(since.Add(cutGrace), later(firstAnswer, back))
 }
 
 // releaseTask marks a task, or all those of its gang, as not running anywhere.
--- a/pollendockd/internal/scheduler/leadership.go
+++ b/pollendockd/internal/scheduler/leadership.go
@@ -260,7 +260,7 @@
 	l.s.pollUpstreams(now)
 	l.tickWorkers(now)
 	l.endProbation(now)
-	l.giveUpCondemned(now)
+	l.giveUpCondemned()
 	l.placeNeeded = true
 	if now.Sub(l.reportedAt) >= reportInterval {
 		l.reportedAt = now
--- a/pollendockd/internal/scheduler/scheduler.go
+++ b/pollendockd/internal/scheduler/scheduler.go
@@ -165,8 +165,9 @@
 		// listRevision is the revision of that list.
 		listRevision int64
 		polledAt     time.Time
-		// listSince is since when reads of the list have been answered without a gap.
-		listSince time.Time
+		// listSince is since when reads of the list have been answered without a gap in which
+		// a worker may have missed heartbeats, listBackAt without an outage.
+		listSince, listBackAt time.Time
 		// entriesRewritten is set once a worker has been seen to rewrite its entry with each
 		// heartbeat.
 		entriesRewritten bool
