--- a/pollendockd/internal/scheduler/cut_data_centre_test.go
+++ b/pollendockd/internal/scheduler/cut_data_centre_test.go
@@ -419,3 +419,40 @@
 		}
 	})
 }
+
+// TestCondemnedJobWaitsForListAwayAtTheEnd guards against a job that is given up while the list cannot be read, in an outage that begins shortly before the end of cutGrace.
+func TestCondemnedJobWaitsForListAwayAtTheEnd(t *testing.T) {
+	for before := 300 * time.Millisecond; before <= 2400*time.Millisecond; before += 300 * time.Millisecond {
+		t.Run(fmt.Sprint(before), func(t *testing.T) {
+			inCell(t, 4, func(cl *cell) {
+				cl.outcome = func(site.TaskID, int64, string) (time.Duration, site.EndKind) { return 30 * time.Second, site.Done }
+				cl.fleet.Register(fleet.NewStore(), registerInterval)
+				v := cl.startThree()
+				cl.submit("j1", tasks(1, 4))
+				condemnedAt := make(chan time.Time, 1)
+				go func() {
+					for j := v.replica.Job("j1"); j == nil || j.Crashes.Of(0, 0).Verdict != job.Poison; j = v.replica.Job("j1") {
+						time.Sleep(10 * time.Millisecond)
+					}
+					condemnedAt <- time.Now()
+				}()
+				cut := cl.cutThree(v, "j1")
+				at := <-condemnedAt
+				away := cutGrace - before
+				time.Sleep(time.Until(at.Add(away)))
+				for _, v := range cl.vms {
+					v.stream.listSilent.Store(true)
+				}
+				time.AfterFunc(10*time.Millisecond, func() {
+					cut[0].SetSilent(false)
+					cut[0].SetCutFromStore(false)
+				})
+				time.Sleep(3 * time.Second)
+				for _, v := range cl.vms {
+					v.stream.listSilent.Store(false)
+				}
+				expectPhase(cl, v, "j1", time.Minute, job.Completed)
+			})
+		})
+	}
+}
