--- a/pollendockd/internal/scheduler/leadership.go
+++ b/pollendockd/internal/scheduler/leadership.go
@@ -40,8 +40,6 @@
 		givenUpRuns map[string]job.GivenUpRuns
 		// condemned holds the tasks whose jobs are given up unless a worker answers.
 		condemned map[site.TaskID]condemnedTask
-		// listMissedAt is when the list of workers was last too old to hear of one that is back.
-		listMissedAt time.Time
 		// isolatedRuns holds the runs of suspects, vacated the workers that the last pass
 		// kept free for them.
 		isolatedRuns map[*run]bool
@@ -262,7 +260,7 @@
 	l.s.pollUpstreams(now)
 	l.tickWorkers(now)
 	l.endProbation(now)
-	l.giveUpCondemned(now)
+	l.giveUpCondemned()
 	l.placeNeeded = true
 	if now.Sub(l.reportedAt) >= reportInterval {
 		l.reportedAt = now
