--- a/pollendockd/internal/scheduler/late_holds_test.go
+++ b/pollendockd/internal/scheduler/late_holds_test.go
@@ -217,3 +217,34 @@
 		})
 	}
 }
+
+// TestLateRenewalKeepsNoRunThatNewIncarnationAnsweredForLonger guards against the same for a run whose start a new incarnation has answered before the leader knew of the restart.
+func TestLateRenewalKeepsNoRunThatNewIncarnationAnsweredForLonger(t *testing.T) {
+	const maxLease = 10 * time.Second
+	for _, late := range []time.Duration{5600 * time.Millisecond, 5800 * time.Millisecond, 6000 * time.Millisecond} {
+		t.Run("executed after "+late.String(), func(t *testing.T) {
+			inCell(t, 1, func(c *cell) {
+				c.bounds.MaxLease = maxLease
+				c.fleet.SetMaxLease(maxLease)
+				c.fleet.KeepIDs()
+				c.outcome = func(site.TaskID, int64, string) (time.Duration, site.EndKind) { return time.Minute, site.Done }
+				v := c.startThree()
+				c.submit("j0", tasks(1, 1))
+				expectPhase(c, v, "j0", time.Second, job.Running)
+				time.Sleep(30 * time.Second)
+				on := c.fleet.Worker("w0")
+				on.DelayHolds(1, late)
+				time.Sleep(700 * time.Millisecond)
+				on.Reboot()
+				c.submit("j1", tasks(1, 4))
+				time.Sleep(2 * time.Second)
+				c.killLeader()
+				on.SetSilent(true)
+				c.fleet.Add("w1", "s", on.Capacity())
+				time.Sleep(30 * time.Second)
+				on.SetSilent(false)
+				time.Sleep(30 * time.Second)
+			})
+		})
+	}
+}
