--- a/cell/job/answered_starts.go
+++ b/cell/job/answered_starts.go
@@ -23,8 +23,8 @@
 
 const (
 	answeredStartsKey = "answeredStarts"
-	// maxOpenStarts is more runs than any leader excepts.
-	maxOpenStarts = 4096
+	// maxExceptedRuns is more runs than any leader names.
+	maxExceptedRuns = 4096
 )
 
 // AnsweredStartsEntry returns the entry that stores which starts were answered.
@@ -33,7 +33,7 @@
 }
 
 func (a *AnsweredStarts) validateRecord() error {
-	if a.Before < 0 || len(a.Except) > maxOpenStarts {
+	if a.Before < 0 || len(a.Except) > maxExceptedRuns {
 		return Class.New("starts answered before offset %d except of %d runs", a.Before, len(a.Except))
 	}
 	for _, r := range a.Except {
--- a/cell/job/odd_records_test.go
+++ b/cell/job/odd_records_test.go
@@ -108,7 +108,7 @@
 		{"starts answered except of a run of no job", "answeredStarts", &AnsweredStarts{Except: []RunName{{Run: 1}}}},
 		{"starts answered except of a step that no job has", "answeredStarts", &AnsweredStarts{Except: []RunName{{Job: "a", Step: math.MaxInt, Run: 1}}}},
 		{"starts answered except of a negative task", "answeredStarts", &AnsweredStarts{Except: []RunName{{Job: "a", Index: -1, Run: 1}}}},
-		{"starts answered except of too many runs", "answeredStarts", &AnsweredStarts{Except: make([]RunName, maxOpenStarts+1)}},
+		{"starts answered except of too many runs", "answeredStarts", &AnsweredStarts{Except: make([]RunName, maxExceptedRuns+1)}},
 		{"unknown kind", "x/a", "\x00"},
 		{"empty key", "", "\x00"},
 		{"no id", "j/", goodSubmission()},
--- a/pollendockd/internal/scheduler/misdirected_renewals.go
+++ b/pollendockd/internal/scheduler/misdirected_renewals.go
@@ -19,7 +19,7 @@
 func (l *leadership) misdirectedLeaseEnd(lastBoot int64, firstClock time.Duration) time.Duration {
 	last := inWorkerTime(maxMisdirection)
 	if lastBoot == 0 {
-		if l.term.Epoch == firstEpoch {
+		if l.term.Epoch == initialEpoch {
 			return 0
 		}
 		last = min(last, firstClock)
--- a/pollendockd/internal/scheduler/renewals.go
+++ b/pollendockd/internal/scheduler/renewals.go
@@ -17,8 +17,8 @@
 // latest.
 const renewalOverlap = time.Second
 
-// firstEpoch is the epoch of the first leader of a cell: there are no earlier ones.
-const firstEpoch = 1
+// initialEpoch is the epoch of the first leader of a cell.
+const initialEpoch = 1
 
 // renewTimeout is how long a leader renews leases without a successful append: runs outlive
 // outages of the stream of streamTimeout.
@@ -62,7 +62,7 @@
 	terms := l.s.deps.View.Terms()
 	next := l.startedAt
 	i := len(terms) - 2
-	for epoch := l.term.Epoch - 1; epoch >= firstEpoch; epoch-- {
+	for epoch := l.term.Epoch - 1; epoch >= initialEpoch; epoch-- {
 		ended, found := time.Time{}, false
 		if i >= 0 && terms[i].Epoch == epoch {
 			ended, found = l.s.endOf(terms[i].Incarnation, l.startedAt)
@@ -108,7 +108,7 @@
 		renewable = l.othersRenewUntil
 	}
 	end := expiry(renewable, l.leaseLength()+leaseMargin)
-	if l.renewals.FirstEpoch != firstEpoch {
+	if l.renewals.FirstEpoch != initialEpoch {
 		end = later(end, l.longestLeaseFrom(l.renewals.Since.Add(streamTimeout)))
 	}
 	if end.Before(longest) {
@@ -123,7 +123,7 @@
 	if !l.predecessorKeepsTerms() {
 		return false
 	}
-	return l.renewals.FirstEpoch == firstEpoch || !now.Before(l.longestLeaseFrom(l.renewals.Since.Add(streamTimeout)))
+	return l.renewals.FirstEpoch == initialEpoch || !now.Before(l.longestLeaseFrom(l.renewals.Since.Add(streamTimeout)))
 }
 
 // expiry is when a lease of that length has expired for certain that a worker grants at the given
