--- a/pollendockd/internal/scheduler/fault_series_test.go
+++ b/pollendockd/internal/scheduler/fault_series_test.go
@@ -236,6 +236,9 @@
 	for i, v := range s.alive {
 		if leads(v) {
 			v.kill()
+			if s.noticesEnds() {
+				s.noticeEnd(v.scheduler.opt.Incarnation)
+			}
 			s.alive[i] = s.start(fmt.Sprintf("vm%d", s.n))
 			s.n++
 			return
@@ -243,6 +246,18 @@
 	}
 }
 
+// noticesEnds reports whether VMs learn in this series that the process of a leader has ended.
+func (s *faultSeries) noticesEnds() bool {
+	return s.seed%4 < 2
+}
+
+// noticeEnd lets all VMs learn that a process has ended.
+func (s *faultSeries) noticeEnd(incarnation string) {
+	for _, v := range s.alive {
+		v.scheduler.LeaderEnded(incarnation)
+	}
+}
+
 // leads reports whether a VM leads.
 func leads(v *vm) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
