scheduler: the tests of condemned jobs share how they learn when a job is condemned

The same loop stood in TestCondemnedJobWaitsForTheList and TestCondemnedJobWaitsForListAwayAtTheEnd. Inputs, bounds and assertions are the same.

--- a/pollendockd/internal/scheduler/cut_data_centre_test.go
+++ b/pollendockd/internal/scheduler/cut_data_centre_test.go
@@ -348,13 +348,7 @@
 				cl.fleet.Register(fleet.NewStore(), registerInterval)
 				v := cl.startThree()
 				cl.submit("j1", tasks(1, 4))
-				condemnedAt := make(chan time.Time, 1)
-				go func() {
-					for j := v.replica.Job("j1"); j == nil || j.Crashes.Of(0, 0).Verdict != job.Poison; j = v.replica.Job("j1") {
-						time.Sleep(10 * time.Millisecond)
-					}
-					condemnedAt <- time.Now()
-				}()
+				condemnedAt := v.watchCondemned("j1")
 				cut := cl.cutThree(v, "j1")
 				at := <-condemnedAt
 				time.AfterFunc(time.Until(at.Add(back)), func() {
@@ -378,6 +372,18 @@
 	}
 }
 
+// watchCondemned returns a channel that gets the time at which the first task of a job is read as condemned.
+func (v *vm) watchCondemned(id string) <-chan time.Time {
+	at := make(chan time.Time, 1)
+	go func() {
+		for j := v.replica.Job(id); j == nil || j.Crashes.Of(0, 0).Verdict != job.Poison; j = v.replica.Job(id) {
+			time.Sleep(10 * time.Millisecond)
+		}
+		at <- time.Now()
+	}()
+	return at
+}
+
 // workerOf returns a worker that runs a task while it can be reached.
 func (c *cell) workerOf(id string) *fleet.Worker {
 	c.t.Helper()
@@ -429,13 +435,7 @@
 				cl.fleet.Register(fleet.NewStore(), registerInterval)
 				v := cl.startThree()
 				cl.submit("j1", tasks(1, 4))
-				condemnedAt := make(chan time.Time, 1)
-				go func() {
-					for j := v.replica.Job("j1"); j == nil || j.Crashes.Of(0, 0).Verdict != job.Poison; j = v.replica.Job("j1") {
-						time.Sleep(10 * time.Millisecond)
-					}
-					condemnedAt <- time.Now()
-				}()
+				condemnedAt := v.watchCondemned("j1")
 				cut := cl.cutThree(v, "j1")
 				at := <-condemnedAt
 				away := cutGrace - before
