--- a/pollendockd/internal/scheduler/tracked_job.go
+++ b/pollendockd/internal/scheduler/tracked_job.go
@@ -455,7 +455,7 @@
 // latestInheritedStart returns the latest time, until now, at which a worker may have started a run that
 // an earlier leader dispatched.
 func (tj *trackedJob) latestInheritedStart(now time.Time) time.Time {
-	last := tj.inheritedAt.Add(maxStartAttempts*startTimeout + maxRequestDelay)
+	last := tj.inheritedAt.Add(maxInheritedStartDelay)
 	if last.After(now) {
 		return now
 	}
