scheduler: renewed tickets say nothing of how many workers the advisor allows

The share of allowed workers, by which a query names as many as will do, counted each answer. Gangs with reserved capacity renew the tickets of workers that are known to be allowed, again and again, and each renewal counted as an answer that allowed all. So the share rose towards 1, and queries named as many workers as would do if nearly all were allowed.

Now only workers that the step has not asked about before count.

--- a/pollendockd/internal/scheduler/advice.go
+++ b/pollendockd/internal/scheduler/advice.go
@@ -359,6 +359,8 @@
 	l.advice.dispatcher.Answered(now, q.through, now.Sub(q.sentAt))
 	answers := q.tj.adviceOf(q.step)
 	q.tj.reservation = nil
+	asked, allowed := answers.countFirst(q.workers, e.tickets)
+	l.queueStatsOf(q.tj.sub.Queue).recordAdvice(len(q.workers), asked, allowed)
 	for _, id := range q.workers {
 		answers.refused[id] = true
 	}
@@ -367,7 +369,6 @@
 		answers.tickets[t.Upstream] = ticket{t.Ticket, q.boots[t.Upstream], now.Add(q.valid - ticketMargin)}
 	}
 	answers.wait.answered = true
-	l.queueStatsOf(q.tj.sub.Queue).recordAdvice(len(q.workers), len(e.tickets))
 	s.deps.Counts.Time("advice", now.Sub(q.wantedSince))
 	s.deps.Counts.Time("advice_call", now.Sub(q.sentAt))
 	fields := []any{
@@ -422,6 +423,23 @@
 	return true
 }
 
+// countFirst returns how many of the workers in a query have never been asked about before, and how
+// many of these are allowed.
+func (a *stepAdvice) countFirst(workers []string, tickets []site.Ticket) (asked, allowed int) {
+	first := map[string]bool{}
+	for _, id := range workers {
+		if _, known := a.tickets[id]; !known && !a.refused[id] {
+			first[id] = true
+		}
+	}
+	for _, t := range tickets {
+		if first[t.Upstream] {
+			allowed++
+		}
+	}
+	return len(first), allowed
+}
+
 // known reports whether the step may run on the worker once the ticket has been
 // renewed.
 func (a *stepAdvice) known(wk *worker) bool {
--- a/pollendockd/internal/scheduler/stats.go
+++ b/pollendockd/internal/scheduler/stats.go
@@ -11,11 +11,11 @@
 type (
 	// queueStats holds statistics of past work of a queue.
 	queueStats struct {
-		// asked counts the workers named in queries, allowed those of them that the
-		// advisor allowed.
+		// asked counts the workers that a step asked about for the first time, allowed those of
+		// them that the advisor allowed.
 		asked, allowed float64
-		// queries is the number of those queries.
-		queries float64
+		// queries is the number of queries, named that of the workers in them.
+		queries, named float64
 		// tasks predicts the run time of a task on an average worker, steps that of the
 		// longest task of a step.
 		tasks, steps placement.RunTimeModel
@@ -70,14 +70,19 @@
 	return (k.allowed + priorAllowedShare*priorWeight) / (k.asked + priorWeight)
 }
 
-// recordAdvice counts the answer to a query.
-func (k *queueStats) recordAdvice(asked, allowed int) {
+// recordAdvice counts the answer to a query that named so many workers, and asked about so many of
+// them for the first time. Renewed tickets say nothing of how many workers the advisor allows.
+func (k *queueStats) recordAdvice(named, asked, allowed int) {
 	k.queries++
+	k.named += float64(named)
+	if k.named > maxHistoryWorkers {
+		k.queries *= maxHistoryWorkers / k.named
+		k.named = maxHistoryWorkers
+	}
 	k.asked += float64(asked)
 	k.allowed += float64(allowed)
 	if k.asked > maxHistoryWorkers {
 		k.allowed *= maxHistoryWorkers / k.asked
-		k.queries *= maxHistoryWorkers / k.asked
 		k.asked = maxHistoryWorkers
 	}
 }
@@ -87,7 +92,7 @@
 	if k.queries == 0 {
 		return typicalQueryWorkers
 	}
-	return k.asked / k.queries
+	return k.named / k.queries
 }
 
 // recordRun adds the duration of a run that was started in this term. A run that
