scheduler: a worker that leaves a call unanswered gets no later lease

The cause: each hold renewed the lease, also those to a worker that had left calls unanswered, until 2 s after its last answer. Any of them may have been executed, so the runs were given up 6.73 to 6.80 s after that answer (clockAgeMs). List requests and retries of starts renewed, too.

Now a call renews only while no hold and no start request has been left unanswered since the last answer. List requests renew nothing, and a start request carries the lease that its worker has while 2.8 s of it are left; the hold that follows the answer renews it. A start without an answer is followed by a hold at once. So the last renewal goes out within some 70 ms of the last answer, and leases end 4.8 s after it. All lease ends that are sent are as late as before or earlier, and the bounds of successors hold as before. A worker that answers again is renewed with the hold after its answer, 20 to 70 ms later. It loses its runs sooner only if its answers were lost for 4.5 to 6.5 s while its requests arrived: without requests its own clock ended them at the same time before.

The entry of a crashed worker is removed three heartbeats after its last one, which may be known just after its leases have ended. A crash that the list does not tell counts as none, so that no task was ever found to crash its workers. A silent worker that is listed is therefore given up once the list tells, or 5 s after the first call that it left unanswered. The bubble tells the VMs the heartbeat of its workers, 1.5 s as at all sites, for that.

--- a/pollendockd/internal/scheduler/harness_test.go
+++ b/pollendockd/internal/scheduler/harness_test.go
@@ -269,7 +269,7 @@
 		defer synctest.Wait()
 		defer cancel()
 		c := &cell{t: t, ctx: ctx, store: fleet.NewStore(), vms: map[string]*vm{}, answers: map[string]*advice.Answers{}, subs: map[string]*job.Submission{}}
-		c.bounds = site.Bounds{MaxLease: 6 * time.Second, StopTime: 200 * time.Millisecond}
+		c.bounds = site.Bounds{MaxLease: 6 * time.Second, StopTime: 200 * time.Millisecond, Heartbeat: registerInterval}
 		c.catalog = (&site.Catalog{
 			Version:  1,
 			Queues:   []site.Queue{{Name: "q", Service: "s", MaxAttempts: 2, Stretch: 2, Objective: time.Second}},
--- a/pollendockd/internal/scheduler/hold.go
+++ b/pollendockd/internal/scheduler/hold.go
@@ -49,19 +49,20 @@
 func (l *leadership) hold(wk *worker, now time.Time) {
 	wk.holdBusy = true
 	wait := time.Duration(0)
-	if wk.boot != 0 && wk.watched() && wk.holdFails == 0 {
+	if wk.boot != 0 && wk.watched() && wk.holdFails == 0 && !wk.startUnanswered {
 		wait = holdWait
 	}
-	l.sendHold(wk, now, wait, true)
+	l.sendHold(wk, now, l.nextLease(wk, now), wait, true)
 }
 
-// requestLists requests the lists of runs at once, in parallel with a hold that waits.
+// requestLists requests the lists of runs at once, in parallel with a hold that waits. That one
+// has renewed the lease.
 func (l *leadership) requestLists(wk *worker, now time.Time) {
-	l.sendHold(wk, now, 0, false)
+	l.sendHold(wk, now, 0, 0, false)
 }
 
-func (l *leadership) sendHold(wk *worker, now time.Time, wait time.Duration, regular bool) {
-	req := &site.HoldRequest{Token: l.term.Epoch, Acked: wk.ackable(), LeaseEnd: l.nextLease(wk, now), Wait: wait}
+func (l *leadership) sendHold(wk *worker, now time.Time, leaseEnd, wait time.Duration, regular bool) {
+	req := &site.HoldRequest{Token: l.term.Epoch, Acked: wk.ackable(), LeaseEnd: leaseEnd, Wait: wait}
 	client := wk.client
 	l.spawn(func(ctx context.Context) event {
 		ctx, cancel := context.WithTimeout(ctx, wait+holdTimeout)
@@ -137,6 +138,7 @@
 	}
 	wk.holdFails = 0
 	wk.refusesConnections = false
+	wk.startUnanswered = false
 	wk.clockAt = now
 	wk.answeredAt = now
 }
--- a/pollendockd/internal/scheduler/requests.go
+++ b/pollendockd/internal/scheduler/requests.go
@@ -65,7 +65,7 @@
 		l.endRun(r, site.NotRun, "the worker has stopped answering")
 		return
 	}
-	end := l.nextLease(r.wk, now)
+	end := l.startLease(r.wk, now)
 	if end == 0 && r.startAttempts > 0 {
 		l.verifyRun(r, now)
 		return
@@ -104,8 +104,11 @@
 		}
 		l.closeStart(r, time.Now())
 	}
-	if e.err == nil {
+	switch {
+	case e.err == nil:
 		r.wk.answeredAt = time.Now()
+	case refusal == nil && r.wk.answeredAt.Before(e.sentAt):
+		r.wk.noteUnansweredStart(time.Now())
 	}
 	if !l.current() || !r.bound() {
 		return
@@ -134,6 +137,13 @@
 	}
 }
 
+// noteUnansweredStart notes that the worker has answered nothing since a start request, and lets it be
+// asked at once whether it is there.
+func (wk *worker) noteUnansweredStart(now time.Time) {
+	wk.startUnanswered = true
+	wk.holdAt = now
+}
+
 // verifyRun requests the worker's lists to find out whether a run exists.
 func (l *leadership) verifyRun(r *run, now time.Time) {
 	r.stage = unconfirmed
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -101,6 +101,8 @@
 		refusesConnections bool
 		// failedAt is when the first call failed since the last answer.
 		failedAt time.Time
+		// startUnanswered is set if a start request got no answer since then.
+		startUnanswered bool
 
 		// stalledSince is when the worker's runs stopped making progress. It is zero
 		// while one of them progresses.
@@ -127,6 +129,8 @@
 	// maxPolls limits the concurrent reads of the list, since one may hang on a broken
 	// connection.
 	maxPolls = 4
+	// entryHeartbeats is how many heartbeats a worker misses until its entry is removed.
+	entryHeartbeats = 3
 	// maxListAge is the maximum age of the list of workers at which runs are started,
 	// so that a worker that leaves gets no new runs once its entry could have been
 	// read.
@@ -135,6 +139,9 @@
 	lease = 4500 * time.Millisecond
 	// maxAnswerAge is the maximum age of a worker's last answer for a lease renewal.
 	maxAnswerAge = 2 * time.Second
+	// minStartLease is how long the lease of a run lasts at least. A worker that has none as long
+	// gets a new one with the start request.
+	minStartLease = 2800 * time.Millisecond
 	// leaseMargin keeps leases below the maximum that a worker grants.
 	leaseMargin = 500 * time.Millisecond
 	// minClockRate is the slowest rate of a worker's clock.
@@ -276,13 +283,12 @@
 	return wk.clock + now.Sub(wk.clockAt)
 }
 
-// nextLease returns the end of a lease that begins now, and records it as sent. It
-// returns 0, which renews nothing, for a worker that has not answered for maxAnswerAge, and once
-// the term may not renew its leases.
+// nextLease returns the end of a lease that begins now, and records it as sent. It returns 0, which
+// renews nothing, for a worker that may get no lease or has left a call without an answer: such a
+// call may have been executed, so each new lease end postpones the time at which all runs have
+// certainly lapsed.
 func (l *leadership) nextLease(wk *worker, now time.Time) time.Duration {
-	if !l.mayRenewFor(wk, now) || wk.boot == 0 || now.Sub(wk.clockAt) > maxAnswerAge || wk.refusesConnections {
-		// An unanswered request may have been executed, so each new lease end postpones
-		// the time at which all runs have certainly lapsed.
+	if !l.mayLease(wk, now) || wk.holdFails > 0 || wk.startUnanswered {
 		return 0
 	}
 	end := wk.clockNow(now) + l.leaseLength()
@@ -290,6 +296,26 @@
 	return end
 }
 
+// startLease returns the end of the lease for a run to start, 0 if it may get none. It is the one
+// that the worker has, unless that ends soon: a start request to a worker that is dead then does
+// not postpone the end of its other runs.
+func (l *leadership) startLease(wk *worker, now time.Time) time.Duration {
+	if !l.mayLease(wk, now) {
+		return 0
+	}
+	clock := wk.clockNow(now)
+	if end := min(wk.leaseEnd, clock+l.leaseLength()); end >= clock+minStartLease {
+		return end
+	}
+	return l.nextLease(wk, now)
+}
+
+// mayLease reports whether a worker may be sent the end of a lease: it has answered within
+// maxAnswerAge, and the term may renew its leases.
+func (l *leadership) mayLease(wk *worker, now time.Time) bool {
+	return l.mayRenewFor(wk, now) && wk.boot != 0 && now.Sub(wk.clockAt) <= maxAnswerAge && !wk.refusesConnections
+}
+
 // lapseAt is when no run requested earlier can still be running on the worker, if it
 // does not answer until then.
 func (l *leadership) lapseAt(wk *worker) time.Time {
@@ -323,7 +349,7 @@
 	if len(wk.runs) == 0 || now.Before(later(l.lapseAt(wk), l.lateLeaseEnd(wk))) {
 		return
 	}
-	if !l.listRead() && now.Sub(l.startedAt) < maxListAge {
+	if !l.listRead() && now.Sub(l.startedAt) < maxListAge || l.mayBeUnlisted(wk, now) {
 		// The list tells whether the worker has crashed.
 		return
 	}
@@ -344,6 +370,15 @@
 	}
 }
 
+// mayBeUnlisted reports whether the entry of a worker that does not answer may yet be removed
+// because the worker has ended: that takes entryHeartbeats.
+func (l *leadership) mayBeUnlisted(wk *worker, now time.Time) bool {
+	if wk.holdFails == 0 || !wk.listed || wk.upstream.Draining || !wk.answersAsListed() {
+		return false
+	}
+	return l.s.opt.Bounds.Heartbeat > 0 && now.Sub(wk.failedAt) < entryHeartbeats*l.s.opt.Bounds.Heartbeat+entryDelay
+}
+
 // listRead reports whether the list of workers has been read in this term. Only leaders read it.
 func (l *leadership) listRead() bool {
 	return !l.s.listedAt.Before(l.startedAt)
