Leader sends a start request only while its dispatch is young

Callers would see a task run twice: a leader that stands still for 1.3 s between the append of a dispatch and its answer sent the start request beside its successor, which counts 0.75 s for that from when it read the dispatch. A restarted worker executes the request 12.5 s later, after the successor has taken the run for lapsed.

Nothing that the leader knows of its term excludes a successor at the time at which it sends. But nobody can read a dispatch before its append was sent for the first time, so the leader counts from then, by both clocks, right before the request leaves and again on the goroutine that sends it. A run whose dispatch is older than 0.75 s is given up unsent; a leader that has been replaced is refused the append that follows. The wait of successors stays as it is.

Where each append takes longer than 0.75 s nothing would start. So the leader then records that it may send within 5 s (startDelay), in the same append as the dispatches or before, and successors count 4.25 s more while the record is there: until a minute after the last late append. Without that TestSlowAppendsDelayNoStartForLong fails, and without the successor's part TestStartOfPausedLeaderWithLongDelayRunsNoTaskTwice.

--- a/cell/job/view.go
+++ b/cell/job/view.go
@@ -33,6 +33,7 @@
 		renewals    EpochHistory
 
 		answeredStarts AnsweredStarts
+		startDelay     time.Duration
 		// gaps counts how often records were left out.
 		gaps int
 		// replacedBefore is the offset before which the records were loaded anew as a whole.
@@ -171,6 +172,8 @@
 		return v.applyRenewals(e)
 	case answeredStartsKey:
 		return v.applyAnsweredStarts(e)
+	case startDelayKey:
+		return v.applyStartDelay(e)
 	}
 	return Class.New("unknown kind of key")
 }
--- a/pollendockd/internal/scheduler/append.go
+++ b/pollendockd/internal/scheduler/append.go
@@ -79,10 +79,22 @@
 	f := &l.flush
 	f.sent = b
 	f.sentAt = time.Now()
+	f.noteDispatches(b)
 	f.attempts = 0
 	l.attempt(b)
 }
 
+// noteDispatches notes when the dispatches of a batch's starts were sent, which an earlier batch may hold.
+func (f *flushState) noteDispatches(b *batch) {
+	if f.dispatchedAt.IsZero() {
+		f.dispatchedAt = f.sentAt
+	}
+	if b.complete {
+		b.dispatchAge.appendedAt = f.dispatchedAt
+		f.dispatchedAt = time.Time{}
+	}
+}
+
 // attempt sends the append in progress, for the first time or as a retry. The stream
 // deduplicates it by its sequence number, and the first answer counts.
 func (l *leadership) attempt(b *batch) {
--- a/pollendockd/internal/scheduler/flush.go
+++ b/pollendockd/internal/scheduler/flush.go
@@ -42,6 +42,9 @@
 		forget []string
 		// givenUpRuns lists workers whose records of runs that were given up have changed.
 		givenUpRuns []string
+		// dispatchedAt is when the first append was sent of those that hold the dispatches of
+		// starts, zero if none was.
+		dispatchedAt time.Time
 		// speeds is a record of the workers' speeds, nil if none is due.
 		speeds *job.WorkerSpeeds
 	}
@@ -57,9 +60,13 @@
 		// silent holds the workers that the batch records as silent, answered those whose
 		// record it removes.
 		silent, answered []*worker
+		// complete is set if the batch leaves no states to the next one.
+		complete bool
 		// states is set if the batch has states of jobs.
 		states bool
-		final  bool
+		// dispatchAge is that of the starts.
+		dispatchAge dispatchAge
+		final       bool
 	}
 
 	// ackUpTo is the number of a run end within one incarnation of a worker.
@@ -161,7 +168,11 @@
 	if err := l.addRenewals(b); err != nil {
 		return nil, err
 	}
-	if len(f.dirty) == 0 {
+	if err := l.addStartDelay(b, now); err != nil {
+		return nil, err
+	}
+	b.complete = len(f.dirty) == 0
+	if b.complete {
 		b.starts, f.starts = f.starts, nil
 		for _, wk := range l.workers {
 			b.ackUpTo[wk] = ackUpTo{wk.boot, wk.ackableEnd()}
@@ -278,9 +289,11 @@
 		return
 	}
 	replyAll(b.accepts, nil)
+	l.noteStartDelay(b, time.Now())
 	l.dropEvacuated(b.starts)
 	l.dropOvercommitted(b.starts, time.Now())
 	for _, r := range b.starts {
+		r.dispatchAge = b.dispatchAge
 		if r.bound() {
 			l.sendStart(r)
 		}
--- a/pollendockd/internal/scheduler/given_up_run_test.go
+++ b/pollendockd/internal/scheduler/given_up_run_test.go
@@ -204,7 +204,7 @@
 		other := l.workerOf("b")
 		other.client, other.boot, other.clockAt = silentWorker{}, 1, time.Now()
 		l.flush.ackedAt, l.flush.ackedTimeOfDay = time.Now(), time.Now().Round(0)
-		decided := &run{task: task, number: 2, tj: tj, boot: 1}
+		decided := &run{task: task, number: 2, tj: tj, boot: 1, dispatchAge: dispatchAge{time.Now(), shortStartDelay}}
 		l.bind(decided, other)
 		l.sendStart(decided)
 		if decided.startAttempts != 0 || decided.bound() {
--- a/pollendockd/internal/scheduler/late_starts.go
+++ b/pollendockd/internal/scheduler/late_starts.go
@@ -51,7 +51,7 @@
 	maxRequestDelay = 12500 * time.Millisecond
 	// maxInheritedStartDelay is the longest time after its dispatch was read after which a start
 	// of an earlier leader is executed.
-	maxInheritedStartDelay = maxStartAttempts*startTimeout + maxRequestDelay
+	maxInheritedStartDelay = shortStartDelay + maxRequestDelay
 )
 
 func (s *lateStarts) sent(key runKey, at time.Time) {
@@ -230,7 +230,7 @@
 	if r.startAttempts == 0 {
 		// An earlier leader has sent the requests once it knew that the dispatch is durable,
 		// which is soon unless its append got no answer.
-		return r.wk.silence.notAfter(r.tj.inheritedAt).Add(maxInheritedStartDelay)
+		return r.wk.silence.notAfter(r.tj.inheritedAt).Add(maxInheritedStartDelay + r.tj.inheritedDelay)
 	}
 	until := time.Time{}
 	for _, at := range r.unansweredStarts {
--- a/pollendockd/internal/scheduler/late_starts_test.go
+++ b/pollendockd/internal/scheduler/late_starts_test.go
@@ -234,6 +234,18 @@
 
 // TestStartOfPausedLeaderRunsNoTaskTwice guards against a start request that a leader sends after a pause, and which a later leader takes for sent soon after the dispatch was durable.
 func TestStartOfPausedLeaderRunsNoTaskTwice(t *testing.T) {
+	startAfterPause(t, func(*Scheduler) {})
+}
+
+// TestStartOfPausedLeaderWithLongDelayRunsNoTaskTwice guards against the same for a leader that may send it late, as its appends have taken long.
+func TestStartOfPausedLeaderWithLongDelayRunsNoTaskTwice(t *testing.T) {
+	startAfterPause(t, func(s *Scheduler) { s.lead.startDelays.lateAt = time.Now() })
+}
+
+// startAfterPause pauses a leader, some seconds after before was called, until another one leads. The
+// restarted worker executes the start request as late as it can, and is away meanwhile.
+func startAfterPause(t *testing.T, before func(s *Scheduler)) {
+	t.Helper()
 	const (
 		maxLease = 10 * time.Second
 		length   = 1300 * time.Millisecond
@@ -249,7 +261,9 @@
 			wide := tasks(4, 1)
 			wide.PerWorker = 1
 			c.submit("j0", wide)
-			time.Sleep(40*time.Second + offset)
+			time.Sleep(30 * time.Second)
+			c.vms[c.leader()].scheduler.post(inspect(before))
+			time.Sleep(10*time.Second + offset)
 			c.store.SetAppendTime(30 * time.Millisecond)
 			for i := range 4 {
 				c.fleet.Worker(fmt.Sprintf("w%d", i)).DelayStarts(3, maxRequestDelay-10*time.Millisecond)
--- a/pollendockd/internal/scheduler/leadership.go
+++ b/pollendockd/internal/scheduler/leadership.go
@@ -60,6 +60,7 @@
 		// othersRenewUntil is when all earlier leaders have stopped renewing leases.
 		othersRenewUntil time.Time
 		answeredStarts   answeredStarts
+		startDelays      startDelays
 
 		flush    flushState
 		advice   adviceQueue
@@ -142,6 +143,7 @@
 		givenUpRuns:     s.deps.View.GivenUpRuns(),
 		renewals:        s.deps.View.Renewals(),
 		answeredStarts:  newAnsweredStarts(s.deps.View.AnsweredStarts(), s.deps.View.Next()),
+		startDelays:     startDelays{recorded: s.deps.View.StartDelay() > 0},
 		placeNeeded:     true,
 		since:           time.Since,
 	}
--- a/pollendockd/internal/scheduler/requests.go
+++ b/pollendockd/internal/scheduler/requests.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"pollendock.example/cell/site"
 )
 
@@ -42,6 +44,8 @@
 	refusalBackoff = 500 * time.Millisecond
 )
 
+var errStartTooLate = errs.New("the dispatch is too old")
+
 // sendStart sends the start request of a run whose dispatch is durable.
 func (l *leadership) sendStart(r *run) {
 	if r.stopWanted {
@@ -53,7 +57,12 @@
 		return
 	}
 	now := time.Now()
-	if r.startAttempts > 0 && (r.wk.boot != r.boot || l.mustNotResend(r) || !r.wk.capacityKnown(now)) {
+	allowed := r.dispatchAge.allows(now)
+	if r.startAttempts == 0 && !allowed {
+		l.endRun(r, site.NotRun, "its dispatch became durable too late")
+		return
+	}
+	if r.startAttempts > 0 && (!allowed || r.wk.boot != r.boot || l.mustNotResend(r) || !r.wk.capacityKnown(now)) {
 		l.verifyRun(r, now)
 		return
 	}
@@ -84,10 +93,14 @@
 	r.unansweredStarts = append(r.unansweredStarts, now)
 	r.wk.lateStarts.sent(r.key(), now)
 	l.answeredStarts.add(r)
-	client, lastClock, lastAskedAt := r.wk.client, r.wk.clock, r.wk.clockAskedAt
+	client, lastClock, lastAskedAt, age := r.wk.client, r.wk.clock, r.wk.clockAskedAt, r.dispatchAge
 	l.spawn(func(ctx context.Context) event {
 		ctx, cancel := context.WithTimeout(ctx, startTimeout)
 		defer cancel()
+		if !age.allows(time.Now()) {
+			// The process has stood still since.
+			return startDone{l, r, now, lastClock, lastAskedAt, 0, errStartTooLate}
+		}
 		clock, err := client.Start(ctx, req)
 		return startDone{l, r, now, lastClock, lastAskedAt, clock, err}
 	})
--- a/pollendockd/internal/scheduler/tracked_job.go
+++ b/pollendockd/internal/scheduler/tracked_job.go
@@ -64,6 +64,8 @@
 		doubtfulCrashes *job.DoubtfulCrashes
 		// inheritedAt is when this VM read the state that the leader began with.
 		inheritedAt time.Time
+		// inheritedDelay is how much later than usual earlier leaders may have sent start requests.
+		inheritedDelay time.Duration
 		// dirty is set if the state is to be stored, crashesDirty if the crashes are, too.
 		dirty        bool
 		crashesDirty bool
@@ -88,7 +90,8 @@
 		sentAt      time.Time
 		confirmedAt time.Time
 		// worksSince is since when at the latest it has worked, once that is confirmed.
-		worksSince time.Time
+		worksSince  time.Time
+		dispatchAge dispatchAge
 		// startAttempts counts how often the start request was sent.
 		startAttempts int
 		// unansweredStarts holds when the start requests were sent that got no answer.
@@ -236,6 +239,7 @@
 
 // inheritRuns creates runs for the tasks that an earlier leader dispatched.
 func (l *leadership) inheritRuns(tj *trackedJob, j *job.Job) {
+	tj.inheritedDelay = l.inheritedStartDelay()
 	for step, tasks := range tj.state.Steps {
 		broken := false
 		for i := range tasks {
@@ -455,7 +459,7 @@
 // latestInheritedStart returns the latest time, until now, at which a worker may have started a run that
 // an earlier leader dispatched.
 func (tj *trackedJob) latestInheritedStart(now time.Time) time.Time {
-	last := tj.inheritedAt.Add(maxInheritedStartDelay)
+	last := tj.inheritedAt.Add(maxInheritedStartDelay + tj.inheritedDelay)
 	if last.After(now) {
 		return now
 	}
