scheduler: a term that appended nothing counts as one whose leader keeps to short leases

Cause: the record `renewals` went with the first batch after the record of the term. A leader that ended in between left a gap in the chain, so that its successor took all leaders for ones of earlier versions. The class: a fact about a term in a record that may miss, beside the record of the term itself.

Evidence: TestTaskOfDeadWorkerRunsAgainSoonAfterTermWithoutAppends, on "the task runs again after 16.3s, want 7s at most" (leases of 6 s).

Fix: the record goes in the append with which the term begins, which is atomic: a VM that has read the term has read the record. A campaign that has not read its predecessor's record breaks the chain, as before.

--- a/pollendockd/internal/scheduler/campaign.go
+++ b/pollendockd/internal/scheduler/campaign.go
@@ -172,11 +172,11 @@
 	if err != nil || mayBeAlive {
 		return false, err
 	}
-	e, err := job.LeaderEntry(&job.Leader{Epoch: epoch, Incarnation: s.opt.Incarnation})
+	entries, err := s.campaignEntries(epoch)
 	if err != nil {
 		return false, err
 	}
-	if err := s.appendCampaign(ctx, epoch, e, max(campaignAppendTimeout, readTimeFactor*call)); err != nil && !site.ErrUnknown.Has(err) {
+	if err := s.appendCampaign(ctx, epoch, entries, max(campaignAppendTimeout, readTimeFactor*call)); err != nil && !site.ErrUnknown.Has(err) {
 		return false, err
 	}
 	// If the append got no answer, the record tells whether it was added.
@@ -187,10 +187,23 @@
 	return l.Epoch == epoch && l.Incarnation == s.opt.Incarnation, nil
 }
 
-func (s *Scheduler) appendCampaign(ctx context.Context, epoch int64, e site.Entry, timeout time.Duration) error {
+// campaignEntries returns the records with which a term begins.
+func (s *Scheduler) campaignEntries(epoch int64) ([]site.Entry, error) {
+	leader, err := job.LeaderEntry(&job.Leader{Epoch: epoch, Incarnation: s.opt.Incarnation})
+	if err != nil {
+		return nil, err
+	}
+	renewals, err := s.renewalsEntry(epoch)
+	if err != nil {
+		return nil, err
+	}
+	return []site.Entry{leader, renewals}, nil
+}
+
+func (s *Scheduler) appendCampaign(ctx context.Context, epoch int64, entries []site.Entry, timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	_, err := s.deps.Stream.AppendAs(ctx, site.Term{Epoch: epoch}, []site.Entry{e})
+	_, err := s.deps.Stream.AppendAs(ctx, site.Term{Epoch: epoch}, entries)
 	return err
 }
 
--- a/pollendockd/internal/scheduler/dead_worker_test.go
+++ b/pollendockd/internal/scheduler/dead_worker_test.go
@@ -33,6 +33,31 @@
 	}
 }
 
+// TestTaskOfDeadWorkerRunsAgainSoonAfterTermWithoutAppends guards against taking the leaders for ones of earlier versions because one of them has ended before it appended anything.
+func TestTaskOfDeadWorkerRunsAgainSoonAfterTermWithoutAppends(t *testing.T) {
+	// longestWait is how long a job may have nothing running: 4 s until all is calm, and 3 s.
+	const longestWait = 7 * time.Second
+	inCell(t, 3, func(c *cell) {
+		c.startLongTask(4)
+		worker := c.fleet.Worker(c.vms["b"].replica.Job("j1").State.Steps[0][0].Worker)
+		leader := c.leader()
+		for name, v := range c.vms {
+			v.stream.campaignsOnly.Store(name != leader)
+		}
+		worker.Terminate()
+		c.killNoticed(leader)
+		c.awaitLeader()
+		time.Sleep(200 * time.Millisecond)
+		c.killNoticed(c.leader())
+		for _, v := range c.vms {
+			v.stream.campaignsOnly.Store(false)
+		}
+		if took := c.untilNextStart("j1"); took > longestWait {
+			t.Errorf("the task runs again after %v, want %v at most", took, longestWait)
+		}
+	})
+}
+
 // TestLeasesOfEarlierVersionsAreWaitedFor guards against counting the leases of leaders that append no record of their terms as those of leaders that do.
 func TestLeasesOfEarlierVersionsAreWaitedFor(t *testing.T) {
 	now := time.Now()
--- a/pollendockd/internal/scheduler/flush.go
+++ b/pollendockd/internal/scheduler/flush.go
@@ -158,9 +158,6 @@
 	if err := l.addSilences(b, now); err != nil {
 		return nil, err
 	}
-	if err := l.addRenewals(b); err != nil {
-		return nil, err
-	}
 	if len(f.dirty) == 0 {
 		b.starts, f.starts = f.starts, nil
 		for _, wk := range l.workers {
--- a/pollendockd/internal/scheduler/harness_test.go
+++ b/pollendockd/internal/scheduler/harness_test.go
@@ -78,7 +78,9 @@
 		// listSilent is set while this VM gets no answers to reads of the list of workers.
 		listSilent atomic.Bool
 		// uplink is the link of this VM, nil for one that takes no time.
-		uplink atomic.Pointer[loopback.Link]
+		// campaignsOnly is set while it gets answers to its campaigns only.
+		campaignsOnly atomic.Bool
+		uplink        atomic.Pointer[loopback.Link]
 		// largest is the size of the largest append, in bytes.
 		largest atomic.Int64
 		// readsSilent is set while this VM gets no answers to reads of the records.
@@ -176,7 +178,7 @@
 	if s.resets.Load() {
 		return 0, site.ErrUnknown.New("connection reset by the test")
 	}
-	if s.silent.Load() {
+	if s.silent.Load() || s.campaignsOnly.Load() && t.Sequence > 0 {
 		<-ctx.Done()
 		return 0, site.ErrUnknown.Wrap(ctx.Err())
 	}
--- a/pollendockd/internal/scheduler/leadership.go
+++ b/pollendockd/internal/scheduler/leadership.go
@@ -53,10 +53,8 @@
 		heldWorkers int
 		heldSince   time.Time
 
-		// renewals is the record of earlier leaders, renewalsAppended is set once this one
-		// has appended it.
-		renewals         job.EpochHistory
-		renewalsAppended bool
+		// renewals is the record of the leaders up to this one.
+		renewals job.EpochHistory
 		// othersRenewUntil is when all earlier leaders have stopped renewing leases.
 		othersRenewUntil time.Time
 		answeredStarts   answeredStarts
--- a/pollendockd/internal/scheduler/renewals.go
+++ b/pollendockd/internal/scheduler/renewals.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"pollendock.example/cell/job"
+	"pollendock.example/cell/site"
 )
 
 // This file bounds the leases that earlier leaders may have granted to a worker that has not
@@ -30,29 +31,21 @@
 	return min(lease, l.s.opt.Bounds.MaxLease-leaseMargin)
 }
 
-// addRenewals adds to the first batch of a term the record that this leader keeps to
-// renewTimeout.
-func (l *leadership) addRenewals(b *batch) error {
-	if l.renewalsAppended {
-		return nil
+// renewalsEntry returns the record that the leader of an epoch keeps to renewTimeout. It goes with the
+// record of the term, so that a term in which nothing was appended leaves it, too.
+func (s *Scheduler) renewalsEntry(epoch int64) (site.Entry, error) {
+	r := &job.EpochRange{Epoch: epoch, FirstEpoch: epoch}
+	if h := s.deps.View.Renewals(); h.ReachesTo(epoch - 1) {
+		r.FirstEpoch = h.FirstEpoch
 	}
-	l.renewalsAppended = true
-	r := &job.EpochRange{Epoch: l.term.Epoch, FirstEpoch: l.term.Epoch}
-	if l.predecessorKeepsTerms() {
-		r.FirstEpoch = l.renewals.FirstEpoch
-	}
-	e, err := job.RenewalsEntry(r)
-	if err != nil {
-		return err
-	}
-	b.entries = append(b.entries, e)
-	return nil
+	return job.RenewalsEntry(r)
 }
 
 // predecessorKeepsTerms reports whether the leader of the term before this one has appended the
 // record.
 func (l *leadership) predecessorKeepsTerms() bool {
-	return l.renewals.ReachesTo(l.term.Epoch - 1)
+	own := l.renewals.ReachesTo(l.term.Epoch) && l.renewals.FirstEpoch < l.term.Epoch
+	return own || l.renewals.ReachesTo(l.term.Epoch-1)
 }
 
 // noteOthersRenewals notes until when earlier leaders renew leases. Those whose processes are known to
