scheduler: no task waits for a late start whose ticket no later incarnation accepts

Work whose start a leader may have sent in its last moments to a worker that died, too, began 23.6 s later: 13.25 s in which the request may be executed, and the longest lease of a later incarnation that executes it. There no record was written from epoch 3 on, as over 256 runs were open (openStarts=399 to 882): in young cells and after changes of leader all runs are.

Cause: the wait is for a later incarnation of the worker, but a start of a queue with advice carries a ticket that is valid for one incarnation only, and is refused without one (PROTOCOL.md, Jobs). All queues of the sites have advice.

Fix: a start that needs a ticket is executed by no later incarnation, so nobody waits for that. In the incarnation that the run was decided for the lease binds, whose end is a time on its clock. The long wait also stood for leases that a young incarnation has granted to requests to an earlier one; these are waited for as before, unless the record settled/ID says that the incarnation has none. Starts without a ticket are waited for as before.

--- a/cell/job/odd_records_test.go
+++ b/cell/job/odd_records_test.go
@@ -99,6 +99,9 @@
 		{"worker that is silent until a negative epoch", "silent/w", &EpochRange{Epoch: -1, FirstEpoch: -1}},
 		{"worker that is silent until an epoch that cannot be followed", "silent/w", &EpochRange{Epoch: math.MaxInt64}},
 		{"worker that is silent before it was", "silent/w", &EpochRange{Epoch: 2, FirstEpoch: 3}},
+		{"settled worker that is no record", "settled/w", "\x00"},
+		{"settled worker of no incarnation", "settled/w", &SettledWorker{}},
+		{"settled worker without an id", "settled/", &SettledWorker{Boot: 5}},
 		{"silent worker without an id", "silent/", &EpochRange{}},
 		{"renewals that are no record", "renewals", "\x00"},
 		{"renewals that end before they begin", "renewals", &EpochRange{Epoch: 2, FirstEpoch: 3}},
@@ -143,6 +146,7 @@
 		recordOf(t, "speeds", &WorkerSpeeds{Workers: map[uint32]WorkerSpeed{7: {Mean: -20, StdDev: 5}}}),
 		recordOf(t, "queues/q", &QueueSettings{Version: 3, Stretch: 2, Objective: time.Second, Advice: []AdviceSettings{{Base: 5, TicketLifetime: time.Second}}}),
 		recordOf(t, "silent/w", &EpochRange{Epoch: 3, FirstEpoch: 2}),
+		recordOf(t, "settled/w", &SettledWorker{Boot: 5}),
 		recordOf(t, "renewals", &EpochRange{Epoch: 3, FirstEpoch: 2}),
 		recordOf(t, "answeredStarts", &AnsweredStarts{Before: 9, Except: []RunName{{Job: "a", Index: 1, Run: 1}}}),
 	}
@@ -158,6 +162,7 @@
 		text += fmt.Sprintf(" queue stretch %v objective %v advice %+v", q.Stretch, q.Objective, *q.Advice)
 	}
 	text += fmt.Sprintf(" renewals %+v answered starts %+v", v.Renewals().EpochRange, *v.AnsweredStarts())
+	text += fmt.Sprint(" settled ", v.SettledWorkers())
 	for id, s := range v.SilentWorkers() {
 		text += fmt.Sprintf(" silent %s %d %d", id, s.FirstEpoch, s.Epoch)
 	}
--- a/cell/job/replace.go
+++ b/cell/job/replace.go
@@ -34,6 +34,7 @@
 	v.leader, v.leaderAt, v.terms = fresh.leader, fresh.leaderAt, fresh.terms
 	v.speeds, v.givenUpRuns = fresh.speeds, fresh.givenUpRuns
 	v.silent, v.renewals = fresh.silent, fresh.renewals
+	v.settled = fresh.settled
 	v.answeredStarts = fresh.answeredStarts
 	return changed
 }
--- a/cell/job/view.go
+++ b/cell/job/view.go
@@ -27,9 +27,10 @@
 		terms  []LeaderTerm
 		speeds WorkerSpeeds
 		queues map[string]*QueueSettings
-		// givenUpRuns and silent hold the records of workers by their ids.
+		// givenUpRuns, silent and settled hold the records of workers by their ids.
 		givenUpRuns map[string]GivenUpRuns
 		silent      map[string]EpochHistory
+		settled     map[string]int64
 		renewals    EpochHistory
 
 		answeredStarts AnsweredStarts
@@ -98,6 +99,7 @@
 
 		givenUpRuns: map[string]GivenUpRuns{},
 		silent:      map[string]EpochHistory{},
+		settled:     map[string]int64{},
 	}
 }
 
@@ -156,6 +158,8 @@
 		return "", v.applyQueue(name, e)
 	case silentKey:
 		return "", v.applySilentWorker(name, e)
+	case settledKey:
+		return "", v.applySettledWorker(name, e)
 	}
 	return "", Class.New("unknown kind of key")
 }
--- a/pollendockd/internal/scheduler/answered_starts.go
+++ b/pollendockd/internal/scheduler/answered_starts.go
@@ -141,7 +141,7 @@
 // endStart removes a run that has ended, unless a start request of it may still be executed, beside the
 // next run of its task.
 func (l *leadership) endStart(r *run, now time.Time) {
-	if !now.Before(r.unansweredUntil()) {
+	if !now.Before(l.unansweredUntil(r)) {
 		l.answeredStarts.remove(r)
 	}
 }
@@ -154,7 +154,7 @@
 		if r.startAttempts > 0 && l.mayHoldLongLease(r, now) {
 			continue
 		}
-		if !now.Before(l.longestLeaseFrom(later(r.unansweredUntil(), r.wk.lateHolds.renewals.until))) {
+		if !now.Before(l.longestLeaseFrom(later(l.unansweredUntil(r), r.wk.lateHolds.renewals.until))) {
 			l.answeredStarts.remove(r)
 		}
 	}
--- a/pollendockd/internal/scheduler/lapse_report.go
+++ b/pollendockd/internal/scheduler/lapse_report.go
@@ -22,7 +22,7 @@
 			first = at
 		}
 		last = later(last, at)
-		startable = later(startable, r.startableUntil())
+		startable = later(startable, l.startableUntil(r))
 		if r.startAttempts == 0 {
 			inheritedRuns++
 		}
--- a/pollendockd/internal/scheduler/late_starts.go
+++ b/pollendockd/internal/scheduler/late_starts.go
@@ -20,7 +20,8 @@
 //
 // While no incarnation answers, the task of such a run waits until the request can no longer
 // be executed and the lease of a run that it started has expired, unless the request may have
-// been lost in the crash itself.
+// been lost in the crash itself, or carries a ticket: the advisor's tickets are valid for one
+// incarnation of a worker.
 
 type (
 	// lateStarts holds the start requests of a worker that may still be executed.
@@ -197,7 +198,7 @@
 	if r.stage == planned {
 		return false
 	}
-	executable := r.startableUntil()
+	executable := l.startableUntil(r)
 	if executable.IsZero() {
 		return false
 	}
@@ -208,9 +209,9 @@
 // startableUntil is until when a later incarnation of a worker that no longer answers may execute
 // a start request of the run; zero if it can't. One that the worker has left unanswered while it
 // answered others it may; one after which it has answered nothing was lost with the worker.
-func (r *run) startableUntil() time.Time {
-	if r.startAttempts == 0 {
-		return r.unansweredUntil()
+func (l *leadership) startableUntil(r *run) time.Time {
+	if r.startAttempts == 0 || l.startNeedsTicket(r) {
+		return l.unansweredUntil(r)
 	}
 	until := time.Time{}
 	for _, at := range r.unansweredStarts {
@@ -221,10 +222,10 @@
 	return until
 }
 
-// unansweredUntil is when no start request of the run can be executed any more that got no answer,
-// or of which no answer is known; zero if there is none.
-func (r *run) unansweredUntil() time.Time {
-	if r.startsAnswered {
+// unansweredUntil is when no later incarnation can execute a start request of the run any more that
+// got no answer, or of which no answer is known; zero if there is none.
+func (l *leadership) unansweredUntil(r *run) time.Time {
+	if r.startsAnswered || l.startNeedsTicket(r) && (r.startAttempts > 0 || l.settled.boots[r.wk.id] == r.boot) {
 		return time.Time{}
 	}
 	if r.startAttempts == 0 {
@@ -238,3 +239,16 @@
 	}
 	return until
 }
+
+// startNeedsTicket reports whether the start requests of the run are refused without a ticket for the
+// present incarnation of the worker.
+func (l *leadership) startNeedsTicket(r *run) bool {
+	if r.startAttempts > 0 {
+		return r.ticket != ""
+	}
+	if l.s.deps.Advisor == nil {
+		return false
+	}
+	q := l.queueOf(l.s.deps.Catalog(), r.tj)
+	return q != nil && q.Advice != nil
+}
--- a/pollendockd/internal/scheduler/leadership.go
+++ b/pollendockd/internal/scheduler/leadership.go
@@ -57,6 +57,7 @@
 		renewals job.EpochHistory
 		// othersRenewUntil is when all earlier leaders have stopped renewing leases.
 		othersRenewUntil time.Time
+		settled          settledWorkers
 		answeredStarts   answeredStarts
 
 		flush    flushState
@@ -139,6 +140,7 @@
 		condemned:       map[site.TaskID]condemnedTask{},
 		givenUpRuns:     s.deps.View.GivenUpRuns(),
 		renewals:        s.deps.View.Renewals(),
+		settled:         settledWorkers{boots: s.deps.View.SettledWorkers()},
 		answeredStarts:  newAnsweredStarts(s.deps.View.AnsweredStarts(), s.deps.View.Next()),
 		placeNeeded:     true,
 		since:           time.Since,
@@ -265,6 +267,7 @@
 		l.report(now)
 		l.forgetExpired(now)
 		l.forgetLostWorkers(now)
+		l.forgetSettled(now)
 	}
 }
 
--- a/pollendockd/internal/scheduler/misdirected_renewals.go
+++ b/pollendockd/internal/scheduler/misdirected_renewals.go
@@ -39,9 +39,14 @@
 
 // mayHoldLongLease reports whether the run may hold a longer lease than its leader has granted.
 func (l *leadership) mayHoldLongLease(r *run, now time.Time) bool {
-	wk := r.wk
+	return r.wk.mayHoldLongLease(now) || now.Before(l.longestLeaseFrom(r.misdirectedUntil))
+}
+
+// mayHoldLongLease reports whether the incarnation that has answered last may hold a lease that it
+// has granted to a request to an earlier one, or may yet do so.
+func (wk *worker) mayHoldLongLease(now time.Time) bool {
 	passed := time.Duration(float64(now.Sub(wk.clockAt)) * minClockRate)
-	return wk.clock+passed < wk.misdirectedLeaseEnd || now.Before(l.longestLeaseFrom(r.misdirectedUntil))
+	return wk.clock+passed < wk.misdirectedLeaseEnd
 }
 
 // noteExecution notes by which incarnation a start request may have been executed that was answered
