--- a/pollendockd/internal/scheduler/flush.go
+++ b/pollendockd/internal/scheduler/flush.go
@@ -165,9 +165,6 @@
 	if err := l.addSilences(b, now); err != nil {
 		return nil, err
 	}
-	if err := l.addRenewals(b); err != nil {
-		return nil, err
-	}
 	if err := l.addStartDelay(b, now); err != nil {
 		return nil, err
 	}
@@ -190,6 +187,9 @@
 	if err := l.addLeaderRecord(b, now); err != nil {
 		return nil, err
 	}
+	if err := l.addSettled(b, now); err != nil {
+		return nil, err
+	}
 	return b, l.addAnsweredStarts(b, now)
 }
 
--- a/pollendockd/internal/scheduler/leadership.go
+++ b/pollendockd/internal/scheduler/leadership.go
@@ -53,12 +53,11 @@
 		heldWorkers int
 		heldSince   time.Time
 
-		// renewals is the record of earlier leaders, renewalsAppended is set once this one
-		// has appended it.
-		renewals         job.EpochHistory
-		renewalsAppended bool
+		// renewals is the record of the leaders up to this one.
+		renewals job.EpochHistory
 		// othersRenewUntil is when all earlier leaders have stopped renewing leases.
 		othersRenewUntil time.Time
+		settled          settledWorkers
 		answeredStarts   answeredStarts
 		startDelays      startDelays
 
@@ -142,6 +141,7 @@
 		condemned:       map[site.TaskID]condemnedTask{},
 		givenUpRuns:     s.deps.View.GivenUpRuns(),
 		renewals:        s.deps.View.Renewals(),
+		settled:         settledWorkers{boots: s.deps.View.SettledWorkers()},
 		answeredStarts:  newAnsweredStarts(s.deps.View.AnsweredStarts(), s.deps.View.Next()),
 		startDelays:     startDelays{recorded: s.deps.View.StartDelay() > 0},
 		placeNeeded:     true,
@@ -269,6 +269,7 @@
 		l.report(now)
 		l.forgetExpired(now)
 		l.forgetLostWorkers(now)
+		l.forgetSettled(now)
 	}
 }
 
