A lease renewed beside a start without an answer is on record

Callers would see a task run twice: a restarted worker executes a start that got no answer 12 s late, and after it a hold that a leader sent to its earlier incarnation, which grants the longest lease once more. Only that leader, which may be the starter or a later one, knew of the hold; its successor counted 13.25 s and the longest lease from the dispatch.

To count from the last possible renewals would be right for all runs, but longer for those whose worker died with its start. So a leader renews a lease beside a start that may be executed late only while that is within what its successor counts anyway, 0.75 s, or once the record renewedStarts names the run. It names a run whose worker has answered since, in a batch that goes out anyway. Only for runs that are named a successor counts the renewals of earlier leaders, and 12.5 s.

--- a/cell/job/answered_starts.go
+++ b/cell/job/answered_starts.go
@@ -23,8 +23,8 @@
 
 const (
 	answeredStartsKey = "answeredStarts"
-	// maxExceptedRuns is more runs than any leader names.
-	maxExceptedRuns = 4096
+	// maxNamedRuns is more runs than any leader names in a record.
+	maxNamedRuns = 4096
 )
 
 // AnsweredStartsEntry returns the entry that stores which starts were answered.
@@ -33,10 +33,17 @@
 }
 
 func (a *AnsweredStarts) validateRecord() error {
-	if a.Before < 0 || len(a.Except) > maxExceptedRuns {
-		return Class.New("starts answered before offset %d except of %d runs", a.Before, len(a.Except))
+	if a.Before < 0 {
+		return Class.New("starts answered before offset %d", a.Before)
 	}
-	for _, r := range a.Except {
+	return validateRunNames(a.Except)
+}
+
+func validateRunNames(names []RunName) error {
+	if len(names) > maxNamedRuns {
+		return Class.New("%d runs", len(names))
+	}
+	for _, r := range names {
 		if r.Job == "" || r.Step < 0 || r.Step >= MaxSteps || r.Index < 0 || r.Index >= MaxTasks || r.Run < 0 || r.Run > maxNumber {
 			return Class.New("start of run %d of task %d of step %d of job %.60q", r.Run, r.Index, r.Step, r.Job)
 		}
--- a/cell/job/odd_records_test.go
+++ b/cell/job/odd_records_test.go
@@ -111,7 +111,11 @@
 		{"starts answered except of a run of no job", "answeredStarts", &AnsweredStarts{Except: []RunName{{Run: 1}}}},
 		{"starts answered except of a step that no job has", "answeredStarts", &AnsweredStarts{Except: []RunName{{Job: "a", Step: math.MaxInt, Run: 1}}}},
 		{"starts answered except of a negative task", "answeredStarts", &AnsweredStarts{Except: []RunName{{Job: "a", Index: -1, Run: 1}}}},
-		{"starts answered except of too many runs", "answeredStarts", &AnsweredStarts{Except: make([]RunName, maxExceptedRuns+1)}},
+		{"starts answered except of too many runs", "answeredStarts", &AnsweredStarts{Except: make([]RunName, maxNamedRuns+1)}},
+		{"renewed starts that are no record", "renewedStarts", "\x00"},
+		{"renewed starts of a run of no job", "renewedStarts", &RenewedStarts{Runs: []RunName{{Run: 1}}}},
+		{"renewed starts of a negative task", "renewedStarts", &RenewedStarts{Runs: []RunName{{Job: "a", Index: -1, Run: 1}}}},
+		{"renewed starts of too many runs", "renewedStarts", &RenewedStarts{Runs: make([]RunName, maxNamedRuns+1)}},
 		{"unknown kind", "x/a", "\x00"},
 		{"empty key", "", "\x00"},
 		{"no id", "j/", goodSubmission()},
@@ -148,6 +152,8 @@
 		recordOf(t, "silent/w", &EpochRange{Epoch: 3, FirstEpoch: 2}),
 		recordOf(t, "renewals", &EpochRange{Epoch: 3, FirstEpoch: 2}),
 		recordOf(t, "answeredStarts", &AnsweredStarts{Before: 9, Except: []RunName{{Job: "a", Index: 1, Run: 1}}}),
+		recordOf(t, "startDelay", &StartDelay{Delay: time.Second}),
+		recordOf(t, "renewedStarts", &RenewedStarts{Runs: []RunName{{Job: "a", Index: 1, Run: 1}}}),
 	}
 }
 
@@ -161,6 +167,7 @@
 		text += fmt.Sprintf(" queue stretch %v objective %v advice %+v", q.Stretch, q.Objective, *q.Advice)
 	}
 	text += fmt.Sprintf(" renewals %+v answered starts %+v", v.Renewals().EpochRange, *v.AnsweredStarts())
+	text += fmt.Sprintf(" start delay %v renewed starts %+v", v.StartDelay(), *v.RenewedStarts())
 	for id, s := range v.SilentWorkers() {
 		text += fmt.Sprintf(" silent %s %d %d", id, s.FirstEpoch, s.Epoch)
 	}
--- a/cell/job/replace.go
+++ b/cell/job/replace.go
@@ -35,6 +35,7 @@
 	v.speeds, v.givenUpRuns = fresh.speeds, fresh.givenUpRuns
 	v.silent, v.renewals = fresh.silent, fresh.renewals
 	v.answeredStarts, v.startDelay = fresh.answeredStarts, fresh.startDelay
+	v.renewedStarts = fresh.renewedStarts
 	return changed
 }
 
--- a/cell/job/view.go
+++ b/cell/job/view.go
@@ -34,6 +34,7 @@
 
 		answeredStarts AnsweredStarts
 		startDelay     time.Duration
+		renewedStarts  RenewedStarts
 		// gaps counts how often records were left out.
 		gaps int
 		// replacedBefore is the offset before which the records were loaded anew as a whole.
@@ -174,6 +175,8 @@
 		return v.applyAnsweredStarts(e)
 	case startDelayKey:
 		return v.applyStartDelay(e)
+	case renewedStartsKey:
+		return v.applyRenewedStarts(e)
 	}
 	return Class.New("unknown kind of key")
 }
--- a/pollendockd/internal/scheduler/answered_starts.go
+++ b/pollendockd/internal/scheduler/answered_starts.go
@@ -22,6 +22,8 @@
 	// open holds the runs with a dispatch that is durable whose start requests may yet be
 	// executed late, or may have been, so that a later incarnation may hold a lease for them.
 	open map[runKey]*run
+	// openOn holds the same by the id of their worker.
+	openOn map[string]map[*run]bool
 	// before is the offset after the last states that are durable.
 	before int64
 	// changed is set if the above has changed since the last record, which was made at
@@ -48,7 +50,7 @@
 // newAnsweredStarts returns what a leader knows at the begin of its term: the record of earlier
 // leaders, and the offset up to which it has all their records.
 func newAnsweredStarts(inherited *job.AnsweredStarts, next int64) answeredStarts {
-	a := answeredStarts{inherited: inherited, excepted: map[site.TaskID]bool{}, open: map[runKey]*run{}, before: next, changed: true}
+	a := answeredStarts{inherited: inherited, excepted: map[site.TaskID]bool{}, open: map[runKey]*run{}, openOn: map[string]map[*run]bool{}, before: next, changed: true}
 	for i := range inherited.Except {
 		a.excepted[taskOf(&inherited.Except[i])] = true
 	}
@@ -59,8 +61,16 @@
 func (a *answeredStarts) add(r *run) {
 	if a.open == nil {
 		a.open = map[runKey]*run{}
+		a.openOn = map[string]map[*run]bool{}
+	}
+	if old := a.open[r.key()]; old != nil {
+		a.remove(old)
 	}
 	a.open[r.key()] = r
+	if a.openOn[r.wk.id] == nil {
+		a.openOn[r.wk.id] = map[*run]bool{}
+	}
+	a.openOn[r.wk.id][r] = true
 	a.changed = true
 }
 
@@ -70,6 +80,10 @@
 		return
 	}
 	delete(a.open, r.key())
+	delete(a.openOn[r.wk.id], r)
+	if len(a.openOn[r.wk.id]) == 0 {
+		delete(a.openOn, r.wk.id)
+	}
 	a.changed = true
 }
 
@@ -91,6 +105,7 @@
 	}
 	l.s.deps.Counts.Count("inherited_starts_open", 1)
 	a.add(r)
+	l.inheritRenewals(r)
 }
 
 // addAnsweredStarts adds the record to a batch that goes out anyway, if it has changed. The
--- a/pollendockd/internal/scheduler/flush.go
+++ b/pollendockd/internal/scheduler/flush.go
@@ -60,6 +60,9 @@
 		// silent holds the workers that the batch records as silent, answered those whose
 		// record it removes.
 		silent, answered []*worker
+		// renewedStarts is the record of the batch, nil if it has none, which names the runs renewed.
+		renewedStarts *job.RenewedStarts
+		renewed       []*run
 		// complete is set if the batch leaves no states to the next one.
 		complete bool
 		// states is set if the batch has states of jobs.
@@ -171,6 +174,9 @@
 	if err := l.addStartDelay(b, now); err != nil {
 		return nil, err
 	}
+	if err := l.addRenewedStarts(b, now); err != nil {
+		return nil, err
+	}
 	b.complete = len(f.dirty) == 0
 	if b.complete {
 		b.starts, f.starts = f.starts, nil
@@ -280,6 +286,7 @@
 		}
 	}
 	b.silencesDurable(time.Now())
+	l.renewedStartsDurable(b)
 	if b.states {
 		l.answeredStarts.statesDurable(first + int64(len(b.entries)))
 	}
--- a/pollendockd/internal/scheduler/late_starts.go
+++ b/pollendockd/internal/scheduler/late_starts.go
@@ -230,7 +230,8 @@
 	if r.startAttempts == 0 {
 		// An earlier leader has sent the requests once it knew that the dispatch is durable,
 		// which is soon unless its append got no answer.
-		return r.wk.silence.notAfter(r.tj.inheritedAt).Add(maxInheritedStartDelay + r.tj.inheritedDelay)
+		sent := r.wk.silence.notAfter(r.tj.inheritedAt).Add(maxInheritedStartDelay + r.tj.inheritedDelay)
+		return later(sent, r.othersRenewUntil.Add(maxRequestDelay))
 	}
 	until := time.Time{}
 	for _, at := range r.unansweredStarts {
--- a/pollendockd/internal/scheduler/leadership.go
+++ b/pollendockd/internal/scheduler/leadership.go
@@ -61,6 +61,7 @@
 		othersRenewUntil time.Time
 		answeredStarts   answeredStarts
 		startDelays      startDelays
+		renewedStarts    renewedStarts
 
 		flush    flushState
 		advice   adviceQueue
@@ -144,6 +145,7 @@
 		renewals:        s.deps.View.Renewals(),
 		answeredStarts:  newAnsweredStarts(s.deps.View.AnsweredStarts(), s.deps.View.Next()),
 		startDelays:     startDelays{recorded: s.deps.View.StartDelay() > 0},
+		renewedStarts:   newRenewedStarts(s.deps.View.RenewedStarts()),
 		placeNeeded:     true,
 		since:           time.Since,
 	}
--- a/pollendockd/internal/scheduler/tracked_job.go
+++ b/pollendockd/internal/scheduler/tracked_job.go
@@ -92,6 +92,11 @@
 		// worksSince is since when at the latest it has worked, once that is confirmed.
 		worksSince  time.Time
 		dispatchAge dispatchAge
+		// renewalsNamed is set once a record says that the lease of the worker may have been
+		// renewed while a start request could be executed late; by earlier leaders until
+		// othersRenewUntil.
+		renewalsNamed    bool
+		othersRenewUntil time.Time
 		// startAttempts counts how often the start request was sent.
 		startAttempts int
 		// unansweredStarts holds when the start requests were sent that got no answer.
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -280,7 +280,7 @@
 // returns 0, which renews nothing, for a worker that has not answered for maxAnswerAge, and once
 // the term may not renew its leases.
 func (l *leadership) nextLease(wk *worker, now time.Time) time.Duration {
-	if !l.mayRenewFor(wk, now) || wk.boot == 0 || now.Sub(wk.clockAt) > maxAnswerAge || wk.refusesConnections {
+	if !l.mayRenewFor(wk, now) || wk.boot == 0 || now.Sub(wk.clockAt) > maxAnswerAge || wk.refusesConnections || !l.mayRenewBesideStarts(wk, now) {
 		// An unanswered request may have been executed, so each new lease end postpones
 		// the time at which all runs have certainly lapsed.
 		return 0
