--- a/cell/job/replace.go
+++ b/cell/job/replace.go
@@ -36,6 +36,7 @@
 	v.silent, v.renewals = fresh.silent, fresh.renewals
 	v.settled = fresh.settled
 	v.answeredStarts, v.startDelay = fresh.answeredStarts, fresh.startDelay
+	v.renewedStarts = fresh.renewedStarts
 	return changed
 }
 
--- a/pollendockd/internal/scheduler/leadership.go
+++ b/pollendockd/internal/scheduler/leadership.go
@@ -60,6 +60,7 @@
 		settled          settledWorkers
 		answeredStarts   answeredStarts
 		startDelays      startDelays
+		renewedStarts    renewedStarts
 
 		flush    flushState
 		advice   adviceQueue
@@ -144,6 +145,7 @@
 		settled:         settledWorkers{boots: s.deps.View.SettledWorkers()},
 		answeredStarts:  newAnsweredStarts(s.deps.View.AnsweredStarts(), s.deps.View.Next()),
 		startDelays:     startDelays{recorded: s.deps.View.StartDelay() > 0},
+		renewedStarts:   newRenewedStarts(s.deps.View.RenewedStarts()),
 		placeNeeded:     true,
 		since:           time.Since,
 	}
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -288,7 +288,7 @@
 // call may have been executed, so each new lease end postpones the time at which all runs have
 // certainly lapsed.
 func (l *leadership) nextLease(wk *worker, now time.Time) time.Duration {
-	if !l.mayLease(wk, now) || wk.holdFails > 0 || wk.startUnanswered {
+	if !l.mayLease(wk, now) || wk.holdFails > 0 || wk.startUnanswered || !l.mayRenewBesideStarts(wk, now) {
 		return 0
 	}
 	end := wk.clockNow(now) + l.leaseLength()
