scheduler: a start that needs a ticket bars no renewal

Renewals waited for a record beside each start that a later incarnation may execute. It executes none that needs a ticket of its incarnation, so on queues with advice leases are renewed as before; the row 'with a ticket' of TestRenewalsBesideOpenStarts fails without it.

--- a/pollendockd/internal/scheduler/renewed_starts.go
+++ b/pollendockd/internal/scheduler/renewed_starts.go
@@ -55,15 +55,19 @@
 	return l.othersRenewUntil
 }
 
-// mayBeExecutedLate reports whether a start request of the run may be executed by a later incarnation.
-func (r *run) mayBeExecutedLate() bool {
+// mayBeExecutedLate reports whether a start request of the run may be executed by a later incarnation,
+// which accepts none that needs a ticket.
+func (l *leadership) mayBeExecutedLate(r *run) bool {
+	if l.startNeedsTicket(r) {
+		return false
+	}
 	return r.startAttempts > 0 && len(r.unansweredStarts) > 0 || r.startAttempts == 0 && !r.startsAnswered
 }
 
 // barsRenewals reports whether a renewal for the worker of an open run could be executed after all that
 // a later leader knows of.
-func (r *run) barsRenewals(now time.Time) bool {
-	if r.renewalsNamed || !r.mayBeExecutedLate() {
+func (l *leadership) barsRenewals(r *run, now time.Time) bool {
+	if r.renewalsNamed || !l.mayBeExecutedLate(r) {
 		return false
 	}
 	return r.startAttempts == 0 || !r.dispatchAge.allows(now)
@@ -75,7 +79,7 @@
 		return true
 	}
 	for r := range l.answeredStarts.openOn[wk.id] {
-		if r.barsRenewals(now) {
+		if l.barsRenewals(r, now) {
 			return false
 		}
 	}
@@ -86,7 +90,7 @@
 // the run may be executed late: the worker has answered after one that got no answer.
 func (l *leadership) isToBeNamed(r *run, now time.Time) bool {
 	wk := l.workers[r.wk.id]
-	if wk == nil || !r.mayBeExecutedLate() {
+	if wk == nil || !l.mayBeExecutedLate(r) {
 		return false
 	}
 	if r.startAttempts == 0 {
--- a/pollendockd/internal/scheduler/renewed_starts_test.go
+++ b/pollendockd/internal/scheduler/renewed_starts_test.go
@@ -96,6 +96,7 @@
 		sentAgo, dispatchedAgo, answeredAgo time.Duration
 		wantBars, wantNamed                 bool
 	}{
+		{"with a ticket, answer lost for longer", run{startAttempts: 2, ticket: "t", unansweredStarts: sentAgo(1)}, 300 * time.Millisecond, 800 * time.Millisecond, time.Millisecond, false, false},
 		{"just sent", run{startAttempts: 1, unansweredStarts: sentAgo(1)}, 5 * time.Millisecond, 20 * time.Millisecond, time.Millisecond, false, false},
 		{"answer lost", run{startAttempts: 2, unansweredStarts: sentAgo(1)}, 300 * time.Millisecond, 600 * time.Millisecond, time.Millisecond, false, true},
 		{"answer lost for longer", run{startAttempts: 2, unansweredStarts: sentAgo(1)}, 300 * time.Millisecond, 800 * time.Millisecond, time.Millisecond, true, true},
