soak: a wait beside room counts at all calm times

The soak's judge looked for that only after the last fault, and only while less than half of the service was in use. A second judge looked at all other times, and printed what it saw.

Now both report violations. Calm is: no fault is active and none has ended in the 4 s before, for the whole wait. A wait that both see is reported once.

TestLongWaitAtCalmTimeIsViolation got 0 violations in place of 1 (2 for waits before a fault and after it) with the judge as it was, and TestBothJudgesReportWaitOnce got 2 in place of 1 without the list of long waits.

The others passed.

--- a/soak/cell.go
+++ b/soak/cell.go
@@ -47,6 +47,8 @@
 		faultLocks  []sync.Mutex
 		disruptions *disruptions
 		violations  *violationLog
+		// longWaits are those that the judges of waits have seen.
+		longWaits longWaits
 		// site is the model of a site, nil for the plain soak; advisor is nil without it.
 		site    *siteModel
 		advisor *fleet.Advisor
--- a/soak/main.go
+++ b/soak/main.go
@@ -89,7 +89,7 @@
 	vl := c.violations
 	var clients, activeFaults sync.WaitGroup
 	end := time.Now().Add(opt.Length)
-	stopObserver := c.observeWaiting()
+	stopCalmJudge := c.judgeCalmTimes()
 	clients.Go(func() { c.generateJobs(ctx, opt, end, &clients, vl) })
 	activeFaults.Go(func() { c.injectFaults(opt, end, &activeFaults) })
 	if !opt.Basic && c.site == nil {
@@ -110,7 +110,8 @@
 	stopJudge := c.judgeWaiting(faultsEnd)
 	c.waitForCompletion(vl)
 	stopJudge()
-	stopObserver()
+	stopCalmJudge()
+	c.reportLongWaits()
 	if !opt.Basic {
 		time.Sleep(time.Until(faultsEnd.Add(c.settleTime())))
 		c.checkCancelled()
--- a/soak/waiting.go
+++ b/soak/waiting.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"time"
 
 	"pollendock.example/cell/resource"
@@ -14,11 +15,11 @@
 	// the workers and callers see it.
 	waitJudge struct {
 		c *cell
-		// since is the end of the last fault, or the begin of the soak for an observer.
+		// since is the end of the last fault, or the begin of the soak with atAnyTime.
 		since time.Time
-		// observes is set if the judge counts long waits without reporting them as violations,
-		// at all calm times and however much of the service is in use.
-		observes bool
+		// atAnyTime is set if the judge counts the waits of all calm times, however much of the
+		// service is in use.
+		atAnyTime bool
 		// longWaits is the number of waits of maxIdleWait and more.
 		longWaits int
 		// waits holds the jobs that wait now, by their ids.
@@ -41,6 +42,19 @@
 		first room
 	}
 
+	// longWaits are the waits of maxIdleWait and more, by the ids of the jobs. Two judges may see the
+	// same one.
+	longWaits struct {
+		mu    sync.Mutex
+		waits map[string][]longWait
+	}
+
+	// longWait is a long wait and what its judge says of it.
+	longWait struct {
+		began, seen time.Time
+		text        string
+	}
+
 	// room is the capacity for a step at one moment.
 	room struct {
 		queue string
@@ -67,7 +81,7 @@
 const (
 	// maxIdleWait is the longest time for which a job that could run may have nothing running.
 	maxIdleWait = 3 * time.Second
-	// calmBefore is the time without faults before the judge begins.
+	// calmBefore is the time without faults before a wait counts.
 	calmBefore    = 4 * time.Second
 	judgeInterval = 100 * time.Millisecond
 	// statusInterval is the time between two lines that say how busy the service is.
@@ -76,21 +90,26 @@
 	spareFactor = 2
 )
 
-// judgeWaiting starts the judge for a site. The returned function ends it.
+// judgeWaiting starts the judge of the waits after the last fault at a site. The returned function
+// ends it.
 func (c *cell) judgeWaiting(since time.Time) (end func()) {
 	if c.site == nil {
 		return func() {}
 	}
-	return (&waitJudge{c: c, since: since, waits: map[string]*idleWait{}}).start(calmBefore)
+	return c.newWaitJudge(since, false).start(calmBefore)
 }
 
-// observeWaiting counts the jobs that wait although they could run, in the calm between the
-// faults too. The returned function ends it.
-func (c *cell) observeWaiting() (end func()) {
+// judgeCalmTimes starts the judge of the waits in the calm between the faults of a site, too. The
+// returned function ends it.
+func (c *cell) judgeCalmTimes() (end func()) {
 	if c.site == nil {
 		return func() {}
 	}
-	return (&waitJudge{c: c, since: time.Now(), observes: true, waits: map[string]*idleWait{}}).start(0)
+	return c.newWaitJudge(time.Now(), true).start(0)
+}
+
+func (c *cell) newWaitJudge(since time.Time, atAnyTime bool) *waitJudge {
+	return &waitJudge{c: c, since: since, atAnyTime: atAnyTime, waits: map[string]*idleWait{}}
 }
 
 // start starts the judge after a delay.
@@ -157,7 +176,7 @@
 
 // applies reports whether jobs that could run count as waiting now.
 func (w *waitJudge) applies(o *occupancy) bool {
-	if w.observes {
+	if w.atAnyTime {
 		return w.c.disruptions.calmFor(calmBefore)
 	}
 	return o.underHalf(o.used, o.whole)
@@ -165,7 +184,7 @@
 
 // status prints how many jobs are open and how many wait, each statusInterval.
 func (w *waitJudge) status(o *occupancy, open int, now time.Time) {
-	if w.observes || now.Before(w.statusAt) {
+	if w.atAnyTime || now.Before(w.statusAt) {
 		return
 	}
 	w.statusAt = now.Add(statusInterval)
@@ -182,7 +201,7 @@
 	}
 	tooLong := wait.tooLong()
 	wait.seen = now
-	if wait.tooLong() && !tooLong && !w.observes {
+	if wait.tooLong() && !tooLong && w.atAnyTime {
 		fmt.Printf("%s job %s step %d has had nothing running for %v: %v\n", now.UTC().Format(time.RFC3339Nano), j.id, r.step, maxIdleWait, r)
 	}
 }
@@ -200,14 +219,52 @@
 		return
 	}
 	w.longWaits++
-	from, to := wait.began.Sub(w.since), wait.seen.Sub(w.since)
-	if w.observes {
-		fmt.Printf("observed: job %s step %d had nothing running from %s for %v though it could run: %v, longest gap between looks %v\n",
-			id, wait.first.step, wait.began.UTC().Format(time.RFC3339Nano), (to - from).Round(judgeInterval), wait.first, wait.longestGap)
-		return
+	w.c.longWaits.add(id, longWait{wait.began, wait.seen, fmt.Sprintf(
+		"LOST: job %s step %d had nothing running for %v from %s (%.1f s after %s) though it could run: %v, longest gap between looks %v",
+		id, wait.first.step, wait.seen.Sub(wait.began).Round(judgeInterval), wait.began.UTC().Format(time.RFC3339Nano),
+		wait.began.Sub(w.since).Seconds(), w.origin(), wait.first, wait.longestGap)})
+}
+
+// origin says from when the judge counts the time.
+func (w *waitJudge) origin() string {
+	if w.atAnyTime {
+		return "the begin"
+	}
+	return "the last fault"
+}
+
+// add adds a wait. Of several with a moment in common the longest is left.
+func (l *longWaits) add(id string, w longWait) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.waits == nil {
+		l.waits = map[string][]longWait{}
+	}
+	var apart []longWait
+	for _, other := range l.waits[id] {
+		switch {
+		case w.began.After(other.seen) || other.began.After(w.seen):
+			apart = append(apart, other)
+		case other.length() > w.length():
+			w = other
+		}
+	}
+	l.waits[id] = append(apart, w)
+}
+
+func (w *longWait) length() time.Duration {
+	return w.seen.Sub(w.began)
+}
+
+// reportLongWaits reports the long waits once all judges have ended.
+func (c *cell) reportLongWaits() {
+	c.longWaits.mu.Lock()
+	defer c.longWaits.mu.Unlock()
+	for _, list := range c.longWaits.waits {
+		for _, w := range list {
+			c.violations.add(violation(w.text))
+		}
 	}
-	w.c.violations.addf("LOST: job %s step %d has nothing running from %.1f s to %.1f s after the last fault (%s) though it could run: %v, longest gap between looks %v",
-		id, wait.first.step, from.Seconds(), to.Seconds(), wait.began.UTC().Format(time.RFC3339Nano), wait.first, wait.longestGap)
 }
 
 // finish ends all spans.
@@ -215,11 +272,8 @@
 	for id := range w.waits {
 		w.end(id)
 	}
-	if w.observes {
-		fmt.Printf("observed: %d jobs had nothing running for %v though they could run, the longest %v\n", w.longWaits, maxIdleWait, w.longest)
-		return
-	}
-	fmt.Printf("longest time with nothing running of a job that could run: %v, longest gap between looks %v\n", w.longest, w.longestGap)
+	fmt.Printf("from %s on: %d waits of %v or more of jobs that could run, the longest %v, longest gap between looks %v\n",
+		w.origin(), w.longWaits, maxIdleWait, w.longest, w.longestGap)
 }
 
 func (r room) String() string {
--- a/soak/waiting_test.go
+++ b/soak/waiting_test.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"pollendock.example/cell/site"
@@ -14,7 +16,7 @@
 // The job has the given steps, and its team is that of another job with n runs of 16 cores.
 func newJudgedCell(t *testing.T, steps []stepBody, n int) *cell {
 	t.Helper()
-	c := &cell{site: newSmallSite(), workers: map[string]string{}, ended: map[string]bool{}, jobs: map[string]*jobClient{}, violations: &violationLog{}}
+	c := &cell{site: newSmallSite(), workers: map[string]string{}, ended: map[string]bool{}, jobs: map[string]*jobClient{}, disruptions: newDisruptions(time.Second), violations: &violationLog{}}
 	c.fleet = fleet.NewFleet(c.taskOutcome, c.taskSize)
 	c.useAdvisor()
 	queue := &queueModel{Queue: newQueue("q", 0, 1, time.Second, 0, 0, time.Minute), good: 1}
@@ -93,17 +95,111 @@
 		cell := newJudgedCell(t, []stepBody{{Count: 1, CPU: 1000, MemMB: 1}}, 0)
 		cell.jobs["other"].state = completed
 		began := time.Now()
-		w := &waitJudge{c: cell, since: began, waits: map[string]*idleWait{}}
+		w := cell.newWaitJudge(began, false)
 		for at := time.Duration(0); at <= c.wait; at += judgeInterval {
 			w.check(began.Add(at))
 		}
 		w.finish()
+		cell.reportLongWaits()
 		if got := len(cell.violations.violations); got != c.want {
 			t.Errorf("after %v: got %d violations, want %d: %v", c.wait, got, c.want, cell.violations.violations)
 		}
 	}
 }
 
+// TestLongWaitAtCalmTimeIsViolation checks that the bound holds at all times without a fault, also
+// while more than half of the service is in use.
+func TestLongWaitAtCalmTimeIsViolation(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// others is the number of runs of another team: 13 use more than half of the service.
+		others int
+		// faultBegins and faultEnds are the times of a fault, 0 for none.
+		faultBegins, faultEnds, wait time.Duration
+		want                         int
+	}{
+		{"short wait", 13, 0, 0, maxIdleWait - judgeInterval, 0},
+		{"long wait", 13, 0, 0, maxIdleWait, 1},
+		{"long wait in an idle service", 0, 0, 0, maxIdleWait, 1},
+		{"long wait through a fault", 13, 2 * time.Second, 3 * time.Second, 6 * time.Second, 0},
+		{"long wait in 4 s after a fault", 13, time.Second, 2 * time.Second, 8 * time.Second, 0},
+		{"long wait from 4 s after a fault on", 13, time.Second, 2 * time.Second, 9*time.Second + judgeInterval, 1},
+		{"long wait before a fault and after it", 13, 4 * time.Second, 5 * time.Second, 13 * time.Second, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cell := newJudgedCell(t, []stepBody{{Count: 1, CPU: 1000, MemMB: 1}}, c.others)
+				cell.jobs["other"].key = "others"
+				cell.jobs["other"].state = completed
+				time.Sleep(calmBefore)
+				judge(cell, c.wait, func(at time.Duration) {
+					if at == c.faultBegins && at > 0 {
+						end := cell.disruptions.begin(faultName)
+						time.AfterFunc(c.faultEnds-c.faultBegins, end)
+					}
+				}, cell.newWaitJudge(time.Now(), true))
+				if got := len(cell.violations.violations); got != c.want {
+					t.Errorf("got %d violations, want %d: %v", got, c.want, cell.violations.violations)
+				}
+			})
+		})
+	}
+}
+
+// TestBothJudgesReportWaitOnce checks that the judge of the time after the last fault and that of all
+// calm times report the same wait once.
+func TestBothJudgesReportWaitOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cell := newJudgedCell(t, []stepBody{{Count: 1, CPU: 1000, MemMB: 1}}, 0)
+		cell.jobs["other"].state = completed
+		time.Sleep(calmBefore)
+		judge(cell, maxIdleWait, func(time.Duration) {}, cell.newWaitJudge(time.Now(), false), cell.newWaitJudge(time.Now(), true))
+		if got := len(cell.violations.violations); got != 1 {
+			t.Errorf("got %d violations, want 1: %v", got, cell.violations.violations)
+		}
+	})
+}
+
+// TestWaitSeenInPartsIsReportedOnce checks that waits with a moment in common are reported as one.
+func TestWaitSeenInPartsIsReportedOnce(t *testing.T) {
+	began := time.Now()
+	for _, c := range []struct {
+		name string
+		// spans holds the begin and the end of each wait, in seconds.
+		spans [][2]int
+		want  []string
+	}{
+		{"parts, then all", [][2]int{{0, 3}, {5, 9}, {0, 9}}, []string{"0 to 9"}},
+		{"all, then a part", [][2]int{{0, 9}, {5, 9}}, []string{"0 to 9"}},
+		{"two waits", [][2]int{{0, 3}, {5, 9}}, []string{"0 to 3", "5 to 9"}},
+	} {
+		cell := &cell{violations: &violationLog{}}
+		for _, s := range c.spans {
+			at := func(i int) time.Time { return began.Add(time.Duration(s[i]) * time.Second) }
+			cell.longWaits.add(testJob, longWait{at(0), at(1), fmt.Sprintf("%d to %d", s[0], s[1])})
+		}
+		cell.reportLongWaits()
+		if got := fmt.Sprint(cell.violations.violations); got != fmt.Sprint(c.want) {
+			t.Errorf("%s: got %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// judge lets judges look for a time. It calls before ahead of each look.
+func judge(c *cell, length time.Duration, before func(at time.Duration), judges ...*waitJudge) {
+	for at := time.Duration(0); at <= length; at += judgeInterval {
+		before(at)
+		for _, w := range judges {
+			w.check(time.Now())
+		}
+		time.Sleep(judgeInterval)
+	}
+	for _, w := range judges {
+		w.finish()
+	}
+	c.reportLongWaits()
+}
+
 // TestTicketsExpire checks that workers refuse starts without a ticket that holds.
 func TestTicketsExpire(t *testing.T) {
 	c := newJudgedCell(t, []stepBody{{Count: 1, CPU: 1000, MemMB: 1}}, 0)
