--- a/soak/main.go
+++ b/soak/main.go
@@ -70,14 +70,11 @@
 
 func soak(opt *options) ([]violation, error) {
 	opt.setDefaults()
-	dir := opt.Keep
-	if dir == "" {
-		var err error
-		if dir, err = os.MkdirTemp("", "soak"); err != nil {
-			return nil, err
-		}
-		defer func() { _ = os.RemoveAll(dir) }()
+	dir, removeLogs, err := opt.logDirectory()
+	if err != nil {
+		return nil, err
 	}
+	defer removeLogs()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	c, err := newCell(ctx, opt, dir)
@@ -123,6 +120,19 @@
 	return vl.violations, nil
 }
 
+// logDirectory makes the directory for the logs and settings of the entry VMs. The returned function
+// removes it unless it is to be kept.
+func (opt *options) logDirectory() (dir string, remove func(), err error) {
+	if opt.Keep == "" {
+		dir, err = os.MkdirTemp("", "soak")
+		return dir, func() { _ = os.RemoveAll(dir) }, err
+	}
+	if err := os.MkdirAll(opt.Keep, 0o755); err != nil {
+		return "", nil, fmt.Errorf("the directory of --keep can't be made: %w", err)
+	}
+	return opt.Keep, func() {}, nil
+}
+
 // evacuate has the operator evacuate data centres.
 func (c *cell) evacuate(opt *options, end time.Time, vl *violationLog) {
 	if err := c.operator.run(rand.New(rand.NewPCG(opt.Seed, 4)), end); err != nil {
