--- a/soak/cell.go
+++ b/soak/cell.go
@@ -75,6 +75,8 @@
 		workers map[string]*proxy
 		// advisor is the VM's link to the advisor, nil if there is none.
 		advisor *proxy
+		// uplink and downlink limit what it sends and receives over these links; nil for no limit.
+		uplink, downlink *loopback.Link
 		// dataCentre is where it runs.
 		dataCentre string
 
@@ -134,11 +136,12 @@
 	c.fleet.OnStart(c.judgeStart)
 	c.fleet.SetMaxLease(bounds.MaxLease)
 	if c.site != nil {
+		c.fleet.SetGangTimeout(c.site.gangTimeout)
 		c.useAdvisor()
 	}
 	go c.fleet.Run(ctx)
 	for i := range opt.Workers {
-		if err := c.addWorker(workerName(i), dataCentreOf(i)); err != nil {
+		if err := c.addWorker(workerName(i), c.dataCentreOf(i)); err != nil {
 			return nil, err
 		}
 	}
@@ -247,10 +250,11 @@
 }
 
 func (c *cell) newEntry(i int) (*entryVM, error) {
-	e := &entryVM{name: fmt.Sprintf("vm%d", i), ip: c.subnet.Addr(i + 1), dataCentre: dataCentreOf(i)}
+	e := &entryVM{name: fmt.Sprintf("vm%d", i), ip: c.subnet.Addr(i + 1), dataCentre: c.dataCentreOf(i)}
 	c.mu.Lock()
 	c.names[e.ip] = e.name
 	c.mu.Unlock()
+	e.uplink, e.downlink = c.vmSizeOf(i).newLinks()
 	if err := c.link(e); err != nil {
 		return nil, err
 	}
@@ -263,7 +267,8 @@
 	if e.advisor != nil {
 		s.Advisor = netip.MustParseAddrPort(e.advisor.addr())
 	}
-	if err := os.WriteFile(e.settingsPath, platform.EncodeSettings(s), 0o600); err != nil {
+	settings := append(platform.EncodeSettings(s), c.vmSizeOf(i).encodeLimits()...)
+	if err := os.WriteFile(e.settingsPath, settings, 0o600); err != nil {
 		return nil, err
 	}
 	var err error
--- a/soak/cuts.go
+++ b/soak/cuts.go
@@ -18,7 +18,7 @@
 // cuts disturb some of the links between entry VMs, workers and the store, and leave others
 // as they are.
 var cuts = []fault{
-	{"data centre cut off", func(c *cell, r *rand.Rand) { cutDataCentre(c, r, dataCentreOf(r.IntN(dataCentres))) }},
+	{"data centre cut off", func(c *cell, r *rand.Rand) { cutDataCentre(c, r, c.dataCentreOf(r.IntN(dataCentres))) }},
 	{"leader cut off with its neighbours", func(c *cell, r *rand.Rand) { cutDataCentre(c, r, c.entries[c.leader()].dataCentre) }},
 	{"some links lost", cutSomeLinks},
 	{"store lost for some entries", cutSomeStores},
--- a/soak/links.go
+++ b/soak/links.go
@@ -22,33 +22,46 @@
 
 // link connects an entry VM to the store and to all workers.
 func (c *cell) link(e *entryVM) error {
-	e.workers = map[string]*proxy{}
-	list := &linkedWorkers{c.serverStore, map[string][2][]byte{}}
-	for id, addr := range c.workers {
-		p, err := newProxy(e.ip, addr)
-		if err != nil {
-			return err
-		}
-		e.workers[id] = p
-		list.addresses[id] = [2][]byte{[]byte(`"` + addr + `"`), []byte(`"` + p.addr() + `"`)}
+	workers, err := c.linkWorkers(e)
+	if err != nil {
+		return err
 	}
 	store, err := c.listen(platform.StoreHandler(map[string]platform.Topic{
-		platform.StateTopic: c.cellStore, platform.ConfigTopic: c.configStore, platform.ServerTopic: list,
+		platform.StateTopic: c.cellStore, platform.ConfigTopic: c.configStore, platform.ServerTopic: workers,
 	}))
 	if err != nil {
 		return err
 	}
-	if e.store, err = newProxy(e.ip, store); err != nil || c.advisor == nil {
+	if e.store, err = newProxy(e, store); err != nil || c.advisor == nil {
 		return err
 	}
 	advisor, err := c.listen(platform.AdvisorHandler(c.advisor.For(e.name)))
 	if err != nil {
 		return err
 	}
-	e.advisor, err = newProxy(e.ip, advisor)
+	e.advisor, err = newProxy(e, advisor)
 	return err
 }
 
+// linkWorkers connects an entry VM to all workers and returns the list of workers as it reads it.
+func (c *cell) linkWorkers(e *entryVM) (*linkedWorkers, error) {
+	e.workers = map[string]*proxy{}
+	links := &workerLinks{byAddr: map[netip.Addr]*proxy{}}
+	if err := links.listen(); err != nil {
+		return nil, err
+	}
+	list := &linkedWorkers{c.serverStore, map[string][2][]byte{}}
+	for i := range len(c.workers) {
+		id := workerName(i)
+		p := newLink(e, c.workers[id])
+		e.workers[id] = p
+		links.byAddr[linkAddr(i)] = p
+		list.addresses[id] = [2][]byte{[]byte(`"` + c.workers[id] + `"`), []byte(`"` + links.addrOf(i).String() + `"`)}
+	}
+	go links.accept()
+	return list, nil
+}
+
 // Read returns entries starting at an offset.
 func (l *linkedWorkers) Read(ctx context.Context, from int64, wait time.Duration) (*site.Page, error) {
 	p, err := l.Store.Read(ctx, from, wait)
--- a/soak/main.go
+++ b/soak/main.go
@@ -24,7 +24,7 @@
 		Workers int           `arg:"--workers" help:"workers; default 6, or the site's"`
 		Rate    int           `arg:"--rate" help:"jobs a second; default 6, or the site's"`
 		Advice  bool          `arg:"--advice" help:"jobs of the small site, whose starts need the advisor's tickets"`
-		Site    string        `arg:"--site" help:"small or large: its jobs, with advice, entry VMs, workers and rate"`
+		Site    string        `arg:"--site" help:"small, large or full: its jobs, with advice, entry VMs, workers and rate"`
 		MaxGang int           `arg:"--max-gang" help:"tasks of the largest gang; default the site's"`
 		Net     uint8         `arg:"--net" help:"entry VMs listen on 127.90.NET.*; 0 for a subnet that no other soak uses"`
 		Basic   bool          `arg:"--basic" help:"no cuts of links between some pairs, and short jobs only"`
@@ -82,7 +82,7 @@
 		return nil, err
 	}
 	defer c.stop()
-	time.Sleep(warmUp)
+	time.Sleep(c.warmUp())
 	vl := c.violations
 	var clients, activeFaults sync.WaitGroup
 	end := time.Now().Add(opt.Length)
@@ -120,6 +120,14 @@
 	return vl.violations, nil
 }
 
+// warmUp returns the time between the start of the entry VMs and the traffic.
+func (c *cell) warmUp() time.Duration {
+	if c.site != nil {
+		return c.site.warmUp
+	}
+	return warmUp
+}
+
 // logDirectory makes the directory for the logs and settings of the entry VMs. The returned function
 // removes it unless it is to be kept.
 func (opt *options) logDirectory() (dir string, remove func(), err error) {
--- a/soak/operator.go
+++ b/soak/operator.go
@@ -24,6 +24,7 @@
 }
 
 const (
+	// dataCentres is their number without a site.
 	dataCentres = 3
 	// evacuationBound is the time that the settings allow until an evacuation is in
 	// force.
@@ -39,7 +40,7 @@
 // run evacuates and restores data centres until the end. All are restored then.
 func (o *operator) run(r *rand.Rand, end time.Time) error {
 	for time.Now().Before(end) {
-		name := dataCentreOf(r.IntN(dataCentres))
+		name := o.c.dataCentreOf(r.IntN(dataCentres))
 		fmt.Printf("%s left, evacuating data centre %s\n", time.Until(end).Round(time.Millisecond), name)
 		if err := o.evacuate(name); err != nil {
 			return err
@@ -110,6 +111,11 @@
 	}
 }
 
-func dataCentreOf(i int) string {
-	return fmt.Sprintf("dc-%d", i%dataCentres)
+// dataCentreOf returns the data centre of the VM or worker of that number.
+func (c *cell) dataCentreOf(i int) string {
+	n := dataCentres
+	if c.site != nil {
+		n = c.site.dataCentres
+	}
+	return fmt.Sprintf("dc-%d", i%n)
 }
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"pollendock.example/cell/loopback"
 )
 
 type (
@@ -23,9 +25,12 @@
 	// proxy forwards TCP connections to one address and simulates the faults of an
 	// unreliable network.
 	proxy struct {
+		// ln is nil if others accept the connections.
 		ln     net.Listener
 		target string
 		dialer net.Dialer
+		// uplink and downlink are the VM's own link, nil if its speed isn't limited.
+		uplink, downlink *loopback.Link
 
 		delay atomic.Int64 // time.Duration
 		// lostRequests and lostResponses count the faults that drop the data to and from
@@ -40,6 +45,12 @@
 		mu    sync.Mutex
 		conns map[net.Conn]bool
 	}
+
+	// direction is one direction of a link. Its faults are nil if it can't have them.
+	direction struct {
+		lost, held, shuffled *atomic.Int32
+		link                 *loopback.Link
+	}
 )
 
 const (
@@ -73,19 +84,26 @@
 	slowDown         = linkFault{func(p *proxy, d int32) { p.delay.Add(int64(d) * int64(slowLink)) }, true}
 )
 
-// newProxy listens on a free port and forwards to target, from the address of the machine
-// whose link it is.
-func newProxy(from netip.Addr, target string) (*proxy, error) {
+// newProxy returns a proxy that listens on a free port.
+func newProxy(e *entryVM, target string) (*proxy, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{ln: ln, target: target, conns: map[net.Conn]bool{}}
-	p.dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(from, 0))
+	p := newLink(e, target)
+	p.ln = ln
 	go p.accept()
 	return p, nil
 }
 
+// newLink returns a proxy without a listener. It forwards from the address of the machine whose link
+// it is.
+func newLink(e *entryVM, target string) *proxy {
+	p := &proxy{target: target, uplink: e.uplink, downlink: e.downlink, conns: map[net.Conn]bool{}}
+	p.dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(e.ip, 0))
+	return p
+}
+
 func (p *proxy) addr() string {
 	return p.ln.Addr().String()
 }
@@ -107,9 +125,8 @@
 		return
 	}
 	p.track(in, out)
-	none := &atomic.Int32{}
-	go p.copy(out, in, &p.lostRequests, &p.heldRequests, none)
-	p.copy(in, out, &p.lostResponses, none, &p.shuffled)
+	go p.copy(out, in, direction{lost: &p.lostRequests, held: &p.heldRequests, link: p.uplink})
+	p.copy(in, out, direction{lost: &p.lostResponses, shuffled: &p.shuffled, link: p.downlink})
 }
 
 func (p *proxy) track(conns ...net.Conn) {
@@ -122,20 +139,23 @@
 
 // copy forwards the data of one direction. Once data is lost, the connection never
 // carries any again in this direction, also after the fault is over.
-func (p *proxy) copy(to, from net.Conn, lost, held, shuffled *atomic.Int32) {
+func (p *proxy) copy(to, from net.Conn, d direction) {
 	defer p.closeConns(to, from)
 	buf := make([]byte, copyBufferSize)
 	for {
 		n, err := from.Read(buf)
 		if n > 0 {
+			if d.link != nil {
+				time.Sleep(d.link.Reserve(n))
+			}
 			time.Sleep(time.Duration(p.delay.Load()))
-			if shuffled.Load() > 0 {
+			if isActive(d.shuffled) {
 				time.Sleep(time.Duration(rand.Int64N(int64(maxShuffle))))
 			}
-			for held.Load() > 0 {
+			for isActive(d.held) {
 				time.Sleep(heldPoll)
 			}
-			if lost.Load() > 0 {
+			if isActive(d.lost) {
 				p.drain(from)
 				return
 			}
@@ -149,6 +169,11 @@
 	}
 }
 
+// isActive reports whether any fault of a kind is active.
+func isActive(faults *atomic.Int32) bool {
+	return faults != nil && faults.Load() > 0
+}
+
 // drain discards data, which keeps the connection open until its peer closes it.
 func (p *proxy) drain(from net.Conn) {
 	_, _ = io.Copy(io.Discard, from)
--- a/soak/sites.go
+++ b/soak/sites.go
@@ -14,13 +14,20 @@
 type (
 	// siteModel is the size and the traffic of a site.
 	siteModel struct {
-		workers, entries int
+		workers, entries, dataCentres int
 		// rate is the number of jobs a second.
 		rate     int
 		capacity resource.Vector
 		bounds   site.Bounds
 		teams    int
 		queues   []queueModel
+		// strong is what the first strongEntries entry VMs have, weak what the others have.
+		strong, weak  vmSize
+		strongEntries int
+		// gangTimeout is how long a worker waits for the other members of a gang.
+		gangTimeout time.Duration
+		// warmUp is the time between the start of the entry VMs and the traffic.
+		warmUp time.Duration
 	}
 
 	// queueModel is a queue and how its jobs are drawn.
@@ -50,7 +57,10 @@
 	defaultRate    = 6
 	smallSite      = "small"
 	largeSite      = "large"
+	fullSite       = "full"
 	siteTeams      = 6
+	// siteGangTimeout is that of the small and the large site.
+	siteGangTimeout = 3 * time.Second
 	// teamShare is a team's limit as a multiple of its share of the workers.
 	teamShare = 1.9
 	// sitePollInterval is the time between two requests for a job's state.
@@ -64,7 +74,7 @@
 	teamSpareRate = 3
 )
 
-// siteBounds are the bounds of both sites.
+// siteBounds are the bounds of the small and the large site.
 var siteBounds = site.Bounds{
 	MaxLease: 10 * time.Second, StopTime: 400 * time.Millisecond, Grace: 6 * time.Second,
 	Heartbeat: 1500 * time.Millisecond, Contact: 3 * time.Second,
@@ -92,6 +102,8 @@
 func (opt *options) model() *siteModel {
 	var m *siteModel
 	switch {
+	case opt.Site == fullSite:
+		m = newFullSite()
 	case opt.Site == largeSite:
 		m = newLargeSite()
 	case opt.Site == smallSite, opt.Advice:
@@ -117,7 +129,7 @@
 func newSmallSite() *siteModel {
 	const ticketLifetime = 1500 * time.Millisecond
 	return &siteModel{
-		workers: 48, entries: 6, rate: 39, teams: siteTeams, bounds: siteBounds,
+		workers: 48, entries: 6, dataCentres: dataCentres, rate: 39, teams: siteTeams, bounds: siteBounds, gangTimeout: siteGangTimeout, warmUp: warmUp,
 		capacity: resource.Vector{MilliCPU: 64_000, MemoryMB: 262_144},
 		queues: []queueModel{
 			{
@@ -145,7 +157,7 @@
 func newLargeSite() *siteModel {
 	const ticketLifetime = 2 * time.Second
 	return &siteModel{
-		workers: 240, entries: 18, rate: 44, teams: siteTeams, bounds: siteBounds,
+		workers: 240, entries: 18, dataCentres: dataCentres, rate: 44, teams: siteTeams, bounds: siteBounds, gangTimeout: siteGangTimeout, warmUp: warmUp,
 		capacity: resource.Vector{MilliCPU: 64_000, MemoryMB: 131_072},
 		queues: []queueModel{
 			{
@@ -170,6 +182,23 @@
 	}
 }
 
+// newFullSite returns the large site with all its machines.
+func newFullSite() *siteModel {
+	m := newLargeSite()
+	m.workers, m.entries, m.dataCentres, m.rate = 540, 97, 6, 98
+	m.strongEntries = 18
+	m.strong = vmSize{cpuShare: 0.8, memoryMB: 536, descriptors: 8192, mbps: 200}
+	m.weak = vmSize{cpuShare: 0.192, memoryMB: 184, descriptors: 4100, mbps: 20}
+	m.gangTimeout = 5 * time.Second
+	m.warmUp = 14 * time.Second
+	m.bounds = site.Bounds{
+		MaxLease: 6 * time.Second, StopTime: 200 * time.Millisecond, Grace: 6 * time.Second,
+		Heartbeat: 1500 * time.Millisecond, Contact: 5 * time.Second,
+		CatalogApply: 4 * time.Second, CatalogOutage: 8 * time.Second,
+	}
+	return m
+}
+
 func newQueue(name string, priority int, stretch float64, objective, base, perWorker, ticketLifetime time.Duration) site.Queue {
 	return site.Queue{
 		Name: name, Host: queueHost, PathPrefix: "/" + name + "/", Service: serviceName, Priority: priority,
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -46,6 +46,8 @@
 		checksTickets bool
 		// maxLease is the longest lease that a worker grants.
 		maxLease time.Duration
+		// gangTimeout is how long a member of a gang waits for the others.
+		gangTimeout time.Duration
 		// onStart is called when a run starts; nil for nobody.
 		onStart func(s Start)
 		// leader is the sender of the newest token.
@@ -80,7 +82,7 @@
 		began: time.Now(), workers: map[string]*Worker{}, outcome: outcome, size: size,
 		done: map[site.TaskID]bool{}, starts: map[site.TaskID]int{}, startedAt: map[site.TaskID]time.Time{},
 		crashes: map[site.TaskID]int{}, startsAfter: map[site.TaskID]int{}, crashesInCompany: map[site.TaskID]int{},
-		shrinkNotice: defaultShrinkNotice, maxLease: defaultMaxLease,
+		shrinkNotice: defaultShrinkNotice, maxLease: defaultMaxLease, gangTimeout: defaultGangTimeout,
 	}
 }
 
@@ -91,6 +93,13 @@
 	f.maxLease = d
 }
 
+// SetGangTimeout sets how long a member of a gang waits for the others.
+func (f *Fleet) SetGangTimeout(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.gangTimeout = d
+}
+
 // RequireTickets makes the workers refuse starts without a ticket.
 func (f *Fleet) RequireTickets() {
 	f.mu.Lock()
--- a/standin/fleet/worker.go
+++ b/standin/fleet/worker.go
@@ -91,7 +91,8 @@
 	// maxListedEnds is the number of ends that a reply lists, those with the lowest numbers.
 	maxListedEnds = 500
 	tickInterval  = 10 * time.Millisecond
-	gangTimeout   = 3 * time.Second
+	// defaultGangTimeout is how long a member of a gang waits for the others, see SetGangTimeout.
+	defaultGangTimeout = 3 * time.Second
 	// defaultMaxLease is the longest lease that a worker grants, see SetMaxLease.
 	defaultMaxLease = 6 * time.Second
 	// defaultShrinkNotice is how long starts may rely on a capacity that has shrunk if the
@@ -136,7 +137,7 @@
 }
 
 // tick expires the lease, ends the runs that are due and those of gangs that
-// stayed incomplete for gangTimeout.
+// stayed incomplete for the gang timeout.
 func (w *Worker) tick(now time.Time) {
 	w.recover(now)
 	if w.gone {
@@ -156,7 +157,7 @@
 			return
 		case !r.endAt.IsZero() && !now.Before(r.endAt):
 			w.end(r, r.endKind)
-		case r.endAt.IsZero() && now.Sub(r.began) >= gangTimeout:
+		case r.endAt.IsZero() && now.Sub(r.began) >= w.fleet.gangTimeout:
 			w.end(r, site.GangIncomplete)
 		}
 	}
