soak: the other forms of lost jobs

- Unknown (410) later than visible_ms, and failed or cancelled without cause: checked while a client polls, at sites and without.
- Asked for after the traffic: was not checked.
Now, 14 s after the last fault, each accepted job that nobody has cancelled and that has not ended over a minute ago must be known and get an answer within 3 s.
- Tasks that last: the plain soak waited up to 45 s for them, a site had none.
Now each must be back at work: from 6 s after its last run, or if it has never run, it may wait beside room for 3 s, whether others of its job run or not.
- Nothing running beside room for 3 s: was checked at sites only.
Now after the last fault of the plain soak, too, but for tasks that crash their workers, which are held back.

--- a/soak/cell.go
+++ b/soak/cell.go
@@ -92,6 +92,7 @@
 )
 
 const (
+	plainQueue   = "q"
 	queueHost    = "soak.example"
 	queuePath    = "/q/"
 	serviceName  = "s"
@@ -232,7 +233,7 @@
 // plainCatalog returns the configuration of a soak without a site.
 func plainCatalog() *site.Catalog {
 	return &site.Catalog{
-		Queues: []site.Queue{{Name: "q", Host: queueHost, PathPrefix: queuePath, Service: serviceName, MaxAttempts: 3, Stretch: 4, Objective: time.Second}},
+		Queues: []site.Queue{{Name: plainQueue, Host: queueHost, PathPrefix: queuePath, Service: serviceName, MaxAttempts: 3, Stretch: 4, Objective: time.Second}},
 		Teams: []site.Team{
 			{Name: "team", Keys: []string{teamKey}, Weight: 100},
 			{Name: "limited", Keys: []string{limitedKey}, Weight: 100, Limit: teamLimit},
--- a/soak/jobclient.go
+++ b/soak/jobclient.go
@@ -171,7 +171,7 @@
 	}
 	for ctx.Err() == nil && !j.acceptedAt().IsZero() && !j.hasEnded() {
 		time.Sleep(j.pollInterval())
-		if j.cancelAfter > 0 && time.Since(j.acceptedAt()) > j.cancelAfter {
+		if j.mayBeCancelled() {
 			j.cancel(ctx, c, client, r)
 			continue
 		}
@@ -238,28 +238,38 @@
 	if err != nil {
 		return
 	}
-	if status == http.StatusGone && sentAt.Sub(j.acceptedAt()) > maxPropagationDelay {
-		report(violation(fmt.Sprintf("job %s is unknown %v after it was accepted", j.id, sentAt.Sub(j.acceptedAt()))))
+	for _, v := range j.judgeAnswer(status, data, sentAt) {
+		report(v)
+	}
+}
+
+// judgeAnswer notes the state in the answer to a request for a job that its client has not cancelled,
+// and returns what is wrong with the answer.
+func (j *jobClient) judgeAnswer(status int, data []byte, sentAt time.Time) []violation {
+	if late := sentAt.Sub(j.acceptedAt()); status == http.StatusGone && late > maxPropagationDelay {
+		return []violation{violation(fmt.Sprintf("LOST: job %s is unknown %v after it was accepted", j.id, late))}
 	}
 	if status != http.StatusOK {
-		return
+		return nil
 	}
 	var answer struct {
 		State string `json:"state"`
 	}
 	if err := json.Unmarshal(data, &answer); err != nil {
-		report(violation(fmt.Sprintf("cannot decode state of job %s: %q", j.id, data)))
-		return
+		return []violation{violation(fmt.Sprintf("cannot decode state of job %s: %q", j.id, data))}
 	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.state = answer.State
+	if j.state != completed {
+		j.state = answer.State
+	}
 	if j.state == completed && j.completedAt.IsZero() {
 		j.completedAt = time.Now()
 	}
 	if answer.State == cancelled && j.cancelAfter == 0 || answer.State == failed && !j.poison || answer.State == completed && j.poison {
-		report(violation(fmt.Sprintf("job %s is reported as %s without a cause", j.id, answer.State)))
+		return []violation{violation(fmt.Sprintf("LOST: job %s is reported as %s without a cause", j.id, answer.State))}
 	}
+	return nil
 }
 
 // shownState returns the state that entry VMs have shown last.
@@ -269,6 +279,14 @@
 	return j.state
 }
 
+// queueName returns the name of the job's queue.
+func (j *jobClient) queueName() string {
+	if j.queue == nil {
+		return plainQueue
+	}
+	return j.queue.Name
+}
+
 // queueNote names the job's queue at a site.
 func (j *jobClient) queueNote() string {
 	if j.queue == nil {
@@ -283,6 +301,11 @@
 	return j.accepted
 }
 
+// mayBeCancelled reports whether the client has begun to cancel the job.
+func (j *jobClient) mayBeCancelled() bool {
+	return j.cancelAfter > 0 && time.Since(j.acceptedAt()) > j.cancelAfter
+}
+
 // lasts reports whether all tasks of a job that lasts are among those that run.
 func (j *jobClient) lasts(running []site.TaskID) bool {
 	if !j.lasting {
--- a/soak/main.go
+++ b/soak/main.go
@@ -31,6 +31,7 @@
 		Only    string        `arg:"--only" help:"only faults with this in their name"`
 		Last    string        `arg:"--last" help:"end a soak of a site with the fault of this name"`
 		Calm    bool          `arg:"--calm" help:"at a site, no fault but the last one"`
+		Lasting bool          `arg:"--lasting" help:"at a site, jobs that last, too; the full site has them"`
 		Deaths  bool          `arg:"--deaths" help:"at a site, workers end for good and leaders die in series, too"`
 		Keep    string        `arg:"--keep" help:"directory for the logs of the entry VMs; a temporary one is removed"`
 	}
@@ -88,6 +89,9 @@
 	end := time.Now().Add(opt.Length)
 	stopCalmJudge := c.judgeCalmTimes()
 	clients.Go(func() { c.generateJobs(ctx, opt, end, &clients, vl) })
+	if c.site != nil && c.site.lasting {
+		clients.Go(func() { c.generateLastingJobs(ctx, opt, end, &clients) })
+	}
 	activeFaults.Go(func() { c.injectFaults(opt, end, &activeFaults) })
 	if !opt.Basic && c.site == nil {
 		activeFaults.Go(func() { c.injectCuts(opt, end, &activeFaults) })
@@ -105,10 +109,16 @@
 	}
 	faultsEnd := time.Now()
 	stopJudge := c.judgeWaiting(faultsEnd)
+	var asking sync.WaitGroup
+	asking.Go(func() {
+		time.Sleep(time.Until(faultsEnd.Add(askAfter)))
+		c.askForJobs(ctx, opt.Seed)
+	})
 	c.waitForCompletion(vl)
 	stopJudge()
 	stopCalmJudge()
 	c.reportLongWaits()
+	asking.Wait()
 	if !opt.Basic {
 		time.Sleep(time.Until(faultsEnd.Add(c.settleTime())))
 		c.checkCancelled()
@@ -154,15 +164,19 @@
 	kinds := rand.New(rand.NewPCG(opt.Seed, 8))
 	for n := 0; time.Now().Before(end); n++ {
 		j := c.newJob(newJobID(n, opt.Seed), opt, time.Until(end), r, kinds)
-		c.mu.Lock()
-		c.jobs[j.id] = j
-		c.mu.Unlock()
+		c.addJob(j)
 		seed := r.Uint64()
 		clients.Go(func() { j.run(ctx, c, seed, vl.add) })
 		time.Sleep(time.Second / time.Duration(opt.Rate))
 	}
 }
 
+func (c *cell) addJob(j *jobClient) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.jobs[j.id] = j
+}
+
 // newJob draws the next job. The time left is that until the end of the traffic.
 func (c *cell) newJob(id string, opt *options, left time.Duration, r, kinds *rand.Rand) *jobClient {
 	if c.site != nil {
--- a/soak/sites.go
+++ b/soak/sites.go
@@ -26,6 +26,8 @@
 		strongEntries int
 		// gangTimeout is how long a worker waits for the other members of a gang.
 		gangTimeout time.Duration
+		// lasting is set if there are jobs that last.
+		lasting bool
 		// warmUp is the time between the start of the entry VMs and the traffic.
 		warmUp time.Duration
 	}
@@ -111,6 +113,7 @@
 	default:
 		return nil
 	}
+	m.lasting = m.lasting || opt.Lasting
 	if opt.MaxGang > 0 {
 		m.limitGangs(float64(opt.MaxGang))
 	}
@@ -190,6 +193,7 @@
 	m.strong = vmSize{cpuShare: 0.8, memoryMB: 536, descriptors: 8192, mbps: 200}
 	m.weak = vmSize{cpuShare: 0.192, memoryMB: 184, descriptors: 4100, mbps: 20}
 	m.gangTimeout = 5 * time.Second
+	m.lasting = true
 	m.warmUp = 14 * time.Second
 	m.bounds = site.Bounds{
 		MaxLease: 6 * time.Second, StopTime: 200 * time.Millisecond, Grace: 6 * time.Second,
--- a/soak/waiting.go
+++ b/soak/waiting.go
@@ -22,8 +22,12 @@
 		atAnyTime bool
 		// longWaits is the number of waits of maxIdleWait and more.
 		longWaits int
-		// waits holds the jobs that wait now, by their ids.
+		// waits holds the jobs that wait now by their ids, and so the tasks that last.
 		waits map[string]*idleWait
+		// lastingRuns holds the tasks that last which ran at the last look, lastRun until when others
+		// may have run.
+		lastingRuns map[site.TaskID]bool
+		lastRun     map[site.TaskID]time.Time
 		// longest is the longest wait so far.
 		longest time.Duration
 		// lookedAt is when the judge looked last, longestGap the longest time between two looks.
@@ -90,12 +94,8 @@
 	spareFactor = 2
 )
 
-// judgeWaiting starts the judge of the waits after the last fault at a site. The returned function
-// ends it.
+// judgeWaiting starts the judge of the waits after the last fault. The returned function ends it.
 func (c *cell) judgeWaiting(since time.Time) (end func()) {
-	if c.site == nil {
-		return func() {}
-	}
 	return c.newWaitJudge(since, false).start(calmBefore)
 }
 
@@ -109,7 +109,7 @@
 }
 
 func (c *cell) newWaitJudge(since time.Time, atAnyTime bool) *waitJudge {
-	return &waitJudge{c: c, since: since, atAnyTime: atAnyTime, waits: map[string]*idleWait{}}
+	return &waitJudge{c: c, since: since, atAnyTime: atAnyTime, waits: map[string]*idleWait{}, lastRun: map[site.TaskID]time.Time{}}
 }
 
 // start starts the judge after a delay.
@@ -145,14 +145,19 @@
 	w.measureGap(now)
 	jobs := w.c.unfinishedJobs()
 	o := w.c.occupancy()
+	lasting := w.c.lastingJobs()
+	w.noteLastingRuns(o, lasting, now)
 	could := map[string]bool{}
 	if w.applies(o) {
 		for _, j := range jobs {
 			if r, found := w.c.roomFor(o, j); found {
 				could[j.id] = true
-				w.note(j, r, now)
+				w.note(j.id, r, now)
 			}
 		}
+		for _, j := range lasting {
+			w.checkLasting(o, j, now, could)
+		}
 	}
 	for id := range w.waits {
 		if !could[id] {
@@ -192,17 +197,17 @@
 		now.UTC().Format(time.RFC3339Nano), now.Sub(w.since).Seconds(), open, len(o.running), len(w.waits), o.used, o.whole)
 }
 
-// note records that a job could run and has nothing running.
-func (w *waitJudge) note(j *jobClient, r room, now time.Time) {
-	wait := w.waits[j.id]
+// note records that a job, or a task that lasts, could run and has nothing running.
+func (w *waitJudge) note(id string, r room, now time.Time) {
+	wait := w.waits[id]
 	if wait == nil {
 		wait = &idleWait{began: now, first: r}
-		w.waits[j.id] = wait
+		w.waits[id] = wait
 	}
 	tooLong := wait.tooLong()
 	wait.seen = now
 	if wait.tooLong() && !tooLong && w.atAnyTime {
-		fmt.Printf("%s job %s step %d has had nothing running for %v: %v\n", now.UTC().Format(time.RFC3339Nano), j.id, r.step, maxIdleWait, r)
+		fmt.Printf("%s job %s step %d has had nothing running for %v: %v\n", now.UTC().Format(time.RFC3339Nano), id, r.step, maxIdleWait, r)
 	}
 }
 
@@ -307,9 +312,10 @@
 }
 
 // roomFor returns the room for the first step of a job that could run, if the job has nothing
-// running and its team is under half of its limit.
+// running and its team is under half of its limit. Tasks that last are judged one by one, and those
+// that crash workers are held back.
 func (c *cell) roomFor(o *occupancy, j *jobClient) (room, bool) {
-	if o.running[j.id] || !o.underHalf(o.teams[j.key], c.site.teamLimit(len(c.workers))) {
+	if j.lasting || j.poison || o.running[j.id] || !o.underHalf(o.teams[j.key], c.teamLimitOf(j.key)) {
 		return room{}, false
 	}
 	for step := range j.steps {
@@ -350,13 +356,13 @@
 // roomForStep counts the places for a step on the workers that the advisor admits.
 func (c *cell) roomForStep(o *occupancy, j *jobClient, step int) room {
 	b := &j.steps[step]
-	r := room{queue: j.queue.Name, step: step, needed: spareFactor, teamUse: o.teams[j.key], serviceUse: o.used}
+	r := room{queue: j.queueName(), step: step, needed: spareFactor, teamUse: o.teams[j.key], serviceUse: o.used}
 	if b.Gang {
 		r.needed = spareFactor * b.Count
 	}
 	for i := range o.Workers {
 		w := &o.Workers[i]
-		if !w.Up || !c.advisor.Allows(j.id, step, w.ID) {
+		if !w.Up || !c.admits(j.id, step, w.ID) {
 			continue
 		}
 		r.admitted++
