--- a/soak/cell.go
+++ b/soak/cell.go
@@ -75,6 +75,8 @@
 		workers map[string]*proxy
 		// advisor is the VM's link to the advisor, nil if there is none.
 		advisor *proxy
+		// uplink and downlink limit what it sends and receives over these links; nil for no limit.
+		uplink, downlink *loopback.Link
 		// dataCentre is where it runs.
 		dataCentre string
 
@@ -90,6 +92,7 @@
 )
 
 const (
+	plainQueue   = "q"
 	queueHost    = "soak.example"
 	queuePath    = "/q/"
 	serviceName  = "s"
@@ -134,11 +137,12 @@
 	c.fleet.OnStart(c.judgeStart)
 	c.fleet.SetMaxLease(bounds.MaxLease)
 	if c.site != nil {
+		c.fleet.SetGangTimeout(c.site.gangTimeout)
 		c.useAdvisor()
 	}
 	go c.fleet.Run(ctx)
 	for i := range opt.Workers {
-		if err := c.addWorker(workerName(i), dataCentreOf(i)); err != nil {
+		if err := c.addWorker(workerName(i), c.dataCentreOf(i)); err != nil {
 			return nil, err
 		}
 	}
@@ -229,7 +233,7 @@
 // plainCatalog returns the configuration of a soak without a site.
 func plainCatalog() *site.Catalog {
 	return &site.Catalog{
-		Queues: []site.Queue{{Name: "q", Host: queueHost, PathPrefix: queuePath, Service: serviceName, MaxAttempts: 3, Stretch: 4, Objective: time.Second}},
+		Queues: []site.Queue{{Name: plainQueue, Host: queueHost, PathPrefix: queuePath, Service: serviceName, MaxAttempts: 3, Stretch: 4, Objective: time.Second}},
 		Teams: []site.Team{
 			{Name: "team", Keys: []string{teamKey}, Weight: 100},
 			{Name: "limited", Keys: []string{limitedKey}, Weight: 100, Limit: teamLimit},
@@ -247,10 +251,11 @@
 }
 
 func (c *cell) newEntry(i int) (*entryVM, error) {
-	e := &entryVM{name: fmt.Sprintf("vm%d", i), ip: c.subnet.Addr(i + 1), dataCentre: dataCentreOf(i)}
+	e := &entryVM{name: fmt.Sprintf("vm%d", i), ip: c.subnet.Addr(i + 1), dataCentre: c.dataCentreOf(i)}
 	c.mu.Lock()
 	c.names[e.ip] = e.name
 	c.mu.Unlock()
+	e.uplink, e.downlink = c.vmSizeOf(i).newLinks()
 	if err := c.link(e); err != nil {
 		return nil, err
 	}
@@ -263,7 +268,8 @@
 	if e.advisor != nil {
 		s.Advisor = netip.MustParseAddrPort(e.advisor.addr())
 	}
-	if err := os.WriteFile(e.settingsPath, platform.EncodeSettings(s), 0o600); err != nil {
+	settings := append(platform.EncodeSettings(s), c.vmSizeOf(i).encodeLimits()...)
+	if err := os.WriteFile(e.settingsPath, settings, 0o600); err != nil {
 		return nil, err
 	}
 	var err error
--- a/soak/main.go
+++ b/soak/main.go
@@ -24,13 +24,14 @@
 		Workers int           `arg:"--workers" help:"workers; default 6, or the site's"`
 		Rate    int           `arg:"--rate" help:"jobs a second; default 6, or the site's"`
 		Advice  bool          `arg:"--advice" help:"jobs of the small site, whose starts need the advisor's tickets"`
-		Site    string        `arg:"--site" help:"small or large: its jobs, with advice, entry VMs, workers and rate"`
+		Site    string        `arg:"--site" help:"small, large or full: its jobs, with advice, entry VMs, workers and rate"`
 		MaxGang int           `arg:"--max-gang" help:"tasks of the largest gang; default the site's"`
 		Net     uint8         `arg:"--net" help:"entry VMs listen on 127.90.NET.*; 0 for a subnet that no other soak uses"`
 		Basic   bool          `arg:"--basic" help:"no cuts of links between some pairs, and short jobs only"`
 		Only    string        `arg:"--only" help:"only faults with this in their name"`
 		Last    string        `arg:"--last" help:"end a soak of a site with the fault of this name"`
 		Calm    bool          `arg:"--calm" help:"at a site, no fault but the last one"`
+		Lasting bool          `arg:"--lasting" help:"at a site, jobs that last, too; the full site has them"`
 		Deaths  bool          `arg:"--deaths" help:"at a site, workers end for good and leaders die in series, too"`
 		Keep    string        `arg:"--keep" help:"directory for the logs of the entry VMs; a temporary one is removed"`
 	}
@@ -70,14 +71,11 @@
 
 func soak(opt *options) ([]violation, error) {
 	opt.setDefaults()
-	dir := opt.Keep
-	if dir == "" {
-		var err error
-		if dir, err = os.MkdirTemp("", "soak"); err != nil {
-			return nil, err
-		}
-		defer func() { _ = os.RemoveAll(dir) }()
+	dir, removeLogs, err := opt.logDirectory()
+	if err != nil {
+		return nil, err
 	}
+	defer removeLogs()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	c, err := newCell(ctx, opt, dir)
@@ -85,12 +83,15 @@
 		return nil, err
 	}
 	defer c.stop()
-	time.Sleep(warmUp)
+	time.Sleep(c.warmUp())
 	vl := c.violations
 	var clients, activeFaults sync.WaitGroup
 	end := time.Now().Add(opt.Length)
 	stopCalmJudge := c.judgeCalmTimes()
 	clients.Go(func() { c.generateJobs(ctx, opt, end, &clients, vl) })
+	if c.site != nil && c.site.lasting {
+		clients.Go(func() { c.generateLastingJobs(ctx, opt, end, &clients) })
+	}
 	activeFaults.Go(func() { c.injectFaults(opt, end, &activeFaults) })
 	if !opt.Basic && c.site == nil {
 		activeFaults.Go(func() { c.injectCuts(opt, end, &activeFaults) })
@@ -108,10 +109,16 @@
 	}
 	faultsEnd := time.Now()
 	stopJudge := c.judgeWaiting(faultsEnd)
+	var asking sync.WaitGroup
+	asking.Go(func() {
+		time.Sleep(time.Until(faultsEnd.Add(askAfter)))
+		c.askForJobs(ctx, opt.Seed)
+	})
 	c.waitForCompletion(vl)
 	stopJudge()
 	stopCalmJudge()
 	c.reportLongWaits()
+	asking.Wait()
 	if !opt.Basic {
 		time.Sleep(time.Until(faultsEnd.Add(c.settleTime())))
 		c.checkCancelled()
@@ -123,6 +130,27 @@
 	return vl.violations, nil
 }
 
+// warmUp returns the time between the start of the entry VMs and the traffic.
+func (c *cell) warmUp() time.Duration {
+	if c.site != nil {
+		return c.site.warmUp
+	}
+	return warmUp
+}
+
+// logDirectory makes the directory for the logs and settings of the entry VMs. The returned function
+// removes it unless it is to be kept.
+func (opt *options) logDirectory() (dir string, remove func(), err error) {
+	if opt.Keep == "" {
+		dir, err = os.MkdirTemp("", "soak")
+		return dir, func() { _ = os.RemoveAll(dir) }, err
+	}
+	if err := os.MkdirAll(opt.Keep, 0o755); err != nil {
+		return "", nil, fmt.Errorf("the directory of --keep can't be made: %w", err)
+	}
+	return opt.Keep, func() {}, nil
+}
+
 // evacuate has the operator evacuate data centres.
 func (c *cell) evacuate(opt *options, end time.Time, vl *violationLog) {
 	if err := c.operator.run(rand.New(rand.NewPCG(opt.Seed, 4)), end); err != nil {
@@ -136,15 +164,19 @@
 	kinds := rand.New(rand.NewPCG(opt.Seed, 8))
 	for n := 0; time.Now().Before(end); n++ {
 		j := c.newJob(newJobID(n, opt.Seed), opt, time.Until(end), r, kinds)
-		c.mu.Lock()
-		c.jobs[j.id] = j
-		c.mu.Unlock()
+		c.addJob(j)
 		seed := r.Uint64()
 		clients.Go(func() { j.run(ctx, c, seed, vl.add) })
 		time.Sleep(time.Second / time.Duration(opt.Rate))
 	}
 }
 
+func (c *cell) addJob(j *jobClient) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.jobs[j.id] = j
+}
+
 // newJob draws the next job. The time left is that until the end of the traffic.
 func (c *cell) newJob(id string, opt *options, left time.Duration, r, kinds *rand.Rand) *jobClient {
 	if c.site != nil {
