scheduler: tickets for the tasks of dead workers are there when their leases have expired

The cause: a run counts as at work until its leases have expired, and nothing was prepared for its task. Now a query goes out before that, so early that its tickets are just valid half a second longer than needed: there is time for a turn and for more queries if none is allowed. Nothing starts earlier: the tasks stay bound to their runs. The tasks of a worker that has not announced its end will be suspects, so the query names workers where no other job runs, the emptiest first, which no other such query has claimed, and three times as many as needed. Workers for which a task has its tickets are not named for another suspect, and a suspect gets a worker for which it has a ticket before any other.

A worker that answers again after 3 s of silence has cost a query.

--- a/pollendockd/internal/scheduler/advice.go
+++ b/pollendockd/internal/scheduler/advice.go
@@ -125,6 +125,8 @@
 	toReserve
 	// toRenew demands are for tickets of workers with reserved capacity.
 	toRenew
+	// toRestart demands are for tasks that start again unless their workers answer.
+	toRestart
 )
 
 const (
@@ -154,6 +156,8 @@
 		return "reserve"
 	case toRenew:
 		return "renew"
+	case toRestart:
+		return "restart"
 	}
 	return "place"
 }
--- a/pollendockd/internal/scheduler/isolation_test.go
+++ b/pollendockd/internal/scheduler/isolation_test.go
@@ -64,6 +64,8 @@
 		name          string
 		better, worse vacateRank
 	}{
+		{"has a ticket", vacateRank{ticketed: true, empty: true}, vacateRank{allowed: true, empty: true}},
+		{"another suspect has no ticket", vacateRank{empty: true}, vacateRank{empty: true, chosen: true, othersTicket: true}},
 		{"allowed to a gang", vacateRank{allowed: true, emptyIn: time.Second}, vacateRank{empty: true}},
 		{"without services", vacateRank{emptyIn: 10 * time.Second}, vacateRank{services: true, empty: true}},
 		{"empty", vacateRank{empty: true}, vacateRank{own: true, emptyIn: time.Second}},
--- a/pollendockd/internal/scheduler/pass.go
+++ b/pollendockd/internal/scheduler/pass.go
@@ -180,6 +180,7 @@
 	l.heldCapacity = p.heldCapacity
 	l.watchLimitIdle(p)
 	l.updateLoad(p, steps[:onTime])
+	l.prepareRestarts(p)
 	// dispatch counts the claims in worker.claimedCPU instead.
 	clear(p.claimedCPU)
 	l.dispatch(now)
--- a/pollendockd/internal/scheduler/query_workers.go
+++ b/pollendockd/internal/scheduler/query_workers.go
@@ -7,6 +7,9 @@
 	"pollendock.example/cell/placement"
 )
 
+// restartCandidateFactor is candidateFactor for tasks to restart.
+const restartCandidateFactor = 3
+
 // renewalExtraTime is how much longer a renewal may take, as a share of the time of an
 // empty query, to name workers without reserved capacity.
 const renewalExtraTime = 0.3
@@ -50,7 +53,8 @@
 
 // workersForTasks returns as many workers as should suffice for the remaining tasks of a
 // step, if they have the capacity. For a gang it names all workers anew: tickets from two
-// answers might not be valid at the same time.
+// answers might not be valid at the same time. Suspects need workers of their own: the emptiest ones
+// first, which no other query has claimed.
 func (l *leadership) workersForTasks(m *demand) []*worker {
 	p := l.advice.pass
 	answers := m.ws.tj.adviceOf(m.ws.step)
@@ -58,7 +62,7 @@
 	if len(candidates) == 0 {
 		return nil
 	}
-	q := placement.QueryParams{AllowedFraction: l.queueStatsOf(m.ws.tj.sub.Queue).allowedShare(), CapacityFactor: candidateFactor, MinWorkers: minCandidates, OnlyFitting: !m.req.Gang}
+	q := placement.QueryParams{AllowedFraction: l.queueStatsOf(m.ws.tj.sub.Queue).allowedShare(), CapacityFactor: m.candidateFactor(), MinWorkers: minCandidates, OnlyFitting: !m.req.Gang, EmptiestFirst: m.ws.isolated}
 	ids, expected := placement.SelectForQuery(m.req, q, l.queryCandidates(m, candidates))
 	if !m.req.Gang {
 		return l.workersOf(ids)
@@ -69,6 +73,15 @@
 	return l.workersOf(l.enoughForGang(m, q, ids, candidates))
 }
 
+// candidateFactor makes the query larger than the expected need. Tasks to restart have waited for so
+// long that a second query would be one too many.
+func (m *demand) candidateFactor() float64 {
+	if m.kind == toRestart {
+		return restartCandidateFactor
+	}
+	return candidateFactor
+}
+
 // enoughForGang adds workers to those named for a gang, as many as make the time until enough of
 // them are allowed shortest. A gang that is a task short has to query again.
 func (l *leadership) enoughForGang(m *demand, q placement.QueryParams, named []string, candidates []*worker) []string {
--- a/pollendockd/internal/scheduler/vacate.go
+++ b/pollendockd/internal/scheduler/vacate.go
@@ -16,6 +16,9 @@
 
 // vacateRank orders workers by how soon a suspect is likely to start there.
 type vacateRank struct {
+	// ticketed is set if a task of the step can start there now, othersTicket if one of
+	// another step that the worker was kept free for can.
+	ticketed, othersTicket bool
 	// allowed is set if the step is known to be allowed on the worker, and needs
 	// several such workers; empty if no other job runs there; own if it was kept free
 	// for the same job, chosen if it was kept free for any job.
@@ -264,18 +267,34 @@
 	}
 	if answers := ws.tj.advice[ws.step]; answers != nil {
 		rank.allowed = spec.Gang && answers.known(wk)
+		rank.ticketed = rank.empty && answers.hasValidTicket(wk, p.now)
 	}
+	rank.othersTicket = rank.chosen && !rank.own && l.vacated[wk].hasValidTicket(wk, p.now)
 	return rank, true
 }
 
+// hasValidTicket reports whether a step of the job has a ticket for the worker.
+func (tj *trackedJob) hasValidTicket(wk *worker, now time.Time) bool {
+	for _, a := range tj.advice {
+		if a != nil && a.hasValidTicket(wk, now) {
+			return true
+		}
+	}
+	return false
+}
+
 func (a *vacateRank) before(b *vacateRank) bool {
 	switch {
+	case a.ticketed != b.ticketed:
+		return a.ticketed
 	case a.allowed != b.allowed:
 		return a.allowed
 	case a.services != b.services:
 		return b.services
 	case a.empty != b.empty:
 		return a.empty
+	case a.othersTicket != b.othersTicket:
+		return b.othersTicket
 	case a.emptyIn/emptyInStep != b.emptyIn/emptyInStep:
 		return a.emptyIn < b.emptyIn
 	case a.own != b.own:
--- a/pollendockd/internal/scheduler/worker_ends_test.go
+++ b/pollendockd/internal/scheduler/worker_ends_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -90,6 +91,47 @@
 	}
 }
 
+// TestGangRunsAgainSoonAfterWorkerEnded guards against a gang that queries for its tickets only once the leases of a dead member's worker have expired.
+func TestGangRunsAgainSoonAfterWorkerEnded(t *testing.T) {
+	inHoldCycle(t, 40, func(c *cell, phase time.Duration) {
+		c.advise(siteAdvice, 0.5)
+		v := c.startThree()
+		time.Sleep(time.Second)
+		c.submit("g", gang(4, 6))
+		expectPhase(c, v, "g", 5*time.Second, job.Running)
+		time.Sleep(4*time.Second + phase)
+		died := time.Now()
+		c.endWorkersOf(v, "g")
+		expectRestarts(c, died, "g")
+	})
+}
+
+// TestManyTasksRunAgainSoonAfterWorkersEnded guards against jobs whose queries go out one after the other once the leases of dead workers have expired.
+func TestManyTasksRunAgainSoonAfterWorkersEnded(t *testing.T) {
+	inHoldCycle(t, 80, func(c *cell, phase time.Duration) {
+		const jobs = 16
+		c.advise(site.Advice{Base: 380 * time.Millisecond, PerUpstream: 5500 * time.Microsecond, TicketLifetime: 2 * time.Second}, 0.3)
+		v := c.startThree()
+		for i := range 4 {
+			c.start(fmt.Sprintf("e%d", i))
+		}
+		time.Sleep(2 * time.Second)
+		var ids []string
+		for i := range jobs {
+			id := fmt.Sprintf("j%d", i)
+			ids = append(ids, id)
+			c.submit(id, tasks(1, 4))
+		}
+		for _, id := range ids {
+			expectPhase(c, v, id, 5*time.Second, job.Running)
+		}
+		time.Sleep(2*time.Second + phase)
+		died := time.Now()
+		c.endWorkersOf(v, ids...)
+		expectRestarts(c, died, ids...)
+	})
+}
+
 // TestCrashCountsThatTheListTellsLast guards against giving up the runs of a crashed worker just before its entry is removed, so that no task is ever found to crash its workers.
 func TestCrashCountsThatTheListTellsLast(t *testing.T) {
 	for removed := 2 * registerInterval; removed <= missedHeartbeats*registerInterval; removed += registerInterval / 3 {
