scheduler: a VM that has started since learns which leaders there were and that they have ended

Cause: which leaders there were, and that their processes have ended, was known to the VMs only that had watched them.

Fix: the record `renewers` goes with the record that begins a term and names the leaders that may still renew leases; a leader appends it once more after 10 s, with itself alone. At the begin of its term a leader asks for the process of each of them whose end it doesn't know, at the address of its VM: another process that answers, or none that listens, shows the end, as it does for a leader that is watched. An earlier process of its own VM has ended. A leader that is cut off and lives answers, or nobody does, and is waited for as before.

--- a/cell/job/odd_records_test.go
+++ b/cell/job/odd_records_test.go
@@ -105,6 +105,11 @@
 		{"silent worker without an id", "silent/", &EpochRange{}},
 		{"renewals that are no record", "renewals", "\x00"},
 		{"renewals that end before they begin", "renewals", &EpochRange{Epoch: 2, FirstEpoch: 3}},
+		{"renewers that are no record", "renewers", "\x00"},
+		{"renewers until a negative epoch", "renewers", &Renewers{Epoch: -1}},
+		{"renewer of a later epoch", "renewers", &Renewers{Epoch: 2, Leaders: []TermOf{{Epoch: 3, Incarnation: "n1/1"}}}},
+		{"renewer without a name", "renewers", &Renewers{Epoch: 2, Leaders: []TermOf{{Epoch: 1}}}},
+		{"more renewers than a record names", "renewers", &Renewers{Epoch: 2, Leaders: make([]TermOf, MaxRenewers+1)}},
 		{"answered starts that are no record", "answeredStarts", "\x00"},
 		{"starts answered before a negative offset", "answeredStarts", &AnsweredStarts{Before: -1}},
 		{"starts answered before an offset after the record", "answeredStarts", &AnsweredStarts{Before: math.MaxInt64}},
@@ -148,6 +153,7 @@
 		recordOf(t, "silent/w", &EpochRange{Epoch: 3, FirstEpoch: 2}),
 		recordOf(t, "settled/w", &SettledWorker{Boot: 5}),
 		recordOf(t, "renewals", &EpochRange{Epoch: 3, FirstEpoch: 2}),
+		recordOf(t, "renewers", &Renewers{Epoch: 3, Leaders: []TermOf{{Epoch: 2, Incarnation: "n2/1"}, {Epoch: 3, Incarnation: "n1/1"}}}),
 		recordOf(t, "answeredStarts", &AnsweredStarts{Before: 9, Except: []RunName{{Job: "a", Index: 1, Run: 1}}}),
 	}
 }
@@ -161,7 +167,7 @@
 	if q := v.Queue("q"); q != nil && q.Advice != nil {
 		text += fmt.Sprintf(" queue stretch %v objective %v advice %+v", q.Stretch, q.Objective, *q.Advice)
 	}
-	text += fmt.Sprintf(" renewals %+v answered starts %+v", v.Renewals().EpochRange, *v.AnsweredStarts())
+	text += fmt.Sprintf(" renewals %+v renewers %+v answered starts %+v", v.Renewals().EpochRange, *v.Renewers(), *v.AnsweredStarts())
 	text += fmt.Sprint(" settled ", v.SettledWorkers())
 	for id, s := range v.SilentWorkers() {
 		text += fmt.Sprintf(" silent %s %d %d", id, s.FirstEpoch, s.Epoch)
--- a/cell/job/record.go
+++ b/cell/job/record.go
@@ -166,7 +166,7 @@
 
 // LeaderOnly reports whether entries with that key are appended by leaders only.
 func LeaderOnly(key string) bool {
-	return key == leaderKey || key == speedsKey || key == renewalsKey || key == answeredStartsKey || strings.HasPrefix(key, stateKey) || strings.HasPrefix(key, crashesKey) ||
+	return key == leaderKey || key == speedsKey || key == renewalsKey || key == renewersKey || key == answeredStartsKey || strings.HasPrefix(key, stateKey) || strings.HasPrefix(key, crashesKey) ||
 		strings.HasPrefix(key, doubtfulCrashesKey) || strings.HasPrefix(key, givenUpRunsKey) || strings.HasPrefix(key, silentKey) || strings.HasPrefix(key, settledKey)
 }
 
--- a/cell/job/replace.go
+++ b/cell/job/replace.go
@@ -33,7 +33,7 @@
 	v.members, v.queues = fresh.members, fresh.queues
 	v.leader, v.leaderAt, v.terms = fresh.leader, fresh.leaderAt, fresh.terms
 	v.speeds, v.givenUpRuns = fresh.speeds, fresh.givenUpRuns
-	v.silent, v.renewals = fresh.silent, fresh.renewals
+	v.silent, v.renewals, v.renewers = fresh.silent, fresh.renewals, fresh.renewers
 	v.settled = fresh.settled
 	v.answeredStarts = fresh.answeredStarts
 	return changed
--- a/cell/job/view.go
+++ b/cell/job/view.go
@@ -32,6 +32,7 @@
 		silent      map[string]EpochHistory
 		settled     map[string]int64
 		renewals    EpochHistory
+		renewers    Renewers
 
 		answeredStarts AnsweredStarts
 		// gaps counts how often records were left out.
@@ -173,6 +174,8 @@
 		return v.applySpeeds(e)
 	case renewalsKey:
 		return v.applyRenewals(e)
+	case renewersKey:
+		return v.applyRenewers(e)
 	case answeredStartsKey:
 		return v.applyAnsweredStarts(e)
 	}
--- a/pollendockd/internal/cluster/peers.go
+++ b/pollendockd/internal/cluster/peers.go
@@ -216,6 +216,7 @@
 	forAccepts
 	forOffers
 	forWatches
+	forEnds
 	forCatalogs
 )
 
--- a/pollendockd/internal/cluster/watch.go
+++ b/pollendockd/internal/cluster/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"syscall"
 	"time"
 
@@ -16,7 +17,10 @@
 type (
 	// WatchRequest is a long poll: the receiver answers after watchDuration. If its
 	// process ends earlier, the connection breaks.
-	WatchRequest struct{}
+	WatchRequest struct {
+		// AtOnce asks for an answer without the wait.
+		AtOnce bool
+	}
 
 	// WatchReply names the process that received the request.
 	WatchReply struct {
@@ -72,8 +76,28 @@
 	return reply.Incarnation != m.Incarnation, nil
 }
 
-// Watch answers a WatchRequest after watchDuration.
-func (s *Server) Watch(_ *WatchRequest, reply *WatchReply) error {
+// Ended reports whether the process of an incarnation is known to have ended: a VM has one process at
+// a time, and another one answers, or none listens at its address.
+func (p *Peers) Ended(ctx context.Context, incarnation string) bool {
+	name, _, _ := strings.Cut(incarnation, "/")
+	m, isMember := p.view.Members()[name]
+	if !isMember {
+		return false
+	}
+	var reply WatchReply
+	err := p.client(&m, forEnds).Call(ctx, "Watch", &WatchRequest{AtOnce: true}, &reply)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	return reply.Incarnation != incarnation
+}
+
+// Watch answers a WatchRequest, after watchDuration unless it is to be answered at once.
+func (s *Server) Watch(r *WatchRequest, reply *WatchReply) error {
+	if r.AtOnce {
+		reply.Incarnation = s.incarnation
+		return s.ctx.Err()
+	}
 	sleep.For(s.ctx, watchDuration)
 	reply.Incarnation = s.incarnation
 	return s.ctx.Err()
--- a/pollendockd/internal/cluster/watch_test.go
+++ b/pollendockd/internal/cluster/watch_test.go
@@ -34,3 +34,27 @@
 		t.Fatal("the end was not reported")
 	}
 }
+
+// TestEnded guards against taking a process for ended that runs, and against one whose VM answers as another process or not at all.
+func TestEnded(t *testing.T) {
+	p := newPair(t)
+	for _, c := range []struct {
+		name        string
+		incarnation string
+		want        bool
+	}{
+		{"it answers", "b/1", false},
+		{"another process answers", "b/0", true},
+		{"its VM is no member", "c/1", false},
+	} {
+		if got := p.peers.Ended(t.Context(), c.incarnation); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+	p.server.Close()
+	for began := time.Now(); !p.peers.Ended(t.Context(), "b/1"); time.Sleep(10 * time.Millisecond) {
+		if time.Since(began) > 5*time.Second {
+			t.Fatal("nothing listens there: not ended")
+		}
+	}
+}
--- a/pollendockd/internal/scheduler/campaign.go
+++ b/pollendockd/internal/scheduler/campaign.go
@@ -197,7 +197,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return []site.Entry{leader, renewals}, nil
+	entries := []site.Entry{leader, renewals}
+	renewers, err := s.renewersEntry(epoch, time.Now())
+	if renewers != nil {
+		entries = append(entries, *renewers)
+	}
+	return entries, err
 }
 
 func (s *Scheduler) appendCampaign(ctx context.Context, epoch int64, entries []site.Entry, timeout time.Duration) error {
--- a/pollendockd/internal/scheduler/ended_leader_test.go
+++ b/pollendockd/internal/scheduler/ended_leader_test.go
@@ -106,8 +106,9 @@
 
 // killNoticed kills a VM, and the others learn that its process has ended.
 func (c *cell) killNoticed(name string) {
+	incarnation := c.vms[name].scheduler.opt.Incarnation
 	c.kill(name)
 	for _, v := range c.vms {
-		v.scheduler.LeaderEnded(name + "/1")
+		v.scheduler.LeaderEnded(incarnation)
 	}
 }
--- a/pollendockd/internal/scheduler/flush.go
+++ b/pollendockd/internal/scheduler/flush.go
@@ -176,6 +176,9 @@
 	if err := l.addLeaderRecord(b, now); err != nil {
 		return nil, err
 	}
+	if err := l.addRenewers(b, now); err != nil {
+		return nil, err
+	}
 	if err := l.addSettled(b, now); err != nil {
 		return nil, err
 	}
--- a/pollendockd/internal/scheduler/harness_test.go
+++ b/pollendockd/internal/scheduler/harness_test.go
@@ -50,8 +50,13 @@
 		// dialedOthers counts the ids that were dialled but are not those of workers.
 		dialedOthers atomic.Int64
 		vms          map[string]*vm
-		mu           sync.Mutex
-		subs         map[string]*job.Submission
+		// processes holds the incarnation that runs on each VM, starts how often each was started.
+		processes map[string]string
+		starts    map[string]int
+		// peersAnswer is set if VMs learn from one another which processes run.
+		peersAnswer atomic.Bool
+		mu          sync.Mutex
+		subs        map[string]*job.Submission
 		// outcome returns the duration and end of a run. If it is nil, runs succeed
 		// after workTime.
 		outcome func(t site.TaskID, run int64, worker string) (time.Duration, site.EndKind)
@@ -73,14 +78,14 @@
 		resets atomic.Bool
 		// silent is set while this VM gets no answers.
 		silent atomic.Bool
+		// campaignsOnly is set while it gets answers to its campaigns only.
+		campaignsOnly atomic.Bool
 		// losesAnswers is set while this VM's appends take effect without an answer.
 		losesAnswers atomic.Bool
 		// listSilent is set while this VM gets no answers to reads of the list of workers.
 		listSilent atomic.Bool
 		// uplink is the link of this VM, nil for one that takes no time.
-		// campaignsOnly is set while it gets answers to its campaigns only.
-		campaignsOnly atomic.Bool
-		uplink        atomic.Pointer[loopback.Link]
+		uplink atomic.Pointer[loopback.Link]
 		// largest is the size of the largest append, in bytes.
 		largest atomic.Int64
 		// readsSilent is set while this VM gets no answers to reads of the records.
@@ -170,6 +175,13 @@
 	}
 }
 
+// Ended reports whether another process, or none, runs on the VM of an incarnation.
+func (p testPeers) Ended(_ context.Context, incarnation string) bool {
+	p.c.mu.Lock()
+	defer p.c.mu.Unlock()
+	return p.c.peersAnswer.Load() && p.c.processes[nameOf(incarnation)] != incarnation
+}
+
 // AppendAs fails as set by the test.
 func (s *vmStream) AppendAs(ctx context.Context, t site.Term, entries []site.Entry) (int64, error) {
 	if s.refuses.Load() {
@@ -270,7 +282,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		defer synctest.Wait()
 		defer cancel()
-		c := &cell{t: t, ctx: ctx, store: fleet.NewStore(), vms: map[string]*vm{}, answers: map[string]*advice.Answers{}, subs: map[string]*job.Submission{}}
+		c := &cell{t: t, ctx: ctx, store: fleet.NewStore(), vms: map[string]*vm{}, processes: map[string]string{}, starts: map[string]int{}, answers: map[string]*advice.Answers{}, subs: map[string]*job.Submission{}}
 		c.bounds = site.Bounds{MaxLease: 6 * time.Second, StopTime: 200 * time.Millisecond}
 		c.catalog = (&site.Catalog{
 			Version:  1,
@@ -323,11 +335,15 @@
 func (c *cell) start(name string) *vm {
 	ctx, cancel := context.WithCancel(c.ctx)
 	v := &vm{replica: job.NewView()}
+	incarnation := c.nextIncarnation(name)
 	v.kill = func() {
 		cancel()
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		delete(c.answers, name)
+		if c.processes[name] == incarnation {
+			delete(c.processes, name)
+		}
 	}
 	logger := log.NewNopLogger()
 	stream := &vmStream{Store: c.store}
@@ -354,7 +370,7 @@
 		c.join(name)
 	}
 	v.scheduler = New(Options{
-		Name: name, Incarnation: name + "/1", CPUCores: vmCores, Bounds: c.bounds, RefuseOverload: true,
+		Name: name, Incarnation: incarnation, CPUCores: vmCores, Bounds: c.bounds, RefuseOverload: true,
 	}, deps)
 	go func() { _ = v.scheduler.Run(ctx) }()
 	go func() { _ = follower.Run(ctx) }()
@@ -362,6 +378,15 @@
 	return v
 }
 
+// nextIncarnation returns the incarnation of a process that begins on a VM.
+func (c *cell) nextIncarnation(name string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.starts[name]++
+	c.processes[name] = fmt.Sprintf("%s/%d", name, c.starts[name])
+	return c.processes[name]
+}
+
 func (c *cell) currentCatalog() *site.Catalog {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -390,7 +415,7 @@
 // join adds an entry VM to the member records.
 func (c *cell) join(name string) {
 	c.t.Helper()
-	e, err := job.MemberEntry(&job.Member{Name: name, Incarnation: name + "/1", CPUCores: vmCores})
+	e, err := job.MemberEntry(&job.Member{Name: name, Incarnation: fmt.Sprintf("%s/%d", name, c.starts[name]), CPUCores: vmCores})
 	if err != nil {
 		c.t.Fatal(err)
 	}
--- a/pollendockd/internal/scheduler/leaders_that_live_on_test.go
+++ b/pollendockd/internal/scheduler/leaders_that_live_on_test.go
@@ -119,7 +119,7 @@
 		v.kill()
 		delete(c.vms, name)
 		for _, other := range c.vms {
-			other.scheduler.LeaderEnded(name + "/1")
+			other.scheduler.LeaderEnded(v.scheduler.opt.Incarnation)
 		}
 		return
 	}
--- a/pollendockd/internal/scheduler/leadership.go
+++ b/pollendockd/internal/scheduler/leadership.go
@@ -57,6 +57,12 @@
 		renewals job.EpochHistory
 		// othersRenewUntil is when all earlier leaders have stopped renewing leases.
 		othersRenewUntil time.Time
+		// awaitedEnds are the incarnations of earlier leaders whose end would show that they
+		// renew none, askedEnds those of them that are being asked for.
+		awaitedEnds []string
+		askedEnds   map[string]bool
+		// renewersAppended is set once this leader has recorded that those before it renew none.
+		renewersAppended bool
 		settled          settledWorkers
 		answeredStarts   answeredStarts
 
@@ -138,6 +144,7 @@
 		isolatedRuns:    map[*run]bool{},
 		doubtfulCrashes: map[string][]doubtfulCrash{},
 		condemned:       map[site.TaskID]condemnedTask{},
+		askedEnds:       map[string]bool{},
 		givenUpRuns:     s.deps.View.GivenUpRuns(),
 		renewals:        s.deps.View.Renewals(),
 		settled:         settledWorkers{boots: s.deps.View.SettledWorkers()},
@@ -155,6 +162,7 @@
 		l.loadJob(id)
 	}
 	l.inheritSilences()
+	l.awaitEnds()
 	l.gatherAnswers()
 	_ = level.Info(s.deps.Logger).Log("msg", "leading", "epoch", epoch, "jobs", len(l.jobs), "next", s.deps.View.Next(),
 		"othersRenewMs", max(0, l.othersRenewUntil.Sub(now)).Milliseconds(), "startsAnsweredBefore", l.answeredStarts.inherited.Before, "openStarts", len(l.answeredStarts.open))
--- a/pollendockd/internal/scheduler/renewals.go
+++ b/pollendockd/internal/scheduler/renewals.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"maps"
 	"time"
 
 	"pollendock.example/cell/job"
@@ -48,47 +47,6 @@
 	return own || l.renewals.ReachesTo(l.term.Epoch-1)
 }
 
-// noteOthersRenewals notes until when earlier leaders renew leases. Those whose processes are known to
-// have ended renew none. The last append of all leaders before another was sent before the term of
-// that one began.
-func (l *leadership) noteOthersRenewals() {
-	terms := l.s.deps.View.Terms()
-	next := l.startedAt
-	i := len(terms) - 2
-	for epoch := l.term.Epoch - 1; epoch >= initialEpoch; epoch-- {
-		ended, found := time.Time{}, false
-		if i >= 0 && terms[i].Epoch == epoch {
-			ended, found = l.s.endOf(terms[i].Incarnation, l.startedAt)
-		}
-		if !found {
-			l.othersRenewUntil = later(l.othersRenewUntil, next.Add(l.renewTimeout()))
-			return
-		}
-		l.othersRenewUntil = later(l.othersRenewUntil, ended)
-		next = terms[i].Since
-		i--
-	}
-}
-
-// noteLeaderEnd notes that the process of a leader has ended. It forgets those that could renew no lease
-// by now.
-func (s *Scheduler) noteLeaderEnd(incarnation string, now time.Time) {
-	maps.DeleteFunc(s.leaderEnds, func(_ string, at time.Time) bool { return now.Sub(at) > streamTimeout })
-	if _, known := s.leaderEnds[incarnation]; !known {
-		s.leaderEnds[incarnation] = now
-	}
-}
-
-// endOf returns by when the process of a leader had ended, if that is known. This VM's own earlier
-// terms have ended when a later one begins.
-func (s *Scheduler) endOf(incarnation string, begins time.Time) (time.Time, bool) {
-	if incarnation == s.opt.Incarnation {
-		return begins, true
-	}
-	at, found := s.leaderEnds[incarnation]
-	return at, found
-}
-
 // renewalsEnd is when all leases have expired that leaders may have granted whose last appends
 // were before the given time.
 func (l *leadership) renewalsEnd(at time.Time) time.Time {
--- a/pollendockd/internal/scheduler/scheduler.go
+++ b/pollendockd/internal/scheduler/scheduler.go
@@ -50,6 +50,9 @@
 		Offer(first int64)
 		// Yield notifies them that the leader of a term cannot append.
 		Yield(epoch int64)
+		// Ended reports whether the process of an incarnation is known to have ended: its VM
+		// answers as another one, or no process listens there.
+		Ended(ctx context.Context, incarnation string) bool
 	}
 
 	// Upstreams watches the list of workers.
@@ -339,7 +342,10 @@
 	s.noteLeaderEnd(e.incarnation, time.Now())
 	if s.lead == nil {
 		s.maybeCampaign()
+		return
 	}
+	s.lead.noteOthersRenewals()
+	s.lead.awaitEnds()
 }
 
 // Stop hands over the leadership if this VM has it.
