scheduler: a later leader knows the workers that hold no longer leases than leaders grant

Cause: a leader takes a young worker that it does not know for one that has restarted, and that may execute renewals for its earlier incarnation.

Fix: the record settled/ID says that an earlier leader knew otherwise. A worker that has restarted, and one that no leader has recorded, count as before.

Evidence: TestTaskRunsAgainIfItsYoungWorkerDiesEarlyInTerm, without the change "the task runs again after 8.2s, want 7s at most".

--- a/pollendockd/internal/scheduler/hold.go
+++ b/pollendockd/internal/scheduler/hold.go
@@ -181,7 +181,7 @@
 func (l *leadership) resetBoot(wk *worker, first *site.HoldReply) {
 	boot := first.Boot
 	_ = level.Info(l.s.deps.Logger).Log("msg", "first answer of a worker incarnation in this term", "worker", wk.id, "boot", boot, "lastBoot", wk.boot, "runs", len(wk.runs))
-	wk.misdirectedLeaseEnd = l.misdirectedLeaseEnd(wk.boot, first.Clock)
+	wk.misdirectedLeaseEnd = l.misdirectedLeaseEnd(wk, first)
 	wk.boot = boot
 	wk.bootAt = time.Now()
 	// This takes over an earlier leader's estimate.
--- a/pollendockd/internal/scheduler/misdirected_renewals.go
+++ b/pollendockd/internal/scheduler/misdirected_renewals.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"pollendock.example/cell/site"
+)
 
 // This file tells which workers may hold a longer lease than leaders grant. The end of a lease is
 // a time on the worker's clock, which begins anew with each incarnation. A renewal or start request
@@ -16,13 +20,13 @@
 // misdirectedLeaseEnd is when all leases have ended, on the clock of an incarnation that has given
 // its first answer in this term, that it may grant to requests that were sent to an earlier one. It
 // is 0 if there are none. The answer shows that it refuses requests of earlier leaders from then on.
-func (l *leadership) misdirectedLeaseEnd(lastBoot int64, firstClock time.Duration) time.Duration {
+func (l *leadership) misdirectedLeaseEnd(wk *worker, first *site.HoldReply) time.Duration {
 	last := inWorkerTime(maxMisdirection)
-	if lastBoot == 0 {
-		if l.term.Epoch == initialEpoch {
+	if wk.boot == 0 {
+		if l.term.Epoch == initialEpoch || l.settled.boots[wk.id] == first.Boot {
 			return 0
 		}
-		last = min(last, firstClock)
+		last = min(last, first.Clock)
 	}
 	return last + l.s.opt.Bounds.MaxLease
 }
--- a/pollendockd/internal/scheduler/misdirected_renewals_test.go
+++ b/pollendockd/internal/scheduler/misdirected_renewals_test.go
@@ -88,20 +88,52 @@
 	for _, c := range []struct {
 		name        string
 		epoch, boot int64
+		// settled is the incarnation that is recorded as settled, of which incarnation 7 answers.
+		settled     int64
 		clock, want time.Duration
 	}{
-		{"first incarnation that the first leader knows", 1, 0, time.Second, 0},
-		{"restarted under the first leader", 1, 5, time.Second, delay + maxLease},
-		{"young at a later leader's first answer", 2, 0, 3 * time.Second, 3*time.Second + maxLease},
-		{"old at a later leader's first answer", 2, 0, time.Minute, delay + maxLease},
+		{"first incarnation that the first leader knows", 1, 0, 0, time.Second, 0},
+		{"restarted under the first leader", 1, 5, 5, time.Second, delay + maxLease},
+		{"young at a later leader's first answer", 2, 0, 0, 3 * time.Second, 3*time.Second + maxLease},
+		{"old at a later leader's first answer", 2, 0, 0, time.Minute, delay + maxLease},
+		{"recorded as settled by an earlier leader", 2, 0, 7, 3 * time.Second, 0},
+		{"an earlier incarnation is recorded as settled", 2, 0, 5, 3 * time.Second, 3*time.Second + maxLease},
 	} {
 		l := &leadership{s: &Scheduler{opt: Options{Bounds: site.Bounds{MaxLease: maxLease}}}, term: site.Term{Epoch: c.epoch}}
-		if got := l.misdirectedLeaseEnd(c.boot, c.clock); got != c.want {
+		l.settled.boots = map[string]int64{"w": c.settled}
+		wk := &worker{id: "w", boot: c.boot}
+		if got := l.misdirectedLeaseEnd(wk, &site.HoldReply{Boot: 7, Clock: c.clock}); got != c.want {
 			t.Errorf("%s: %v, want %v", c.name, got, c.want)
 		}
 	}
 }
 
+// TestTaskRunsAgainIfItsYoungWorkerDiesEarlyInTerm guards against assuming the longest lease for a worker that an earlier leader knew to hold none.
+func TestTaskRunsAgainIfItsYoungWorkerDiesEarlyInTerm(t *testing.T) {
+	const (
+		maxLease    = 10 * time.Second
+		longestWait = 7 * time.Second
+	)
+	inCell(t, 3, func(c *cell) {
+		c.bounds.MaxLease = maxLease
+		c.fleet.SetMaxLease(maxLease)
+		c.outcome = func(site.TaskID, int64, string) (time.Duration, site.EndKind) { return time.Minute, site.Done }
+		a := c.start("a")
+		time.Sleep(time.Second)
+		b := c.start("b")
+		time.Sleep(4 * time.Second)
+		a.kill()
+		time.Sleep(2 * time.Second)
+		c.submit("j1", tasks(1, 4))
+		expectPhase(c, b, "j1", time.Second, job.Running)
+		time.Sleep(500 * time.Millisecond)
+		c.fleet.Worker(b.replica.Job("j1").State.Steps[0][0].Worker).Terminate()
+		if took := c.untilNextStart("j1"); took > longestWait {
+			t.Errorf("the task runs again after %v, want %v at most", took, longestWait)
+		}
+	})
+}
+
 // TestTaskRunsAgainIfItsOldWorkerDiesEarlyInTerm guards against assuming the longest lease for a worker that can have executed no renewal for an earlier incarnation lately.
 func TestTaskRunsAgainIfItsOldWorkerDiesEarlyInTerm(t *testing.T) {
 	const (
