scheduler: the task of a crashed worker waits 1.2 s for an empty worker

The cause: the tasks of a crashed worker are suspects, which start on a worker where no other job runs. Where all workers run something they wait for 4 s, after the 4.8 s until their leases have expired. Callers count 3 s with nothing running after 4 calm ones.

A task that has seen one crash, and not at its start, may start beside any run after that wait. Now it does after 1.2 s, so that its query fits, too. A task that crashes its workers late takes others along with its second crash, as before, but sooner; from the second crash on, or after one at its start, it still waits for an empty worker. The other waits of 4 s are unchanged.

--- a/pollendockd/internal/scheduler/vacate.go
+++ b/pollendockd/internal/scheduler/vacate.go
@@ -31,8 +31,11 @@
 
 const (
 	// maxSuspectWait is how long a suspect may wait behind those that came later, and how long it
-	// waits for an empty worker if it may start beside others.
+	// waits for an empty worker if it may start beside settled runs.
 	maxSuspectWait = 4 * time.Second
+	// maxBystanderWait is how long a suspect waits for an empty worker that may start beside any
+	// run: callers count 3 s, in which it has to query, too.
+	maxBystanderWait = 1200 * time.Millisecond
 	// emptyInStep is the difference between two expected times that counts when a worker
 	// is chosen, since they are rough.
 	emptyInStep = 500 * time.Millisecond
@@ -128,14 +131,15 @@
 	}
 }
 
-// relaxAfterWait lets a step that has waited for maxSuspectWait start beside other runs, if it
-// may. It reports whether workers may be kept free for the step: until then not if those without
-// services do not suffice.
+// relaxAfterWait lets a step that has waited for maxBystanderWait start beside other runs, if it
+// may, and beside settled ones after maxSuspectWait. It reports whether workers may be kept free
+// for the step: until then not if those without services do not suffice.
 func (p *pass) relaxAfterWait(ws *waitingStep, service string, missing int) bool {
-	long := p.workersKnown && p.now.Sub(ws.waitsSince(p.now)) >= maxSuspectWait
-	if long && ws.likelyBystander() {
+	waited := p.now.Sub(ws.waitsSince(p.now))
+	if p.workersKnown && waited >= maxBystanderWait && ws.likelyBystander() {
 		ws.besideOthers, ws.vacated = true, true
 	}
+	long := p.workersKnown && waited >= maxSuspectWait
 	ws.besideSettled = long
 	return long || p.mayBecomeVacant(ws, service, missing)
 }
--- a/pollendockd/internal/scheduler/worker_ends_test.go
+++ b/pollendockd/internal/scheduler/worker_ends_test.go
@@ -132,6 +132,35 @@
 	})
 }
 
+// TestTaskOfDeadWorkerRunsBesideOthersSoon guards against a task that waits for an empty worker for longer than callers do, since its worker has crashed once and the others all run something.
+func TestTaskOfDeadWorkerRunsBesideOthersSoon(t *testing.T) {
+	// calmTime is how long after a fault a job that could run may have nothing running.
+	const calmTime = 7 * time.Second
+	for _, step := range []job.Step{tasks(1, 4), gang(4, 4)} {
+		t.Run(fmt.Sprintf("%d tasks", step.Count), func(t *testing.T) {
+			inHoldCycle(t, 30, func(c *cell, phase time.Duration) {
+				c.advise(siteAdvice, 0.5)
+				c.addUnadvisedQueue()
+				v := c.startThree()
+				time.Sleep(time.Second)
+				others := tasks(30, 2)
+				others.PerWorker = 1
+				c.submitTo("unadvised", "others", others)
+				time.Sleep(time.Second)
+				c.submit("j", step)
+				expectPhase(c, v, "j", 5*time.Second, job.Running)
+				time.Sleep(4*time.Second + phase)
+				died := time.Now()
+				c.endWorkersOf(v, "j")
+				time.Sleep(2 * calmTime)
+				if took := c.fleet.StartedAt(site.TaskID{Job: "j"}).Sub(died); took < 0 || took > calmTime {
+					t.Errorf("started again %v after the death of its worker, want %v", took, calmTime)
+				}
+			})
+		})
+	}
+}
+
 // TestCrashCountsThatTheListTellsLast guards against giving up the runs of a crashed worker just before its entry is removed, so that no task is ever found to crash its workers.
 func TestCrashCountsThatTheListTellsLast(t *testing.T) {
 	for removed := 2 * registerInterval; removed <= missedHeartbeats*registerInterval; removed += registerInterval / 3 {
