A run whose renewals are on record stands for itself only

Callers would see a task wait longer than before: renewedStarts named run 1, whose start got no answer and which was stopped, and a later leader waited for renewals with run 2 of the task, too, which had been answered, 25.3 s from its begin where it was 19.5 s from the dispatch (leases of 6 s). With the 15 s in which doubtful crashes are waited for two jobs did not end.

The late start of a run that was stopped runs beside the task's next run as soon as its worker's next incarnation executes it, so that a longer wait of that next run prevents nothing (docs/PLATFORM.md, "Doubtful runs").

--- a/pollendockd/internal/scheduler/renewed_starts.go
+++ b/pollendockd/internal/scheduler/renewed_starts.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"pollendock.example/cell/job"
-	"pollendock.example/cell/site"
 )
 
 // This file keeps the record of the runs with a start request that may be executed late on whose workers
@@ -18,8 +17,8 @@
 type renewedStarts struct {
 	// all is set while the record names all runs.
 	all bool
-	// named holds the tasks of the inherited record.
-	named map[site.TaskID]bool
+	// named holds the runs of the inherited record.
+	named map[runKey]bool
 	// recorded is the number of runs in the last record, which was made at recordedAt and is due
 	// again after interval.
 	recorded   int
@@ -29,9 +28,9 @@
 
 // newRenewedStarts returns what a leader knows at the begin of its term.
 func newRenewedStarts(inherited *job.RenewedStarts) renewedStarts {
-	s := renewedStarts{all: inherited.All, named: map[site.TaskID]bool{}, recorded: len(inherited.Runs)}
+	s := renewedStarts{all: inherited.All, named: map[runKey]bool{}, recorded: len(inherited.Runs)}
 	for i := range inherited.Runs {
-		s.named[taskOf(&inherited.Runs[i])] = true
+		s.named[runKey{taskOf(&inherited.Runs[i]), inherited.Runs[i].Run}] = true
 	}
 	return s
 }
@@ -39,7 +38,7 @@
 // inheritRenewals notes until when earlier leaders may have renewed the lease of a run that may be
 // executed late.
 func (l *leadership) inheritRenewals(r *run) {
-	if !l.renewedStarts.all && !l.renewedStarts.named[r.task] {
+	if !l.renewedStarts.all && !l.renewedStarts.named[r.key()] {
 		return
 	}
 	r.renewalsNamed = true
--- a/pollendockd/internal/scheduler/renewed_starts_test.go
+++ b/pollendockd/internal/scheduler/renewed_starts_test.go
@@ -203,3 +203,26 @@
 		})
 	}
 }
+
+// TestTaskOfNamedRunWaitsNoLonger guards against waiting for renewals beside the start of an earlier run of the task.
+func TestTaskOfNamedRunWaitsNoLonger(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		record job.RenewedStarts
+		run    int64
+		want   bool
+	}{
+		{"the run", job.RenewedStarts{Runs: []job.RunName{{Job: "j", Run: 1}}}, 1, true},
+		{"the next run of its task", job.RenewedStarts{Runs: []job.RunName{{Job: "j", Run: 1}}}, 2, false},
+		{"all runs", job.RenewedStarts{All: true}, 2, true},
+	} {
+		l := leadershipOf("j", tasks(1, 1))
+		l.startedAt = time.Now()
+		l.renewedStarts = newRenewedStarts(&c.record)
+		r := &run{task: site.TaskID{Job: "j"}, number: c.run, tj: l.jobs["j"], wk: l.workerOf("w"), stage: inherited}
+		l.inheritRenewals(r)
+		if got := !r.othersRenewUntil.IsZero(); got != c.want || r.renewalsNamed != c.want {
+			t.Errorf("%s: waits for renewals %v, want %v", c.name, got, c.want)
+		}
+	}
+}
