--- a/pollendockd/internal/scheduler/review50_test.go
+++ b/pollendockd/internal/scheduler/review50_test.go
@@ -113,9 +113,16 @@
 
 // TestRunsOutliveOutageAfterChangeOfLeader guards against leases that lapse in an outage of the stream because a new leader could not record the young runs that it took over.
 func TestRunsOutliveOutageAfterChangeOfLeader(t *testing.T) {
-	for _, after := range []time.Duration{0, 20 * time.Millisecond, 100 * time.Millisecond} {
-		t.Run(after.String(), func(t *testing.T) {
+	for _, c := range []struct {
+		after   time.Duration
+		tickets bool
+	}{{0, false}, {20 * time.Millisecond, false}, {100 * time.Millisecond, false}, {0, true}, {20 * time.Millisecond, true}, {100 * time.Millisecond, true}} {
+		after, tickets := c.after, c.tickets
+		t.Run(fmt.Sprint(after, " tickets ", tickets), func(t *testing.T) {
 			inCell(t, 2, func(c *cell) {
+				if tickets {
+					c.useTickets()
+				}
 				c.outcome = func(site.TaskID, int64, string) (time.Duration, site.EndKind) { return 30 * time.Second, site.Done }
 				v := c.startThree()
 				time.Sleep(20 * time.Second)
@@ -140,9 +147,15 @@
 // TestDeadWorkerBesideManyOpenStartsIsWaitedForNoLonger guards against waiting for renewals that a dead worker never got, because a record of many runs names all.
 func TestDeadWorkerBesideManyOpenStartsIsWaitedForNoLonger(t *testing.T) {
 	for _, open := range []int{10, 300} {
-		for _, terms := range []int{1, 3} {
-			t.Run(fmt.Sprint(open, " runs ", terms, " terms"), func(t *testing.T) {
+		for _, terms := range []int{1, 3, -3} {
+			// Negative ones stand for a queue with advice.
+			tickets := terms < 0
+			terms := max(terms, -terms)
+			t.Run(fmt.Sprint(open, " runs ", terms, " terms, tickets ", tickets), func(t *testing.T) {
 				inCell(t, 32, func(c *cell) {
+					if tickets {
+						c.useTickets()
+					}
 					c.outcome = func(site.TaskID, int64, string) (time.Duration, site.EndKind) { return 2 * time.Minute, site.Done }
 					for _, name := range []string{"a", "b", "d", "e", "f", "g"} {
 						c.start(name)
@@ -279,3 +292,62 @@
 		t.Logf("all done after %v", time.Since(began))
 	})
 }
+
+// lostHolds is a worker that gets no holds while lost is set.
+type lostHolds struct {
+	Worker
+	lost *atomic.Bool
+}
+
+func (w lostHolds) Hold(ctx context.Context, req *site.HoldRequest) (*site.HoldReply, error) {
+	reply, err := w.Worker.Hold(ctx, req)
+	if w.lost.Load() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return reply, err
+}
+
+// TestLateStartBesideAnOpenStartRunsNoTaskTwice guards against the same as a whole: a restarted worker executes a start late, and after it the later start of another task, which prolongs the lease.
+func TestLateStartBesideAnOpenStartRunsNoTaskTwice(t *testing.T) {
+	const maxLease = 10 * time.Second
+	for phase := 440 * time.Millisecond; phase < 600*time.Millisecond; phase += 10 * time.Millisecond {
+		for second := 700 * time.Millisecond; second < 950*time.Millisecond; second += 50 * time.Millisecond {
+			t.Run(fmt.Sprint(phase, second), func(t *testing.T) {
+				inCell(t, 1, func(c *cell) {
+					c.bounds.MaxLease = maxLease
+					c.fleet.SetMaxLease(maxLease)
+					c.fleet.KeepIDs()
+					lost := &atomic.Bool{}
+					c.linkTo = func(w Worker) Worker {
+						if w != Worker(c.fleet.Worker("w0")) {
+							return w
+						}
+						return lostHolds{w, lost}
+					}
+					c.outcome = func(site.TaskID, int64, string) (time.Duration, site.EndKind) { return 5 * time.Minute, site.Done }
+					v := c.startThree()
+					c.submit("k", tasks(1, 1))
+					expectPhase(c, v, "k", time.Second, job.Running)
+					time.Sleep(30*time.Second + phase)
+					on := c.fleet.Worker("w0")
+					on.DelayStarts(6, maxRequestDelay-10*time.Millisecond)
+					lost.Store(true)
+					began := time.Now()
+					c.submit("j1", tasks(1, 4))
+					time.Sleep(second)
+					c.submit("j2", tasks(1, 4))
+					time.Sleep(1700*time.Millisecond - time.Since(began))
+					on.SetSilent(true)
+					on.Reboot()
+					c.killNoticed(c.leader())
+					c.fleet.Add("w1", "s", on.Capacity())
+					time.Sleep(40 * time.Second)
+					lost.Store(false)
+					on.SetSilent(false)
+					time.Sleep(10 * time.Second)
+				})
+			})
+		}
+	}
+}
