--- a/cell/job/record.go
+++ b/cell/job/record.go
@@ -166,8 +166,16 @@
 
 // LeaderOnly reports whether entries with that key are appended by leaders only.
 func LeaderOnly(key string) bool {
-	return key == leaderKey || key == speedsKey || key == renewalsKey || key == renewersKey || key == answeredStartsKey || key == startDelayKey || key == renewedStartsKey || strings.HasPrefix(key, stateKey) || strings.HasPrefix(key, crashesKey) ||
-		strings.HasPrefix(key, doubtfulCrashesKey) || strings.HasPrefix(key, givenUpRunsKey) || strings.HasPrefix(key, silentKey) || strings.HasPrefix(key, settledKey)
+	switch key {
+	case leaderKey, speedsKey, renewalsKey, renewersKey, answeredStartsKey, startDelayKey, renewedStartsKey:
+		return true
+	}
+	for _, prefix := range []string{stateKey, crashesKey, doubtfulCrashesKey, givenUpRunsKey, silentKey, settledKey} {
+		if strings.HasPrefix(key, prefix) {
+			return true
+		}
+	}
+	return false
 }
 
 func encode(key string, v any) (site.Entry, error) {
