--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -311,9 +311,11 @@
 }
 
 // mayLease reports whether a worker may be sent the end of a lease: it has answered within
-// maxAnswerAge, and the term may renew its leases.
+// maxAnswerAge, and the term may renew its leases. A later incarnation takes any end of a lease for a
+// renewal.
 func (l *leadership) mayLease(wk *worker, now time.Time) bool {
-	return l.mayRenewFor(wk, now) && wk.boot != 0 && now.Sub(wk.clockAt) <= maxAnswerAge && !wk.refusesConnections
+	return l.mayRenewFor(wk, now) && wk.boot != 0 && now.Sub(wk.clockAt) <= maxAnswerAge && !wk.refusesConnections &&
+		l.mayRenewBesideStarts(wk, now)
 }
 
 // lapseAt is when no run requested earlier can still be running on the worker, if it
