scheduler: a ticket counts as one of an incarnation once the list names no later one

Callers would see a task run twice: a worker that restarts while a leader asks for a ticket gets one for its later incarnation, which executes the start late. A later incarnation is listed a heartbeat after it began. So the long wait ends only once a list that was requested a heartbeat and 0.5 s after the dispatch was read names no later incarnation. One that never reaches the store isn't told by that: open.

TestStartThatMayBeExecutedLate has rows for both lists.

--- a/pollendockd/internal/scheduler/ticketed_starts_test.go
+++ b/pollendockd/internal/scheduler/ticketed_starts_test.go
@@ -113,21 +113,27 @@
 	const boot = 7
 	inherited := now.Add(maxInheritedStartDelay)
 	own := now.Add(maxRequestDelay)
+	const later = registerInterval + entryDelay + 1
 	for _, c := range []struct {
 		name string
 		// attempts is how often this leader has sent the start, 0 for a run of an earlier one.
 		attempts int
 		advice   bool
-		// settled is the incarnation of the worker that is recorded as settled.
-		settled int64
-		want    time.Time
+		// settled is the incarnation of the worker that is recorded as settled, listed that in a list
+		// which was requested some time after the dispatch was read, 0 if that lacks it.
+		settled, listed int64
+		listedAfter     time.Duration
+		want            time.Time
 	}{
-		{"of an earlier leader, with a ticket, on a settled worker", 0, true, boot, time.Time{}},
-		{"the same on a worker that is not settled", 0, true, 0, inherited},
-		{"the same with an earlier incarnation settled", 0, true, boot - 1, inherited},
-		{"of an earlier leader, without a ticket", 0, false, boot, inherited},
-		{"own, with a ticket", 1, true, 0, time.Time{}},
-		{"own, without a ticket", 1, false, boot, own},
+		{"of an earlier leader, with a ticket, on a settled worker", 0, true, boot, 0, later, time.Time{}},
+		{"the same on a worker that is still listed", 0, true, boot, boot, later, time.Time{}},
+		{"the same with a later incarnation listed", 0, true, boot, boot + 1, later, inherited},
+		{"the same with a list that may lack a later incarnation", 0, true, boot, 0, entryDelay, inherited},
+		{"the same on a worker that is not settled", 0, true, 0, 0, later, inherited},
+		{"the same with an earlier incarnation settled", 0, true, boot - 1, 0, later, inherited},
+		{"of an earlier leader, without a ticket", 0, false, boot, 0, later, inherited},
+		{"own, with a ticket", 1, true, 0, 0, later, time.Time{}},
+		{"own, without a ticket", 1, false, boot, 0, later, own},
 	} {
 		l := leadershipOf("j", tasks(1, 1))
 		q := site.Queue{Name: l.jobs["j"].sub.Queue, Service: "s"}
@@ -144,6 +150,9 @@
 		l.s.deps.Catalog = func() *site.Catalog { return catalog }
 		l.s.deps.Advisor = advisorClient{}
 		l.settled.boots = map[string]int64{"w": c.settled}
+		l.s.opt.Bounds.Heartbeat = registerInterval
+		l.s.listedAt = now.Add(c.listedAfter)
+		r.wk.listed, r.wk.upstream.Boot = c.listed > 0, c.listed
 		if got := l.unansweredUntil(r); !got.Equal(c.want) {
 			t.Errorf("%s: until %v, want %v", c.name, got, c.want)
 		}
