--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -131,6 +131,9 @@
 	maxPolls = 4
 	// entryHeartbeats is how many heartbeats a worker misses until its entry is removed.
 	entryHeartbeats = 3
+	// maxUnlistedWait is how long the runs of a silent worker wait for that at most, as their
+	// callers do.
+	maxUnlistedWait = 5 * time.Second
 	// maxListAge is the maximum age of the list of workers at which runs are started,
 	// so that a worker that leaves gets no new runs once its entry could have been
 	// read.
@@ -375,10 +378,11 @@
 // mayBeUnlisted reports whether the entry of a worker that does not answer may yet be removed
 // because the worker has ended: that takes entryHeartbeats.
 func (l *leadership) mayBeUnlisted(wk *worker, now time.Time) bool {
-	if wk.holdFails == 0 || !wk.listed || wk.upstream.Draining || !wk.answersAsListed() {
+	if wk.holdFails == 0 || !wk.listed || wk.upstream.Draining || !wk.answersAsListed() || wk.refusesConnections {
 		return false
 	}
-	return l.s.opt.Bounds.Heartbeat > 0 && now.Sub(wk.failedAt) < entryHeartbeats*l.s.opt.Bounds.Heartbeat+entryDelay
+	wait := min(entryHeartbeats*l.s.opt.Bounds.Heartbeat+entryDelay, maxUnlistedWait)
+	return l.s.opt.Bounds.Heartbeat > 0 && now.Sub(wk.failedAt) < wait
 }
 
 // listRead reports whether the list of workers has been read in this term. Only leaders read it.
