scheduler: a shorter delay of starts on record is replaced

A leader that inherited a record with a shorter bound than its own would send later than the record says. TestShorterRecordedStartDelayIsReplaced failed before and passes; it and TestLongStartDelayIsRecordedWhileItMatters set the bound in place of a flag.

--- a/pollendockd/internal/scheduler/issue50_review_test.go
+++ b/pollendockd/internal/scheduler/issue50_review_test.go
@@ -266,7 +266,7 @@
 	l := leadershipOf("j", tasks(1, 1))
 	l.s.opt.Bounds = site.Bounds{MaxLease: 6 * time.Second}
 	l.s.deps.View = v
-	l.startDelays = startDelays{recorded: v.StartDelay() > 0, lateAt: time.Now()}
+	l.startDelays = startDelays{recorded: v.StartDelay(), lateAt: time.Now()}
 	b := &batch{}
 	if err := l.addStartDelay(b, time.Now()); err != nil {
 		t.Fatal(err)
--- a/pollendockd/internal/scheduler/leadership.go
+++ b/pollendockd/internal/scheduler/leadership.go
@@ -151,7 +151,7 @@
 		renewals:        s.deps.View.Renewals(),
 		settled:         settledWorkers{boots: s.deps.View.SettledWorkers()},
 		answeredStarts:  newAnsweredStarts(s.deps.View.AnsweredStarts(), s.deps.View.Next()),
-		startDelays:     startDelays{recorded: s.deps.View.StartDelay() > 0},
+		startDelays:     startDelays{recorded: s.deps.View.StartDelay()},
 		renewedStarts:   newRenewedStarts(s.deps.View.RenewedStarts()),
 		placeNeeded:     true,
 		since:           time.Since,
--- a/pollendockd/internal/scheduler/start_delay.go
+++ b/pollendockd/internal/scheduler/start_delay.go
@@ -17,9 +17,9 @@
 type (
 	// startDelays is what a leader knows of the delays of start requests.
 	startDelays struct {
-		// recorded is set from the append of the record of the longer bound on until that of its
-		// removal.
-		recorded bool
+		// recorded is the bound in the record, from its append on until that of its removal, 0 if
+		// there is none.
+		recorded time.Duration
 		// lateAt is when start requests were last due later than shortStartDelay after the append.
 		lateAt time.Time
 	}
@@ -59,22 +59,22 @@
 	case d.usesLong(now):
 		b.dispatchAge.limit = longStartDelay
 		return l.recordLongDelay(b)
-	case d.recorded && now.Sub(later(d.lateAt, l.startedAt)) >= l.longDelayMatters():
-		d.recorded = false
+	case d.recorded > 0 && now.Sub(later(d.lateAt, l.startedAt)) >= l.longDelayMatters():
+		d.recorded = 0
 		b.entries = append(b.entries, job.StartDelayRemovalEntry())
 	}
 	return nil
 }
 
 func (l *leadership) recordLongDelay(b *batch) error {
-	if l.startDelays.recorded {
+	if l.startDelays.recorded >= longStartDelay {
 		return nil
 	}
 	e, err := job.StartDelayEntry(&job.StartDelay{Delay: longStartDelay})
 	if err != nil {
 		return err
 	}
-	l.startDelays.recorded = true
+	l.startDelays.recorded = longStartDelay
 	b.entries = append(b.entries, e)
 	return nil
 }
--- a/pollendockd/internal/scheduler/start_delay_test.go
+++ b/pollendockd/internal/scheduler/start_delay_test.go
@@ -116,7 +116,9 @@
 		l := leadershipOf("j", tasks(1, 1))
 		l.s.opt.Bounds = site.Bounds{MaxLease: 6 * time.Second}
 		l.startedAt = lateAt
-		l.startDelays.recorded = c.recorded
+		if c.recorded {
+			l.startDelays.recorded = longStartDelay
+		}
 		if c.late {
 			l.startDelays.lateAt = lateAt
 		}
