scheduler: the hold after an unanswered one carries the same end of the lease

Now that hold carries the end that was granted with the last answer once more, and no later one, so that leases of dead workers end as early.

TestWorkerThatAnswersEverySecondCallKeepsItsLease failed before and passes. TestLeasesOfWorkersThatLeaveCallsUnanswered asked for no end in such holds; it asks for that end now, and for the same latest end as before.

--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -286,19 +286,38 @@
 	return wk.clock + now.Sub(wk.clockAt)
 }
 
-// nextLease returns the end of a lease that begins now, and records it as sent. It returns 0, which
-// renews nothing, for a worker that may get no lease or has left a call without an answer: such a
-// call may have been executed, so each new lease end postpones the time at which all runs have
-// certainly lapsed.
+// nextLease returns the end of a lease that begins now, and records it as sent. A worker that has left a
+// call without an answer gets no later end than it may have been sent: that call may have been
+// executed, so each later end postpones the time at which all runs have certainly lapsed. It returns 0,
+// which renews nothing, for a worker that may get no lease.
 func (l *leadership) nextLease(wk *worker, now time.Time) time.Duration {
-	if !l.mayLease(wk, now) || wk.holdFails > 0 || wk.startUnanswered || !l.mayRenewBesideStarts(wk, now) {
+	if !l.mayLease(wk, now) {
 		return 0
 	}
+	if wk.leftCallUnanswered() {
+		return l.grantedLease(wk, now)
+	}
 	end := wk.clockNow(now) + l.leaseLength()
 	wk.leaseEnd = max(wk.leaseEnd, end)
 	return end
 }
 
+// leftCallUnanswered reports whether the worker has left a hold or a start request without an answer since
+// its last one.
+func (wk *worker) leftCallUnanswered() bool {
+	return wk.holdFails > 0 || wk.startUnanswered
+}
+
+// grantedLease returns the end of the lease that the worker has been sent since its last answer, which it
+// may not have received, or 0 if that is past.
+func (l *leadership) grantedLease(wk *worker, now time.Time) time.Duration {
+	end := min(wk.leaseEnd, wk.clock+l.leaseLength())
+	if end <= wk.clockNow(now) {
+		return 0
+	}
+	return end
+}
+
 // startLease returns the end of the lease for a run to start, 0 if it may get none. It is the one
 // that the worker has, unless that ends soon: a start request to a worker that is dead then does
 // not postpone the end of its other runs.
@@ -310,6 +329,9 @@
 	if end := min(wk.leaseEnd, clock+l.leaseLength()); end >= clock+minStartLease {
 		return end
 	}
+	if wk.leftCallUnanswered() {
+		return 0
+	}
 	return l.nextLease(wk, now)
 }
 
