scheduler: a fresh run on an idle worker gets a whole lease

No other run there waits for the end of a lease, so that it may be later.

TestFreshRunOutlivesChangeOfLeader failed before and passes. TestLeasesOfWorkersThatLeaveCallsUnanswered has a run on its worker, and a row without one.

--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -326,7 +326,7 @@
 		return 0
 	}
 	clock := wk.clockNow(now)
-	if end := min(wk.leaseEnd, clock+l.leaseLength()); end >= clock+minStartLease {
+	if end := min(wk.leaseEnd, clock+l.leaseLength()); end >= clock+minStartLease && wk.hasStarted() {
 		return end
 	}
 	if wk.leftCallUnanswered() {
@@ -335,6 +335,16 @@
 	return l.nextLease(wk, now)
 }
 
+// hasStarted reports whether a run there has been sent its start request.
+func (wk *worker) hasStarted() bool {
+	for _, r := range wk.runs {
+		if r.stage != planned {
+			return true
+		}
+	}
+	return false
+}
+
 // mayLease reports whether a worker may be sent the end of a lease: it has answered within
 // maxAnswerAge, and the term may renew its leases. A later incarnation takes any end of a lease for a
 // renewal.
