scheduler: ends of leaders that are learnt later shorten the waits for renewals on record

A run with renewals on record kept the bound of the begin of the term, so that ends of leaders that were learnt after it shortened nothing.

--- a/pollendockd/internal/scheduler/late_starts.go
+++ b/pollendockd/internal/scheduler/late_starts.go
@@ -232,7 +232,10 @@
 		// An earlier leader has sent the requests once it knew that the dispatch is durable,
 		// which is soon unless its append got no answer.
 		sent := r.wk.silence.notAfter(r.tj.inheritedAt).Add(maxInheritedStartDelay + r.tj.inheritedDelay)
-		return later(sent, r.othersRenewUntil.Add(maxRequestDelay))
+		if r.othersRenewed {
+			return later(sent, l.lastRenewals().Add(maxRequestDelay))
+		}
+		return sent
 	}
 	until := time.Time{}
 	for _, at := range r.unansweredStarts {
--- a/pollendockd/internal/scheduler/renewed_starts.go
+++ b/pollendockd/internal/scheduler/renewed_starts.go
@@ -35,14 +35,14 @@
 	return s
 }
 
-// inheritRenewals notes until when earlier leaders may have renewed the lease of a run that may be
-// executed late.
+// inheritRenewals notes whether earlier leaders may have renewed the lease of a run that may be executed
+// late.
 func (l *leadership) inheritRenewals(r *run) {
 	if !l.renewedStarts.all && !l.renewedStarts.named[r.key()] {
 		return
 	}
 	r.renewalsNamed = true
-	r.othersRenewUntil = l.lastRenewals()
+	r.othersRenewed = true
 }
 
 // lastRenewals is until when earlier leaders may have renewed leases.
--- a/pollendockd/internal/scheduler/renewed_starts_test.go
+++ b/pollendockd/internal/scheduler/renewed_starts_test.go
@@ -222,7 +222,7 @@
 		l.renewedStarts = newRenewedStarts(&c.record)
 		r := &run{task: site.TaskID{Job: "j"}, number: c.run, tj: l.jobs["j"], wk: l.workerOf("w"), stage: inherited}
 		l.inheritRenewals(r)
-		if got := !r.othersRenewUntil.IsZero(); got != c.want || r.renewalsNamed != c.want {
+		if got := r.othersRenewed; got != c.want || r.renewalsNamed != c.want {
 			t.Errorf("%s: waits for renewals %v, want %v", c.name, got, c.want)
 		}
 	}
--- a/pollendockd/internal/scheduler/tracked_job.go
+++ b/pollendockd/internal/scheduler/tracked_job.go
@@ -93,10 +93,9 @@
 		worksSince  time.Time
 		dispatchAge dispatchAge
 		// renewalsNamed is set once a record says that the lease of the worker may have been
-		// renewed while a start request could be executed late; by earlier leaders until
-		// othersRenewUntil.
-		renewalsNamed    bool
-		othersRenewUntil time.Time
+		// renewed while a start request could be executed late, othersRenewed if that is one of
+		// an earlier leader.
+		renewalsNamed, othersRenewed bool
 		// startAttempts counts how often the start request was sent.
 		startAttempts int
 		// unansweredStarts holds when the start requests were sent that got no answer.
