scheduler: suspects that may start beside others keep no worker free meanwhile

The cause: many workers ended at once, and all tasks that ran there were suspects. Each had workers kept free of others, 82 in all for two lookups of the trace, also those suspects that may start anywhere after 1.2 s. Lookups that had just begun need an empty worker, and found none until they had waited for 4 s and got their turn first.

Now a suspect that may start beside others keeps no worker free, until it has found no room there for 4 s: then it gets its turn as before.

--- a/pollendockd/internal/scheduler/isolation_test.go
+++ b/pollendockd/internal/scheduler/isolation_test.go
@@ -134,6 +134,33 @@
 	}
 }
 
+// TestBystandersLeaveEmptyWorkers guards against suspects with a crash at their start that find no empty worker for seconds, since those are kept free for others that may start anywhere.
+func TestBystandersLeaveEmptyWorkers(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		waited time.Duration
+		want   int
+	}{
+		{"just crashed", 0, 1},
+		{"may start beside others", maxBystanderWait, 0},
+		{"has found no room there", maxSuspectWait, 1},
+	} {
+		l := leadershipOf("j", tasks(1, 4))
+		ws := &waitingStep{tj: l.jobs["j"], isolated: true}
+		ws.tj.crashes = ws.tj.crashes.With(job.TaskCrashes{Count: 1, Verdict: job.Suspect})
+		p := l.newPass(time.Now(), (&site.Catalog{}).Index())
+		p.workersKnown, p.speeds = true, newSpeedTable()
+		wk := l.workerOf("w")
+		wk.upstream.Capacity = resource.Vector{MilliCPU: 10_000, MemoryMB: 10_000}
+		p.usable["s"] = []*worker{wk}
+		ws.tj.waits[ws.key()] = &stepWait{since: p.now.Add(-c.waited)}
+		l.vacateFor(p, ws)
+		if got := len(p.isolation.vacated); got != c.want || !ws.vacated {
+			t.Errorf("%s: %d workers are kept free, may start %v, want %d, true", c.name, got, ws.vacated, c.want)
+		}
+	}
+}
+
 // TestInheritedServiceHasSettled guards against services that a suspect may not start beside since each
 // new leader counts their work from its own begin.
 func TestInheritedServiceHasSettled(t *testing.T) {
--- a/pollendockd/internal/scheduler/vacate.go
+++ b/pollendockd/internal/scheduler/vacate.go
@@ -115,6 +115,10 @@
 	if spec.Gang && advice != nil && !l.knowsWorkers(p, ws, service, advice) {
 		return
 	}
+	if ws.besideOthers && !ws.besideSettled {
+		// It leaves the workers to suspects that need them.
+		return
+	}
 	limit := p.isolation.limits[service]
 	if p.isolation.taken+len(p.isolation.vacated) == 0 {
 		// A gang may need more than the share, and would never start.
