--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -131,6 +131,9 @@
 	maxPolls = 4
 	// entryHeartbeats is how many heartbeats a worker misses until its entry is removed.
 	entryHeartbeats = 3
+	// maxUnlistedWait is how long the runs of a silent worker wait for that at most, as their
+	// callers do.
+	maxUnlistedWait = 5 * time.Second
 	// maxListAge is the maximum age of the list of workers at which runs are started,
 	// so that a worker that leaves gets no new runs once its entry could have been
 	// read.
@@ -283,19 +286,38 @@
 	return wk.clock + now.Sub(wk.clockAt)
 }
 
-// nextLease returns the end of a lease that begins now, and records it as sent. It returns 0, which
-// renews nothing, for a worker that may get no lease or has left a call without an answer: such a
-// call may have been executed, so each new lease end postpones the time at which all runs have
-// certainly lapsed.
+// nextLease returns the end of a lease that begins now, and records it as sent. A worker that has left a
+// call without an answer gets no later end than it may have been sent: that call may have been
+// executed, so each later end postpones the time at which all runs have certainly lapsed. It returns 0,
+// which renews nothing, for a worker that may get no lease.
 func (l *leadership) nextLease(wk *worker, now time.Time) time.Duration {
-	if !l.mayLease(wk, now) || wk.holdFails > 0 || wk.startUnanswered || !l.mayRenewBesideStarts(wk, now) {
+	if !l.mayLease(wk, now) {
 		return 0
 	}
+	if wk.leftCallUnanswered() {
+		return l.grantedLease(wk, now)
+	}
 	end := wk.clockNow(now) + l.leaseLength()
 	wk.leaseEnd = max(wk.leaseEnd, end)
 	return end
 }
 
+// leftCallUnanswered reports whether the worker has left a hold or a start request without an answer since
+// its last one.
+func (wk *worker) leftCallUnanswered() bool {
+	return wk.holdFails > 0 || wk.startUnanswered
+}
+
+// grantedLease returns the end of the lease that the worker has been sent since its last answer, which it
+// may not have received, or 0 if that is past.
+func (l *leadership) grantedLease(wk *worker, now time.Time) time.Duration {
+	end := min(wk.leaseEnd, wk.clock+l.leaseLength())
+	if end <= wk.clockNow(now) {
+		return 0
+	}
+	return end
+}
+
 // startLease returns the end of the lease for a run to start, 0 if it may get none. It is the one
 // that the worker has, unless that ends soon: a start request to a worker that is dead then does
 // not postpone the end of its other runs.
@@ -304,16 +326,31 @@
 		return 0
 	}
 	clock := wk.clockNow(now)
-	if end := min(wk.leaseEnd, clock+l.leaseLength()); end >= clock+minStartLease {
+	if end := min(wk.leaseEnd, clock+l.leaseLength()); end >= clock+minStartLease && wk.hasStarted() {
 		return end
 	}
+	if wk.leftCallUnanswered() {
+		return 0
+	}
 	return l.nextLease(wk, now)
 }
 
+// hasStarted reports whether a run there has been sent its start request.
+func (wk *worker) hasStarted() bool {
+	for _, r := range wk.runs {
+		if r.stage != planned {
+			return true
+		}
+	}
+	return false
+}
+
 // mayLease reports whether a worker may be sent the end of a lease: it has answered within
-// maxAnswerAge, and the term may renew its leases.
+// maxAnswerAge, and the term may renew its leases. A later incarnation takes any end of a lease for a
+// renewal.
 func (l *leadership) mayLease(wk *worker, now time.Time) bool {
-	return l.mayRenewFor(wk, now) && wk.boot != 0 && now.Sub(wk.clockAt) <= maxAnswerAge && !wk.refusesConnections
+	return l.mayRenewFor(wk, now) && wk.boot != 0 && now.Sub(wk.clockAt) <= maxAnswerAge && !wk.refusesConnections &&
+		l.mayRenewBesideStarts(wk, now)
 }
 
 // lapseAt is when no run requested earlier can still be running on the worker, if it
@@ -373,10 +410,11 @@
 // mayBeUnlisted reports whether the entry of a worker that does not answer may yet be removed
 // because the worker has ended: that takes entryHeartbeats.
 func (l *leadership) mayBeUnlisted(wk *worker, now time.Time) bool {
-	if wk.holdFails == 0 || !wk.listed || wk.upstream.Draining || !wk.answersAsListed() {
+	if wk.holdFails == 0 || !wk.listed || wk.upstream.Draining || !wk.answersAsListed() || wk.refusesConnections {
 		return false
 	}
-	return l.s.opt.Bounds.Heartbeat > 0 && now.Sub(wk.failedAt) < entryHeartbeats*l.s.opt.Bounds.Heartbeat+entryDelay
+	wait := min(entryHeartbeats*l.s.opt.Bounds.Heartbeat+entryDelay, maxUnlistedWait)
+	return l.s.opt.Bounds.Heartbeat > 0 && now.Sub(wk.failedAt) < wait
 }
 
 // listRead reports whether the list of workers has been read in this term. Only leaders read it.
