pollendockd: only callers' requests have any number of header lines

Probes of the ready and metrics addresses have few lines, so that Go's own bound of 500 holds there.

--- a/pollendockd/clients.go
+++ b/pollendockd/clients.go
@@ -57,7 +57,10 @@
 	server := &http.Server{
 		Handler: opt.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
-	allowHeaderLines(server)
+	if opt.maxBodyBytes > 0 {
+		// Probes have few header lines.
+		allowHeaderLines(server)
+	}
 	bodies := intake.Bodies{MaxBytes: opt.maxBodyBytes, Timeout: opt.bodyTimeout}
 	if bodies.Timeout == 0 {
 		bodies.Timeout = bodyTimeout
