--- a/pollendockd/internal/scheduler/misdirected_renewals_test.go
+++ b/pollendockd/internal/scheduler/misdirected_renewals_test.go
@@ -110,32 +110,18 @@
 
 // TestTaskRunsAgainIfItsYoungWorkerDiesEarlyInTerm guards against assuming the longest lease for a worker that an earlier leader knew to hold none.
 func TestTaskRunsAgainIfItsYoungWorkerDiesEarlyInTerm(t *testing.T) {
-	const (
-		maxLease    = 10 * time.Second
-		longestWait = 7 * time.Second
-	)
-	inCell(t, 3, func(c *cell) {
-		c.bounds.MaxLease = maxLease
-		c.fleet.SetMaxLease(maxLease)
-		c.outcome = func(site.TaskID, int64, string) (time.Duration, site.EndKind) { return time.Minute, site.Done }
-		a := c.start("a")
-		time.Sleep(time.Second)
-		b := c.start("b")
-		time.Sleep(4 * time.Second)
-		a.kill()
-		time.Sleep(2 * time.Second)
-		c.submit("j1", tasks(1, 4))
-		expectPhase(c, b, "j1", time.Second, job.Running)
-		time.Sleep(500 * time.Millisecond)
-		c.fleet.Worker(b.replica.Job("j1").State.Steps[0][0].Worker).Terminate()
-		if took := c.untilNextStart("j1"); took > longestWait {
-			t.Errorf("the task runs again after %v, want %v at most", took, longestWait)
-		}
-	})
+	endWorkerEarlyInTerm(t, 4*time.Second)
 }
 
 // TestTaskRunsAgainIfItsOldWorkerDiesEarlyInTerm guards against assuming the longest lease for a worker that can have executed no renewal for an earlier incarnation lately.
 func TestTaskRunsAgainIfItsOldWorkerDiesEarlyInTerm(t *testing.T) {
+	endWorkerEarlyInTerm(t, 40*time.Second)
+}
+
+// endWorkerEarlyInTerm ends the worker of a task some seconds after a change of leader, which comes after the
+// given time, and expects the task to run again soon.
+func endWorkerEarlyInTerm(t *testing.T, before time.Duration) {
+	t.Helper()
 	const (
 		maxLease    = 10 * time.Second
 		longestWait = 7 * time.Second
@@ -147,7 +133,7 @@
 		a := c.start("a")
 		time.Sleep(time.Second)
 		b := c.start("b")
-		time.Sleep(40 * time.Second)
+		time.Sleep(before)
 		a.kill()
 		time.Sleep(2 * time.Second)
 		c.submit("j1", tasks(1, 4))
