scheduler: the first answer of an incarnation logs which leases are counted

The log didn't tell whether a leader counts too short a lease for a restarted worker by itself or because it believes the record settled/ID. The line now has the clock, the leases that are counted, those of them to earlier incarnations, and whether the incarnation is recorded as settled. No logic has changed.

--- a/pollendockd/internal/scheduler/hold.go
+++ b/pollendockd/internal/scheduler/hold.go
@@ -181,8 +181,7 @@
 // resetBoot resets the state of a worker on the first answer of an incarnation, which
 // has no knowledge of earlier requests to the worker.
 func (l *leadership) resetBoot(wk *worker, first *site.HoldReply) {
-	boot := first.Boot
-	_ = level.Info(l.s.deps.Logger).Log("msg", "first answer of a worker incarnation in this term", "worker", wk.id, "boot", boot, "lastBoot", wk.boot, "runs", len(wk.runs))
+	boot, lastBoot := first.Boot, wk.boot
 	wk.misdirectedLeaseEnd = l.misdirectedLeaseEnd(wk, first)
 	wk.boot = boot
 	wk.bootAt = time.Now()
@@ -192,6 +191,9 @@
 	wk.seen = 0
 	wk.acked, wk.ackAnswered = 0, 0
 	wk.leaseEnd = l.inheritedLeaseEnd(wk, first.Clock, wk.bootAt)
+	_ = level.Info(l.s.deps.Logger).Log("msg", "first answer of a worker incarnation in this term", "worker", wk.id, "boot", boot, "lastBoot", lastBoot,
+		"runs", len(wk.runs), "clockMs", first.Clock.Milliseconds(), "leasesMs", (wk.leaseEnd - first.Clock).Milliseconds(),
+		"longLeasesMs", max(0, wk.misdirectedLeaseEnd-first.Clock).Milliseconds(), "settled", l.settled.boots[wk.id] == boot)
 	wk.claimedCPU, wk.gangClaimedCPU = 0, 0
 	wk.ackCapped = false
 	wk.keptEnds = 0
