standin: workers' clocks begin anywhere; tests of second runs that fail so

The stand-in's workers began their clocks at 0 with each incarnation. The users' begin anywhere: incarnations of a second show 152 to 8,249 s. So the stand-in hid the fault: the scheduler takes a clock for an age.

Tests that wrote the end of a lease as a time from 0 add it to the worker's clock; what is left of the lease is the same.

--- a/pollendockd/internal/scheduler/given_up_run_test.go
+++ b/pollendockd/internal/scheduler/given_up_run_test.go
@@ -31,7 +31,8 @@
 			c.submit("j1", tasks(1, 4))
 			time.Sleep(100 * time.Millisecond)
 			l, _ := v.replica.Leader()
-			if _, err := c.fleet.Worker("w0").Start(c.ctx, &site.StartRequest{Task: site.TaskID{Job: "j1"}, Run: 1, Token: l.Epoch, LeaseEnd: time.Minute}); err != nil {
+			w := c.fleet.Worker("w0")
+			if _, err := w.Start(c.ctx, &site.StartRequest{Task: site.TaskID{Job: "j1"}, Run: 1, Token: l.Epoch, LeaseEnd: w.Clock() + time.Minute}); err != nil {
 				t.Fatal(err)
 			}
 			expectPhase(c, v, "j1", 30*time.Second, job.Completed)
@@ -167,7 +168,7 @@
 			}
 		})
 		l, _ := v.replica.Leader()
-		if _, err := idle.Start(c.ctx, &site.StartRequest{Task: site.TaskID{Job: "j1"}, Run: 1, Token: l.Epoch, LeaseEnd: 9 * time.Second}); err != nil {
+		if _, err := idle.Start(c.ctx, &site.StartRequest{Task: site.TaskID{Job: "j1"}, Run: 1, Token: l.Epoch, LeaseEnd: idle.Clock() + 5*time.Second}); err != nil {
 			t.Fatal(err)
 		}
 		go func() {
--- a/pollendockd/internal/scheduler/overload_test.go
+++ b/pollendockd/internal/scheduler/overload_test.go
@@ -192,7 +192,7 @@
 		l, _ := a.replica.Leader()
 		worker := c.fleet.Worker("w0")
 		worker.SetDelay(200 * time.Millisecond)
-		if _, err := worker.Start(c.ctx, &site.StartRequest{Task: site.TaskID{Job: "canceled"}, Run: 1, Token: l.Epoch, LeaseEnd: time.Hour}); err != nil {
+		if _, err := worker.Start(c.ctx, &site.StartRequest{Task: site.TaskID{Job: "canceled"}, Run: 1, Token: l.Epoch, LeaseEnd: worker.Clock() + time.Hour}); err != nil {
 			t.Fatal(err)
 		}
 		c.submit("j1", tasks(1, 1))
--- a/soak/waiting_test.go
+++ b/soak/waiting_test.go
@@ -42,8 +42,9 @@
 	if err != nil || len(tickets) != 1 {
 		t.Fatalf("got tickets %v, error %v", tickets, err)
 	}
-	_, err = c.fleet.Worker(worker).Start(t.Context(), &site.StartRequest{
-		Task: site.TaskID{Job: jobID, Index: index}, Run: 1, Token: 1, LeaseEnd: time.Minute, Ticket: tickets[0].Ticket,
+	w := c.fleet.Worker(worker)
+	_, err = w.Start(t.Context(), &site.StartRequest{
+		Task: site.TaskID{Job: jobID, Index: index}, Run: 1, Token: 1, LeaseEnd: w.Clock() + time.Minute, Ticket: tickets[0].Ticket,
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -217,8 +218,9 @@
 		{"ticket of another worker", "w2", tickets[0].Ticket},
 		{"expired ticket", "w1", expired[0].Ticket},
 	} {
-		_, err := c.fleet.Worker(k.worker).Start(t.Context(), &site.StartRequest{
-			Task: site.TaskID{Job: testJob}, Run: 1, Token: 1, LeaseEnd: time.Minute, Ticket: k.ticket,
+		w := c.fleet.Worker(k.worker)
+		_, err := w.Start(t.Context(), &site.StartRequest{
+			Task: site.TaskID{Job: testJob}, Run: 1, Token: 1, LeaseEnd: w.Clock() + time.Minute, Ticket: k.ticket,
 		})
 		if r, refused := err.(*site.RefusalError); !refused || r.Reason != site.RefusedTicket {
 			t.Errorf("%s: got %v, want a refusal because of the ticket", k.name, err)
--- a/standin/fleet/capacity_test.go
+++ b/standin/fleet/capacity_test.go
@@ -42,7 +42,7 @@
 					w.SetCapacity(cores(n))
 				}
 				time.Sleep(c.after)
-				if _, err := w.Start(t.Context(), &site.StartRequest{Task: site.TaskID{Job: "j"}, Run: 1, LeaseEnd: time.Hour}); err != nil {
+				if _, err := w.Start(t.Context(), &site.StartRequest{Task: site.TaskID{Job: "j"}, Run: 1, LeaseEnd: w.Clock() + time.Hour}); err != nil {
 					t.Fatal(err)
 				}
 				if n := len(f.Violations()); n != c.want {
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -45,7 +45,8 @@
 		// checksTickets is set if workers refuse starts without a ticket that holds.
 		checksTickets bool
 		// maxLease is the longest lease that a worker grants.
-		maxLease time.Duration
+		maxLease    time.Duration
+		clockOrigin ClockOrigin
 		// gangTimeout is how long a member of a gang waits for the others.
 		gangTimeout time.Duration
 		// onStart is called when a run starts; nil for nobody.
@@ -83,6 +84,7 @@
 		done: map[site.TaskID]bool{}, starts: map[site.TaskID]int{}, startedAt: map[site.TaskID]time.Time{},
 		crashes: map[site.TaskID]int{}, startsAfter: map[site.TaskID]int{}, crashesInCompany: map[site.TaskID]int{},
 		shrinkNotice: defaultShrinkNotice, maxLease: defaultMaxLease, gangTimeout: defaultGangTimeout,
+		clockOrigin: descendingOrigin,
 	}
 }
 
--- a/standin/fleet/worker.go
+++ b/standin/fleet/worker.go
@@ -17,6 +17,9 @@
 		fleet    *Fleet
 		upstream site.Upstream
 		boot     time.Time
+		// incarnation counts the starts under the id, clockOrigin is what the clock showed at boot.
+		incarnation int
+		clockOrigin time.Duration
 
 		token    int64
 		leaseEnd time.Duration
@@ -109,6 +112,7 @@
 func (w *Worker) restart() {
 	w.boot = time.Now()
 	w.upstream.Boot = w.boot.UnixMilli()
+	w.startClock()
 	w.token = 0
 	w.leaseEnd = 0
 	w.runs = map[site.TaskID]*taskRun{}
@@ -127,10 +131,6 @@
 	return int(min(100, 100-100*r.workDoneAt.Sub(now)/r.duration))
 }
 
-func (w *Worker) clock(now time.Time) time.Duration {
-	return now.Sub(w.boot)
-}
-
 // extendLease extends the lease of all runs, but not beyond the longest lease.
 func (w *Worker) extendLease(end time.Duration, now time.Time) {
 	w.leaseEnd = max(w.leaseEnd, min(end, w.clock(now)+w.fleet.maxLease))
@@ -441,7 +441,7 @@
 		}
 	}
 	if f.done[req.Task] {
-		f.violations = append(f.violations, fmt.Sprintf("%v run %d started after the task was done, on %s (up for %v, late %v)", req.Task, req.Run, w.upstream.ID, w.clock(time.Now()), late))
+		f.violations = append(f.violations, fmt.Sprintf("%v run %d started after the task was done, on %s (up for %v, late %v)", req.Task, req.Run, w.upstream.ID, time.Since(w.boot), late))
 	}
 	size, _ := f.size(req.Task)
 	total := size
