scheduler: the clock of an incarnation is not its age

Cause: the end of a lease is a time on the worker's clock, which begins anew with each incarnation. One that executes a renewal for its predecessor takes an old end for one on its own clock and grants the longest lease. The leader knew that, but told a young incarnation by a clock near 0. Clocks begin anywhere. So each incarnation counted as old: the leader of the restart counted leases of 5 s, recorded the incarnation as settled, and the next leader believed it. With a leader that lived it was the same.

Change: times on an incarnation's clock count from its first answer in the term. A worker that this leader has not known before may hold the longest lease from that answer on, unless it is recorded as settled; one that restarts under the leader, for as long as requests to its predecessor can be executed besides. Whether a start was executed by another incarnation is told by a clock that is behind what the last answer allows; one that is not behind grants no longer lease than was meant.

TestMisdirectedLeaseEnd had the fault as a row: a clock of a minute counted as an incarnation of a minute. Its bounds are now longer, two rows are new.

--- a/pollendockd/internal/scheduler/misdirected_renewals.go
+++ b/pollendockd/internal/scheduler/misdirected_renewals.go
@@ -7,10 +7,11 @@
 )
 
 // This file tells which workers may hold a longer lease than leaders grant. The end of a lease is
-// a time on the worker's clock, which begins anew with each incarnation. A renewal or start request
-// that was sent to an earlier incarnation and is executed by a later one grants the longest lease to
-// all that runs there. Only the leader knows about the incarnations of its workers, so that the
-// record of answered starts excepts the runs on such a worker.
+// a time on the worker's clock, which begins anew with each incarnation, at any time: it tells nothing of
+// the incarnation's age. A renewal or start request that was sent to an earlier incarnation and is executed
+// by a later one whose clock is behind grants up to the longest lease to all that runs there. Only the leader
+// knows about the incarnations of its workers, so that the record of answered starts excepts the runs on
+// such a worker.
 
 // maxMisdirection is how long after its begin an incarnation may execute requests with a time on the
 // clock of an earlier one: leaders send them until maxAnswerAge after that one's last answer, which
@@ -19,14 +20,15 @@
 
 // misdirectedLeaseEnd is when all leases have ended, on the clock of an incarnation that has given
 // its first answer in this term, that it may grant to requests that were sent to an earlier one. It
-// is 0 if there are none. The answer shows that it refuses requests of earlier leaders from then on.
+// is 0 if there are none. The answer shows that it refuses requests of earlier leaders from then on,
+// so that a worker which this leader has not known before executes no more of them.
 func (l *leadership) misdirectedLeaseEnd(wk *worker, first *site.HoldReply) time.Duration {
-	last := inWorkerTime(maxMisdirection)
-	if wk.boot == 0 {
-		if l.term.Epoch == initialEpoch || l.settled.boots[wk.id] == first.Boot {
-			return 0
-		}
-		last = min(last, first.Clock)
+	last := first.Clock
+	switch {
+	case wk.boot != 0:
+		last += inWorkerTime(maxMisdirection)
+	case l.term.Epoch == initialEpoch || l.settled.boots[wk.id] == first.Boot:
+		return 0
 	}
 	return last + l.s.opt.Bounds.MaxLease
 }
@@ -53,11 +55,11 @@
 	return wk.clock+passed < wk.misdirectedLeaseEnd
 }
 
-// noteExecution notes by which incarnation a start request may have been executed that was answered
-// with the time on its clock. By that time a later incarnation would show less than the last answer
-// before the request, unless the earlier one was as young.
+// noteExecution notes whether a start request was executed by another incarnation than the one by whose
+// clock it grants a lease. One whose clock is not behind grants no longer lease than was meant.
 func (e *startDone) noteExecution(now time.Time) {
-	if e.clock >= e.lastClock && e.lastClock > now.Sub(e.lastAskedAt) {
+	passed := time.Duration(float64(e.sentAt.Sub(e.lastAnsweredAt)) * minClockRate)
+	if e.clock > e.lastClock+passed-clockResolution {
 		return
 	}
 	// The leader renews leases by the old clock until it knows of the later incarnation.
--- a/pollendockd/internal/scheduler/misdirected_renewals_test.go
+++ b/pollendockd/internal/scheduler/misdirected_renewals_test.go
@@ -93,9 +93,10 @@
 		clock, want time.Duration
 	}{
 		{"first incarnation that the first leader knows", 1, 0, 0, time.Second, 0},
-		{"restarted under the first leader", 1, 5, 5, time.Second, delay + maxLease},
-		{"young at a later leader's first answer", 2, 0, 0, 3 * time.Second, 3*time.Second + maxLease},
-		{"old at a later leader's first answer", 2, 0, 0, time.Minute, delay + maxLease},
+		{"restarted under the first leader", 1, 5, 5, time.Second, time.Second + delay + maxLease},
+		{"restarted, with a clock that shows an hour", 1, 5, 5, time.Hour, time.Hour + delay + maxLease},
+		{"at a later leader's first answer", 2, 0, 0, 3 * time.Second, 3*time.Second + maxLease},
+		{"at a later leader's first answer, with a clock that shows an hour", 2, 0, 0, time.Hour, time.Hour + maxLease},
 		{"recorded as settled by an earlier leader", 2, 0, 7, 3 * time.Second, 0},
 		{"an earlier incarnation is recorded as settled", 2, 0, 5, 3 * time.Second, 3*time.Second + maxLease},
 	} {
--- a/pollendockd/internal/scheduler/requests.go
+++ b/pollendockd/internal/scheduler/requests.go
@@ -16,12 +16,12 @@
 		l      *leadership
 		r      *run
 		sentAt time.Time
-		// lastClock is the worker's clock in its last answer before the request, to one that
-		// was sent at lastAskedAt, and clock that in the answer.
-		lastClock   time.Duration
-		lastAskedAt time.Time
-		clock       time.Duration
-		err         error
+		// lastClock is the worker's clock in its last answer before the request, which was read
+		// at lastAnsweredAt, and clock that in the answer.
+		lastClock      time.Duration
+		lastAnsweredAt time.Time
+		clock          time.Duration
+		err            error
 	}
 
 	stopDone struct {
@@ -93,16 +93,16 @@
 	r.unansweredStarts = append(r.unansweredStarts, now)
 	r.wk.lateStarts.sent(r.key(), now)
 	l.answeredStarts.add(r)
-	client, lastClock, lastAskedAt, age := r.wk.client, r.wk.clock, r.wk.clockAskedAt, r.dispatchAge
+	client, lastClock, lastAnsweredAt, age := r.wk.client, r.wk.clock, r.wk.clockAt, r.dispatchAge
 	l.spawn(func(ctx context.Context) event {
 		ctx, cancel := context.WithTimeout(ctx, startTimeout)
 		defer cancel()
 		if !age.allows(time.Now()) {
 			// The process has stood still since.
-			return startDone{l, r, now, lastClock, lastAskedAt, 0, errStartTooLate}
+			return startDone{l, r, now, lastClock, lastAnsweredAt, 0, errStartTooLate}
 		}
 		clock, err := client.Start(ctx, req)
-		return startDone{l, r, now, lastClock, lastAskedAt, clock, err}
+		return startDone{l, r, now, lastClock, lastAnsweredAt, clock, err}
 	})
 }
 
--- a/pollendockd/internal/scheduler/worker.go
+++ b/pollendockd/internal/scheduler/worker.go
@@ -149,6 +149,8 @@
 	leaseMargin = 500 * time.Millisecond
 	// minClockRate is the slowest rate of a worker's clock.
 	minClockRate = 0.98
+	// clockResolution is the unit in which workers tell their clocks.
+	clockResolution = time.Millisecond
 	// lapseSlack covers the worker's delay in killing lapsed runs.
 	lapseSlack = 150 * time.Millisecond
 
