scheduler: a renewal on its way at a restart counts as one that grants the longest lease

Cause: an incarnation may execute a renewal for its predecessor after its own first answer, and answer it. Unanswered ones were counted (lateHolds); of an answered one nothing was, so that the leases there could end up to 0.65 s later than the leader's count, less the margin for slow clocks.

Change: such an answer counts the longest lease from its own clock. The unit test has no counterpart in the old code; that no line there raised the end of the lease at a second answer is read from the code, not shown by a run.

--- a/pollendockd/internal/scheduler/hold.go
+++ b/pollendockd/internal/scheduler/hold.go
@@ -115,6 +115,7 @@
 		wk.holdAt = now
 	}
 	wk.acknowledged(&e)
+	l.noteMisdirectedRenewal(&e)
 	wk.clock = e.reply.Clock
 	wk.clockAskedAt = e.sentAt
 	l.confirmWritten(wk)
--- a/pollendockd/internal/scheduler/misdirected_renewals.go
+++ b/pollendockd/internal/scheduler/misdirected_renewals.go
@@ -33,6 +33,14 @@
 	return last + l.s.opt.Bounds.MaxLease
 }
 
+// noteMisdirectedRenewal notes the lease that an incarnation has granted by its answer to a renewal which
+// was on its way when the incarnation answered for the first time.
+func (l *leadership) noteMisdirectedRenewal(e *holdDone) {
+	if e.renews && e.sentAt.Before(e.wk.bootAt) {
+		e.wk.leaseEnd = max(e.wk.leaseEnd, e.reply.Clock+l.s.opt.Bounds.MaxLease)
+	}
+}
+
 // inheritedLeaseEnd is when all leases have ended, on the worker's clock, that earlier leaders may
 // have renewed until its first answer in this term.
 func (l *leadership) inheritedLeaseEnd(wk *worker, firstClock time.Duration, now time.Time) time.Duration {
--- a/pollendockd/internal/scheduler/misdirected_renewals_test.go
+++ b/pollendockd/internal/scheduler/misdirected_renewals_test.go
@@ -123,6 +123,33 @@
 	}
 }
 
+// TestRenewalOnItsWayAtARestartIsCounted guards against running a task twice: an incarnation executes a renewal for its predecessor after its own first answer, and answers that one, too.
+func TestRenewalOnItsWayAtARestartIsCounted(t *testing.T) {
+	const (
+		maxLease = 10 * time.Second
+		clock    = time.Hour
+		known    = clock + 9*time.Second
+	)
+	bootAt := time.Now()
+	for _, c := range []struct {
+		name   string
+		sentAt time.Time
+		renews bool
+		want   time.Duration
+	}{
+		{"renewal for the predecessor", bootAt.Add(-time.Millisecond), true, clock + maxLease},
+		{"request for the lists", bootAt.Add(-time.Millisecond), false, known},
+		{"renewal for the incarnation", bootAt, true, known},
+	} {
+		l := &leadership{s: &Scheduler{opt: Options{Bounds: site.Bounds{MaxLease: maxLease}}}}
+		wk := &worker{id: "w", boot: 7, bootAt: bootAt, leaseEnd: known}
+		l.noteMisdirectedRenewal(&holdDone{wk: wk, sentAt: c.sentAt, renews: c.renews, reply: &site.HoldReply{Boot: 7, Clock: clock}})
+		if wk.leaseEnd != c.want {
+			t.Errorf("%s: leases end at %v, want %v", c.name, wk.leaseEnd, c.want)
+		}
+	}
+}
+
 // TestTaskRunsAgainIfItsYoungWorkerDiesEarlyInTerm guards against assuming the longest lease for a worker that an earlier leader knew to hold none.
 func TestTaskRunsAgainIfItsYoungWorkerDiesEarlyInTerm(t *testing.T) {
 	endWorkerEarlyInTerm(t, 4*time.Second)
