standin: a start that is refused as old takes its end of a lease

PROTOCOL.md: the end of a lease is also taken from a start that receives `old`. The stand-in did not, so that no test could show a lease that such a refusal prolongs.

--- a/standin/fleet/worker.go
+++ b/standin/fleet/worker.go
@@ -393,6 +393,8 @@
 	case req.Token < w.token:
 		return &site.RefusalError{Reason: site.RefusedFenced}
 	case req.Run <= w.barred[req.Task]:
+		w.obey(req.Token, sender)
+		w.extendLease(req.LeaseEnd, now)
 		return &site.RefusalError{Reason: site.RefusedStaleRun}
 	case req.LeaseEnd <= w.clock(now):
 		return &site.RefusalError{Reason: site.RefusedLeaseExpired}
