standin: workers' clocks are as slow as they may be

PROTOCOL.md: a worker's clock may be 2 % slow, so that a lease lasts 2 % longer than a leader asked for. The stand-in's clocks had the rate 1, by which a count of leases that forgets this passes. Now all of its clocks are slow: each test of second runs is sharper by that.

--- a/standin/fleet/clock.go
+++ b/standin/fleet/clock.go
@@ -3,7 +3,7 @@
 import "time"
 
 // This file simulates the workers' clocks. Each incarnation begins a clock of its own, which tells
-// nothing of the incarnation's age.
+// nothing of the incarnation's age, and goes as slow as a worker's clock may.
 
 // ClockOrigin returns what the clock of an incarnation shows when it begins. The first incarnation of
 // a worker is number 1.
@@ -15,6 +15,8 @@
 	// future.
 	firstOrigin = 1000 * time.Hour
 	originStep  = time.Hour
+	// clockRate is the rate of the clocks.
+	clockRate = 0.98
 )
 
 func descendingOrigin(_ string, incarnation int) time.Duration {
@@ -42,5 +44,5 @@
 }
 
 func (w *Worker) clock(now time.Time) time.Duration {
-	return w.clockOrigin + now.Sub(w.boot)
+	return w.clockOrigin + time.Duration(float64(now.Sub(w.boot))*clockRate)
 }
