--- a/soak/sitefaults.go
+++ b/soak/sitefaults.go
@@ -71,7 +71,7 @@
 	if name == "" {
 		return closings[r.IntN(len(closings))], nil
 	}
-	for _, f := range append(slices.Clone(closings), deaths...) {
+	for _, f := range slices.Concat(closings, deaths, restarts) {
 		if f.name == name {
 			return f, nil
 		}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -66,6 +66,14 @@
 	}
 }
 
+// TestNoTaskRunsTwiceAfterRestartsAndDeathOfLeader guards against a leader that counts the lease of a restarted worker as short.
+func TestNoTaskRunsTwiceAfterRestartsAndDeathOfLeader(t *testing.T) {
+	play(t, &options{
+		Program: buildProgram(t), Seed: 2, Length: testLength, Site: smallSite, MaxGang: 8, Calm: true, Lasting: true,
+		Last: "workers reboot, leader dies, workers cut off",
+	})
+}
+
 func buildProgram(t *testing.T) string {
 	t.Helper()
 	program := filepath.Join(t.TempDir(), "pollendockd")
