--- a/pollendockd/internal/scheduler/misdirected_renewals.go
+++ b/pollendockd/internal/scheduler/misdirected_renewals.go
@@ -7,8 +7,8 @@
 )
 
 // This file tells which workers may hold a longer lease than leaders grant. The end of a lease is
-// a time on the worker's clock, which begins anew with each incarnation, at any time: it tells nothing of
-// the incarnation's age. A renewal or start request that was sent to an earlier incarnation and is executed
+// a time on the worker's clock, which begins anew with each incarnation and may show anything then: it tells
+// nothing of the incarnation's age. A renewal or start request that was sent to an earlier incarnation and is executed
 // by a later one whose clock is behind grants up to the longest lease to all that runs there. Only the leader
 // knows about the incarnations of its workers, so that the record of answered starts excepts the runs on
 // such a worker.
