--- a/pollendockd/internal/scheduler/restarted_clock_test.go
+++ b/pollendockd/internal/scheduler/restarted_clock_test.go
@@ -24,6 +24,20 @@
 	return w.Worker.Hold(ctx, req)
 }
 
+// rebootBeforeRenewal makes a worker restart before it executes the next renewal of its lease that comes
+// after the returned value is set.
+func (c *cell) rebootBeforeRenewal(id string) *atomic.Bool {
+	var rebootNext atomic.Bool
+	c.linkTo = func(w Worker) Worker {
+		restarts := c.fleet.Worker(id)
+		if w != Worker(restarts) {
+			return w
+		}
+		return rebootingWorker{restarts, &rebootNext}
+	}
+	return &rebootNext
+}
+
 // TestLeaseThatRestartedWorkerGrantsIsWaitedFor guards against running a task twice: a restarted worker executes a renewal for its earlier incarnation, by a clock that begins anywhere.
 func TestLeaseThatRestartedWorkerGrantsIsWaitedFor(t *testing.T) {
 	const (
@@ -56,13 +70,7 @@
 					c.fleet.Add(id, "s", seriesCapacity(seriesCores))
 				}
 				c.outcome = longRun
-				var rebootNext atomic.Bool
-				c.linkTo = func(w Worker) Worker {
-					if w != Worker(c.fleet.Worker("w0")) {
-						return w
-					}
-					return rebootingWorker{c.fleet.Worker("w0"), &rebootNext}
-				}
+				rebootNext := c.rebootBeforeRenewal("w0")
 				// The first leader of a cell counts the longest lease of all workers.
 				a, b := c.startTwo()
 				time.Sleep(time.Second)
