--- a/pollendockd/internal/scheduler/gang_report.go
+++ b/pollendockd/internal/scheduler/gang_report.go
@@ -54,22 +54,15 @@
 	_ = level.Info(l.s.deps.Logger).Log(fields...)
 }
 
-// roomWithTickets returns how many tasks of a step fit into the free capacity of the workers
-// with a valid ticket: whatever it is reserved for, and without what is reserved before it.
+// roomWithTickets returns the room for tasks of a step on the workers with a valid ticket.
 func (l *leadership) roomWithTickets(p *pass, ws *waitingStep, a *stepAdvice) string {
-	spec := &ws.tj.sub.Steps[ws.step]
-	req := placement.Request{Count: spec.Count, Size: spec.Size, PerWorker: spec.PerWorker}
-	free, unreserved := 0, 0
+	var valid []*worker
 	for id := range a.tickets {
-		wk := l.workers[id]
-		if wk == nil || !a.hasValidTicket(wk, p.now) {
-			continue
+		if wk := l.workers[id]; wk != nil && a.hasValidTicket(wk, p.now) {
+			valid = append(valid, wk)
 		}
-		onIt := l.tasksOn(wk, ws)
-		free += placement.FitCount(req, &placement.WorkerState{Free: wk.free(), Tasks: onIt})
-		unreserved += placement.FitCount(req, &placement.WorkerState{Free: p.free(wk, ws), Tasks: onIt})
 	}
-	return fmt.Sprintf("%d/%d", free, unreserved)
+	return l.roomOn(p, ws, valid)
 }
 
 // reservationFields returns the log fields of a gang's reservation, none without one.
--- a/pollendockd/internal/scheduler/wait_report.go
+++ b/pollendockd/internal/scheduler/wait_report.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -111,6 +112,7 @@
 		"tasks", spec.Count, "waiting", ws.tj.countWaiting(ws.step, ws.isolated), "gang", spec.Gang, "size", spec.Size, "isolated", ws.isolated, "vacated", ws.vacated,
 		"rank", ws.sortKey.Rank, "waitedMs", waited.Milliseconds(), "room", room, "waitsFor", ws.why, "found", found.why, "foundMs", millisSince(p.now, found.at),
 		"team", ws.tj.sub.Team, "teamUse", l.teamUse[ws.tj.sub.Team], "teamLimit", p.teamLimit(ws.tj.sub.Team),
+		"roomToAsk", l.roomToAsk(p, ws, service), "gangsReserved", p.gangs, "gangsAhead", p.gangsAhead, "overdueTurns", l.overdueTurns,
 		"unclaimedMilliCpu", p.unclaimedCPU[service], "turnMs", max(0, ws.tj.turn.until.Sub(p.now).Milliseconds()), "passedOver", counts.String(),
 	}
 	fields = append(fields, l.reservationFields(p, ws)...)
@@ -121,6 +123,32 @@
 	_ = level.Warn(l.s.deps.Logger).Log(fields...)
 }
 
+// roomToAsk returns the room for tasks of a step on workers that it has no answer for.
+func (l *leadership) roomToAsk(p *pass, ws *waitingStep, service string) string {
+	answers := ws.tj.advice[ws.step]
+	var unknown []*worker
+	for _, wk := range p.usable[service] {
+		if answers == nil || !answers.refused[wk.id] && !answers.known(wk) {
+			unknown = append(unknown, wk)
+		}
+	}
+	return l.roomOn(p, ws, unknown)
+}
+
+// roomOn returns how many tasks of a step fit into the free capacity of the workers: whatever it
+// is reserved for, and without what is reserved before it.
+func (l *leadership) roomOn(p *pass, ws *waitingStep, workers []*worker) string {
+	spec := &ws.tj.sub.Steps[ws.step]
+	req := placement.Request{Count: spec.Count, Size: spec.Size, PerWorker: spec.PerWorker}
+	free, unreserved := 0, 0
+	for _, wk := range workers {
+		onIt := l.tasksOn(wk, ws)
+		free += placement.FitCount(req, &placement.WorkerState{Free: wk.free(), Tasks: onIt})
+		unreserved += placement.FitCount(req, &placement.WorkerState{Free: p.free(wk, ws), Tasks: onIt})
+	}
+	return fmt.Sprintf("%d/%d", free, unreserved)
+}
+
 // millisSince returns how long ago a time was, in milliseconds; -1 for none.
 func millisSince(now, at time.Time) int64 {
 	if at.IsZero() {
