--- a/pollendockd/internal/scheduler/tracked_job.go
+++ b/pollendockd/internal/scheduler/tracked_job.go
@@ -54,6 +54,9 @@
 		// unrecordedRuns counts the runs of a task that workers have though the records have
 		// given them up. Those of a gang count with its first task.
 		unrecordedRuns map[site.TaskID]int
+		// runs is the number of runs that hold capacity. idleSince is since when there are none.
+		runs      int
+		idleSince time.Time
 		// waits holds since when the steps wait that have no run.
 		waits map[waitKey]*stepWait
 		// findings holds why the steps waited when a pass last considered them.
@@ -183,6 +186,7 @@
 		begun:          j.State.MayHaveStarted(),
 		crashes:        j.Crashes,
 		inheritedAt:    j.StateAt,
+		idleSince:      time.Now(),
 		unrecordedRuns: map[site.TaskID]int{},
 
 		doubtfulCrashes: j.DoubtfulCrashes,
@@ -276,6 +280,7 @@
 	if r.unrecorded {
 		r.tj.unrecordedRuns[r.tj.representative(r.task)]++
 	}
+	r.tj.runs++
 	wk.used = wk.used.Add(size)
 	l.teamUse[r.tj.sub.Team] = l.teamUse[r.tj.sub.Team].Add(size)
 }
@@ -293,7 +298,10 @@
 	size := r.tj.sub.Steps[r.task.Step].Size
 	delete(r.wk.runs, r.key())
 	delete(l.isolatedRuns, r)
-	l.endStart(r, time.Now())
+	now := time.Now()
+	l.endStart(r, now)
+	r.tj.runs--
+	r.tj.idleSince = now
 	if r.unrecorded {
 		r.tj.unrecordedRuns[r.tj.representative(r.task)]--
 	}
@@ -470,6 +478,14 @@
 	return last
 }
 
+// idleFor returns for how long the job has had no run.
+func (tj *trackedJob) idleFor(now time.Time) time.Duration {
+	if tj.runs > 0 {
+		return 0
+	}
+	return now.Sub(tj.idleSince)
+}
+
 // runBegun notes that a run of the job has begun.
 func (tj *trackedJob) runBegun(r *run) {
 	tj.begun = true
--- a/pollendockd/internal/scheduler/wait_report.go
+++ b/pollendockd/internal/scheduler/wait_report.go
@@ -110,7 +110,7 @@
 	fields := []any{
 		"msg", "step waits beside free capacity", "job", ws.tj.id, "step", ws.step, "queue", ws.tj.sub.Queue,
 		"tasks", spec.Count, "waiting", ws.tj.countWaiting(ws.step, ws.isolated), "gang", spec.Gang, "size", spec.Size, "isolated", ws.isolated, "vacated", ws.vacated,
-		"rank", ws.sortKey.Rank, "waitedMs", waited.Milliseconds(), "room", room, "waitsFor", ws.why, "found", found.why, "foundMs", millisSince(p.now, found.at),
+		"rank", ws.sortKey.Rank, "waitedMs", waited.Milliseconds(), "idleMs", ws.tj.idleFor(p.now).Milliseconds(), "room", room, "waitsFor", ws.why, "found", found.why, "foundMs", millisSince(p.now, found.at),
 		"team", ws.tj.sub.Team, "teamUse", l.teamUse[ws.tj.sub.Team], "teamLimit", p.teamLimit(ws.tj.sub.Team),
 		"roomToAsk", l.roomToAsk(p, ws, service), "gangsReserved", p.gangs, "gangsAhead", p.gangsAhead, "overdueTurns", l.overdueTurns,
 		"unclaimedMilliCpu", p.unclaimedCPU[service], "turnMs", max(0, ws.tj.turn.until.Sub(p.now).Milliseconds()), "passedOver", counts.String(),
