scheduler: a gang that is likely to fit asks without a reservation or a turn for one

One that had been told of full workers, or came behind others that waited, sent none about idle workers that it had no answer for.

Now a gang beyond that limit queries like any other step if it is expected to fit now, by the share of workers that the advisor allows.

--- a/pollendockd/internal/scheduler/reserve.go
+++ b/pollendockd/internal/scheduler/reserve.go
@@ -140,11 +140,7 @@
 func (l *leadership) reserve(p *pass, ws *waitingStep, req placement.Request, service string, a *site.Advice) waitReason {
 	limit := max(minHeldGangs, len(p.usable[service])/workersPerHeldGang)
 	if p.gangs >= limit || ws.sortKey.Rank == placement.Overdue && !l.takeTurn(p, ws, limit) {
-		if a != nil && l.placeableOnKnown(p, ws, req) >= req.Count {
-			return l.waitForAdvice(p, ws, req, service, a)
-		}
-		l.askAhead(p, ws, req, service, a, limit)
-		return unreserved
+		return l.waitUnreserved(p, ws, req, service, a, limit)
 	}
 	r := ws.tj.reservation
 	if r == nil || r.step != ws.step || p.now.Sub(r.at) >= maxReservationAge {
@@ -212,19 +208,36 @@
 	return r != nil && r.step == ws.step && r.hasRoom
 }
 
-// placeableOnKnown returns how many tasks of a gang fit now on workers that it knows it may run
-// on. A gang that fits needs nothing but tickets, whoever else has a reservation.
-func (l *leadership) placeableOnKnown(p *pass, ws *waitingStep, req placement.Request) int {
-	n := 0
-	for id := range ws.tj.adviceOf(ws.step).tickets {
-		wk := l.workers[id]
-		if wk == nil || !wk.usable(p.now) || !p.isolation.admits(wk, ws) {
+// waitUnreserved queries for a gang for which no capacity may be reserved. One that is likely to fit
+// now on workers that the advisor allows needs nothing but answers, whoever else has a reservation.
+func (l *leadership) waitUnreserved(p *pass, ws *waitingStep, req placement.Request, service string, a *site.Advice, limit int) waitReason {
+	if a != nil && l.likelyFits(p, ws, req, service) {
+		return l.waitForAdvice(p, ws, req, service, a)
+	}
+	l.askAhead(p, ws, req, service, a, limit)
+	return unreserved
+}
+
+// likelyFits reports whether a gang is expected to fit now on the workers that the advisor allows.
+func (l *leadership) likelyFits(p *pass, ws *waitingStep, req placement.Request, service string) bool {
+	answers := ws.tj.adviceOf(ws.step)
+	allowedShare := l.queueStatsOf(ws.tj.sub.Queue).allowedShare()
+	expected := 0.0
+	for _, wk := range p.withCapacity(ws, req.Size, service) {
+		if answers.refused[wk.id] {
 			continue
 		}
 		state := l.workerState(ws, wk, p.free(wk, ws))
-		n += placement.FitCount(req, &state)
+		fit := float64(placement.FitCount(req, &state))
+		if !answers.known(wk) {
+			fit *= allowedShare
+		}
+		expected += fit
+		if expected >= float64(req.Count) {
+			return true
+		}
 	}
-	return n
+	return false
 }
 
 // askAhead queries for the next gangs in the order, up to a limit, so that they know
