scheduler: a job without a run leaves free capacity to others for 1.5 s at most

A job that has had no run for 1.5 s may start one task whatever others come. Then it runs, and the rest of its tasks waits as before.

TestIdleJobUsesCapacityLeftToUrgentTasks failed before.

--- a/pollendockd/internal/scheduler/pass.go
+++ b/pollendockd/internal/scheduler/pass.go
@@ -396,6 +396,9 @@
 	if answers != nil && !ws.isolated && ws.patient(p.now) {
 		req.Count = l.patientCount(p, req, service)
 	}
+	if req.Count == 0 && ws.keptIdle(p.now) {
+		req.Count = 1
+	}
 	if req.Count == 0 {
 		return behindOthers
 	}
@@ -509,7 +512,7 @@
 		l.holdClaim(p, service, answers)
 	case ws.isolated:
 		l.want(p, demand{ws: ws, req: req, service: service, settings: advice, kind: toPlace})
-	case p.unclaimedFor(ws, service) <= 0:
+	case p.unclaimedFor(ws, service) <= 0 && !ws.keptIdle(p.now):
 		return behindOthers
 	case l.want(p, demand{ws: ws, req: req, service: service, settings: advice, kind: toPlace}) && !answers.unplaceable:
 		p.unclaimedCPU[service] -= needed
--- a/pollendockd/internal/scheduler/waiting.go
+++ b/pollendockd/internal/scheduler/waiting.go
@@ -40,6 +40,8 @@
 	// endlessStartLimit is how long an endless task may wait to start, or to start again.
 	// By its estimate it could wait for as long as it runs.
 	endlessStartLimit = time.Second
+	// maxIdleTime is how long a job without a run leaves free capacity to steps before it in the order.
+	maxIdleTime = 1500 * time.Millisecond
 )
 
 // waitingSteps returns the steps with tasks to place, in scheduling order.
@@ -96,6 +98,12 @@
 	return slack > time.Duration(patienceFactor*float64(ws.tj.forecast.criticalPaths[ws.step]))
 }
 
+// keptIdle reports whether the job has had no run for so long that one of the step's tasks may use
+// capacity that is free but left to others.
+func (ws *waitingStep) keptIdle(now time.Time) bool {
+	return ws.tj.idleFor(now) >= maxIdleTime
+}
+
 // awaitsStart reports whether a task is to be started as a suspect, or as another. One that
 // is taken to crash its workers is not, though its job may not be given up yet, nor one of
 // which an unrecorded run may still be at work.
