--- a/pollendockd/internal/scheduler/query_order_test.go
+++ b/pollendockd/internal/scheduler/query_order_test.go
@@ -13,6 +13,7 @@
 		age  time.Duration
 	}{
 		{"in time", 0},
+		{"late", 100 * time.Second},
 	} {
 		t.Run(tc.name, func(t *testing.T) { playGangBehindQueries(t, tc.age) })
 	}
