advice: slow queries of idle jobs may use half of the routes

While a gang that is expected to start with the answer, of a job that has had no run for 1.5 s, waits for a route, slow queries may use half of them. Such jobs count as in time (before by a changed rank of the demand).

TestGangsAskBesideBacklogOfQuickQueries failed before (three of nine gangs).

--- a/cell/advice/dispatcher.go
+++ b/cell/advice/dispatcher.go
@@ -26,6 +26,15 @@
 		// MayStart is set if the step is likely to start once it has its answer. Others only learn
 		// where they may run.
 		MayStart bool
+		// Idle is set if that step's job has had no run for long. It counts as work that can
+		// complete in time.
+		Idle bool
+	}
+
+	// slowUse is the use of the routes by slow queries: how many routes they keep busy, of how many
+	// that are usable, and how many they may while no quick query waits.
+	slowUse struct {
+		busy, usable, limit int
 	}
 
 	// Dispatcher assigns demands to the routes to the advisor.
@@ -39,8 +48,11 @@
 )
 
 // Slow queries may use at least one in minSlowDivisor routes, however many quick ones
-// arrive.
-const minSlowDivisor = 4
+// arrive, and one in idleSlowDivisor while those of idle jobs wait.
+const (
+	minSlowDivisor  = 4
+	idleSlowDivisor = 2
+)
 
 // NewDispatcher returns a dispatcher without routes.
 func NewDispatcher() *Dispatcher {
@@ -63,15 +75,13 @@
 	if !free {
 		return 0, "", false
 	}
-	_, slow := d.routes.Busy()
-	slowAllowed := slow < d.slowLimit(now)
-	slowFirst := slow < d.routes.usable(now)/minSlowDivisor
+	u := d.slowUse(now)
 	next := -1
 	for i := range demands {
-		if demands[i].Slow && !slowAllowed {
+		if demands[i].Slow && !u.allows(&demands[i]) {
 			continue
 		}
-		if next < 0 || d.before(&demands[i], &demands[next], slowFirst) {
+		if next < 0 || d.before(&demands[i], &demands[next], u) {
 			next = i
 		}
 	}
@@ -79,12 +89,15 @@
 }
 
 // before reports whether a is served before b.
-func (d *Dispatcher) before(a, b *Demand, slowFirst bool) bool {
-	if a.SortKey.Rank != b.SortKey.Rank {
-		return a.SortKey.Rank < b.SortKey.Rank
+func (d *Dispatcher) before(a, b *Demand, u slowUse) bool {
+	if a.rank() != b.rank() {
+		return a.rank() < b.rank()
+	}
+	if a.Slow && !b.Slow {
+		return u.underShare(a)
 	}
-	if a.Slow != b.Slow {
-		return a.Slow == slowFirst
+	if b.Slow && !a.Slow {
+		return !u.underShare(b)
 	}
 	if a.Queue != b.Queue {
 		if startA, startB := d.shares.start(a.Queue), d.shares.start(b.Queue); startA != startB {
@@ -100,6 +113,34 @@
 	return a.SortKey.Before(&b.SortKey)
 }
 
+// slowUse returns the use of the routes by slow queries.
+func (d *Dispatcher) slowUse(now time.Time) slowUse {
+	_, busy := d.routes.Busy()
+	return slowUse{busy: busy, usable: d.routes.usable(now), limit: d.slowLimit(now)}
+}
+
+// allows reports whether a slow query may be sent.
+func (u slowUse) allows(m *Demand) bool {
+	return u.busy < u.limit || u.underShare(m)
+}
+
+// underShare reports whether slow queries use less than the routes that are for those like this
+// one, however many quick ones wait.
+func (u slowUse) underShare(m *Demand) bool {
+	if m.Idle {
+		return u.busy < u.usable/idleSlowDivisor
+	}
+	return u.busy < u.usable/minSlowDivisor
+}
+
+// rank returns the rank by which the demand is served.
+func (m *Demand) rank() placement.Rank {
+	if m.Idle {
+		return placement.InTime
+	}
+	return m.SortKey.Rank
+}
+
 // Sent notes that the query for a demand has been sent and is expected to take that
 // long.
 func (d *Dispatcher) Sent(m *Demand, through string, takes time.Duration) {
--- a/cell/advice/dispatcher_test.go
+++ b/cell/advice/dispatcher_test.go
@@ -54,6 +54,9 @@
 	reserved.Reserved = true
 	mayStart := ranked("slow", true, placement.Late, 6)
 	mayStart.MayStart = true
+	idle := ranked("slow", true, placement.Late, 7)
+	idle.Idle = true
+	quickInTime := ranked("quick", false, placement.InTime, 8)
 	for _, c := range []struct {
 		name     string
 		busySlow int
@@ -71,6 +74,8 @@
 		{"reserved capacity first", 1, []Demand{slow, reserved}, 1},
 		{"steps that may start before those that only learn", 1, []Demand{slow, mayStart}, 1},
 		{"reserved capacity before steps that may start", 1, []Demand{mayStart, reserved}, 1},
+		{"an idle job's slow one counts as in time, and has a larger share", 1, []Demand{quickInTime, idle}, 1},
+		{"an idle job's slow one, beyond that share", 2, []Demand{idle, quickInTime}, 1},
 		{"a route stays free of slow queries", 3, []Demand{slow}, -1},
 	} {
 		d := withRoutes(4)
--- a/pollendockd/internal/scheduler/advice.go
+++ b/pollendockd/internal/scheduler/advice.go
@@ -246,9 +246,12 @@
 	for i := range d.demands {
 		m := &d.demands[i]
 		m.slow = isSlow(d.pass.catalog, m.settings)
-		list[i] = advice.Demand{Queue: m.ws.tj.sub.Queue, SortKey: m.ws.sortKey, Slow: m.slow, Reserved: m.kind == toRenew || m.ws.isolated, MayStart: m.mayStart}
-		if m.ws.isolated || m.mayStart && m.req.Gang && m.ws.keptIdle(now) {
-			// Capacity stands idle until the answer arrives, however late the job is.
+		list[i] = advice.Demand{
+			Queue: m.ws.tj.sub.Queue, SortKey: m.ws.sortKey, Slow: m.slow, Reserved: m.kind == toRenew || m.ws.isolated, MayStart: m.mayStart,
+			Idle: m.mayStart && m.req.Gang && m.ws.keptIdle(now),
+		}
+		if m.ws.isolated {
+			// Workers stay empty until the answer arrives, however late the job is.
 			list[i].SortKey.Rank = placement.InTime
 		}
 	}
--- a/pollendockd/internal/scheduler/query_order_test.go
+++ b/pollendockd/internal/scheduler/query_order_test.go
@@ -4,6 +4,9 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"pollendock.example/cell/site"
+	"pollendock.example/standin/fleet"
 )
 
 // TestGangWithRoomAsksBeforeThoseWithout guards against a gang that waits for the advisor beside idle workers, while gangs that can't start yet learn where they may run.
@@ -46,3 +49,45 @@
 		expectStartWithin(c, "small", time.Now(), lostAfter)
 	})
 }
+
+// TestGangsAskBesideBacklogOfQuickQueries guards against gangs that wait beside idle workers for the one route that more quick queries than the routes can carry leave to slow ones.
+func TestGangsAskBesideBacklogOfQuickQueries(t *testing.T) {
+	inCell(t, 0, func(c *cell) {
+		const (
+			vms        = 6
+			gangs      = 9
+			quickEvery = 5 * time.Millisecond
+			before     = 200
+		)
+		quick := site.Advice{Base: 47 * time.Millisecond, TicketLifetime: 1500 * time.Millisecond}
+		c.advise(siteAdvice, 1)
+		c.catalog.Queues = append(c.catalog.Queues, site.Queue{Name: "quick", Service: "s", MaxAttempts: 2, Stretch: 1.5, Objective: 250 * time.Millisecond, Advice: &quick})
+		c.catalog.Index()
+		c.advisor = fleet.NewAdvisorOf(c.fleet, func(job string) fleet.AdviceTerms {
+			if job[:1] == "q" {
+				return fleet.AdviceTerms{Advice: quick, Good: 1}
+			}
+			return fleet.AdviceTerms{Advice: siteAdvice, Good: 1}
+		})
+		c.addLargeWorkers()
+		c.start("a")
+		for i := range vms - 1 {
+			c.join(fmt.Sprintf("b%d", i))
+		}
+		time.Sleep(time.Second)
+		for n := range before + int(lostAfter/quickEvery) {
+			if n == before {
+				for g := range gangs {
+					c.submit(fmt.Sprintf("gang%d", g), gang(6, 19))
+				}
+			}
+			c.submitTo("quick", fmt.Sprintf("q%d", n), tasks(1, 1))
+			time.Sleep(quickEvery)
+		}
+		for g := range gangs {
+			if id := fmt.Sprintf("gang%d", g); c.fleet.Starts(site.TaskID{Job: id}) == 0 {
+				t.Errorf("%s has not started within %v", id, lostAfter)
+			}
+		}
+	})
+}
