--- a/pollendockd/internal/scheduler/wait_report.go
+++ b/pollendockd/internal/scheduler/wait_report.go
@@ -90,10 +90,20 @@
 	})
 	for _, r := range limited[:min(len(limited), maxTeamsLogged)] {
 		_ = level.Info(l.s.deps.Logger).Log("msg", "team at its limit", "team", r.name, "use", l.teamUse[r.name], "limit", p.teamLimit(r.name),
-			"reservedByGangs", len(p.limitReservations[r.name]), "limited", r.limited, "waiting", r.waiting, "teams", len(limited))
+			"reservedByGangs", len(p.limitReservations[r.name]),
+			"reserved", p.reservedLimit(r.name), "halfIdleMs", millisSince(p.now, l.limitIdleSince[r.name]), "limited", r.limited, "waiting", r.waiting, "teams", len(limited))
 	}
 }
 
+// reservedLimit returns what gangs have reserved of a team's limit.
+func (p *pass) reservedLimit(name string) resource.Vector {
+	var total resource.Vector
+	for _, r := range p.limitReservations[name] {
+		total = total.Add(r.size)
+	}
+	return total
+}
+
 // teamLimit returns the limit of a team, zero if there is none.
 func (p *pass) teamLimit(name string) resource.Vector {
 	if team := p.catalog.Team(name); team != nil {
