scheduler: half of a team's limit stays idle for 2 s at most, though reservations come and go

The span now outlives a second without a reservation.

TestIdleLimitIsReleasedWhileReservationsComeAndGo: "in each third pass" fails with the rule before. After a release the team's first jobs take half of the limit at once, and the next span begins.

--- a/pollendockd/internal/scheduler/leadership.go
+++ b/pollendockd/internal/scheduler/leadership.go
@@ -30,8 +30,8 @@
 		teamUse map[string]resource.Vector
 		// pacedHolds are the holds to workers that may not answer.
 		pacedHolds pacedHolds
-		// limitIdleSince is since when reservations keep half of a team's limit idle.
-		limitIdleSince map[string]time.Time
+		// idleLimits holds the teams of which reservations keep half of the limit idle.
+		idleLimits map[string]idleLimit
 
 		// doubtfulCrashes holds the crashes of each worker, by its id, that may have been
 		// none.
--- a/pollendockd/internal/scheduler/limit.go
+++ b/pollendockd/internal/scheduler/limit.go
@@ -10,15 +10,25 @@
 	"pollendock.example/cell/site"
 )
 
-// limitReservation is the part of a team's limit that a gang waits for.
-type limitReservation struct {
-	// size is what the gang needs of the limit beyond what runs release until its start.
-	size resource.Vector
-	// in is the expected time until the gang can start.
-	in time.Duration
-	// latestStart is the latest start of the gang.
-	latestStart time.Time
-}
+type (
+	// limitReservation is the part of a team's limit that a gang waits for.
+	limitReservation struct {
+		// size is what the gang needs of the limit beyond what runs release until its start.
+		size resource.Vector
+		// in is the expected time until the gang can start.
+		in time.Duration
+		// latestStart is the latest start of the gang.
+		latestStart time.Time
+	}
+
+	// idleLimit is a span in which gangs reserve a team's limit and the team uses less than half
+	// of it.
+	idleLimit struct {
+		since time.Time
+		// reservedAt is the last pass with a reservation.
+		reservedAt time.Time
+	}
+)
 
 const (
 	// lowPriorityShare is the share of a team's limit that work below the first priority
@@ -26,6 +36,9 @@
 	lowPriorityShare = 0.9
 	// maxLimitIdle is how long reservations may keep half of a team's limit idle.
 	maxLimitIdle = 2 * time.Second
+	// maxReservationGap is how long such a span lasts without a reservation. A gang that fits into
+	// what the team uses at one moment has none, and has one again in the next.
+	maxReservationGap = time.Second
 )
 
 // withinLimit returns how many of n tasks the team's limit allows. Work below the first
@@ -130,7 +143,7 @@
 // tasks have ended, nor if reservations have kept half of the limit idle for too long.
 func (l *leadership) reservedLimitFor(p *pass, ws *waitingStep) resource.Vector {
 	var total resource.Vector
-	if since, idle := l.limitIdleSince[ws.tj.sub.Team]; idle && p.now.Sub(since) >= maxLimitIdle {
+	if s, idle := l.idleLimits[ws.tj.sub.Team]; idle && p.now.Sub(s.since) >= maxLimitIdle {
 		return total
 	}
 	spec := &ws.tj.sub.Steps[ws.step]
@@ -144,19 +157,28 @@
 	return total
 }
 
-// watchLimitIdle notes since when teams with reservations use less than half of their
+// watchIdleLimits notes since when teams with reservations use less than half of their
 // limit.
-func (l *leadership) watchLimitIdle(p *pass) {
-	idle := map[string]time.Time{}
+func (l *leadership) watchIdleLimits(p *pass) {
+	idle := map[string]idleLimit{}
+	for name, s := range l.idleLimits {
+		if p.now.Sub(s.reservedAt) <= maxReservationGap {
+			idle[name] = s
+		}
+	}
 	for name := range p.limitReservations {
-		use := l.teamUse[name]
-		if !fitsLimit(use.Add(use), p.catalog.Team(name).Limit) {
-			continue
+		s, before := idle[name]
+		if !before {
+			s.since = p.now
 		}
-		idle[name] = p.now
-		if since, before := l.limitIdleSince[name]; before {
-			idle[name] = since
+		s.reservedAt = p.now
+		idle[name] = s
+	}
+	for name := range idle {
+		use := l.teamUse[name]
+		if team := p.catalog.Team(name); team == nil || !fitsLimit(use.Add(use), team.Limit) {
+			delete(idle, name)
 		}
 	}
-	l.limitIdleSince = idle
+	l.idleLimits = idle
 }
--- a/pollendockd/internal/scheduler/limit_test.go
+++ b/pollendockd/internal/scheduler/limit_test.go
@@ -117,3 +117,37 @@
 		})
 	}
 }
+
+// TestIdleLimitIsReleasedWhileReservationsComeAndGo guards against gangs that keep half of a team's limit idle for good, since now and then a pass has no reservation.
+func TestIdleLimitIsReleasedWhileReservationsComeAndGo(t *testing.T) {
+	const passInterval = 100 * time.Millisecond
+	half := resource.Vector{MilliCPU: 5000}
+	for _, c := range []struct {
+		name string
+		// every is how many passes there are to one with a reservation.
+		every int
+		use   resource.Vector
+		// want is set if the limit is to be released in the end.
+		want bool
+	}{
+		{"in each pass", 1, resource.Vector{}, true},
+		{"in each third pass", 3, resource.Vector{}, true},
+		{"in one pass of 1.5 s", 15, resource.Vector{}, false},
+		{"half of the limit is in use", 3, half, false},
+	} {
+		catalog := (&site.Catalog{Teams: []site.Team{{Name: "team", Limit: half.Add(half)}}}).Index()
+		l := &leadership{teamUse: map[string]resource.Vector{"team": c.use.Add(resource.Vector{MilliCPU: 1})}}
+		now := time.Now()
+		for i := range int(2*maxLimitIdle/passInterval) + 1 {
+			p := &pass{now: now.Add(time.Duration(i) * passInterval), catalog: catalog, limitReservations: map[string][]limitReservation{}}
+			if i%c.every == 0 {
+				p.limitReservations["team"] = []limitReservation{{}}
+			}
+			l.watchIdleLimits(p)
+		}
+		s, idle := l.idleLimits["team"]
+		if released := idle && now.Add(2*maxLimitIdle).Sub(s.since) >= maxLimitIdle; released != c.want {
+			t.Errorf("%s: the limit is released: %v, want %v", c.name, released, c.want)
+		}
+	}
+}
--- a/pollendockd/internal/scheduler/pass.go
+++ b/pollendockd/internal/scheduler/pass.go
@@ -178,7 +178,7 @@
 	l.noteGangs(p, steps)
 	l.checkStarvation(p, steps)
 	l.heldCapacity = p.heldCapacity
-	l.watchLimitIdle(p)
+	l.watchIdleLimits(p)
 	l.updateLoad(p, steps[:onTime])
 	l.prepareRestarts(p)
 	// dispatch counts the claims in worker.claimedCPU instead.
--- a/pollendockd/internal/scheduler/wait_report.go
+++ b/pollendockd/internal/scheduler/wait_report.go
@@ -91,7 +91,7 @@
 	for _, r := range limited[:min(len(limited), maxTeamsLogged)] {
 		_ = level.Info(l.s.deps.Logger).Log("msg", "team at its limit", "team", r.name, "use", l.teamUse[r.name], "limit", p.teamLimit(r.name),
 			"reservedByGangs", len(p.limitReservations[r.name]),
-			"reserved", p.reservedLimit(r.name), "halfIdleMs", millisSince(p.now, l.limitIdleSince[r.name]), "limited", r.limited, "waiting", r.waiting, "teams", len(limited))
+			"reserved", p.reservedLimit(r.name), "halfIdleMs", millisSince(p.now, l.idleLimits[r.name].since), "limited", r.limited, "waiting", r.waiting, "teams", len(limited))
 	}
 }
 
