--- a/pollendockd/internal/scheduler/pass.go
+++ b/pollendockd/internal/scheduler/pass.go
@@ -512,7 +512,7 @@
 		l.holdClaim(p, service, answers)
 	case ws.isolated:
 		l.want(p, demand{ws: ws, req: req, service: service, settings: advice, kind: toPlace})
-	case p.unclaimedFor(ws, service) <= 0 && !ws.keptIdle(p.now):
+	case p.unclaimedFor(ws, service) <= 0 && !l.mayOvertake(p, ws, req, service):
 		return behindOthers
 	case l.want(p, demand{ws: ws, req: req, service: service, settings: advice, kind: toPlace}) && !answers.unplaceable:
 		p.unclaimedCPU[service] -= needed
@@ -520,6 +520,12 @@
 	return asking
 }
 
+// mayOvertake reports whether a step may query though steps before it claim all free capacity: one of
+// a job that has been idle for long, if it is a gang only where that is likely to fit all the same.
+func (l *leadership) mayOvertake(p *pass, ws *waitingStep, req placement.Request, service string) bool {
+	return ws.keptIdle(p.now) && (!req.Gang || l.likelyFits(p, ws, req, service))
+}
+
 // holdClaim reserves the capacity that a query under way has claimed. Steps further back
 // in the order that have tickets already would otherwise take it within the time of a
 // call, and lookups would query in vain while the cell is full.
