scheduler: idle jobs share a team's limit that is reserved in vain

Once half of the limit has been idle for one second, each job of the team that has had no run for 1.5 s may start one task, or its gang, whatever is reserved. For all of a job's tasks the 2 s stay, so that a gang still gets its limit (TestGangAtTheTeamLimit; without the one second it fails).

TestIdleJobsShareLimitReservedForGang failed before (three of six jobs).

--- a/pollendockd/internal/scheduler/idle_job_test.go
+++ b/pollendockd/internal/scheduler/idle_job_test.go
@@ -44,3 +44,29 @@
 		}
 	})
 }
+
+// TestIdleJobsShareLimitReservedForGang guards against jobs that start nothing beside idle workers and half of their team's limit, since a gang waits for more of it and the first of them takes what is released.
+func TestIdleJobsShareLimitReservedForGang(t *testing.T) {
+	inCell(t, 12, func(c *cell) {
+		const jobs = 6
+		c.limitTeam(50_000, 20)
+		c.outcome = longRuns
+		// These runs last longer than estimated, so that the gang is expected to start soon.
+		c.submit("long", tasks(2, 8))
+		c.start("a")
+		time.Sleep(4 * time.Second)
+		c.submit("gang", gang(5, 9))
+		time.Sleep(100 * time.Millisecond)
+		later := tasks(8, 2)
+		later.Estimate = time.Minute
+		for n := range jobs {
+			c.submit(fmt.Sprintf("later%d", n), later)
+		}
+		time.Sleep(lostAfter)
+		for n := range jobs {
+			if id := fmt.Sprintf("later%d", n); c.fleet.Starts(site.TaskID{Job: id}) == 0 {
+				t.Errorf("%s has not started within %v", id, lostAfter)
+			}
+		}
+	})
+}
--- a/pollendockd/internal/scheduler/limit.go
+++ b/pollendockd/internal/scheduler/limit.go
@@ -36,21 +36,45 @@
 	lowPriorityShare = 0.9
 	// maxLimitIdle is how long reservations may keep half of a team's limit idle.
 	maxLimitIdle = 2 * time.Second
+	// maxLimitIdleOfIdleJob is the same for one task of a job without a run.
+	maxLimitIdleOfIdleJob = time.Second
 	// maxReservationGap is how long such a span lasts without a reservation. A gang that fits into
 	// what the team uses at one moment has none, and has one again in the next.
 	maxReservationGap = time.Second
 )
 
-// withinLimit returns how many of n tasks the team's limit allows. Work below the first
-// priority leaves part of the limit to work of the first priority. Otherwise a lookup
-// would have to wait for a batch task of its own team to end.
-func (l *leadership) withinLimit(p *pass, ws *waitingStep, size resource.Vector, n int) int {
+// startableWithinLimit returns how many of the step's tasks the team's limit allows, less what gangs
+// have reserved of it. A job that has been idle for long may start one task, or its gang, once
+// half of the limit has been idle for maxLimitIdleOfIdleJob.
+func (l *leadership) startableWithinLimit(p *pass, ws *waitingStep, size resource.Vector) int {
+	n := l.withinLimit(p, ws, size, l.reservedLimitFor(p, ws))
+	least := ws.smallestStart()
+	if n >= least || !ws.keptIdle(p.now) || l.limitIdleFor(p, ws.tj.sub.Team) < maxLimitIdleOfIdleJob {
+		return n
+	}
+	return min(least, l.withinLimit(p, ws, size, resource.Vector{}))
+}
+
+// limitIdleFor returns for how long reservations have kept half of a team's limit idle.
+func (l *leadership) limitIdleFor(p *pass, team string) time.Duration {
+	s, idle := l.idleLimits[team]
+	if !idle {
+		return 0
+	}
+	return p.now.Sub(s.since)
+}
+
+// withinLimit returns how many of the step's tasks the team's limit allows beside its use and
+// what is reserved. Work below the first priority leaves part of the limit to work of the first
+// priority. Otherwise a lookup would have to wait for a batch task of its own team to end.
+func (l *leadership) withinLimit(p *pass, ws *waitingStep, size, reserved resource.Vector) int {
 	tj := ws.tj
+	n := len(ws.tasks)
 	team := p.catalog.Team(tj.sub.Team)
 	if team == nil {
 		return n
 	}
-	use := l.teamUse[tj.sub.Team].Add(l.reservedLimitFor(p, ws))
+	use := l.teamUse[tj.sub.Team].Add(reserved)
 	share := 1.0
 	if tj.sub.Priority > 0 && use.MilliCPU > 0 {
 		share = lowPriorityShare
@@ -143,7 +167,7 @@
 // tasks have ended, nor if reservations have kept half of the limit idle for too long.
 func (l *leadership) reservedLimitFor(p *pass, ws *waitingStep) resource.Vector {
 	var total resource.Vector
-	if s, idle := l.idleLimits[ws.tj.sub.Team]; idle && p.now.Sub(s.since) >= maxLimitIdle {
+	if l.limitIdleFor(p, ws.tj.sub.Team) >= maxLimitIdle {
 		return total
 	}
 	spec := &ws.tj.sub.Steps[ws.step]
--- a/pollendockd/internal/scheduler/pass.go
+++ b/pollendockd/internal/scheduler/pass.go
@@ -383,7 +383,7 @@
 	}
 	ws.tasks = tj.waitingTasks(ws.step, ws.isolated)
 	req := placement.Request{
-		Count: l.withinLimit(p, ws, spec.Size, len(ws.tasks)),
+		Count: l.startableWithinLimit(p, ws, spec.Size),
 		Size:  spec.Size, Gang: spec.Gang, OneRack: spec.OneRack, Rack: spec.Rack, PerWorker: spec.PerWorker,
 		PreferSlow: ws.patient(p.now),
 	}
