--- a/pollendockd/internal/scheduler/advice.go
+++ b/pollendockd/internal/scheduler/advice.go
@@ -93,6 +93,14 @@
 		refused map[string]bool
 		// wait is how passes left the step since its last query, if it is a gang.
 		wait gangWait
+		// fits is what was found about the room for it last, if it is a gang.
+		fits fitFinding
+	}
+
+	// fitFinding is whether a gang was expected to fit at a time.
+	fitFinding struct {
+		likely bool
+		at     time.Time
 	}
 
 	// ticket permits the step on one incarnation of a worker until it expires.
@@ -378,6 +386,7 @@
 		answers.tickets[t.Upstream] = ticket{t.Ticket, q.boots[t.Upstream], now.Add(q.valid - ticketMargin)}
 	}
 	answers.wait.answered = true
+	answers.fits = fitFinding{}
 	s.deps.Counts.Time("advice", now.Sub(q.wantedSince))
 	s.deps.Counts.Time("advice_call", now.Sub(q.sentAt))
 	fields := []any{
--- a/pollendockd/internal/scheduler/reserve.go
+++ b/pollendockd/internal/scheduler/reserve.go
@@ -218,8 +218,18 @@
 	return unreserved
 }
 
-// likelyFits reports whether a gang is expected to fit now on the workers that the advisor allows.
+// likelyFits reports whether a gang is expected to fit on the workers that the advisor allows, as
+// of maxReservationAge ago at most.
 func (l *leadership) likelyFits(p *pass, ws *waitingStep, req placement.Request, service string) bool {
+	f := &ws.tj.adviceOf(ws.step).fits
+	if p.now.Sub(f.at) >= maxReservationAge {
+		*f = fitFinding{l.isExpectedToFit(p, ws, req, service), p.now}
+	}
+	return f.likely
+}
+
+// isExpectedToFit reports whether a gang is expected to fit now on the workers that the advisor allows.
+func (l *leadership) isExpectedToFit(p *pass, ws *waitingStep, req placement.Request, service string) bool {
 	answers := ws.tj.adviceOf(ws.step)
 	allowedShare := l.queueStatsOf(ws.tj.sub.Queue).allowedShare()
 	expected := 0.0
