--- a/cell/advice/dispatcher_test.go
+++ b/cell/advice/dispatcher_test.go
@@ -198,3 +198,15 @@
 	expectNext(t, "just after", d, now, []Demand{slow}, -1)
 	expectNext(t, "a second later", d, now.Add(arrivalWindow), []Demand{slow}, 0)
 }
+
+// TestIdleJobCountsAsInTimeWithinItsQueue guards against an idle late gang that waits for the advisor until no gang of its queue in time may start.
+func TestIdleJobCountsAsInTimeWithinItsQueue(t *testing.T) {
+	now := time.Now()
+	idle := ranked("slow", true, placement.Late, 1)
+	idle.MayStart, idle.Idle = true, true
+	idle.SortKey.LatestStart = now.Add(-time.Second)
+	inTime := ranked("slow", true, placement.InTime, 2)
+	inTime.MayStart = true
+	inTime.SortKey.LatestStart = now.Add(time.Second)
+	expectNext(t, "idle and late, before one in time with a later start", withRoutes(4), now, []Demand{inTime, idle}, 1)
+}
