scheduler: one function finds whether a gang would fit, one whether the advisor has answered

mostPlaceable and isExpectedToFit walked the same workers by the same rule, but for the share of those that the advisor has not been asked about: 1 or the expected one. wouldFit takes the share. What three places spelled out as neither refused nor known is hasAnswer. Behaviour is as before.

--- a/pollendockd/internal/scheduler/advice.go
+++ b/pollendockd/internal/scheduler/advice.go
@@ -446,7 +446,7 @@
 func (a *stepAdvice) countFirst(workers []string, tickets []site.Ticket) (asked, allowed int) {
 	first := map[string]bool{}
 	for _, id := range workers {
-		if _, known := a.tickets[id]; !known && !a.refused[id] {
+		if !a.hasAnswer(id) {
 			first[id] = true
 		}
 	}
@@ -458,6 +458,12 @@
 	return len(first), allowed
 }
 
+// hasAnswer reports whether the advisor has allowed or refused the worker before.
+func (a *stepAdvice) hasAnswer(worker string) bool {
+	_, allowed := a.tickets[worker]
+	return allowed || a.refused[worker]
+}
+
 // known reports whether the step may run on the worker once the ticket has been
 // renewed.
 func (a *stepAdvice) known(wk *worker) bool {
--- a/pollendockd/internal/scheduler/pass.go
+++ b/pollendockd/internal/scheduler/pass.go
@@ -438,26 +438,12 @@
 // gangAdvice queries for a gang without reserved capacity, if it could fit on the workers
 // that the advisor has not refused.
 func (l *leadership) gangAdvice(p *pass, ws *waitingStep, req placement.Request, service string, advice *site.Advice) waitReason {
-	if !ws.tj.adviceOf(ws.step).asking && p.unclaimedFor(ws, service) > 0 && l.mostPlaceable(p, ws, req, service) < req.Count {
+	if !ws.tj.adviceOf(ws.step).asking && p.unclaimedFor(ws, service) > 0 && !l.wouldFit(p, ws, req, service, 1) {
 		return noCapacity
 	}
 	return l.waitForAdvice(p, ws, req, service, advice)
 }
 
-// mostPlaceable returns how many tasks of a gang fit now on workers that the advisor has
-// not refused.
-func (l *leadership) mostPlaceable(p *pass, ws *waitingStep, req placement.Request, service string) int {
-	answers := ws.tj.adviceOf(ws.step)
-	n := 0
-	for _, wk := range p.withCapacity(ws, req.Size, service) {
-		if !answers.refused[wk.id] {
-			state := l.workerState(ws, wk, p.free(wk, ws))
-			n += placement.FitCount(req, &state)
-		}
-	}
-	return n
-}
-
 // patientCount returns how many tasks of a step that can wait may start now: as many as
 // fit into what steps earlier in the order leave, less the headroom for urgent tasks.
 func (l *leadership) patientCount(p *pass, req placement.Request, service string) int {
--- a/pollendockd/internal/scheduler/query_workers.go
+++ b/pollendockd/internal/scheduler/query_workers.go
@@ -116,7 +116,7 @@
 	answers := m.ws.tj.adviceOf(m.ws.step)
 	var unknown []*worker
 	for _, wk := range p.usable[m.service] {
-		if wk.usable(p.now) && (m.ws.isolated || p.isolation.admits(wk, m.ws)) && m.ws.fitsEmpty(wk) && !answers.refused[wk.id] && !answers.known(wk) {
+		if wk.usable(p.now) && (m.ws.isolated || p.isolation.admits(wk, m.ws)) && m.ws.fitsEmpty(wk) && !answers.hasAnswer(wk.id) {
 			unknown = append(unknown, wk)
 		}
 	}
--- a/pollendockd/internal/scheduler/reserve.go
+++ b/pollendockd/internal/scheduler/reserve.go
@@ -223,15 +223,16 @@
 func (l *leadership) likelyFits(p *pass, ws *waitingStep, req placement.Request, service string) bool {
 	f := &ws.tj.adviceOf(ws.step).fits
 	if p.now.Sub(f.at) >= maxReservationAge {
-		*f = fitFinding{l.isExpectedToFit(p, ws, req, service), p.now}
+		allowedShare := l.queueStatsOf(ws.tj.sub.Queue).allowedShare()
+		*f = fitFinding{l.wouldFit(p, ws, req, service, allowedShare), p.now}
 	}
 	return f.likely
 }
 
-// isExpectedToFit reports whether a gang is expected to fit now on the workers that the advisor allows.
-func (l *leadership) isExpectedToFit(p *pass, ws *waitingStep, req placement.Request, service string) bool {
+// wouldFit reports whether a gang would fit now on the workers that the advisor has not refused, if
+// it allows a share of those that it has not been asked about.
+func (l *leadership) wouldFit(p *pass, ws *waitingStep, req placement.Request, service string, allowedShare float64) bool {
 	answers := ws.tj.adviceOf(ws.step)
-	allowedShare := l.queueStatsOf(ws.tj.sub.Queue).allowedShare()
 	expected := 0.0
 	for _, wk := range p.withCapacity(ws, req.Size, service) {
 		if answers.refused[wk.id] {
--- a/pollendockd/internal/scheduler/wait_report.go
+++ b/pollendockd/internal/scheduler/wait_report.go
@@ -138,7 +138,7 @@
 	answers := ws.tj.advice[ws.step]
 	var unknown []*worker
 	for _, wk := range p.usable[service] {
-		if answers == nil || !answers.refused[wk.id] && !answers.known(wk) {
+		if answers == nil || !answers.hasAnswer(wk.id) {
 			unknown = append(unknown, wk)
 		}
 	}
