scheduler: tests of gangs share the set-up of full workers and of several VMs

The same eight lines stood in waiting_gangs_test and unasked_workers_test, parts of them twice more. Sizes, times and assertions are as before.

--- a/pollendockd/internal/scheduler/query_order_test.go
+++ b/pollendockd/internal/scheduler/query_order_test.go
@@ -31,11 +31,8 @@
 		c.addUnadvisedQueue()
 		c.addLargeWorkers()
 		c.outcome = longRuns
-		long := tasks(36, 60)
-		long.Estimate = time.Hour
-		c.submitTo("unadvised", "long", long)
-		c.start("a")
-		time.Sleep(time.Second)
+		c.fillLargeWorkers(36)
+		c.startAmong(1)
 		// The idle workers hold 12 of these tasks.
 		large := gang(20, 60)
 		large.Estimate = time.Minute
@@ -54,7 +51,6 @@
 func TestGangsAskBesideBacklogOfQuickQueries(t *testing.T) {
 	inCell(t, 0, func(c *cell) {
 		const (
-			vms        = 6
 			gangs      = 9
 			quickEvery = 5 * time.Millisecond
 			before     = 200
@@ -70,11 +66,7 @@
 			return fleet.AdviceTerms{Advice: siteAdvice, Good: 1}
 		})
 		c.addLargeWorkers()
-		c.start("a")
-		for i := range vms - 1 {
-			c.join(fmt.Sprintf("b%d", i))
-		}
-		time.Sleep(time.Second)
+		c.startAmong(6)
 		for n := range before + int(lostAfter/quickEvery) {
 			if n == before {
 				for g := range gangs {
--- a/pollendockd/internal/scheduler/unasked_workers_test.go
+++ b/pollendockd/internal/scheduler/unasked_workers_test.go
@@ -54,14 +54,8 @@
 			},
 		}
 		c.outcome = longRuns
-		long := tasks(48, 60)
-		long.Estimate = time.Hour
-		c.submitTo("unadvised", "long", long)
-		c.start("a")
-		for i := range 5 {
-			c.join(fmt.Sprintf("b%d", i))
-		}
-		time.Sleep(time.Second)
+		c.fillLargeWorkers(48)
+		c.startAmong(6)
 		waiting := gang(6, 19)
 		waiting.Estimate = estimate
 		for n := range gangs {
--- a/pollendockd/internal/scheduler/waiting_gangs_test.go
+++ b/pollendockd/internal/scheduler/waiting_gangs_test.go
@@ -23,6 +23,24 @@
 	c.outcome = func(site.TaskID, int64, string) (time.Duration, site.EndKind) { return 5 * time.Second, site.Done }
 }
 
+// fillLargeWorkers fills some of the large workers with the runs of the job "long".
+func (c *cell) fillLargeWorkers(n int) {
+	c.t.Helper()
+	long := tasks(n, 60)
+	long.Estimate = time.Hour
+	c.submitTo("unadvised", "long", long)
+}
+
+// startAmong starts the leader and adds other VMs to query through, n in all.
+func (c *cell) startAmong(n int) {
+	c.t.Helper()
+	c.start("a")
+	for i := range n - 1 {
+		c.join(fmt.Sprintf("b%d", i))
+	}
+	time.Sleep(time.Second)
+}
+
 // TestNewLeaderAsksAboutNoRefusedWorkerAgain guards against a new leader that queries again for all waiting gangs, for seconds, about workers that the advisor has refused them.
 func TestNewLeaderAsksAboutNoRefusedWorkerAgain(t *testing.T) {
 	inCell(t, 0, func(c *cell) {
@@ -147,14 +165,8 @@
 			}
 			return workTime, site.Done
 		}
-		long := tasks(48, 60)
-		long.Estimate = time.Hour
-		c.submitTo("unadvised", "long", long)
-		c.start("a")
-		for i := range 5 {
-			c.join(fmt.Sprintf("b%d", i))
-		}
-		time.Sleep(time.Second)
+		c.fillLargeWorkers(48)
+		c.startAmong(6)
 		for n := range gangs {
 			c.submit(fmt.Sprintf("g%d", n), gang(6, 19))
 		}
