entry: urgent work precedes the batch work that was stopped for it

Cause: a VM placed all jobs of which it is the primary scheduler first, and the jobs of others after those, in random order. When the owner of the worker was the batch work's primary scheduler but not the urgent work's, the batch task that had just been stopped took its place again, each time.

--- a/pollendockd/internal/entry/guarantees_test.go
+++ b/pollendockd/internal/entry/guarantees_test.go
@@ -523,6 +523,26 @@
 	})
 }
 
+// TestUrgentPrecedesPreemptedBatch checks that urgent work gets the capacity of the
+// batch work that was stopped for it, whichever VM is its primary scheduler.
+func TestUrgentPrecedesPreemptedBatch(t *testing.T) {
+	runCell(t, 3, 1, func(c *testCell) {
+		for i := range 4 {
+			c.submit(jobParams{entry: "entry-1", tag: fmt.Sprintf("batch-%d", i), kind: config.Batch, run: 20 * time.Second})
+		}
+		c.wait(2 * time.Second)
+		for i := range 8 {
+			urgent := c.submit(jobParams{entry: "entry-2", tag: fmt.Sprintf("urgent-%d", i), kind: config.Batch, run: 100 * time.Millisecond, urgent: true})
+			c.wait(4 * time.Second)
+			expectCode(t, urgent, code.OK)
+			if urgent.took > 3600*time.Millisecond {
+				t.Errorf("%s ended after %s", urgent.tag, urgent.took)
+			}
+		}
+		c.awaitAnswers(2 * time.Minute)
+	})
+}
+
 // TestGangInBusyCell checks that a gang as large as the cell is scheduled while
 // batch work keeps arriving, and that the batch work is not starved either.
 func TestGangInBusyCell(t *testing.T) {
--- a/pollendockd/internal/entry/place.go
+++ b/pollendockd/internal/entry/place.go
@@ -24,11 +24,17 @@
 		weightedShare float64
 		// correction is added to weightedShare to compensate for past usage.
 		correction float64
-		// primaryJobs are the waiting jobs. Of their tasks, this VM places those
-		// for which it is the primary scheduler. backupJobs are the jobs, except
-		// gangs, that have waited longer than backupAfter. Any entry VM may place
-		// their tasks.
-		primaryJobs, backupJobs []*ledger.Job
+		// urgent jobs precede the others, whichever VM is their primary scheduler.
+		urgent, others waitingJobs
+	}
+
+	// waitingJobs are jobs of equal urgency.
+	waitingJobs struct {
+		// primary are the waiting jobs. Of their tasks, this VM places those for
+		// which it is the primary scheduler. backup are the jobs, except gangs,
+		// that have waited longer than backupAfter. Any entry VM may place their
+		// tasks.
+		primary, backup []*ledger.Job
 	}
 
 	// schedulingPass is one round over the waiting durable work.
@@ -156,12 +162,14 @@
 			if !j.Startable() {
 				continue
 			}
-			t.primaryJobs = append(t.primaryJobs, j)
-			if j.Spec.Kind != config.Gang && now.Sub(j.At) > backupAfter {
-				t.backupJobs = append(t.backupJobs, j)
+			if j.Spec.Urgent {
+				t.urgent.add(j, now)
+			} else {
+				t.others.add(j, now)
 			}
 		}
-		rand.Shuffle(len(t.backupJobs), func(a, b int) { t.backupJobs[a], t.backupJobs[b] = t.backupJobs[b], t.backupJobs[a] })
+		t.urgent.shuffleBackup()
+		t.others.shuffleBackup()
 		teamQueues = append(teamQueues, t)
 	}
 	c.applyCorrections(p, teamQueues)
@@ -175,23 +183,43 @@
 	if compete {
 		limit = 1
 	}
-	for len(t.primaryJobs) > 0 {
-		if n := c.placeJob(p, t.primaryJobs[0], limit, false); n > 0 {
+	if n := c.placeFirst(p, &t.urgent, limit); n > 0 {
+		return n
+	}
+	return c.placeFirst(p, &t.others, limit)
+}
+
+// placeFirst dispatches tasks of the first job that it can place, and returns their
+// number. It removes the jobs before that one.
+func (c *control) placeFirst(p *schedulingPass, w *waitingJobs, limit int) int {
+	for len(w.primary) > 0 {
+		if n := c.placeJob(p, w.primary[0], limit, false); n > 0 {
 			return n
 		}
-		t.primaryJobs = t.primaryJobs[1:]
+		w.primary = w.primary[1:]
 	}
-	// Backup jobs are in random order, so that two VMs rarely choose the same
-	// one.
-	for len(t.backupJobs) > 0 {
-		if n := c.placeJob(p, t.backupJobs[0], limit, true); n > 0 {
+	for len(w.backup) > 0 {
+		if n := c.placeJob(p, w.backup[0], limit, true); n > 0 {
 			return n
 		}
-		t.backupJobs = t.backupJobs[1:]
+		w.backup = w.backup[1:]
 	}
 	return 0
 }
 
+func (w *waitingJobs) add(j *ledger.Job, now time.Time) {
+	w.primary = append(w.primary, j)
+	if j.Spec.Kind != config.Gang && now.Sub(j.At) > backupAfter {
+		w.backup = append(w.backup, j)
+	}
+}
+
+// shuffleBackup puts the backup jobs in random order, so that two VMs rarely choose
+// the same one.
+func (w *waitingJobs) shuffleBackup() {
+	rand.Shuffle(len(w.backup), func(a, b int) { w.backup[a], w.backup[b] = w.backup[b], w.backup[a] })
+}
+
 // placeJob dispatches up to limit tasks of j. With backup set it places any
 // task, otherwise only those for which this VM is the primary scheduler.
 func (c *control) placeJob(p *schedulingPass, j *ledger.Job, limit int, backup bool) int {
