advice: an idle late gang's query counts as in time within its queue, too

A late gang that has stood idle for 1.5 s went behind all gangs in time of its own queue that may start, for as long as such come.

Cause: since the dispatcher compared the raised rank between queues, but within a queue it ended with the sort key, which holds the late rank.

Change: one key, with the raised rank, for both comparisons.

--- a/cell/advice/dispatcher.go
+++ b/cell/advice/dispatcher.go
@@ -90,8 +90,9 @@
 
 // before reports whether a is served before b.
 func (d *Dispatcher) before(a, b *Demand, u slowUse) bool {
-	if a.rank() != b.rank() {
-		return a.rank() < b.rank()
+	keyA, keyB := a.key(), b.key()
+	if keyA.Rank != keyB.Rank {
+		return keyA.Rank < keyB.Rank
 	}
 	if a.Slow && !b.Slow {
 		return u.underShare(a)
@@ -110,7 +111,7 @@
 	if a.Queue == b.Queue && a.MayStart != b.MayStart {
 		return a.MayStart
 	}
-	return a.SortKey.Before(&b.SortKey)
+	return keyA.Before(&keyB)
 }
 
 // slowUse returns the use of the routes by slow queries.
@@ -133,12 +134,13 @@
 	return u.busy < u.usable/minSlowDivisor
 }
 
-// rank returns the rank by which the demand is served.
-func (m *Demand) rank() placement.Rank {
+// key returns the key by which the demand is served.
+func (m *Demand) key() placement.SortKey {
+	key := m.SortKey
 	if m.Idle {
-		return placement.InTime
+		key.Rank = placement.InTime
 	}
-	return m.SortKey.Rank
+	return key
 }
 
 // Sent notes that the query for a demand has been sent and is expected to take that
