scheduler: capacity reserved for later isn't full for short tasks behind a long one

Cause: a pass that finds no worker for a step notes the size as full for all steps behind it. But how much of a worker is free depends on when the step's tasks end: what is reserved for a gang may be used by tasks that end before it starts. So a long task in front, or a gang that looks for room, kept every short task of its size and larger from that capacity, in each pass.

Evidence: TestShortTaskUsesReservedCapacityBehindLongOne fails without the change: the short task has not started after 5 s on four idle workers.

Change: the note holds for tasks that end as late or later. Where no worker has the capacity at all, it holds for every task, as before.

--- a/pollendockd/internal/scheduler/candidates.go
+++ b/pollendockd/internal/scheduler/candidates.go
@@ -1,10 +1,18 @@
 package scheduler
 
 import (
+	"time"
+
 	"pollendock.example/cell/placement"
 	"pollendock.example/cell/resource"
 )
 
+// unplaceable is a size for which no worker has capacity, for tasks that end so late.
+type unplaceable struct {
+	size   resource.Vector
+	endsIn time.Duration
+}
+
 // workerStates returns the workers on which tasks of the step may be placed now. For a
 // step that needs advice these are the few with a ticket, so that a pass does not
 // iterate over all workers for each waiting step.
@@ -35,13 +43,17 @@
 }
 
 // withCapacity returns the workers that have the step's label and capacity for a task.
-// It records the size if no worker has capacity for it.
+// It notes the size if no worker has capacity for it.
 func (p *pass) withCapacity(ws *waitingStep, size resource.Vector, service string) []*worker {
 	label := ws.tj.sub.Steps[ws.step].Label
 	var list []*worker
-	fits := false
+	fits, fitsReserved := false, false
 	for _, wk := range p.usable[service] {
-		if !p.isolation.admits(wk, ws) || !size.Fits(p.free(wk, ws)) {
+		if !p.isolation.admits(wk, ws) {
+			continue
+		}
+		if !size.Fits(p.free(wk, ws)) {
+			fitsReserved = fitsReserved || size.Fits(wk.free())
 			continue
 		}
 		fits = true
@@ -50,11 +62,21 @@
 		}
 	}
 	if !fits && !ws.isolated {
-		p.tooLarge[service] = append(p.tooLarge[service], size)
+		p.noteUnplaceable(ws, size, service, fitsReserved)
 	}
 	return list
 }
 
+// noteUnplaceable notes a size for which no worker has capacity. Where some is reserved, tasks that
+// end sooner may use it.
+func (p *pass) noteUnplaceable(ws *waitingStep, size resource.Vector, service string, fitsReserved bool) {
+	u := unplaceable{size: size}
+	if fitsReserved {
+		u.endsIn = ws.endsIn(1)
+	}
+	p.unplaceable[service] = append(p.unplaceable[service], u)
+}
+
 func (l *leadership) workerState(ws *waitingStep, wk *worker, free resource.Vector) placement.WorkerState {
 	return placement.WorkerState{
 		Worker: wk.id, Rack: wk.upstream.Rack, Free: free, Tasks: l.tasksOn(wk, ws), Suspect: l.isSuspect(ws, wk),
@@ -82,10 +104,11 @@
 }
 
 // isFull reports whether the pass has found no capacity for a task of this size or
-// smaller.
-func (p *pass) isFull(service string, size resource.Vector) bool {
-	for _, tooLarge := range p.tooLarge[service] {
-		if tooLarge.Fits(size) {
+// smaller, that ends as early or earlier.
+func (p *pass) isFull(ws *waitingStep, service string) bool {
+	size := ws.tj.sub.Steps[ws.step].Size
+	for _, u := range p.unplaceable[service] {
+		if u.size.Fits(size) && u.endsIn <= ws.endsIn(1) {
 			return true
 		}
 	}
--- a/pollendockd/internal/scheduler/gang_order_test.go
+++ b/pollendockd/internal/scheduler/gang_order_test.go
@@ -145,6 +145,27 @@
 	})
 }
 
+// TestShortTaskUsesReservedCapacityBehindLongOne guards against a short task that does not start on idle workers, which are reserved for a gang that starts long after it would end, since a long task before it may not.
+func TestShortTaskUsesReservedCapacityBehindLongOne(t *testing.T) {
+	inCell(t, 6, func(c *cell) {
+		const longTime = 5 * time.Minute
+		long, wide, later := tasks(2, 10), gang(6, 10), tasks(1, 1)
+		long.Estimate, wide.Estimate, later.Estimate = longTime, longTime, 2*longTime
+		c.occupyTwoWorkers(long, longTime)
+		c.submitTo("unadvised", "wide", wide)
+		c.submitToAt(time.Now().Add(-5*longTime), "unadvised", "later", later)
+		c.submitToAt(time.Now().Add(-2*workTime), "unadvised", "small", tasks(1, 1))
+		c.start("a")
+		time.Sleep(2*time.Second + lostAfter)
+		if c.fleet.Starts(site.TaskID{Job: "small"}) == 0 {
+			t.Error("the short task has not started")
+		}
+		if c.fleet.Starts(site.TaskID{Job: "later"}) != 0 {
+			t.Error("the long task has started")
+		}
+	})
+}
+
 // TestGangWithRoomPrecedesThoseInTurn guards against an overdue gang that waits beside idle
 // workers for the end of the turn of another, which waits for runs beyond their estimates.
 func TestGangWithRoomPrecedesThoseInTurn(t *testing.T) {
--- a/pollendockd/internal/scheduler/harness_test.go
+++ b/pollendockd/internal/scheduler/harness_test.go
@@ -451,16 +451,18 @@
 // submitAt appends the record of a job that was accepted at the given time.
 func (c *cell) submitAt(accepted time.Time, id string, steps ...job.Step) {
 	c.t.Helper()
-	if _, err := c.store.Append(c.ctx, []site.Entry{c.entry(accepted, id, steps...)}); err != nil {
-		c.t.Fatal(err)
-	}
+	c.submitToAt(accepted, "q", id, steps...)
 }
 
 // submitTo appends the record of a job of another queue.
 func (c *cell) submitTo(queue, id string, steps ...job.Step) {
 	c.t.Helper()
-	e := c.entryIn(queue, time.Now(), id, steps...)
-	if _, err := c.store.Append(c.ctx, []site.Entry{e}); err != nil {
+	c.submitToAt(time.Now(), queue, id, steps...)
+}
+
+func (c *cell) submitToAt(accepted time.Time, queue, id string, steps ...job.Step) {
+	c.t.Helper()
+	if _, err := c.store.Append(c.ctx, []site.Entry{c.entryIn(queue, accepted, id, steps...)}); err != nil {
 		c.t.Fatal(err)
 	}
 }
--- a/pollendockd/internal/scheduler/pass.go
+++ b/pollendockd/internal/scheduler/pass.go
@@ -26,8 +26,8 @@
 		workersKnown bool
 		// usable holds the workers that accept new runs, by service.
 		usable map[string][]*worker
-		// tooLarge holds sizes for which no worker of a service has capacity.
-		tooLarge map[string][]resource.Vector
+		// unplaceable holds sizes for which no worker of a service has capacity.
+		unplaceable map[string][]unplaceable
 		// unclaimedCPU is the free processor time that no step earlier in the order is
 		// about to query for, nor has reserved, by service.
 		unclaimedCPU map[string]int64
@@ -237,7 +237,7 @@
 		speeds:            l.s.speeds,
 		workersKnown:      l.workersKnown(now),
 		usable:            map[string][]*worker{},
-		tooLarge:          map[string][]resource.Vector{},
+		unplaceable:       map[string][]unplaceable{},
 		unclaimedCPU:      map[string]int64{},
 		reservedCPU:       map[string][]reservedCPU{},
 		claimedCPU:        map[*worker]int64{},
@@ -367,7 +367,7 @@
 	tj := ws.tj
 	spec := &tj.sub.Steps[ws.step]
 	service, advice := l.serviceOf(p, tj)
-	if ws.isolated && !ws.vacated || !spec.Gang && !ws.isolated && p.isFull(service, spec.Size) {
+	if ws.isolated && !ws.vacated || !spec.Gang && !ws.isolated && p.isFull(ws, service) {
 		return noCapacity
 	}
 	var answers *stepAdvice
