scheduler: a job idle for longer than a gang may use what the gang has reserved

The expected start of a gang, which bounds it, is put off again and again where runs last longer or answers don't suffice.

Change: what a gang in time has reserved doesn't count for a step whose job has had no run for 2 s, and for longer than the gang's job. So a gang isn't starved by jobs that came after it, and the turn of an overdue gang is its own.

Evidence: TestIdleJobUsesCapacityReservedForYoungerGang fails without the change.

--- a/pollendockd/internal/scheduler/candidates.go
+++ b/pollendockd/internal/scheduler/candidates.go
@@ -108,7 +108,7 @@
 func (p *pass) isFull(ws *waitingStep, service string) bool {
 	size := ws.tj.sub.Steps[ws.step].Size
 	for _, u := range p.unplaceable[service] {
-		if u.size.Fits(size) && u.endsIn <= ws.endsIn(1) {
+		if u.size.Fits(size) && u.endsIn <= ws.endsIn(1) && (u.endsIn == 0 || ws.tj.idleFor(p.now) < maxReservedIdleTime) {
 			return true
 		}
 	}
--- a/pollendockd/internal/scheduler/pass.go
+++ b/pollendockd/internal/scheduler/pass.go
@@ -74,8 +74,8 @@
 		size resource.Vector
 		// in is the time until the gang is expected to start.
 		in time.Duration
-		// position is that of the gang's step in the pass.
-		position int
+		// holder is the gang's step.
+		holder *waitingStep
 	}
 )
 
--- a/pollendockd/internal/scheduler/reserve.go
+++ b/pollendockd/internal/scheduler/reserve.go
@@ -91,7 +91,7 @@
 	}
 	endsIn := ws.endsIn(p.timeFactor(wk))
 	for _, h := range held {
-		if (ws.position == 0 || h.position < ws.position) && endsIn > h.in {
+		if (ws.position == 0 || h.holder.position < ws.position) && endsIn > h.in && !ws.outwaits(h.holder, p.now) {
 			free = free.Sub(h.size)
 		}
 	}
@@ -346,7 +346,7 @@
 		chosen = append(chosen, wk)
 		size := req.Size.Scale(int64(r.Tasks))
 		cpu += min(size.MilliCPU, max(0, wk.free().MilliCPU))
-		p.heldCapacity[wk] = append(p.heldCapacity[wk], heldCapacity{size, in, ws.position})
+		p.heldCapacity[wk] = append(p.heldCapacity[wk], heldCapacity{size, in, ws})
 	}
 	p.unclaimedCPU[service] -= cpu
 	p.reservedCPU[service] = append(p.reservedCPU[service], reservedCPU{cpu, in})
--- a/pollendockd/internal/scheduler/waiting.go
+++ b/pollendockd/internal/scheduler/waiting.go
@@ -42,6 +42,8 @@
 	endlessStartLimit = time.Second
 	// maxIdleTime is how long a job without a run leaves free capacity to steps before it in the order.
 	maxIdleTime = 1500 * time.Millisecond
+	// maxReservedIdleTime is how long it leaves capacity to gangs that have it reserved.
+	maxReservedIdleTime = 2 * time.Second
 )
 
 // waitingSteps returns the steps with tasks to place, in scheduling order.
@@ -98,6 +100,13 @@
 	return slack > time.Duration(patienceFactor*float64(ws.tj.forecast.criticalPaths[ws.step]))
 }
 
+// outwaits reports whether the step may use what is reserved for a gang: its job has had no run for
+// longer than the gang's, and soon for too long. The turn of an overdue gang is its own.
+func (ws *waitingStep) outwaits(holder *waitingStep, now time.Time) bool {
+	idle := ws.tj.idleFor(now)
+	return idle >= maxReservedIdleTime && idle > holder.tj.idleFor(now) && holder.sortKey.Rank != placement.Overdue
+}
+
 // keptIdle reports whether the job has had no run for so long that one of the step's tasks may use
 // capacity that is free but left to others.
 func (ws *waitingStep) keptIdle(now time.Time) bool {
