--- a/pollendockd/internal/scheduler/candidates.go
+++ b/pollendockd/internal/scheduler/candidates.go
@@ -7,10 +7,12 @@
 	"pollendock.example/cell/resource"
 )
 
-// unplaceable is a size for which no worker has capacity, for tasks that end so late.
+// unplaceable is a size for which no worker has capacity. With fitsReserved set some is reserved for
+// gangs, but tasks that end after endsIn may not use it.
 type unplaceable struct {
-	size   resource.Vector
-	endsIn time.Duration
+	size         resource.Vector
+	fitsReserved bool
+	endsIn       time.Duration
 }
 
 // workerStates returns the workers on which tasks of the step may be placed now. For a
@@ -62,21 +64,11 @@
 		}
 	}
 	if !fits && !ws.isolated {
-		p.noteUnplaceable(ws, size, service, fitsReserved)
+		p.unplaceable[service] = append(p.unplaceable[service], unplaceable{size, fitsReserved, ws.endsIn(1)})
 	}
 	return list
 }
 
-// noteUnplaceable notes a size for which no worker has capacity. Where some is reserved, tasks that
-// end sooner may use it.
-func (p *pass) noteUnplaceable(ws *waitingStep, size resource.Vector, service string, fitsReserved bool) {
-	u := unplaceable{size: size}
-	if fitsReserved {
-		u.endsIn = ws.endsIn(1)
-	}
-	p.unplaceable[service] = append(p.unplaceable[service], u)
-}
-
 func (l *leadership) workerState(ws *waitingStep, wk *worker, free resource.Vector) placement.WorkerState {
 	return placement.WorkerState{
 		Worker: wk.id, Rack: wk.upstream.Rack, Free: free, Tasks: l.tasksOn(wk, ws), Suspect: l.isSuspect(ws, wk),
@@ -103,18 +95,28 @@
 	return list
 }
 
-// isFull reports whether the pass has found no capacity for a task of this size or
-// smaller, that ends as early or earlier.
+// isFull reports whether the pass has found that no worker has capacity for a task of the step.
 func (p *pass) isFull(ws *waitingStep, service string) bool {
-	size := ws.tj.sub.Steps[ws.step].Size
 	for _, u := range p.unplaceable[service] {
-		if u.size.Fits(size) && u.endsIn <= ws.endsIn(1) && (u.endsIn == 0 || ws.tj.idleFor(p.now) < maxReservedIdleTime) {
+		if u.holdsFor(ws, p.now) {
 			return true
 		}
 	}
 	return false
 }
 
+// holdsFor reports whether there is no capacity for the tasks of a step further back in the order,
+// either.
+func (u *unplaceable) holdsFor(ws *waitingStep, now time.Time) bool {
+	switch {
+	case !u.size.Fits(ws.tj.sub.Steps[ws.step].Size):
+		return false
+	case u.fitsReserved:
+		return u.endsIn <= ws.endsIn(1) && !ws.mayUseReserved(now)
+	}
+	return true
+}
+
 // tasksOn counts the tasks of the step on a worker, if the step limits them.
 func (l *leadership) tasksOn(wk *worker, ws *waitingStep) int {
 	if ws.tj.sub.Steps[ws.step].PerWorker == 0 {
--- a/pollendockd/internal/scheduler/waiting.go
+++ b/pollendockd/internal/scheduler/waiting.go
@@ -100,11 +100,16 @@
 	return slack > time.Duration(patienceFactor*float64(ws.tj.forecast.criticalPaths[ws.step]))
 }
 
-// outwaits reports whether the step may use what is reserved for a gang: its job has had no run for
-// longer than the gang's, and soon for too long. The turn of an overdue gang is its own.
+// mayUseReserved reports whether the job has had no run for so long that the step may use what is
+// reserved for gangs of some other jobs.
+func (ws *waitingStep) mayUseReserved(now time.Time) bool {
+	return ws.tj.idleFor(now) >= maxReservedIdleTime
+}
+
+// outwaits reports whether the step may use what is reserved for a gang whose job has had no run for
+// less long. The turn of an overdue gang is its own.
 func (ws *waitingStep) outwaits(holder *waitingStep, now time.Time) bool {
-	idle := ws.tj.idleFor(now)
-	return idle >= maxReservedIdleTime && idle > holder.tj.idleFor(now) && holder.sortKey.Rank != placement.Overdue
+	return ws.mayUseReserved(now) && holder.sortKey.Rank != placement.Overdue && ws.tj.idleFor(now) > holder.tj.idleFor(now)
 }
 
 // keptIdle reports whether the job has had no run for so long that one of the step's tasks may use
