scheduler: suspects start on idle workers beyond their limit while nobody else waits

Cause: suspects may have six in ten workers, so that other jobs keep some. Suspects that have seen two crashes hold theirs to the end of their runs, and the others wait for one of the limit, though nobody wants the rest.

Change: a suspect that needs a worker to itself for its start only (0.3 s) may also take an empty worker beyond the limit, while no other job waits for capacity. As soon as one does, the limit holds again.

Evidence: TestSuspectsStartOnIdleWorkersBeyondTheirLimit fails without the change.

--- a/pollendockd/internal/scheduler/isolation_test.go
+++ b/pollendockd/internal/scheduler/isolation_test.go
@@ -161,6 +161,46 @@
 	}
 }
 
+// TestSuspectsStartOnIdleWorkersBeyondTheirLimit guards against suspects that wait for seconds beside workers that run nothing and that nobody else wants, since suspects have as many as they may take.
+func TestSuspectsStartOnIdleWorkersBeyondTheirLimit(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		crashes  int
+		crowding int64
+		busy     bool
+		want     bool
+	}{
+		{"nobody else waits", 1, 0, false, true},
+		{"others wait", 1, 1000, false, false},
+		{"no worker is empty", 1, 0, true, false},
+		{"needs the worker to its end", 2, 0, false, false},
+	} {
+		l := leadershipOf("j", tasks(1, 4))
+		ws := &waitingStep{tj: l.jobs["j"], isolated: true}
+		ws.tj.crashes = ws.tj.crashes.With(job.TaskCrashes{Count: c.crashes, Early: 1, Verdict: job.Suspect})
+		p := l.newPass(time.Now(), (&site.Catalog{}).Index())
+		p.workersKnown, p.speeds = true, newSpeedTable()
+		l.crowdingCPU = map[string]int64{"s": c.crowding}
+		other := leadershipOf("other", tasks(2, 4)).jobs["other"]
+		for n := range 2 {
+			wk := l.workerOf(workerName(n))
+			wk.upstream.Capacity = resource.Vector{MilliCPU: 10_000, MemoryMB: 10_000}
+			p.usable["s"] = append(p.usable["s"], wk)
+			if n == 0 {
+				p.isolation.holders[wk] = other
+				p.isolation.taken++
+			} else if c.busy {
+				l.bind(&run{task: site.TaskID{Job: "other", Index: n}, tj: other}, wk)
+			}
+		}
+		l.limitSuspects(p)
+		l.vacateFor(p, ws)
+		if ws.vacated != c.want {
+			t.Errorf("%s: may start %v, want %v", c.name, ws.vacated, c.want)
+		}
+	}
+}
+
 // TestInheritedServiceHasSettled guards against services that a suspect may not start beside since each
 // new leader counts their work from its own begin.
 func TestInheritedServiceHasSettled(t *testing.T) {
--- a/pollendockd/internal/scheduler/vacate.go
+++ b/pollendockd/internal/scheduler/vacate.go
@@ -161,6 +161,18 @@
 	return true
 }
 
+// clearedAtStart reports whether other jobs may run beside the tasks of the step once they have survived
+// their start.
+func (ws *waitingStep) clearedAtStart() bool {
+	endless := ws.tj.sub.Steps[ws.step].Endless
+	for _, i := range ws.tj.waitingTasks(ws.step, ws.isolated) {
+		if !endless && ws.tj.crashesOf(site.TaskID{Step: ws.step, Index: i}).Count > 1 {
+			return false
+		}
+	}
+	return true
+}
+
 // mayBecomeVacant reports whether the workers without services hold so many tasks of the step once
 // they are empty.
 func (p *pass) mayBecomeVacant(ws *waitingStep, service string, missing int) bool {
@@ -230,10 +242,12 @@
 }
 
 // bestToVacate returns the worker that is likely to be free of other jobs first, nil if
-// there is none or suspects have as many as they may take.
+// there is none or suspects have as many as they may take. While no other job waits, a suspect that
+// needs a worker for its start only may also take one that is empty.
 func (l *leadership) bestToVacate(p *pass, ws *waitingStep, service string, limit int) *worker {
 	iso := &p.isolation
-	if iso.taken+len(iso.vacated) >= limit {
+	limited := iso.taken+len(iso.vacated) >= limit
+	if limited && (l.crowdingCPU[service] > 0 || !ws.clearedAtStart()) {
 		return nil
 	}
 	var best *worker
@@ -242,7 +256,11 @@
 		if iso.holders[wk] != nil || iso.vacated[wk] != nil {
 			continue
 		}
-		if rank, possible := l.rankToVacate(p, ws, wk); possible && (best == nil || rank.before(&bestRank)) {
+		rank, possible := l.rankToVacate(p, ws, wk)
+		if !possible || limited && !rank.empty {
+			continue
+		}
+		if best == nil || rank.before(&bestRank) {
 			best, bestRank = wk, rank
 		}
 	}
