--- a/pollendock/session_process_test.go
+++ b/pollendock/session_process_test.go
@@ -50,6 +50,9 @@
 		defer close(p.exited)
 		_ = p.cmd.Wait()
 	}()
+	if earlier := s.processes[name]; earlier != nil {
+		s.replaced = append(s.replaced, earlier)
+	}
 	s.processes[name] = p
 }
 
@@ -57,6 +60,10 @@
 // their logs, which are removed with the session's directory.
 func (s *session) killAll(t testReporter) {
 	unexpected := s.exitedProcess()
+	for _, p := range s.replaced {
+		_ = p.cmd.Process.Kill()
+		<-p.exited
+	}
 	for _, name := range s.processNames() {
 		p := s.processes[name]
 		_ = p.cmd.Process.Kill()
--- a/pollendock/session_test.go
+++ b/pollendock/session_test.go
@@ -25,6 +25,8 @@
 		dir       string
 		subnet    *loopback.Subnet
 		processes map[string]*process
+		// replaced are processes that others of their name have followed.
+		replaced []*process
 	}
 
 	sessionKey struct{}
