scheduler: one rule for suspects that are kept apart for their start only

run.cleared and the step's clearedAtStart each spelled it. No change of behaviour; formatter and linter are clean, and the tests of the package fail where they are known red, only.

--- a/pollendockd/internal/scheduler/isolation.go
+++ b/pollendockd/internal/scheduler/isolation.go
@@ -40,7 +40,12 @@
 // cleared reports whether other jobs may run beside a suspect: it has survived its start.
 // One that has seen several crashes has to survive to its end, if it has one.
 func (r *run) cleared() bool {
-	return r.survivedStart() && (r.tj.crashesOf(r.task).Count <= 1 || r.tj.sub.Steps[r.task.Step].Endless)
+	return r.survivedStart() && r.tj.clearedAtStart(r.task)
+}
+
+// clearedAtStart reports whether other jobs may run beside a suspect once it has survived its start.
+func (tj *trackedJob) clearedAtStart(t site.TaskID) bool {
+	return tj.crashesOf(t).Count <= 1 || tj.sub.Steps[t.Step].Endless
 }
 
 // endProbation requests the lists of the workers whose suspects may have survived their
--- a/pollendockd/internal/scheduler/vacate.go
+++ b/pollendockd/internal/scheduler/vacate.go
@@ -161,12 +161,11 @@
 	return true
 }
 
-// clearedAtStart reports whether other jobs may run beside the tasks of the step once they have survived
-// their start.
+// clearedAtStart reports whether other jobs may run beside each waiting task of the step once it has
+// survived its start.
 func (ws *waitingStep) clearedAtStart() bool {
-	endless := ws.tj.sub.Steps[ws.step].Endless
 	for _, i := range ws.tj.waitingTasks(ws.step, ws.isolated) {
-		if !endless && ws.tj.crashesOf(site.TaskID{Step: ws.step, Index: i}).Count > 1 {
+		if !ws.tj.clearedAtStart(site.TaskID{Step: ws.step, Index: i}) {
 			return false
 		}
 	}
