review: a restarted worker runs a task again that was acknowledged as done

The end of a run is acknowledged, and its task runs elsewhere, while a start request of it may still be carried out; the later life of a worker is told to refuse it only after its first answer.

--- a/review/standin2/cases.go
+++ b/review/standin2/cases.go
@@ -17,6 +17,8 @@
 	waitingTime = 5 * time.Second
 	// disruptionTime is how long the workers of the deployment hang or are cut off.
 	disruptionTime = 5500 * time.Millisecond
+	// lateShare is the share of the orders that are carried out late.
+	lateShare = 0.5
 )
 
 var (
@@ -24,6 +26,7 @@
 		{"lasting-gang", 4, size{CPU: 16000, MemMB: 32768}, size{CPU: 100000}, playLastingGang},
 		{"cap", 4, size{CPU: 16000, MemMB: 32768, GPU: 2}, size{CPU: 40000, GPU: 2}, playCap},
 		{"full", 6, size{CPU: 16000, MemMB: 32768}, size{CPU: 100000}, playFull},
+		{"late-restart", 7, size{CPU: 16000, MemMB: 32768}, size{}, playLateRestart},
 		{"waiting", 10, size{CPU: 16000, MemMB: 32768}, size{CPU: 100000}, playWaiting},
 	}
 
@@ -154,3 +157,69 @@
 	}
 	return broken, nil
 }
+
+// playLateRestart lets the workers leave a share of their orders unanswered and carry them out late,
+// and then the busiest of them crash and start again under its id.
+func playLateRestart(c *cell) (string, error) {
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		for n := 0; ; n++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(40 * time.Millisecond):
+				go c.submit(n, quick, step{Count: 10, CPU: 500, MemMB: 64, EstimatedMs: 100, duration: 100 * time.Millisecond})
+			}
+		}
+	}()
+	time.Sleep(2 * time.Second)
+	for round := range 5 {
+		if c.trouble {
+			c.log("round %d: orders are carried out late", round)
+			c.fleet.setLate(lateShare)
+		}
+		time.Sleep(disruptionTime)
+		c.fleet.setLate(0)
+		if w := c.fleet.busiest(); c.trouble {
+			c.log("worker %s crashes and starts again", w.id)
+			w.crash()
+			time.Sleep(500 * time.Millisecond)
+			if err := w.begin(); err != nil {
+				return "", err
+			}
+		}
+		time.Sleep(8 * time.Second)
+		c.fleet.mu.Lock()
+		twice := c.fleet.twice
+		c.fleet.mu.Unlock()
+		if twice != "" {
+			return twice, nil
+		}
+	}
+	return "", nil
+}
+
+// setLate sets the share of the orders that the workers carry out late.
+func (f *fleet) setLate(share float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, w := range f.workers {
+		w.lateShare = share
+	}
+}
+
+// busiest returns the worker that has begun most runs.
+func (f *fleet) busiest() *worker {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	begun := map[*worker]int{}
+	best := f.workers[0]
+	for _, e := range f.history {
+		begun[e.w]++
+		if begun[e.w] > begun[best] {
+			best = e.w
+		}
+	}
+	return best
+}
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -21,6 +22,8 @@
 		gangs   map[string]*gang
 		// history holds all runs that have begun.
 		history []*execution
+		// twice describes the first broken rule of that name.
+		twice string
 	}
 
 	// worker is a stand-in for one worker. Its fields hold the state of its present life.
@@ -43,12 +46,16 @@
 		barred  map[string]int64
 		changed chan struct{}
 
-		// hangs is set while the worker leaves all calls unanswered.
-		hangs bool
+		// hangs is set while the worker leaves all calls unanswered, down between two lives.
+		hangs, down bool
+		// lateShare is the share of the orders that it leaves unanswered and carries out late.
+		lateShare float64
 	}
 
 	// execution is one run of a task on a worker.
 	execution struct {
+		// noted is set once the worker was told that the end is taken note of.
+		noted      bool
 		task       string
 		run        int64
 		job        *clientJob
@@ -98,6 +105,9 @@
 	heartbeat   = 1500 * time.Millisecond
 	tick        = 5 * time.Millisecond
 	maxRows     = 500
+	// An order that is carried out late is so between minDelay and maxDelay after it came.
+	minDelay = 2 * time.Second
+	maxDelay = 12 * time.Second
 )
 
 // begin starts a life of the worker: it holds and knows nothing of before.
@@ -108,6 +118,7 @@
 	w.fence, w.lease, w.lastEnd, w.ended = 0, 0, 0, nil
 	w.running, w.barred = map[string]*execution{}, map[string]int64{}
 	w.changed = make(chan struct{})
+	w.down = false
 	w.f.mu.Unlock()
 	if err := w.listen(); err != nil {
 		return err
@@ -127,6 +138,18 @@
 	return nil
 }
 
+// crash ends the process of the worker: its connections break, and all that runs there is gone.
+func (w *worker) crash() {
+	w.f.mu.Lock()
+	w.down = true
+	for _, e := range w.running {
+		e.finish("crashed")
+	}
+	w.running = map[string]*execution{}
+	w.f.mu.Unlock()
+	_ = w.server.Close()
+}
+
 // cutOff cuts the worker off from the machines of the system: its connections are reset, and no
 // new ones come about. It runs on, and the store hears of it.
 func (w *worker) cutOff() {
@@ -139,6 +162,10 @@
 // beat writes the worker's entry into the store.
 func (w *worker) beat() {
 	w.f.mu.Lock()
+	if w.down {
+		w.f.mu.Unlock()
+		return
+	}
 	w.sequence++
 	entry := map[string]any{
 		"service": serviceName, "address": w.addr, "zone": w.zone, "version": "v1", "slots": 8, "state": "ready",
@@ -168,10 +195,16 @@
 	case "/api/run-start":
 		var b startBody
 		decode(r, &b)
+		if w.late(r, func() { w.runStart(&b) }) {
+			return
+		}
 		status, answer = w.runStart(&b)
 	case "/api/run-stop":
 		var b startBody
 		decode(r, &b)
+		if w.late(r, func() { w.runStop(&b) }) {
+			return
+		}
 		status, answer = w.runStop(&b)
 	case "/api/hold":
 		var b holdBody
@@ -187,6 +220,21 @@
 	reply(rw, status, answer)
 }
 
+// late reports whether the worker leaves an order unanswered; it then carries it out later, if it is
+// up at that time, whichever life it is in.
+func (w *worker) late(r *http.Request, order func()) bool {
+	w.f.mu.Lock()
+	late := rand.Float64() < w.lateShare
+	w.f.mu.Unlock()
+	if !late {
+		return false
+	}
+	delay := minDelay + time.Duration(rand.Int64N(int64(maxDelay-minDelay)))
+	time.AfterFunc(delay, order)
+	<-r.Context().Done()
+	return true
+}
+
 func decode(r *http.Request, v any) {
 	var b bytes.Buffer
 	_, _ = b.ReadFrom(r.Body)
@@ -233,6 +281,9 @@
 func (w *worker) runStart(b *startBody) (int, map[string]any) {
 	w.f.mu.Lock()
 	defer w.f.mu.Unlock()
+	if w.down {
+		return http.StatusServiceUnavailable, w.clockOnly("")
+	}
 	if w.refuses(b.Token) {
 		return http.StatusConflict, w.clockOnly("fence")
 	}
@@ -256,6 +307,7 @@
 		w.f.cell.log("UNKNOWN start of %s", b.Task)
 		return http.StatusBadRequest, w.clockOnly("")
 	}
+	w.f.judgeTwice(e)
 	w.running[b.Task] = e
 	w.f.history = append(w.f.history, e)
 	w.f.cell.logQuiet("start %s run %d on %s", b.Task, b.Run, w.id)
@@ -267,6 +319,25 @@
 	return http.StatusOK, w.clockOnly("")
 }
 
+// judgeTwice looks for a run of the task that is at work, or has ended with done if that end was
+// taken note of.
+func (f *fleet) judgeTwice(e *execution) {
+	for _, o := range f.history {
+		if o.task != e.task || f.twice != "" {
+			continue
+		}
+		switch {
+		case o.ended.IsZero():
+			f.twice = fmt.Sprintf("TWICE: run %d of %s begins on %s while run %d is at work on %s", e.run, e.task, e.w.id, o.run, o.w.id)
+		case o.how == "done" && o.noted:
+			f.twice = fmt.Sprintf("TWICE: run %d of %s begins on %s after run %d has ended with done on %s, which was taken note of", e.run, e.task, e.w.id, o.run, o.w.id)
+		default:
+			continue
+		}
+		f.cell.log("%s", f.twice)
+	}
+}
+
 // join adds a member to its gang, which works once all are there.
 func (f *fleet) join(e *execution, count int) {
 	id, step := splitTask(e.task)
@@ -289,6 +360,9 @@
 func (w *worker) runStop(b *startBody) (int, map[string]any) {
 	w.f.mu.Lock()
 	defer w.f.mu.Unlock()
+	if w.down {
+		return http.StatusServiceUnavailable, w.clockOnly("")
+	}
 	if w.refuses(b.Token) {
 		return http.StatusConflict, w.clockOnly("fence")
 	}
@@ -314,6 +388,7 @@
 	}
 	w.extend(b.DeadlineMs)
 	for len(w.ended) > 0 && w.ended[0].number <= b.AckCursor {
+		w.ended[0].e.noted = true
 		w.ended = w.ended[1:]
 	}
 	if b.WaitMs > 0 && len(w.ended) == 0 {
@@ -388,6 +463,9 @@
 				w.end(e, "lapsed")
 			}
 		}
+		if w.down {
+			continue
+		}
 		for _, e := range executions(w.running) {
 			s := &e.job.Steps[e.step]
 			switch {
